--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Programs are linked to the C library as usual: cgo stays on.
+export CGO_ENABLED = 1
+
+GO ?= go
+BIN = bin
+
+.PHONY: all build check fmt lint test race bench fuzz capacity clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# check is what CI runs: build, format, linters and tests with the race detector.
+check: build lint race
+
+fmt:
+	$(GO) tool gofumpt -w cmd pkg
+
+lint:
+	@out="$$($(GO) tool gofumpt -l cmd pkg)"; if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
+
+# fuzz runs every fuzz target for a short time.
+FUZZTIME ?= 10s
+fuzz:
+	@for p in $$($(GO) list ./pkg/...); do \
+	  for f in $$($(GO) test -list '^Fuzz' $$p | grep '^Fuzz'); do \
+	    echo "$$p $$f"; $(GO) test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) $$p || exit 1; \
+	  done; \
+	done
+
+# capacity measures the slopes that docs/CAPACITY.md is worked out from.
+capacity: build
+	$(BIN)/rockspoke-lab capacity
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/rockspoke-lab/main.go
@@ -0,0 +1,13 @@
+// Command rockspoke-lab runs real daemons among fakes, and measures them.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rockspoke/rockspoke/pkg/lab"
+)
+
+func main() {
+	os.Exit(lab.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/admission/gate.go
@@ -0,0 +1,239 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// Verdict is what the Gate decides about a ticket.
+type Verdict struct {
+	Start  bool        // the call may start now
+	Queued bool        // the call waits; Notify tells how it ends
+	Reason wire.Reason // why it was refused
+}
+
+// Defaults of Settings.
+const (
+	DefaultTarget     = 5 * time.Millisecond
+	DefaultMaxSojourn = 60 * time.Millisecond
+	DefaultInterval   = 50 * time.Millisecond
+)
+
+// headroomShare is the share of the limit that each tier leaves free for the tiers above it.
+const headroomShare = 0.03
+
+// Settings fixes a Gate's bounds; zero durations take the defaults.
+type Settings struct {
+	Slots      int           // calls that the backend server can run at once
+	Floor      int           // least limit; 0 means a tenth of the slots
+	QueueLen   int           // most queued calls; 0 means as many as slots
+	Target     time.Duration // queue delay above which the server counts as overloaded
+	MaxSojourn time.Duration // longest wait in the queue
+	Interval   time.Duration // time between level changes
+	Ramp       time.Duration // cold start: the time in which the limit grows to the slots
+}
+
+// Reading is a Gate's state for dumps and answers.
+type Reading struct {
+	Limit   int               `json:"limit"`
+	Running int               `json:"running"`
+	Queued  int               `json:"queued"`
+	Level   priority.Priority `json:"level"`
+	OwnTime time.Duration     `json:"own_time_ns"`
+}
+
+// Gate decides for one backend server; it isn't safe for concurrent use.
+type Gate struct {
+	cfg     Settings
+	limit   limit
+	level   level
+	queue   ticketQueue
+	running int
+	// floorSet says that the floor was given, rather than taken from the slots.
+	floorSet bool
+
+	intervalStart time.Time
+	done          int
+	refused       int
+	minSojourn    time.Duration
+	sojournSeen   bool
+	useSum        float64
+	useN          int
+}
+
+// NewGate returns a Gate with the given settings that starts cold at now.
+func NewGate(cfg Settings, now time.Time) *Gate {
+	cfg.Slots = max(cfg.Slots, 1)
+	floorSet := cfg.Floor > 0
+	if cfg.Floor == 0 {
+		cfg.Floor = max(cfg.Slots/10, 1)
+	}
+	if cfg.QueueLen == 0 {
+		cfg.QueueLen = cfg.Slots
+	}
+	cfg.Target = orDefault(cfg.Target, DefaultTarget)
+	cfg.MaxSojourn = orDefault(cfg.MaxSojourn, DefaultMaxSojourn)
+	cfg.Interval = orDefault(cfg.Interval, DefaultInterval)
+	return &Gate{
+		cfg:           cfg,
+		limit:         newLimit(cfg.Slots, cfg.Floor, cfg.Ramp, now),
+		intervalStart: now,
+		floorSet:      floorSet,
+	}
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
+
+// Arrive decides about a new call. A refused call never starts.
+func (g *Gate) Arrive(now time.Time, t *Ticket) Verdict {
+	g.level.arrive(t.Priority)
+	if t.Priority < g.level.value {
+		return Verdict{Reason: wire.ReasonLevel}
+	}
+	if !now.Before(t.Deadline) {
+		return Verdict{Reason: wire.ReasonDeadline}
+	}
+	t.arrived = now
+	if g.first(t) && g.fits(now, t.Priority) {
+		g.start(now, t)
+		return Verdict{Start: true}
+	}
+	if len(g.queue) >= g.cfg.QueueLen {
+		low := g.queue.lowest()
+		g.refused++
+		if low.Priority >= t.Priority {
+			return Verdict{Reason: wire.ReasonQueue}
+		}
+		g.queue.remove(low)
+		low.Notify(Verdict{Reason: wire.ReasonQueue})
+	}
+	heap.Push(&g.queue, t)
+	return Verdict{Queued: true}
+}
+
+// first tells whether no queued call goes before t.
+func (g *Gate) first(t *Ticket) bool {
+	return len(g.queue) == 0 || t.Priority > g.queue[0].Priority
+}
+
+// fits tells whether a call of priority p may start beside those running.
+func (g *Gate) fits(now time.Time, p priority.Priority) bool {
+	n := g.limit.current(now)
+	below := float64(priority.MaxTier - min(p.Tier(), priority.MaxTier))
+	room := int(float64(n)*(1-below*headroomShare) + 0.5)
+	return g.running < max(room, 1)
+}
+
+func (g *Gate) start(now time.Time, t *Ticket) {
+	g.running++
+	sojourn := now.Sub(t.arrived)
+	if !g.sojournSeen || sojourn < g.minSojourn {
+		g.minSojourn = sojourn
+		g.sojournSeen = true
+	}
+}
+
+// Done notes that a started call has ended. own is its time in the backend server less its waits
+// for outbound calls; counted says whether own is a fair sample of the server's speed.
+func (g *Gate) Done(now time.Time, own time.Duration, counted bool) {
+	if counted {
+		g.limit.observe(own, g.running)
+	}
+	g.running--
+	g.done++
+	g.drain(now)
+}
+
+// Cancel withdraws a queued ticket; it reports false when the ticket isn't queued any more.
+func (g *Gate) Cancel(t *Ticket) bool {
+	if !t.queued {
+		return false
+	}
+	g.queue.remove(t)
+	return true
+}
+
+// Tick moves the limit and the level and refuses queued calls that have waited too long.
+func (g *Gate) Tick(now time.Time) {
+	g.expire(now)
+	g.drain(now)
+	g.useSum += float64(g.running) / float64(g.limit.current(now))
+	g.useN++
+	g.limit.tick(now)
+	if now.Sub(g.intervalStart) < g.cfg.Interval {
+		return
+	}
+	standing := g.sojournSeen && g.minSojourn > g.cfg.Target
+	overloaded := standing || g.refused > 0
+	g.level.tick(overloaded, g.done, g.useSum/float64(g.useN))
+	g.intervalStart = now
+	g.done, g.refused, g.useSum, g.useN = 0, 0, 0, 0
+	g.sojournSeen = false
+}
+
+// expire refuses queued calls past their deadline or the longest sojourn.
+func (g *Gate) expire(now time.Time) {
+	for i := 0; i < len(g.queue); {
+		t := g.queue[i]
+		late := !now.Before(t.Deadline)
+		if !late && now.Sub(t.arrived) < g.cfg.MaxSojourn {
+			i++
+			continue
+		}
+		g.queue.remove(t)
+		g.refused++
+		reason := wire.ReasonQueue
+		if late {
+			reason = wire.ReasonDeadline
+		}
+		t.Notify(Verdict{Reason: reason})
+		i = 0
+	}
+}
+
+// drain starts queued calls while they fit.
+func (g *Gate) drain(now time.Time) {
+	for len(g.queue) > 0 && g.fits(now, g.queue[0].Priority) {
+		t := heap.Pop(&g.queue).(*Ticket)
+		if !now.Before(t.Deadline) {
+			t.Notify(Verdict{Reason: wire.ReasonDeadline})
+			continue
+		}
+		g.start(now, t)
+		t.Notify(Verdict{Start: true})
+	}
+}
+
+// Level returns the priority below which calls are refused.
+func (g *Gate) Level() priority.Priority { return g.level.value }
+
+// Read returns the Gate's state at now.
+func (g *Gate) Read(now time.Time) Reading {
+	return Reading{
+		Limit: g.limit.current(now), Running: g.running, Queued: len(g.queue),
+		Level: g.level.value, OwnTime: g.limit.lastOwn,
+	}
+}
+
+// SetSlots changes the number of calls that the backend server can run at once.
+func (g *Gate) SetSlots(slots int) {
+	slots = max(slots, 1)
+	if slots == g.limit.slots {
+		return
+	}
+	g.cfg.Slots = slots
+	g.cfg.QueueLen = slots
+	g.limit.slots = slots
+	if !g.floorSet {
+		g.limit.floor = max(slots/10, 1)
+	}
+	g.limit.value = float64(slots)
+}
--- /dev/null
+++ b/pkg/config/document_register.go
@@ -0,0 +1,34 @@
+package config
+
+// Register holds the newest Document that a daemon knows; its zero value is empty.
+type Register struct {
+	doc  *Document
+	plan *Plan
+}
+
+// Offer takes the document if its version is higher than the one held, and reports whether it did.
+func (r *Register) Offer(doc *Document) bool {
+	if doc == nil || doc.Version <= r.Version() {
+		return false
+	}
+	plan, err := Compile(doc)
+	if err != nil {
+		return false
+	}
+	r.doc, r.plan = doc, plan
+	return true
+}
+
+// Version returns the version held, or 0.
+func (r *Register) Version() int64 {
+	if r.doc == nil {
+		return 0
+	}
+	return r.doc.Version
+}
+
+// Document returns the document held, or nil.
+func (r *Register) Document() *Document { return r.doc }
+
+// Plan returns the compiled document held, or nil.
+func (r *Register) Plan() *Plan { return r.plan }
--- /dev/null
+++ b/pkg/config/object_parse.go
@@ -0,0 +1,172 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// FieldError is one fault in a file of objects or settings.
+type FieldError struct {
+	File  string `json:"file,omitempty"`
+	Line  int    `json:"line,omitempty"` // 0 if unknown
+	Field string `json:"field,omitempty"`
+	Msg   string `json:"msg"`
+}
+
+// Error shows the fault as file:line: field: message.
+func (e *FieldError) Error() string {
+	s := e.File
+	if e.Line > 0 {
+		s += ":" + strconv.Itoa(e.Line)
+	}
+	if s != "" {
+		s += ": "
+	}
+	if e.Field != "" {
+		s += e.Field + ": "
+	}
+	return s + e.Msg
+}
+
+// InvalidError holds every fault found in one reading.
+type InvalidError struct {
+	Faults []FieldError `json:"faults"`
+}
+
+// Error lists the faults, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i := range e.Faults {
+		lines[i] = e.Faults[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// located is an object with the YAML node it came from.
+type located struct {
+	obj  Object
+	node *yaml.Node
+}
+
+// Parse reads objects from YAML documents and checks each; the error is an *InvalidError.
+func Parse(file string, data []byte) ([]Object, error) {
+	var (
+		objs   []Object
+		faults []FieldError
+	)
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	seen := map[string]int{}
+	for {
+		var node yaml.Node
+		err := dec.Decode(&node)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			faults = append(faults, YAMLFaults(file, err)...)
+			break
+		}
+		loc, fs := parseOne(file, &node)
+		faults = append(faults, fs...)
+		if len(fs) > 0 || loc.obj.Kind == "" {
+			continue
+		}
+		if line, dup := seen[loc.obj.ID()]; dup {
+			faults = append(faults, FieldError{File: file, Line: node.Line, Field: "name", Msg: fmt.Sprintf("%s stands at line %d already", loc.obj.ID(), line)})
+		}
+		seen[loc.obj.ID()] = node.Line
+		objs = append(objs, loc.obj)
+	}
+	if len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	return objs, nil
+}
+
+func parseOne(file string, node *yaml.Node) (located, []FieldError) {
+	if len(node.Content) == 0 || node.Content[0].Tag == "!!null" {
+		return located{}, nil
+	}
+	raw, err := yaml.Marshal(node)
+	if err != nil {
+		return located{}, YAMLFaults(file, err)
+	}
+	// The node keeps the lines of the whole file, so it is decoded first; the
+	// second, strict decoder only looks for unknown fields.
+	loc := located{node: node.Content[0]}
+	if err := node.Decode(&loc.obj); err != nil {
+		return located{}, YAMLFaults(file, err)
+	}
+	var scratch Object
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	if err := dec.Decode(&scratch); err != nil {
+		return located{}, shiftUnknown(YAMLFaults(file, err), loc.node)
+	}
+	return loc, checkObject(file, loc)
+}
+
+// shiftUnknown gives unknown fields the lines of the original file.
+func shiftUnknown(faults []FieldError, root *yaml.Node) []FieldError {
+	for i := range faults {
+		if line := lineOfKey(root, faults[i].Field); line > 0 {
+			faults[i].Line = line
+		}
+	}
+	return faults
+}
+
+func lineOfKey(n *yaml.Node, key string) int {
+	if n.Kind == yaml.MappingNode {
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			if n.Content[i].Value == key {
+				return n.Content[i].Line
+			}
+		}
+	}
+	for _, c := range n.Content {
+		if line := lineOfKey(c, key); line > 0 {
+			return line
+		}
+	}
+	return 0
+}
+
+// The forms of the YAML library's messages.
+var (
+	yamlLine    = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
+	yamlUnknown = regexp.MustCompile(`^field (\S+) not found in type \S+$`)
+)
+
+// YAMLFaults turns an error of the YAML library into faults with lines and fields.
+func YAMLFaults(file string, err error) []FieldError {
+	var te *yaml.TypeError
+	if !errors.As(err, &te) {
+		return []FieldError{yamlFault(file, err.Error())}
+	}
+	faults := make([]FieldError, len(te.Errors))
+	for i, msg := range te.Errors {
+		faults[i] = yamlFault(file, msg)
+	}
+	return faults
+}
+
+func yamlFault(file, msg string) FieldError {
+	f := FieldError{File: file, Msg: msg}
+	if m := yamlLine.FindStringSubmatch(msg); m != nil {
+		f.Line, _ = strconv.Atoi(m[1])
+		f.Msg = m[2]
+	}
+	if m := yamlUnknown.FindStringSubmatch(f.Msg); m != nil {
+		f.Field = m[1]
+		f.Msg = "unknown field"
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/daemon/daemon_main.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// The exit statuses of rockspoked.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2 // wrong use or settings
+)
+
+const usage = `rockspoked runs beside one backend server, or on an entry VM, and carries calls.
+
+  SIGTERM, SIGINT  leave: take no new work, hand over key ranges, end calls in progress, stop
+  SIGUSR1          write the state to the log
+  SIGHUP           read the key files again
+
+Exit status: 0 stopped as asked, 1 failed, 2 wrong settings.
+
+Examples:
+  rockspoked --settings /etc/rockspoke/daemon.yaml
+  rockspoked --settings daemon.yaml --check`
+
+// Main runs rockspoked with the arguments and returns its exit status.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("rockspoked", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	file := fs.String("settings", "", "settings file in YAML")
+	check := fs.Bool("check", false, "check the settings and exit")
+	status := ExitOK
+	cmd := &ffcli.Command{
+		Name: "rockspoked", ShortUsage: "rockspoked --settings FILE [--check]", LongHelp: usage, FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			status = run(ctx, *file, *check, stdout, stderr)
+			return nil
+		},
+	}
+	if err := cmd.ParseAndRun(ctx, args); err != nil && !errors.Is(err, flag.ErrHelp) {
+		return ExitSettings
+	}
+	return status
+}
+
+func run(ctx context.Context, file string, check bool, stdout, stderr io.Writer) int {
+	if file == "" {
+		fmt.Fprintln(stderr, "rockspoked: --settings must name a file; see rockspoked --help")
+		return ExitSettings
+	}
+	cfg, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	if check {
+		fmt.Fprintf(stdout, "%s: settings are good\n", file)
+		return ExitOK
+	}
+	if err := serve(ctx, cfg, stderr); err != nil {
+		fmt.Fprintf(stderr, "rockspoked: %v\n", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// serve runs the daemon until the context ends or a signal asks it to leave.
+func serve(ctx context.Context, cfg settings.Settings, w io.Writer) error {
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	app := App(cfg, w)
+	if err := app.Err(); err != nil {
+		return eris.Wrap(err, "daemon can't be made")
+	}
+	startCtx, startCancel := context.WithTimeout(ctx, app.StartTimeout())
+	defer startCancel()
+	if err := app.Start(startCtx); err != nil {
+		return eris.Wrap(err, "daemon can't start")
+	}
+	<-ctx.Done()
+	stopCtx, stopCancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer stopCancel()
+	return eris.Wrap(app.Stop(stopCtx), "daemon can't stop in order")
+}
--- /dev/null
+++ b/pkg/keys/key_store.go
@@ -0,0 +1,178 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Files are the paths of one holder's keys, all in PEM but for the token secret.
+type Files struct {
+	CA          string `yaml:"ca"`
+	Cert        string `yaml:"cert"`
+	Key         string `yaml:"key"`
+	TokenSecret string `yaml:"tokenSecret,omitempty"` // any bytes, the same for all daemons; at least 16
+}
+
+// minSecret is the least length of a token secret in bytes.
+const minSecret = 16
+
+// Material is what the files held when they were last read.
+type Material struct {
+	Cert     tls.Certificate
+	Pool     *x509.CertPool
+	Identity Identity
+	Secret   []byte
+	Expires  time.Time
+}
+
+// FileError reports a key file that can't be used.
+type FileError struct {
+	Path   string
+	Reason string
+}
+
+// Error names the file and what is wrong with it.
+func (e *FileError) Error() string { return fmt.Sprintf("key file %s: %s", e.Path, e.Reason) }
+
+// Store holds the keys in use and reads them anew on request, so that they can be replaced without a restart.
+type Store struct {
+	files Files
+	now   func() time.Time
+	cur   atomic.Pointer[Material]
+}
+
+// Open reads the files; the error is a *FileError.
+func Open(files Files, now func() time.Time) (*Store, error) {
+	s := &Store{files: files, now: now}
+	if err := s.Reload(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Fixed returns a Store of keys that aren't in files.
+func Fixed(m Material, now func() time.Time) *Store {
+	s := &Store{now: now}
+	s.cur.Store(&m)
+	return s
+}
+
+// Reload reads the files again; on an error, a *FileError, the keys in use stay.
+func (s *Store) Reload() error {
+	if s.files == (Files{}) {
+		return nil
+	}
+	m, err := load(s.files)
+	if err != nil {
+		return err
+	}
+	if s.now().After(m.Expires) {
+		return &FileError{s.files.Cert, "expired at " + m.Expires.Format(time.RFC3339)}
+	}
+	s.cur.Store(m)
+	return nil
+}
+
+// Current returns the keys in use.
+func (s *Store) Current() *Material { return s.cur.Load() }
+
+func load(f Files) (*Material, error) {
+	ca, err := os.ReadFile(f.CA)
+	if err != nil {
+		return nil, &FileError{f.CA, err.Error()}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, &FileError{f.CA, "holds no certificate"}
+	}
+	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, &FileError{f.Cert, err.Error()}
+	}
+	id, err := IdentityOf(cert.Leaf)
+	if err != nil {
+		return nil, &FileError{f.Cert, err.Error()}
+	}
+	m := &Material{Cert: cert, Pool: pool, Identity: id, Expires: cert.Leaf.NotAfter}
+	if f.TokenSecret == "" {
+		return m, nil
+	}
+	m.Secret, err = os.ReadFile(f.TokenSecret)
+	if err != nil {
+		return nil, &FileError{f.TokenSecret, err.Error()}
+	}
+	if len(m.Secret) < minSecret {
+		return nil, &FileError{f.TokenSecret, fmt.Sprintf("is shorter than %d bytes", minSecret)}
+	}
+	return m, nil
+}
+
+// ServerConfig returns the TLS settings of a listener that takes holders of the given roles.
+func (s *Store) ServerConfig(protos []string, roles ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: protos,
+		ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &s.Current().Cert, nil
+		},
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			_, err := s.verify(cs, x509.ExtKeyUsageClientAuth, roles)
+			return err
+		},
+	}
+}
+
+// ClientConfig returns the TLS settings of a connection to a VM; an empty name takes any VM.
+func (s *Store) ClientConfig(protos []string, vm string) *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		NextProtos:         protos,
+		InsecureSkipVerify: true, // VerifyConnection checks the chain and the VM's identity instead of a host name
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &s.Current().Cert, nil
+		},
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			id, err := s.verify(cs, x509.ExtKeyUsageServerAuth, []Role{RoleVM})
+			if err != nil {
+				return err
+			}
+			if vm != "" && id.Name != vm {
+				return &IdentityError{Want: "VM " + vm, Have: id.Name}
+			}
+			return nil
+		},
+	}
+}
+
+func (s *Store) verify(cs tls.ConnectionState, use x509.ExtKeyUsage, roles []Role) (Identity, error) {
+	if len(cs.PeerCertificates) == 0 {
+		return Identity{}, &IdentityError{Want: "anyone", Have: ""}
+	}
+	leaf := cs.PeerCertificates[0]
+	inter := x509.NewCertPool()
+	for _, c := range cs.PeerCertificates[1:] {
+		inter.AddCert(c)
+	}
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots: s.Current().Pool, Intermediates: inter,
+		CurrentTime: s.now(), KeyUsages: []x509.ExtKeyUsage{use},
+	})
+	if err != nil {
+		return Identity{}, err
+	}
+	id, err := IdentityOf(leaf)
+	if err != nil {
+		return Identity{}, err
+	}
+	for _, r := range roles {
+		if id.Role == r {
+			return id, nil
+		}
+	}
+	return Identity{}, &IdentityError{Want: fmt.Sprint(roles), Have: string(id.Role) + " " + id.Name}
+}
--- /dev/null
+++ b/pkg/lab/report.go
@@ -0,0 +1,272 @@
+package lab
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// Report is one system's figures in one run of an experiment; a figure that wasn't measured is nil.
+type Report struct {
+	Experiment   string             `json:"experiment"`
+	System       string             `json:"system"`
+	Seed         uint64             `json:"seed"`
+	Valid        bool               `json:"valid"` // the machine's processors stayed under half busy
+	BusyShare    *float64           `json:"busy_share"`
+	OfferedRPS   *float64           `json:"offered_rps"`
+	CapacityRPS  *float64           `json:"capacity_rps"`
+	GoodputRPS   *float64           `json:"goodput_rps"`
+	GoodputRatio *float64           `json:"goodput_ratio"`
+	ByClass      map[string]float64 `json:"goodput_by_class"` // share of each class's requests that were served whole
+	RecoveryS    *float64           `json:"recovery_s"`
+	Recovered    *bool              `json:"recovered"` // false: not by the end of the run, and recovery_s is a lower bound
+
+	AddedP50MS *float64 `json:"added_p50_ms"`
+	AddedP99MS *float64 `json:"added_p99_ms"`
+
+	MaxRetries *int `json:"max_retries_per_request"`
+	Doubles    *int `json:"doubles"`
+	FalseNot   *int `json:"false_not_run"`
+	Wrong      *int `json:"wrong_answers"`
+	Inversions *int `json:"inversions"`
+	Cut        *int `json:"cut_requests"`
+
+	NewWorkAfterLeaveS *float64           `json:"new_work_after_leave_s"`
+	ConfigInForceS     *float64           `json:"config_in_force_s"`
+	ConfigReverts      *int               `json:"config_reverts"`
+	ControlBytesPerS   *float64           `json:"control_bytes_per_s"`
+	Extra              map[string]float64 `json:"extra,omitempty"` // figures of one experiment alone
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// window is a stretch of time in which goodput is counted, by the arrival of requests.
+type window struct{ from, to time.Time }
+
+func (w window) has(t time.Time) bool { return !t.Before(w.from) && t.Before(w.to) }
+
+// goodput fills in the figures of a window.
+func (r *Report) goodput(g *Graph, demands []Demand, w window) {
+	offered, served := 0, 0
+	by := map[string][2]int{}
+	for _, d := range demands {
+		if !w.has(d.At) {
+			continue
+		}
+		offered++
+		x := by[d.Class]
+		x[0]++
+		if d.Served {
+			served++
+			x[1]++
+		}
+		by[d.Class] = x
+	}
+	span := w.to.Sub(w.from).Seconds()
+	r.OfferedRPS = ptr(float64(offered) / span)
+	r.CapacityRPS = ptr(g.Capacity())
+	r.GoodputRPS = ptr(float64(served) / span)
+	r.GoodputRatio = ptr(*r.GoodputRPS / min(*r.CapacityRPS, max(*r.OfferedRPS, 1e-9)))
+	r.ByClass = map[string]float64{}
+	for name, x := range by {
+		r.ByClass[name] = float64(x[1]) / float64(x[0])
+	}
+}
+
+// promises fills in the figures that must hold at all times.
+func (r *Report) promises(g *Graph, attempts []Attempt, runs []Run) {
+	r.MaxRetries = ptr(maxRetries(runs))
+	r.Doubles = ptr(doubles(runs))
+	r.FalseNot = ptr(falseNotRun(g, attempts, runs))
+	wrong := 0
+	for _, a := range attempts {
+		if a.Wrong {
+			wrong++
+		}
+	}
+	r.Wrong = ptr(wrong)
+	r.Inversions = ptr(inversions(g, attempts))
+}
+
+// maxRetries counts, for each request, the arrivals at backend servers beyond the first of the same call
+// by the same run (or by the caller), and returns the most.
+func maxRetries(runs []Run) int {
+	type callKey struct{ request, parent, place, service string }
+	seen := map[callKey]int{}
+	per := map[string]int{}
+	for _, run := range runs {
+		k := callKey{run.Request, run.Parent, run.Place, run.Service}
+		if seen[k] > 0 {
+			per[run.Request]++
+		}
+		seen[k]++
+	}
+	most := 0
+	for _, n := range per {
+		most = max(most, n)
+	}
+	return most
+}
+
+// doubles counts second starts of once-only work of one request at one place of the chain.
+func doubles(runs []Run) int {
+	type workKey struct{ request, service, class, place string }
+	seen := map[workKey]int{}
+	n := 0
+	for _, run := range runs {
+		if !run.OnceOnly || run.Started.IsZero() {
+			continue
+		}
+		k := workKey{run.Request, run.Service, run.Class, run.Place}
+		if seen[k] > 0 {
+			n++
+		}
+		seen[k]++
+	}
+	return n
+}
+
+// falseNotRun counts attempts told not-run although the work ran. A once-only refusal speaks of the key: no
+// run may have started by the refusal's end, nor one start later out of an attempt that began before it. A
+// repeatable refusal speaks of its attempt alone: no run may have started within it, if no other attempt overlapped.
+func falseNotRun(g *Graph, attempts []Attempt, runs []Run) int {
+	starts := map[string][]time.Time{}
+	for _, run := range runs {
+		if run.Parent == "" && !run.Started.IsZero() {
+			starts[run.Request] = append(starts[run.Request], run.Started)
+		}
+	}
+	tries := map[string][]Attempt{}
+	for _, a := range attempts {
+		tries[a.Request] = append(tries[a.Request], a)
+	}
+	n := 0
+	for _, a := range attempts {
+		if a.Outcome != wire.NotRun {
+			continue
+		}
+		if g.class(a.Class).OnceOnly {
+			if ranUnder(a, tries[a.Request], starts[a.Request]) {
+				n++
+			}
+		} else if ranWithin(a, tries[a.Request], starts[a.Request]) {
+			n++
+		}
+	}
+	return n
+}
+
+// ranUnder tells whether once-only work ran that the refusal a denies: a run by its end, or a later run that
+// no attempt begun after the refusal explains.
+func ranUnder(a Attempt, tries []Attempt, starts []time.Time) bool {
+	for _, s := range starts {
+		if s.Before(a.End) {
+			return true
+		}
+		explained := slices.ContainsFunc(tries, func(b Attempt) bool {
+			return b.Start.After(a.End) && b.Start.Before(s)
+		})
+		if !explained {
+			return true
+		}
+	}
+	return false
+}
+
+// ranWithin tells whether repeatable work ran within the refused attempt alone.
+func ranWithin(a Attempt, tries []Attempt, starts []time.Time) bool {
+	for _, b := range tries {
+		if b.Start != a.Start && b.Start.Before(a.End) && a.Start.Before(b.End.Add(time.Second)) {
+			return false
+		}
+	}
+	return slices.ContainsFunc(starts, func(s time.Time) bool { return s.After(a.Start) && s.Before(a.End) })
+}
+
+// inversionSpan is the time within which a refusal for load and a lower tier's admission count as at once.
+const inversionSpan = 20 * time.Millisecond
+
+// inversions counts refusals for load at an entry while, for the same root service, the same entry took in
+// requests of a lower tier just before and just after.
+func inversions(g *Graph, attempts []Attempt) int {
+	type place struct{ entry, root string }
+	type admission struct {
+		at   time.Time
+		tier priority.Tier
+	}
+	admitted := map[place][]admission{}
+	for _, a := range attempts {
+		if a.Served {
+			c := g.class(a.Class)
+			p := place{a.Entry, c.Root}
+			admitted[p] = append(admitted[p], admission{a.Start, c.Tier})
+		}
+	}
+	n := 0
+	for _, a := range attempts {
+		if a.Outcome != wire.NotRun || a.Reason != wire.ReasonLevel {
+			continue
+		}
+		c := g.class(a.Class)
+		before, after := false, false
+		for _, x := range admitted[place{a.Entry, c.Root}] {
+			if x.tier >= c.Tier {
+				continue
+			}
+			d := x.at.Sub(a.Start)
+			before = before || (d <= 0 && d > -inversionSpan)
+			after = after || (d > 0 && d < inversionSpan)
+		}
+		if before && after {
+			n++
+		}
+	}
+	return n
+}
+
+// The recovery rule: goodput is looked at in steps, and is back when it stays at the share for some steps.
+const (
+	recoveryStep  = 250 * time.Millisecond
+	recoverySteps = 4
+	recoveryShare = 0.9
+)
+
+// recovery fills in the time from the end of the cause until requests are served as before it.
+func (r *Report) recovery(demands []Demand, before window, causeEnd, runEnd time.Time) {
+	base := servedShare(demands, before)
+	good := 0
+	for from := causeEnd; from.Add(recoveryStep).Before(runEnd); from = from.Add(recoveryStep) {
+		if servedShare(demands, window{from, from.Add(recoveryStep)}) >= recoveryShare*base {
+			good++
+		} else {
+			good = 0
+		}
+		if good == recoverySteps {
+			back := from.Add(-(recoverySteps - 1) * recoveryStep)
+			r.RecoveryS = ptr(back.Sub(causeEnd).Seconds())
+			r.Recovered = ptr(true)
+			return
+		}
+	}
+	r.RecoveryS = ptr(runEnd.Sub(causeEnd).Seconds())
+	r.Recovered = ptr(false)
+}
+
+func servedShare(demands []Demand, w window) float64 {
+	n, ok := 0, 0
+	for _, d := range demands {
+		if !w.has(d.At) {
+			continue
+		}
+		n++
+		if d.Served {
+			ok++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return float64(ok) / float64(n)
+}
--- /dev/null
+++ b/pkg/node/call_inbound.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/ledger"
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// inbound is a call in progress at this node, under which its backend server makes calls of its own.
+type inbound struct {
+	id       string
+	ctx      context.Context
+	call     wire.Call
+	deadline time.Time
+	ledger   *ledger.Ledger
+
+	mu        sync.Mutex
+	places    map[uint64]int    // calls that ended well, by signature
+	tokens    map[uint64]string // tokens of once-only calls under once-only work, by signature
+	open      int
+	openSince time.Time
+	waited    time.Duration
+	outbound  int
+	level     priority.Priority
+	onceBelow bool
+}
+
+// newInbound registers a call so that outbound calls find it by its id.
+func (n *Node) newInbound(ctx context.Context, call wire.Call, deadline time.Time) *inbound {
+	in := &inbound{
+		id:  strconv.FormatUint(n.nextID.Add(1), 36) + "-" + n.incarnation[len(n.incarnation)-8:],
+		ctx: ctx, call: call, deadline: deadline, ledger: ledger.New(call.Tokens),
+	}
+	n.inbounds.Store(in.id, in)
+	return in
+}
+
+// endInbound forgets the call and returns the tokens that go back with its answer.
+func (n *Node) endInbound(in *inbound) int {
+	n.inbounds.Delete(in.id)
+	return in.ledger.Close()
+}
+
+// begin notes that an outbound call has started.
+func (in *inbound) begin(now time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.open == 0 {
+		in.openSince = now
+	}
+	in.open++
+	in.outbound++
+}
+
+// end notes that an outbound call has ended with the answer.
+func (in *inbound) end(now time.Time, signature uint64, a wire.Answer) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.open--
+	if in.open == 0 {
+		in.waited += now.Sub(in.openSince)
+	}
+	in.level = max(in.level, a.Level)
+	in.onceBelow = in.onceBelow || a.OnceOnly
+	if a.Outcome == wire.Ran {
+		if in.places == nil {
+			in.places = map[uint64]int{}
+		}
+		in.places[signature]++
+	}
+}
+
+// place returns how many calls of the signature ended well before.
+func (in *inbound) place(signature uint64) int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.places[signature]
+}
+
+// token returns the token for the signature, made by issue at its first use.
+func (in *inbound) token(signature uint64, issue func() (string, bool)) (string, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if t, ok := in.tokens[signature]; ok {
+		return t, true
+	}
+	t, ok := issue()
+	if !ok {
+		return "", false
+	}
+	if in.tokens == nil {
+		in.tokens = map[uint64]string{}
+	}
+	in.tokens[signature] = t
+	return t, true
+}
+
+// reading is what the end of a call shows of what it did.
+type reading struct {
+	waited    time.Duration
+	outbound  int
+	level     priority.Priority
+	onceBelow bool
+}
+
+func (in *inbound) read(now time.Time) reading {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	r := reading{waited: in.waited, outbound: in.outbound, level: in.level, onceBelow: in.onceBelow}
+	if in.open > 0 {
+		r.waited += now.Sub(in.openSince)
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/node/call_request.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// request is a call's content, held whole so that it can be sent again.
+type request struct {
+	method string
+	host   string // without a port
+	uri    string // path and query
+	path   string
+	header http.Header
+	body   []byte
+}
+
+// RequestError reports a request that can't be taken, with the HTTP status to answer.
+type RequestError struct {
+	Status int
+	Reason string
+}
+
+// Error gives the reason.
+func (e *RequestError) Error() string { return fmt.Sprintf("request refused: %s", e.Reason) }
+
+// readRequest takes a request in, up to limit bytes of body; the error is a *RequestError.
+func readRequest(r *http.Request, limit int64) (*request, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	if err != nil {
+		var tooLong *http.MaxBytesError
+		if errors.As(err, &tooLong) {
+			return nil, &RequestError{http.StatusRequestEntityTooLarge, fmt.Sprintf("body is longer than %d bytes", limit)}
+		}
+		return nil, &RequestError{http.StatusBadRequest, "body broke off"}
+	}
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	h := r.Header.Clone()
+	wire.StripHop(h)
+	return &request{method: r.Method, host: host, uri: r.URL.RequestURI(), path: r.URL.Path, header: h, body: body}, nil
+}
+
+// match is what routes and classes look at.
+func (q *request) match() config.Match {
+	return config.Match{Host: q.host, Method: q.method, Path: q.path}
+}
+
+// signature tells calls of the same content to the same service apart from others.
+func (q *request) signature(service string) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{q.method, service, q.uri, q.header.Get(wire.HeaderKey)} {
+		_, _ = d.WriteString(s) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(q.body)
+	return d.Sum64()
+}
+
+// checkKey checks a caller's idempotency key; the error is a *RequestError.
+func checkKey(key string) error {
+	if len(key) > wire.MaxKey {
+		return &RequestError{http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes", wire.HeaderKey, wire.MaxKey)}
+	}
+	if strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c > '~' }) {
+		return &RequestError{http.StatusBadRequest, wire.HeaderKey + " must be printable ASCII"}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/node/call_sender_once.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/routing"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// The pauses between attempts to find the home of a key whose range is on the move.
+const (
+	redirectFirst = 20 * time.Millisecond
+	redirectMax   = 200 * time.Millisecond
+)
+
+// sendOnce leads a call to its key's home. A lost answer is asked for again under the same key, which
+// the home joins or answers from its record; nothing else is repeated.
+func (n *Node) sendOnce(ctx context.Context, s *sending) *answer {
+	pause := redirectFirst
+	for {
+		srv, ok := n.homeOf(s.call.Service, s.call.Key)
+		if !ok {
+			return n.noHome(s)
+		}
+		a := n.lendAndAttempt(ctx, s, srv)
+		s.otherAttempts = s.otherAttempts || a.meta.Outcome == wire.Unknown
+		switch {
+		case ctx.Err() != nil || !n.clock.Now().Before(s.deadline):
+			return n.certain(s, a)
+		case a.meta.Outcome == wire.NotRun && moved(a.meta.Reason):
+			n.wantFrom(srv.VM)
+			if !n.sleep(ctx, n.jitter(pause), s.deadline) {
+				return n.certain(s, a)
+			}
+			pause = min(2*pause, redirectMax)
+		case a.meta.Outcome == wire.Unknown && lostOnTheWay(a):
+			if !n.payRetry(s, srv) || !n.sleep(ctx, n.jitter(pause), s.deadline) {
+				return a
+			}
+			pause = min(2*pause, redirectMax)
+		case a.meta.Outcome == wire.NotRun && a.meta.Reason == wire.ReasonNoServer && !s.otherAttempts && onceonly.IsToken(s.call.Key):
+			// The attempt never arrived, and no other can: take another home.
+			if !n.payRetry(s, srv) || !n.renewToken(s) {
+				return a
+			}
+		default:
+			return n.certain(s, a)
+		}
+	}
+}
+
+// moved tells whether the refusal only says that the key's home is elsewhere.
+func moved(r wire.Reason) bool {
+	return r == wire.ReasonNotOwner || r == wire.ReasonStopped
+}
+
+// lostOnTheWay tells whether the home's own word never came, so that asking it again may bring it.
+func lostOnTheWay(a *answer) bool { return !a.heard && a.meta.Reason == wire.ReasonLost }
+
+// certain turns a refusal that speaks of one attempt only into "unknown" where other attempts under
+// the key may exist; a home's own refusal speaks of the key.
+func (n *Node) certain(s *sending, a *answer) *answer {
+	if a.meta.Outcome != wire.NotRun || !s.otherAttempts {
+		return a
+	}
+	if !a.heard || moved(a.meta.Reason) || a.meta.Reason == wire.ReasonBadRequest || a.meta.Reason == wire.ReasonMemory {
+		a.meta.Outcome = wire.Unknown
+	}
+	return a
+}
+
+func (n *Node) noHome(s *sending) *answer {
+	a := refusal(wire.ReasonNoServer, 0)
+	return n.certain(s, a)
+}
+
+// sleep waits for d, and reports false if the context or the deadline ends first.
+func (n *Node) sleep(ctx context.Context, d time.Duration, deadline time.Time) bool {
+	if n.clock.Now().Add(d).After(deadline) {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// homeOf returns the server whose node is the home of the key.
+func (n *Node) homeOf(service, key string) (*routing.Server, bool) {
+	snap := n.snapshot.Load()
+	vm := ""
+	if onceonly.IsToken(key) {
+		t, err := onceonly.ParseToken(n.keys.Current().Secret, key)
+		if err != nil || t.Service != service {
+			return nil, false
+		}
+		vm = t.VM
+	} else {
+		row, ok := snap.rows[service]
+		if !ok {
+			return nil, false
+		}
+		vm = row.Owners[onceonly.HashKey(service, key).Range()].VM
+	}
+	v, ok := snap.vms[vm]
+	if !ok {
+		return nil, false
+	}
+	return n.pool.Get(v), true
+}
+
+// newToken issues a token at a server that would take the call; it reports false if there is none.
+func (n *Node) newToken(t *config.Treatment, p priority.Priority) (string, bool) {
+	now := n.clock.Now()
+	snap := n.snapshot.Load()
+	var tried []*routing.Server
+	for range 3 {
+		srv, found := n.pick(now, t, p, tried)
+		if found != routing.Picked {
+			return "", false
+		}
+		info, ok := snap.nodes[srv.VM]
+		if !ok {
+			tried = append(tried, srv)
+			continue
+		}
+		tok := onceonly.Token{
+			Service: t.Service, VM: srv.VM, Incarnation: info.Incarnation,
+			IssuedMS: now.UnixMilli(), Nonce: uuid.NewString(),
+		}
+		return tok.Issue(n.keys.Current().Secret), true
+	}
+	return "", false
+}
+
+// renewToken gives the call another token, for use where the last one certainly started nothing.
+func (n *Node) renewToken(s *sending) bool {
+	key, ok := n.newToken(s.treatment, s.call.Priority)
+	if ok {
+		s.call.Key = key
+	}
+	return ok
+}
+
+// settleTime is the longest time that an entry waits for a home to settle a refusal.
+const settleTime = 200 * time.Millisecond
+
+// settle asks the key's home what is known of it; an unknown key is closed.
+func (n *Node) settle(ctx context.Context, s *sending) (settleReply, error) {
+	srv, ok := n.homeOf(s.call.Service, s.call.Key)
+	if !ok {
+		return settleReply{}, errNoHome
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	in := settleRequest{Service: s.call.Service, Key: s.call.Key, CloseMS: s.treatment.Timeout.Milliseconds()}
+	var out settleReply
+	if err := n.peers.control(ctx, srv.VM, srv.Peer, pathSettle, in, &out); err != nil {
+		return settleReply{}, err
+	}
+	return out, nil
+}
+
+// marshal turns a control message into JSON.
+func marshal(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("node: " + err.Error()) // control messages are plain structs
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/node/caller_server.go
@@ -0,0 +1,237 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/repeat"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// pathToken is where a caller gets a token for its once-only request; the query names the service.
+const pathToken = "/.rockspoke/token"
+
+// startHTTP binds the listeners for callers and for the backend server's outbound calls.
+func (n *Node) startHTTP() error {
+	for _, l := range []struct {
+		field, addr string
+		handler     http.HandlerFunc
+	}{
+		{"listen.callers", n.cfg.Listen.Callers, n.serveCaller},
+		{"listen.outbound", n.cfg.Listen.Outbound, n.serveOutbound},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		ln, err := n.network.Listen(l.addr)
+		if err != nil {
+			return fmt.Errorf("%s: %w", l.field, err)
+		}
+		s := &http.Server{
+			Handler: l.handler, ReadTimeout: n.cfg.Limits.SlowCaller, MaxHeaderBytes: n.cfg.Limits.HeaderBytes,
+			IdleTimeout: time.Minute,
+		}
+		n.servers = append(n.servers, s)
+		go func() {
+			err := s.Serve(newLimitListener(ln, n.cfg.Limits.Connections))
+			if err != nil && !errors.Is(err, http.ErrServerClosed) && n.ctx.Err() == nil {
+				n.log.call.Error("listener ended", "field", l.field, "err", err)
+			}
+		}()
+	}
+	return nil
+}
+
+// serveCaller takes a request from a caller.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	n.metrics.Inc("entry_requests")
+	wire.StripInternalExcept(r.Header, wire.HeaderTimeout)
+	if r.URL.Path == pathToken {
+		n.serveToken(w, r)
+		return
+	}
+	n.running.Add(1)
+	defer n.running.Done()
+	a := n.entry(r)
+	defer a.finish()
+	switch a.meta.Outcome {
+	case wire.NotRun:
+		n.metrics.Inc("entry_refused")
+	case wire.Unknown:
+		n.metrics.Inc("entry_unknown")
+	}
+	n.toCaller(w, a)
+}
+
+// entry makes a root request out of a caller's request and sends it on.
+func (n *Node) entry(r *http.Request) *answer {
+	timeout, err := callerTimeout(r.Header)
+	key := r.Header.Get(wire.HeaderKey)
+	if err == nil {
+		err = checkKey(key)
+	}
+	var q *request
+	if err == nil {
+		q, err = readRequest(r, n.cfg.Limits.RequestBytes)
+	}
+	if err != nil {
+		return badRequest(err)
+	}
+	plan := n.snapshot.Load().plan
+	if plan == nil {
+		return refusal(wire.ReasonNoServer, time.Second)
+	}
+	t, _ := plan.Route(q.match())
+	if t == nil {
+		return refusal(wire.ReasonNoRoute, 0)
+	}
+	if timeout == 0 || timeout > t.Timeout {
+		timeout = t.Timeout
+	}
+	q.header.Del(wire.HeaderTimeout)
+	return n.guarded(r.Context(), t, q, key, customerOf(r), timeout)
+}
+
+// guarded meets the caller's repeats before the request goes on.
+func (n *Node) guarded(ctx context.Context, t *config.Treatment, q *request, key, customer string, timeout time.Duration) *answer {
+	now := n.clock.Now()
+	deadline := now.Add(timeout)
+	v, e, flight := n.guard.Begin(now, repeat.Attempt{
+		Key: key, Customer: customer, OnceOnly: t.OnceOnly, Retries: t.Retries, Share: t.RepeatShare,
+	})
+	if v != repeat.Fresh {
+		n.metrics.Inc("entry_repeats")
+	}
+	switch v {
+	case repeat.Join:
+		return n.join(ctx, flight, deadline)
+	case repeat.OverShare, repeat.Spent:
+		n.metrics.Inc("entry_repeats_refused")
+		a := refusal(wire.ReasonRetries, n.jitter(2*defaultRetryAfter))
+		if t.OnceOnly || v == repeat.Spent {
+			// What became of the attempts before isn't looked up for one that comes too often.
+			a.meta.Outcome = wire.Unknown
+		}
+		return a
+	}
+	root := uuid.NewString()
+	identity := key
+	if identity == "" {
+		identity = root
+	}
+	s := &sending{
+		treatment: t, deadline: deadline, req: q, ledger: e.Ledger,
+		sent: func() { n.guard.Sent(e) },
+		call: wire.Call{
+			Root: root, Service: t.Service, Class: t.Class, Started: now.UnixMilli(),
+			Priority: priority.New(t.Tier, identity, now),
+		},
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	a := n.sendRoot(ctx, s, key)
+	if a.rest != nil {
+		a.rest = &cancelReader{ReadCloser: a.rest, cancel: cancel}
+		n.guard.End(n.clock.Now(), e, nil)
+		return a
+	}
+	cancel()
+	n.guard.End(n.clock.Now(), e, a)
+	return a
+}
+
+func (n *Node) sendRoot(ctx context.Context, s *sending, key string) *answer {
+	if !s.treatment.OnceOnly {
+		return n.send(ctx, s)
+	}
+	s.call.Key = key
+	s.otherAttempts = key != ""
+	if key == "" {
+		var ok bool
+		if s.call.Key, ok = n.newToken(s.treatment, s.call.Priority); !ok {
+			return refusal(wire.ReasonNoServer, 0)
+		}
+	}
+	return n.send(ctx, s)
+}
+
+// join waits for a running attempt of the same request and shares its answer.
+func (n *Node) join(ctx context.Context, f *repeat.Flight, deadline time.Time) *answer {
+	t := time.NewTimer(deadline.Sub(n.clock.Now()))
+	defer t.Stop()
+	select {
+	case <-f.Done:
+		if a, ok := f.Result.(*answer); ok && a != nil {
+			shared := *a
+			shared.header = a.header.Clone()
+			return &shared
+		}
+		return uncertain(wire.ReasonRunning)
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return uncertain(wire.ReasonRunning)
+}
+
+func badRequest(err error) *answer {
+	a := refusal(wire.ReasonBadRequest, 0)
+	var bad *RequestError
+	if errors.As(err, &bad) {
+		a.status = bad.Status
+	}
+	a.header = http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	a.body = []byte(err.Error() + "\n")
+	return a
+}
+
+// callerTimeout reads the caller's own time limit; the error is a *RequestError.
+func callerTimeout(h http.Header) (time.Duration, error) {
+	s := h.Get(wire.HeaderTimeout)
+	if s == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, &RequestError{http.StatusBadRequest, wire.HeaderTimeout + " must be a number of milliseconds above 0"}
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// customerOf names the customer by its credentials, or by its address where it shows none.
+func customerOf(r *http.Request) string {
+	if c := r.Header.Get("Authorization"); c != "" {
+		return c
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// serveToken issues a token for one once-only request, which may be sent by any entry.
+func (n *Node) serveToken(w http.ResponseWriter, r *http.Request) {
+	plan := n.snapshot.Load().plan
+	service := r.URL.Query().Get("service")
+	if plan == nil || plan.Service(service) == nil {
+		http.Error(w, fmt.Sprintf("there is no service %q; give one as ?service=NAME", service), http.StatusNotFound)
+		return
+	}
+	t := plan.Call(service, config.Match{Method: http.MethodPost})
+	token, ok := n.newToken(t, priority.Max)
+	if !ok {
+		w.Header().Set(headerRetryAfter, "1")
+		http.Error(w, "no backend server can be a home now", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = fmt.Fprintln(w, token) // a caller that left needs none
+}
--- /dev/null
+++ b/pkg/node/control_platform.go
@@ -0,0 +1,237 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/member"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
+	"github.com/rockspoke/rockspoke/pkg/platform"
+)
+
+// The keys of the table and the names of objects.
+const (
+	keyHead        = "config/head"
+	keyVersion     = "config/v/%d"
+	keyChange      = "config/change/"
+	keyRanges      = "ranges/"
+	objectDocument = "config/latest"
+)
+
+// head is the row that names the newest configuration.
+type head struct {
+	Version  int64  `json:"version"`
+	ChangeID string `json:"change_id"`
+}
+
+func (n *Node) platformTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, n.cfg.Platform.Timeout)
+}
+
+// learn fills the control state at start: from the platform, else from its snapshot object and the seeds.
+func (n *Node) learn(ctx context.Context, s *controlState) {
+	now := n.clock.Now()
+	if vms, err := n.readVMs(ctx); err == nil {
+		s.roster.Refresh(now, vms)
+	} else {
+		n.log.control.Warn("list of VMs can't be read", "err", err)
+	}
+	doc, err := n.readDocument(ctx, 0)
+	if err != nil {
+		n.log.control.Warn("configuration can't be read from the table", "err", err)
+		doc = n.readSnapshotObject(ctx)
+	}
+	if doc == nil {
+		return
+	}
+	s.offerDocument(doc)
+	plan := s.register.Plan()
+	if plan == nil {
+		return
+	}
+	for _, row := range n.readRows(ctx, plan.Services()) {
+		s.offerRow(row)
+	}
+}
+
+func (n *Node) readVMs(ctx context.Context) ([]member.VM, error) {
+	ctx, cancel := n.platformTime(ctx)
+	defer cancel()
+	return n.platform.ListVMs(ctx)
+}
+
+// readDocument reads the newest configuration if it is above the version; nil without an error means that there is none.
+func (n *Node) readDocument(ctx context.Context, above int64) (*config.Document, error) {
+	ctx, cancel := n.platformTime(ctx)
+	defer cancel()
+	rows, err := n.platform.Read(ctx, []string{keyHead})
+	if err != nil {
+		return nil, err
+	}
+	row, ok := rows[keyHead]
+	if !ok {
+		return nil, nil
+	}
+	var h head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return nil, fmt.Errorf("row %s: %w", keyHead, err)
+	}
+	if h.Version <= above {
+		return nil, nil
+	}
+	return n.readVersion(ctx, h.Version)
+}
+
+func (n *Node) readVersion(ctx context.Context, version int64) (*config.Document, error) {
+	key := fmt.Sprintf(keyVersion, version)
+	rows, err := n.platform.Read(ctx, []string{key})
+	if err != nil {
+		return nil, err
+	}
+	row, ok := rows[key]
+	if !ok {
+		return nil, &NoVersionError{version}
+	}
+	var doc config.Document
+	if err := json.Unmarshal(row.Value, &doc); err != nil {
+		return nil, fmt.Errorf("row %s: %w", key, err)
+	}
+	return &doc, nil
+}
+
+func (n *Node) readSnapshotObject(ctx context.Context) *config.Document {
+	ctx, cancel := n.platformTime(ctx)
+	defer cancel()
+	data, err := n.platform.GetObject(ctx, objectDocument)
+	if err != nil {
+		return nil
+	}
+	var doc config.Document
+	if err := json.Unmarshal(data, &doc); err != nil {
+		n.log.control.Warn("snapshot object is malformed", "err", err)
+		return nil
+	}
+	return &doc
+}
+
+func (n *Node) readRows(ctx context.Context, services []string) []onceonly.Row {
+	ctx, cancel := n.platformTime(ctx)
+	defer cancel()
+	keys := make([]string, len(services))
+	for i, s := range services {
+		keys[i] = keyRanges + s
+	}
+	found, err := n.platform.Read(ctx, keys)
+	if err != nil {
+		n.log.control.Warn("key ranges can't be read", "err", err)
+		return nil
+	}
+	var rows []onceonly.Row
+	for key, r := range found {
+		var row onceonly.Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			n.log.control.Warn("row of key ranges is malformed", "key", key, "err", err)
+			continue
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// pollTable looks for a newer configuration, and for the own service's key ranges.
+func (n *Node) pollTable(ctx context.Context) {
+	doc, err := n.readDocument(ctx, n.snapshot.Load().version())
+	if err != nil {
+		n.log.control.Warn("table can't be read", "err", err)
+		return
+	}
+	var rows []onceonly.Row
+	if n.cfg.Service != "" {
+		rows = n.readRows(ctx, []string{n.cfg.Service})
+	}
+	n.toControl(func(s *controlState) { s.take(exchange{Doc: doc, Rows: rows}) })
+}
+
+// pollList looks for changes of the list of VMs. While there is no list, the seeds are asked for state.
+func (n *Node) pollList(ctx context.Context) {
+	vms, err := n.readVMs(ctx)
+	if err != nil {
+		n.log.control.Warn("list of VMs can't be read", "err", err)
+		n.askSeeds(ctx)
+		return
+	}
+	n.toControl(func(s *controlState) {
+		if !s.roster.Refresh(n.clock.Now(), vms) {
+			n.log.control.Warn("list of VMs looks implausible and is set aside", "vms", len(vms))
+			return
+		}
+		n.publish(s)
+	})
+}
+
+// askSeeds exchanges state with the seeds, and learns their VMs, while the platform can't be read.
+func (n *Node) askSeeds(ctx context.Context) {
+	if len(n.snapshot.Load().vms) > 1 && n.snapshot.Load().plan != nil {
+		return
+	}
+	for _, addr := range n.cfg.Seeds {
+		if err := n.exchangeWith(ctx, "", addr); err != nil {
+			n.log.control.Debug("seed can't be asked", "seed", addr, "err", err)
+		}
+		n.learnVMs(ctx, addr)
+	}
+}
+
+// learnVMs takes the list of VMs that another daemon goes by.
+func (n *Node) learnVMs(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
+	defer cancel()
+	var list vmList
+	if err := n.peers.control(ctx, "", addr, pathVMs, struct{}{}, &list); err != nil || len(list.VMs) == 0 {
+		return
+	}
+	n.toControl(func(s *controlState) {
+		if s.roster.Refresh(n.clock.Now(), list.VMs) {
+			n.publish(s)
+		}
+	})
+}
+
+// vmList is the list of VMs that a daemon goes by, for one that can't read it from the platform.
+type vmList struct {
+	VMs []member.VM `json:"vms"`
+}
+
+func (n *Node) vmList(ctx context.Context) (list vmList, err error) {
+	err = n.onControl(ctx, func(s *controlState) { list.VMs = s.roster.VMs() })
+	return list, err
+}
+
+// commitRow writes a row of key ranges and returns the row that is in the table afterwards. Any error
+// but a *platform.RefusedError leaves open whether the row was written, now or later.
+func (n *Node) commitRow(ctx context.Context, row onceonly.Row) (onceonly.Row, error) {
+	key := keyRanges + row.Service
+	tx := platform.Tx{
+		Checks: []platform.Check{{Key: key, Version: row.Version - 1}},
+		Writes: []platform.Write{{Key: key, Value: marshal(row)}},
+	}
+	pctx, cancel := n.platformTime(ctx)
+	defer cancel()
+	err := n.platform.Commit(pctx, tx)
+	var conflict *platform.ConflictError
+	if err == nil || !errors.As(err, &conflict) {
+		return row, err
+	}
+	rows := n.readRows(ctx, []string{row.Service})
+	if len(rows) == 0 {
+		return onceonly.Row{}, err
+	}
+	return rows[0], nil
+}
+
+// waitTime is the pause between tries of work that waits for the platform.
+const waitTime = time.Second
--- /dev/null
+++ b/pkg/node/limit_listener.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"net"
+	"sync"
+)
+
+// limitListener takes no more connections than its slots at once; others wait in the kernel's queue.
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newLimitListener(ln net.Listener, most int) net.Listener {
+	return &limitListener{Listener: ln, slots: make(chan struct{}, most), done: make(chan struct{})}
+}
+
+// Accept waits for a free slot and then for a connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitConn{Conn: c, release: func() { <-l.slots }}, nil
+}
+
+// Close stops the listener.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+type limitConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close closes the connection and frees its slot once.
+func (c *limitConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/rockspoke/rockspoke/pkg/admission"
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/keys"
+	"github.com/rockspoke/rockspoke/pkg/level"
+	"github.com/rockspoke/rockspoke/pkg/metric"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
+	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/repeat"
+	"github.com/rockspoke/rockspoke/pkg/routing"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// Node is one running daemon.
+type Node struct {
+	cfg         settings.Settings
+	incarnation string
+	clock       clock.Clock
+	platform    platform.Platform
+	keys        *keys.Store
+	network     Network
+	metrics     *metric.Set
+	log         logs
+
+	// Control state: written by the control goroutine, read through the snapshot.
+	control  chan func(*controlState)
+	snapshot atomic.Pointer[snapshot]
+
+	// What calls share.
+	pool     routing.Pool
+	levels   level.View
+	needs    needTable
+	gate     *gatekeeper
+	home     *homeKeeper
+	guard    repeat.Guard
+	inbounds sync.Map // id to *inbound
+	nextID   atomic.Uint64
+	running  sync.WaitGroup
+	leaving  atomic.Bool
+
+	rndMu sync.Mutex
+	rnd   *rand.Rand
+
+	peers   *peerClients
+	backend *http.Transport
+
+	servers  []*http.Server
+	peerHTTP *http3.Server
+	stop     context.CancelFunc
+	ctx      context.Context
+	stopped  chan struct{} // closed when the control goroutine has ended
+	once     sync.Once
+}
+
+// logs holds the loggers of the parts.
+type logs struct {
+	call, control, peer, leave, once *slog.Logger
+}
+
+// New makes a daemon that isn't started yet.
+func New(opts Options) (*Node, error) {
+	cfg := opts.Settings
+	cfg.Fill()
+	if id := opts.Keys.Current().Identity; id.Role != keys.RoleVM || id.Name != cfg.VM || id.Zone != cfg.Zone {
+		return nil, &keys.IdentityError{Want: fmt.Sprintf("VM %s in zone %s", cfg.VM, cfg.Zone), Have: id.Name + " in zone " + id.Zone}
+	}
+	logger := opts.Logger
+	if logger == nil {
+		logger = func(string) *slog.Logger { return slog.New(slog.DiscardHandler) }
+	}
+	seed := opts.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	n := &Node{
+		cfg: cfg, clock: opts.Clock, platform: opts.Platform, keys: opts.Keys,
+		network: opts.Network.fill(), metrics: opts.Metrics,
+		log: logs{
+			call: logger("call"), control: logger("control"), peer: logger("peer"),
+			leave: logger("leave"), once: logger("once-only"),
+		},
+		control: make(chan func(*controlState), 256),
+		rnd:     rand.New(rand.NewPCG(seed, 1)),
+		stopped: make(chan struct{}),
+	}
+	n.incarnation = fmt.Sprintf("%013d-%s", n.clock.Now().UnixMilli(), uuid.NewString()[:8])
+	if n.metrics == nil {
+		n.metrics = metric.NewSet()
+	}
+	n.home = newHomeKeeper(onceonly.Home{
+		Service: cfg.Service, VM: cfg.VM, Incarnation: n.incarnation,
+		Memory: onceonly.Memory{
+			Window: cfg.OnceOnly.Window, MaxKeys: cfg.OnceOnly.MaxKeys, AnswerBytes: cfg.OnceOnly.AnswerBytes,
+		},
+	})
+	n.snapshot.Store(&snapshot{})
+	return n, nil
+}
+
+// gateTick is the period at which the gate checks its queue.
+const gateTick = 10 * time.Millisecond
+
+// Start binds the listeners, learns the configuration and begins to serve.
+func (n *Node) Start(ctx context.Context) error {
+	n.ctx, n.stop = context.WithCancel(context.WithoutCancel(ctx))
+	n.gate = newGatekeeper(admission.NewGate(admission.Settings{
+		Slots: 1, Floor: n.cfg.Admission.Floor, Target: n.cfg.Admission.Target,
+		MaxSojourn: n.cfg.Admission.MaxSojourn, Ramp: n.cfg.Backend.Ramp,
+	}, n.clock.Now()))
+	n.backend = n.newBackendTransport()
+	if err := n.startPeers(); err != nil {
+		n.stop()
+		return err
+	}
+	state := newControlState(n)
+	n.learn(ctx, state)
+	n.publish(state)
+	go n.controlLoop(state)
+	go n.tickGate()
+	if err := n.startHTTP(); err != nil {
+		return errors.Join(err, n.Close())
+	}
+	n.log.control.Info("daemon started", "vm", n.cfg.VM, "zone", n.cfg.Zone, "service", n.cfg.Service,
+		"version", n.snapshot.Load().version(), "incarnation", n.incarnation)
+	return nil
+}
+
+func (n *Node) tickGate() {
+	ticks, stop := n.clock.NewTicker(gateTick)
+	defer stop()
+	for {
+		select {
+		case <-ticks:
+			n.gate.tick(n.clock.Now())
+			n.publishGate()
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) publishGate() {
+	r := n.gate.read(n.clock.Now())
+	n.metrics.Set("limit", int64(r.Limit))
+	n.metrics.Set("running", int64(r.Running))
+	n.metrics.Set("queued", int64(r.Queued))
+	n.metrics.Set("level", int64(r.Level))
+}
+
+// Close stops the daemon at once, without leaving first.
+func (n *Node) Close() error {
+	n.once.Do(func() {
+		n.stop()
+		for _, s := range n.servers {
+			_ = s.Close() // open connections are cut on purpose
+		}
+		if n.peerHTTP != nil {
+			_ = n.peerHTTP.Close()
+		}
+		if n.peers != nil {
+			n.peers.close()
+		}
+		if n.backend != nil {
+			n.backend.CloseIdleConnections()
+		}
+	})
+	<-n.stopped
+	return nil
+}
+
+// random calls fn with the daemon's random source.
+func (n *Node) random(fn func(*rand.Rand)) {
+	n.rndMu.Lock()
+	defer n.rndMu.Unlock()
+	fn(n.rnd)
+}
+
+// jitter returns d spread by half of it to either side.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	var f float64
+	n.random(func(r *rand.Rand) { f = r.Float64() })
+	return time.Duration(float64(d) * (0.5 + f))
+}
+
+// Incarnation returns the name of this life of the daemon.
+func (n *Node) Incarnation() string { return n.incarnation }
+
+// VM returns the name of the daemon's VM.
+func (n *Node) VM() string { return n.cfg.VM }
--- /dev/null
+++ b/pkg/node/node_report.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/admission"
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/member"
+	"github.com/rockspoke/rockspoke/pkg/metric"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/routing"
+)
+
+// Status is a short account of a daemon.
+type Status struct {
+	VM          string            `json:"vm"`
+	Zone        string            `json:"zone"`
+	Service     string            `json:"service,omitempty"`
+	Incarnation string            `json:"incarnation"`
+	Version     int64             `json:"version"`
+	Leaving     bool              `json:"leaving"`
+	Gate        admission.Reading `json:"gate"`
+	KeyRanges   int               `json:"key_ranges"`
+	VMs         int               `json:"vms"`
+}
+
+// Status returns a short account of the daemon.
+func (n *Node) Status() Status {
+	snap := n.snapshot.Load()
+	st := Status{
+		VM: n.cfg.VM, Zone: n.cfg.Zone, Service: n.cfg.Service, Incarnation: n.incarnation,
+		Version: snap.version(), Leaving: n.leaving.Load(), Gate: n.gate.read(n.clock.Now()), VMs: len(snap.vms),
+	}
+	n.home.with(func(h *onceonly.Home) { st.KeyRanges = len(h.Ranges()) })
+	return st
+}
+
+// Dump is the whole state of a daemon that helps to see what it does.
+type Dump struct {
+	Status    Status                       `json:"status"`
+	At        time.Time                    `json:"at"`
+	Levels    map[string]priority.Priority `json:"levels"` // learned from answers, by route
+	Needs     map[string]time.Duration     `json:"needs_ns"`
+	Servers   []routing.Reading            `json:"servers"`
+	Calls     []CallReading                `json:"calls"` // in progress, at most maxDumpCalls
+	Keys      onceonly.Counts              `json:"keys"`
+	Ranges    []int                        `json:"ranges"`
+	RangeRows map[string]int64             `json:"range_rows"` // versions by service
+	Neighbors []string                     `json:"neighbors"`
+	Nodes     map[string]member.NodeInfo   `json:"nodes"`
+	PeerConns int                          `json:"peer_connections"`
+	Repeats   int                          `json:"repeat_keys"`
+}
+
+// CallReading is a call in progress.
+type CallReading struct {
+	ID       string            `json:"id"`
+	Root     string            `json:"root"`
+	Class    string            `json:"class"`
+	Priority priority.Priority `json:"priority"`
+	Tokens   int               `json:"tokens"`
+	LeftMS   int64             `json:"left_ms"`
+	Outbound int               `json:"outbound"`
+}
+
+// maxDumpCalls bounds the calls that a dump shows.
+const maxDumpCalls = 200
+
+// Dump returns the state of the daemon.
+func (n *Node) Dump() Dump {
+	now := n.clock.Now()
+	snap := n.snapshot.Load()
+	d := Dump{
+		Status: n.Status(), At: now, Levels: n.levels.All(now), Needs: n.needs.all(),
+		RangeRows: map[string]int64{}, Nodes: snap.nodes, PeerConns: n.peers.count(), Repeats: n.guard.Len(),
+	}
+	for _, s := range n.pool.All() {
+		d.Servers = append(d.Servers, s.Read(now))
+	}
+	n.inbounds.Range(func(_, x any) bool {
+		d.Calls = append(d.Calls, x.(*inbound).reading(now))
+		return len(d.Calls) < maxDumpCalls
+	})
+	n.home.with(func(h *onceonly.Home) {
+		d.Keys = h.Memory.Counts()
+		d.Ranges = h.Ranges()
+	})
+	for name, row := range snap.rows {
+		d.RangeRows[name] = row.Version
+	}
+	for _, v := range snap.neighbors {
+		d.Neighbors = append(d.Neighbors, v.Name)
+	}
+	return d
+}
+
+func (in *inbound) reading(now time.Time) CallReading {
+	r := in.read(now)
+	return CallReading{
+		ID: in.id, Root: in.call.Root, Class: in.call.Class, Priority: in.call.Priority,
+		Tokens: in.ledger.Balance(), LeftMS: in.deadline.Sub(now).Milliseconds(), Outbound: r.outbound,
+	}
+}
+
+func (t *needTable) all() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	t.routes.Range(func(k, x any) bool {
+		out[k.(string)] = time.Duration(x.(*need).current.Load())
+		return true
+	})
+	return out
+}
+
+// Metrics returns the daemon's metrics.
+func (n *Node) Metrics() *metric.Set { return n.metrics }
+
+// Explanation tells how a request would be treated, and why.
+type Explanation struct {
+	Route    string        `json:"route,omitempty"`
+	Service  string        `json:"service"`
+	Class    string        `json:"class,omitempty"`
+	Tier     priority.Tier `json:"tier"`
+	OnceOnly bool          `json:"once_only"`
+	Timeout  string        `json:"timeout"`
+	Retries  int           `json:"retries"`
+	Policies []string      `json:"policies,omitempty"`
+	Targets  []TargetView  `json:"targets"`
+	Why      []string      `json:"why"`
+}
+
+// TargetView is one target of a policy with the VMs that it picks now.
+type TargetView struct {
+	Selector string   `json:"selector"`
+	Weight   int      `json:"weight"`
+	VMs      []string `json:"vms"`
+	Leaving  []string `json:"leaving,omitempty"`
+}
+
+// NoRouteError reports a request that no route takes.
+type NoRouteError struct{ Match config.Match }
+
+// Error describes the request.
+func (e *NoRouteError) Error() string {
+	return fmt.Sprintf("no route takes %s %s on host %q", e.Match.Method, e.Match.Path, e.Match.Host)
+}
+
+// Explain tells how a caller's request would be treated; the error is a *NoRouteError.
+func (n *Node) Explain(m config.Match) (Explanation, error) {
+	snap := n.snapshot.Load()
+	if snap.plan == nil {
+		return Explanation{}, &NoRouteError{m}
+	}
+	t, route := snap.plan.Route(m)
+	if t == nil {
+		return Explanation{}, &NoRouteError{m}
+	}
+	e := Explanation{
+		Route: route, Service: t.Service, Class: t.Class, Tier: t.Tier, OnceOnly: t.OnceOnly,
+		Timeout: t.Timeout.String(), Retries: t.Retries, Policies: t.Policies, Targets: targetViews(snap, t),
+	}
+	e.Why = append(e.Why, fmt.Sprintf("route %s leads %s %s to service %s", route, m.Method, m.Path, t.Service))
+	if t.Class == "" {
+		e.Why = append(e.Why, "no class matches, so the defaults hold")
+	} else {
+		e.Why = append(e.Why, fmt.Sprintf("class %s is the narrowest that matches", t.Class))
+	}
+	if len(t.Policies) > 0 {
+		e.Why = append(e.Why, "policies that attach, the first that sets a field wins: "+strings.Join(t.Policies, ", "))
+	}
+	return e, nil
+}
+
+func targetViews(snap *snapshot, t *config.Treatment) []TargetView {
+	if len(t.Targets) == 0 {
+		return []TargetView{targetView(snap, t.Service, "", 1, func(routing.Candidate) bool { return true })}
+	}
+	var views []TargetView
+	for _, target := range t.Targets {
+		views = append(views, targetView(snap, t.Service, target.Selector.String(), target.Weight,
+			func(c routing.Candidate) bool { return target.Selector.Matches(c.Labels) }))
+	}
+	return views
+}
+
+func targetView(snap *snapshot, service, selector string, weight int, picks func(routing.Candidate) bool) TargetView {
+	v := TargetView{Selector: selector, Weight: weight, VMs: []string{}}
+	for _, c := range snap.candidates {
+		if c.VM.Service != service || !picks(c) {
+			continue
+		}
+		if c.Leaving {
+			v.Leaving = append(v.Leaving, c.VM.Name)
+			continue
+		}
+		v.VMs = append(v.VMs, c.VM.Name)
+	}
+	return v
+}
+
+// maxHistory bounds a history query in versions.
+const maxHistory = 100
+
+// History returns the newest versions, the newest first.
+func (n *Node) History(ctx context.Context, most int) ([]config.Document, error) {
+	var list []config.Document
+	for v := n.snapshot.Load().version(); v > 0 && len(list) < min(most, maxHistory); v-- {
+		doc, err := n.Version(ctx, v)
+		if err != nil {
+			return list, err
+		}
+		list = append(list, *doc)
+	}
+	return list, nil
+}
+
+// ReleaseRanges gives a VM's key ranges to others on an operator's word that the VM is gone for good.
+// Its memory counts as lost. It must be asked of a daemon of the same service.
+func (n *Node) ReleaseRanges(ctx context.Context, vm string) (int, error) {
+	v, err := n.rangeView(ctx)
+	if err != nil {
+		return 0, err
+	}
+	var nodes []onceonly.Node
+	for _, o := range v.nodes {
+		if o.VM != vm {
+			nodes = append(nodes, o)
+		}
+	}
+	row, moved := v.row.MoveLost(func(o onceonly.Owner) bool { return o.VM == vm }, nodes)
+	if !moved {
+		return 0, &HandoverError{fmt.Sprintf("%s owns no key range of service %s, or there is no other node", vm, n.cfg.Service)}
+	}
+	count := 0
+	for _, o := range v.row.Owners {
+		if o.VM == vm {
+			count++
+		}
+	}
+	if !n.changeRow(ctx, row, "released by an operator") {
+		return 0, &HandoverError{"the row couldn't be changed; ask again"}
+	}
+	return count, nil
+}
--- /dev/null
+++ b/pkg/node/peer_server.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/rockspoke/rockspoke/pkg/keys"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// The paths of control messages between daemons; a request with a call header is a call, whatever its path.
+const (
+	pathExchange = "/.rockspoke/exchange"
+	pathSettle   = "/.rockspoke/settle"
+	pathHandover = "/.rockspoke/handover"
+	pathVMs      = "/.rockspoke/vms"
+)
+
+// startPeers binds the peer socket, which serves other daemons and calls them.
+func (n *Node) startPeers() error {
+	conn, err := n.network.ListenPacket(n.cfg.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	// The reset key is the same in every life of this VM's daemon, so that peers learn at once that
+	// the connections to its last life are gone.
+	reset := quic.StatelessResetKey(sha256.Sum256(append([]byte("reset/"+n.cfg.VM+"/"), n.keys.Current().Secret...)))
+	transport := &quic.Transport{Conn: conn, StatelessResetKey: &reset}
+	cfg := &quic.Config{
+		MaxIdleTimeout: peerIdle, HandshakeIdleTimeout: peerHandshake,
+		MaxIncomingStreams: n.cfg.Limits.Streams,
+	}
+	n.peers = newPeerClients(transport, n.keys, cfg, n.metrics)
+	ln, err := transport.ListenEarly(n.keys.ServerConfig([]string{http3.NextProtoH3}, keys.RoleVM), cfg)
+	if err != nil {
+		_ = conn.Close() // the listening error says more
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	n.peerHTTP = &http3.Server{Handler: http.HandlerFunc(n.servePeer), MaxHeaderBytes: n.cfg.Limits.HeaderBytes + 8<<10}
+	go func() {
+		err := n.peerHTTP.ServeListener(ln)
+		if err != nil && n.ctx.Err() == nil {
+			n.log.peer.Error("peer listener ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// servePeer takes what other daemons send.
+func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(wire.HeaderCall) != "" {
+		n.servePeerCall(w, r)
+		return
+	}
+	switch r.URL.Path {
+	case pathExchange:
+		serveControl(n, w, r, func(in exchange) (exchange, error) { return n.takeExchange(r.Context(), in) })
+	case pathSettle:
+		serveControl(n, w, r, func(in settleRequest) (settleReply, error) { return n.settleHere(in), nil })
+	case pathHandover:
+		serveControl(n, w, r, n.takeHandover)
+	case pathVMs:
+		serveControl(n, w, r, func(struct{}) (vmList, error) { return n.vmList(r.Context()) })
+	default:
+		http.Error(w, "no such control message", http.StatusNotFound)
+	}
+}
+
+// serveControl reads a control message, has it taken, and writes the reply.
+func serveControl[In, Out any](n *Node, w http.ResponseWriter, r *http.Request, take func(In) (Out, error)) {
+	var in In
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxControl))
+	if err == nil {
+		err = json.Unmarshal(data, &in)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out, err := take(in)
+	if err != nil {
+		n.log.peer.Warn("control message refused", "path", r.URL.Path, "err", err)
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	body := marshal(out)
+	n.metrics.Add("control_bytes", int64(len(data)+len(body)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // a peer that left asks again
+}
+
+// servePeerCall takes a call from another daemon.
+func (n *Node) servePeerCall(w http.ResponseWriter, r *http.Request) {
+	n.metrics.Inc("peer_calls")
+	arrived := n.clock.Now()
+	call, err := wire.DecodeCall(r.Header)
+	if err != nil {
+		n.log.peer.Warn("call header refused", "err", err)
+		n.answerPeer(w, refusal(wire.ReasonBadRequest, 0), call.Tokens)
+		return
+	}
+	q, err := readRequest(r, n.cfg.Limits.RequestBytes)
+	if err != nil {
+		n.answerPeer(w, refusal(wire.ReasonBadRequest, 0), call.Tokens)
+		return
+	}
+	n.running.Add(1)
+	defer n.running.Done()
+	deadline := arrived.Add(call.Remain())
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	in := n.newInbound(ctx, call, deadline)
+	var a *answer
+	if call.Key != "" && !call.Delegated {
+		a = n.serveHome(ctx, in, q)
+	} else {
+		a = n.runLocal(ctx, in, q)
+	}
+	defer a.finish()
+	tokens := n.endInbound(in)
+	n.metrics.Observe("call_time", n.clock.Now().Sub(arrived).Microseconds())
+	n.answerPeer(w, a, tokens)
+}
+
+func (n *Node) answerPeer(w http.ResponseWriter, a *answer, tokens int) {
+	n.stamp(a, tokens)
+	wire.EncodeAnswer(w.Header(), a.meta)
+	a.writeTo(w)
+}
+
+// HandoverError reports a hand-over that this node can't take.
+type HandoverError struct{ Reason string }
+
+// Error gives the reason.
+func (e *HandoverError) Error() string { return "hand-over refused: " + e.Reason }
+
+// handoverReply says that a hand-over was taken.
+type handoverReply struct {
+	Taken int `json:"taken"`
+}
+
+// takeHandover takes the memory of key ranges from their owner.
+func (n *Node) takeHandover(h onceonly.Handover) (handoverReply, error) {
+	switch {
+	case h.Service != n.cfg.Service:
+		return handoverReply{}, &HandoverError{"this node serves " + n.cfg.Service}
+	case !h.To.Is(n.cfg.VM, n.incarnation):
+		return handoverReply{}, &HandoverError{"it is meant for another life of this node"}
+	case n.leaving.Load():
+		return handoverReply{}, &HandoverError{"this node is leaving"}
+	}
+	var err error
+	n.home.with(func(home *onceonly.Home) { err = home.Memory.Import(n.clock.Now(), h) })
+	if err != nil {
+		return handoverReply{}, errors.Join(&HandoverError{"malformed"}, err)
+	}
+	n.log.once.Info("key ranges taken over", "from", h.From.VM, "ranges", len(h.Ranges), "keys", len(h.Records))
+	return handoverReply{Taken: len(h.Records)}, nil
+}
--- /dev/null
+++ b/pkg/platform/memory_adapter.go
@@ -0,0 +1,150 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/member"
+)
+
+// Faults are the ways in which a Memory fails on request.
+type Faults struct {
+	Down       bool          `json:"down"`        // refuse every call
+	LoseAnswer bool          `json:"lose_answer"` // make commits take effect and lose their answers
+	Delay      time.Duration `json:"delay"`       // wait before each call
+}
+
+// Memory is a platform held in memory; its zero value is empty and well.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[string]Row
+	objects map[string][]byte
+	vms     []member.VM
+	faults  Faults
+	reads   int64
+	commits int64
+}
+
+// errLost is the cause of answers that are lost on request.
+var errLost = errors.New("lost on request")
+
+// SetFaults changes the ways in which the platform fails.
+func (m *Memory) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+}
+
+// SetVMs changes the list of VMs.
+func (m *Memory) SetVMs(vms []member.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms = slices.Clone(vms)
+}
+
+// Counts returns how many reads and commits were served.
+func (m *Memory) Counts() (reads, commits int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.commits
+}
+
+// Platform returns the functions that act on the Memory.
+func (m *Memory) Platform() Platform {
+	return Platform{
+		Read: m.read, Commit: m.commit,
+		PutObject: m.putObject, GetObject: m.getObject, ListVMs: m.listVMs,
+	}
+}
+
+// enter waits and fails as the faults say; it locks the Memory when it returns nil.
+func (m *Memory) enter(ctx context.Context) error {
+	m.mu.Lock()
+	f := m.faults
+	m.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return &RefusedError{ctx.Err().Error()}
+		}
+	}
+	if f.Down {
+		return &RefusedError{"down"}
+	}
+	m.mu.Lock()
+	return nil
+}
+
+func (m *Memory) read(ctx context.Context, keys []string) (map[string]Row, error) {
+	if err := m.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer m.mu.Unlock()
+	m.reads++
+	out := map[string]Row{}
+	for _, k := range keys {
+		if row, ok := m.rows[k]; ok {
+			out[k] = row
+		}
+	}
+	return out, nil
+}
+
+func (m *Memory) commit(ctx context.Context, tx Tx) error {
+	if err := m.enter(ctx); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	m.commits++
+	for _, c := range tx.Checks {
+		if have := m.rows[c.Key].Version; have != c.Version {
+			return &ConflictError{Key: c.Key, Want: c.Version, Have: have}
+		}
+	}
+	if m.rows == nil {
+		m.rows = map[string]Row{}
+	}
+	for _, w := range tx.Writes {
+		m.rows[w.Key] = Row{Value: slices.Clone(w.Value), Version: m.rows[w.Key].Version + 1}
+	}
+	if m.faults.LoseAnswer {
+		return &UnknownError{errLost}
+	}
+	return nil
+}
+
+func (m *Memory) putObject(ctx context.Context, name string, data []byte) error {
+	if err := m.enter(ctx); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	if m.objects == nil {
+		m.objects = map[string][]byte{}
+	}
+	m.objects[name] = slices.Clone(data)
+	return nil
+}
+
+func (m *Memory) getObject(ctx context.Context, name string) ([]byte, error) {
+	if err := m.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer m.mu.Unlock()
+	data, ok := m.objects[name]
+	if !ok {
+		return nil, &RefusedError{"there is no object " + name}
+	}
+	return data, nil
+}
+
+func (m *Memory) listVMs(ctx context.Context) ([]member.VM, error) {
+	if err := m.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer m.mu.Unlock()
+	return slices.Clone(m.vms), nil
+}
--- /dev/null
+++ b/pkg/routing/server_state.go
@@ -0,0 +1,154 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/priority"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// The law of setting a server aside: the failures in a row that do it, and the first and longest time.
+const (
+	asideFailures = 3
+	asideFirst    = 250 * time.Millisecond
+	asideMax      = 10 * time.Second
+)
+
+// statStale is the age after which what a server said of its level and load is no longer believed.
+const statStale = time.Second
+
+// Server is what a daemon has seen of one backend server; it is safe for concurrent use.
+type Server struct {
+	VM   string
+	Zone string
+	Peer string
+
+	running atomic.Int64
+	load    atomic.Uint64 // float64 bits
+	level   atomic.Uint32
+	seen    atomic.Int64 // Unix nanoseconds
+	leaving atomic.Bool
+
+	mu         sync.Mutex
+	failures   int
+	asideUntil time.Time
+	asideFor   time.Duration
+	trial      bool
+
+	tokens retryBucket
+}
+
+// Begin notes a call that is sent to the server.
+func (s *Server) Begin() { s.running.Add(1) }
+
+// End notes that a call to the server has ended.
+func (s *Server) End() { s.running.Add(-1) }
+
+// Answered takes in what an answer showed of the server.
+func (s *Server) Answered(now time.Time, a wire.Answer) {
+	s.load.Store(math.Float64bits(a.Load))
+	s.level.Store(uint32(a.Own))
+	s.seen.Store(now.UnixNano())
+	if a.Leaving {
+		s.leaving.Store(true)
+	}
+	if !s.troubled() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures, s.asideFor, s.trial = 0, 0, false
+	s.asideUntil = time.Time{}
+}
+
+func (s *Server) troubled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failures > 0 || s.asideFor > 0
+}
+
+// Failed notes a call whose answer was lost; refused says that it certainly never arrived.
+func (s *Server) Failed(now time.Time, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures++
+	if s.failures < asideFailures && !refused && !s.trial {
+		return
+	}
+	s.trial = false
+	s.asideFor = min(max(2*s.asideFor, asideFirst), asideMax)
+	s.asideUntil = now.Add(s.asideFor)
+}
+
+// Usable tells whether calls may be sent: not leaving and not set aside. After its time aside a
+// server gets a single call on trial; Usable itself hands out that one chance.
+func (s *Server) Usable(now time.Time) bool {
+	if s.leaving.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asideFor == 0 {
+		return true
+	}
+	if now.Before(s.asideUntil) {
+		return false
+	}
+	// The chance lapses if no answer comes, so that a trial that was never sent doesn't block.
+	s.trial = true
+	s.asideUntil = now.Add(s.asideFor)
+	return true
+}
+
+// SetLeaving notes what members say of the server.
+func (s *Server) SetLeaving(v bool) { s.leaving.Store(v) }
+
+// Level returns the server's own admission level, as last seen.
+func (s *Server) Level(now time.Time) priority.Priority {
+	if now.UnixNano()-s.seen.Load() > int64(statStale) {
+		return 0
+	}
+	return priority.Priority(s.level.Load())
+}
+
+// busy orders servers: calls that this daemon has in progress there, and the load that the server told.
+func (s *Server) busy(now time.Time) float64 {
+	b := float64(s.running.Load())
+	if now.UnixNano()-s.seen.Load() <= int64(statStale) {
+		b += 4 * math.Float64frombits(s.load.Load())
+	}
+	return b
+}
+
+// crowded tells whether the server has said that it is full.
+func (s *Server) crowded(now time.Time) bool {
+	if now.UnixNano()-s.seen.Load() > int64(statStale) {
+		return false
+	}
+	return s.level.Load() > 0 || math.Float64frombits(s.load.Load()) > 0.95
+}
+
+// Reading is a Server's state for dumps.
+type Reading struct {
+	VM      string            `json:"vm"`
+	Zone    string            `json:"zone"`
+	Running int64             `json:"running"`
+	Load    float64           `json:"load"`
+	Level   priority.Priority `json:"level"`
+	Leaving bool              `json:"leaving"`
+	Aside   bool              `json:"aside"`
+}
+
+// Read returns the server's state.
+func (s *Server) Read(now time.Time) Reading {
+	s.mu.Lock()
+	aside := s.asideFor > 0
+	s.mu.Unlock()
+	return Reading{
+		VM: s.VM, Zone: s.Zone, Running: s.running.Load(), Load: math.Float64frombits(s.load.Load()),
+		Level: s.Level(now), Leaving: s.leaving.Load(), Aside: aside,
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings_check.go
@@ -0,0 +1,217 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+)
+
+// Load reads, checks and fills a settings file; the error is a *config.InvalidError with every fault.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &config.InvalidError{Faults: []config.FieldError{{File: path, Msg: err.Error()}}}
+	}
+	return Parse(path, data)
+}
+
+// Parse is Load for the bytes of a file.
+func Parse(path string, data []byte) (Settings, error) {
+	var (
+		s    Settings
+		node yaml.Node
+		c    = checker{file: path}
+	)
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	if err := dec.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		c.faults = append(c.faults, config.YAMLFaults(path, err)...)
+	}
+	if err := yaml.Unmarshal(data, &node); err == nil && len(node.Content) > 0 {
+		c.root = node.Content[0]
+	}
+	c.check(&s)
+	if len(c.faults) > 0 {
+		return Settings{}, &config.InvalidError{Faults: c.faults}
+	}
+	s.Fill()
+	return s, nil
+}
+
+type checker struct {
+	file   string
+	root   *yaml.Node
+	faults []config.FieldError
+}
+
+func (c *checker) fail(field, format string, args ...any) {
+	c.faults = append(c.faults, config.FieldError{
+		File: c.file, Line: c.line(field), Field: field, Msg: fmt.Sprintf(format, args...),
+	})
+}
+
+// line returns the line of a dotted field, or of its nearest parent that is there.
+func (c *checker) line(field string) int {
+	if c.root == nil {
+		return 0
+	}
+	return config.LineOf(c.root, field)
+}
+
+func (c *checker) check(s *Settings) {
+	c.required("vm", s.VM)
+	c.required("zone", s.Zone)
+	c.required("listen.peers", s.Listen.Peers)
+	c.addresses(s)
+	if s.Service != "" {
+		c.required("backend.address", s.Backend.Address)
+	}
+	if s.Service == "" && s.Backend.Address != "" {
+		c.fail("service", "must be set, since backend.address is")
+	}
+	c.platform(s.Platform)
+	c.keyFiles(s)
+	c.levels(s.Log)
+	c.durations(s)
+	c.numbers(s)
+}
+
+func (c *checker) required(field, v string) {
+	if v == "" {
+		c.fail(field, "must be set")
+	}
+}
+
+func (c *checker) addresses(s *Settings) {
+	// Peers listen on UDP, the others on TCP, so only the latter can clash.
+	taken := map[string]string{}
+	for _, l := range []struct{ field, addr string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.outbound", s.Listen.Outbound},
+		{"listen.operators", s.Listen.Operators},
+		{"backend.address", s.Backend.Address},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		c.address(l.field, l.addr)
+		if other, ok := taken[l.addr]; ok {
+			c.fail(l.field, "%s is the address of %s already", l.addr, other)
+		}
+		taken[l.addr] = l.field
+	}
+	if s.Listen.Peers != "" {
+		c.address("listen.peers", s.Listen.Peers)
+	}
+	for i, a := range s.Seeds {
+		c.address(fmt.Sprintf("seeds.%d", i), a)
+	}
+}
+
+func (c *checker) address(field, a string) {
+	ap, err := netip.ParseAddrPort(a)
+	switch {
+	case err != nil:
+		c.fail(field, "%q isn't an IP number and port", a)
+	case ap.Addr().IsUnspecified():
+		c.fail(field, "%q must name one address of this VM", a)
+	}
+}
+
+func (c *checker) platform(p Platform) {
+	u, err := url.Parse(p.URL)
+	if err != nil || u.Host == "" || !strings.HasPrefix(u.Scheme, "http") {
+		c.fail("platform.url", "%q isn't an http or https URL", p.URL)
+	}
+}
+
+func (c *checker) keyFiles(s *Settings) {
+	for _, f := range []struct{ field, path string }{
+		{"keys.ca", s.Keys.CA},
+		{"keys.cert", s.Keys.Cert},
+		{"keys.key", s.Keys.Key},
+		{"keys.tokenSecret", s.Keys.TokenSecret},
+	} {
+		if f.path == "" {
+			c.fail(f.field, "must be set")
+			continue
+		}
+		if _, err := os.Stat(f.path); err != nil {
+			c.fail(f.field, "%v", err)
+		}
+	}
+}
+
+func (c *checker) levels(l Log) {
+	c.level("log.level", l.Level)
+	for part, v := range l.Parts {
+		c.level("log.parts."+part, v)
+	}
+}
+
+func (c *checker) level(field, v string) {
+	var level slog.Level
+	if v != "" && level.UnmarshalText([]byte(v)) != nil {
+		c.fail(field, "%q is none of debug, info, warn, error", v)
+	}
+}
+
+func (c *checker) durations(s *Settings) {
+	for _, d := range []struct {
+		field string
+		v     time.Duration
+		most  time.Duration
+	}{
+		{"backend.ramp", s.Backend.Ramp, 10 * time.Minute},
+		{"backend.stopWait", s.Backend.StopWait, time.Hour},
+		{"platform.timeout", s.Platform.Timeout, time.Minute},
+		{"admission.target", s.Admission.Target, time.Second},
+		{"admission.maxSojourn", s.Admission.MaxSojourn, 10 * time.Second},
+		{"onceOnly.window", s.OnceOnly.Window, 24 * time.Hour},
+		{"onceOnly.tokenLife", s.OnceOnly.TokenLife, 12 * time.Hour},
+		{"limits.slowCaller", s.Limits.SlowCaller, 10 * time.Minute},
+		{"control.exchange", s.Control.Exchange, time.Minute},
+		{"control.pollHead", s.Control.PollHead, 10 * time.Minute},
+		{"control.pollList", s.Control.PollList, 10 * time.Minute},
+	} {
+		if d.v != 0 && (d.v < time.Millisecond || d.v > d.most) {
+			c.fail(d.field, "%v must be 1ms to %v, with a unit", d.v, d.most)
+		}
+	}
+	window, life := s.OnceOnly.Window, s.OnceOnly.TokenLife
+	if window != 0 && life != 0 && window < 2*life {
+		c.fail("onceOnly.window", "%v must be at least twice onceOnly.tokenLife, %v", window, life)
+	}
+}
+
+func (c *checker) numbers(s *Settings) {
+	for _, n := range []struct {
+		field string
+		v     int64
+	}{
+		{"admission.floor", int64(s.Admission.Floor)},
+		{"onceOnly.maxKeys", int64(s.OnceOnly.MaxKeys)},
+		{"onceOnly.answerBytes", int64(s.OnceOnly.AnswerBytes)},
+		{"limits.requestBytes", s.Limits.RequestBytes},
+		{"limits.headerBytes", int64(s.Limits.HeaderBytes)},
+		{"limits.connections", int64(s.Limits.Connections)},
+		{"limits.streams", s.Limits.Streams},
+		{"control.neighbors", int64(s.Control.Neighbors)},
+		{"control.subset", int64(s.Control.Subset)},
+	} {
+		if n.v < 0 {
+			c.fail(n.field, "must not be negative")
+		}
+	}
+}
