--- /dev/null
+++ b/pkg/cli/cli_exit.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/rockspoke/rockspoke/pkg/client"
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/keys"
+	"github.com/rockspoke/rockspoke/pkg/operator"
+)
+
+// The exit statuses of rockspoke.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // refused or failed; nothing was changed
+	ExitUsage       = 2 // wrong use
+	ExitRace        = 3 // another operator's change came first; nothing was changed
+	ExitUnknown     = 4 // it isn't known whether the change was accepted
+	ExitUnreachable = 5 // no daemon could be reached
+)
+
+// UsageError reports a command used wrongly.
+type UsageError struct{ Msg string }
+
+// Error says what is wrong.
+func (e *UsageError) Error() string { return e.Msg }
+
+func usagef(format string, args ...any) error { return &UsageError{fmt.Sprintf(format, args...)} }
+
+// DoubtError reports a change of which it isn't known whether it was accepted.
+type DoubtError struct {
+	ID    string
+	Cause error
+}
+
+// Error names the change.
+func (e *DoubtError) Error() string {
+	return fmt.Sprintf("it is unknown whether change %s was accepted: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DoubtError) Unwrap() error { return e.Cause }
+
+// NotYetError reports a change that is accepted and not in force at every daemon.
+type NotYetError struct {
+	Version int64
+	Behind  int
+	Silent  int
+}
+
+// Error counts the daemons that lack the version.
+func (e *NotYetError) Error() string {
+	return fmt.Sprintf("version %d is accepted; %d daemons are behind and %d didn't answer", e.Version, e.Behind, e.Silent)
+}
+
+func exitStatus(err error) int {
+	var (
+		usage   *UsageError
+		doubt   *DoubtError
+		gone    *client.UnreachableError
+		problem *operator.Problem
+		invalid *config.InvalidError
+		file    *keys.FileError
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &doubt):
+		return ExitUnknown
+	case errors.As(err, &usage), errors.As(err, &invalid), errors.As(err, &file):
+		return ExitUsage
+	case errors.As(err, &gone):
+		return ExitUnreachable
+	case errors.As(err, &problem) && problem.Kind == operator.ProblemRace:
+		return ExitRace
+	default:
+		return ExitFailed
+	}
+}
+
+// hintFor says what to do next.
+func hintFor(err error) string {
+	var (
+		doubt   *DoubtError
+		gone    *client.UnreachableError
+		lost    *client.LostError
+		problem *operator.Problem
+		notYet  *NotYetError
+	)
+	switch {
+	case errors.As(err, &doubt):
+		return "Ask again later with: rockspoke history --change " + doubt.ID
+	case errors.As(err, &notYet):
+		return "See which with: rockspoke status --all"
+	case errors.As(err, &gone):
+		return "Name other daemons with --daemon IP:PORT[,IP:PORT...]."
+	case errors.As(err, &lost):
+		return "Nothing was changed by this query; ask again."
+	case errors.As(err, &problem):
+		return hintForProblem(problem)
+	}
+	return ""
+}
+
+func hintForProblem(p *operator.Problem) string {
+	switch p.Kind {
+	case operator.ProblemRace:
+		return fmt.Sprintf("Look at it with: rockspoke diff --to %d, and make your change again.", p.Version)
+	case operator.ProblemPlatform:
+		return "Nothing was changed; ask again when the platform's table is back."
+	case operator.ProblemForbidden:
+		return "Use a read-write operator's --cert and --key."
+	case operator.ProblemNotFound:
+		return "List what there is with: rockspoke get service|route|class|policy|vm"
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/cli/query_explain.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+)
+
+const explainHelp = `Explain tells how a caller's request would be treated, and why: its route, service, class, tier,
+policies, and the VMs that would take it.
+
+Examples:
+  rockspoke explain POST /invoices
+  rockspoke explain --host fleet.example GET /positions/17`
+
+type explainWork struct {
+	env  *env
+	host string
+}
+
+func explainCommand(e *env) *ffcli.Command {
+	w := &explainWork{env: e}
+	fs := e.flags("rockspoke explain")
+	fs.StringVar(&w.host, "host", "", "host of the request")
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "rockspoke explain [--host HOST] METHOD PATH",
+		ShortHelp: "tell how a request would be treated, and why", LongHelp: explainHelp, FlagSet: fs, Exec: w.run,
+	}
+}
+
+func (w *explainWork) run(ctx context.Context, args []string) error {
+	if len(args) != 2 || !strings.HasPrefix(args[1], "/") {
+		return usagef("explain needs a method and a path, as in: explain POST /invoices")
+	}
+	c, err := w.env.client()
+	if err != nil {
+		return err
+	}
+	x, err := c.Explain(ctx, config.Match{Host: w.host, Method: strings.ToUpper(args[0]), Path: args[1]})
+	if err != nil {
+		return err
+	}
+	return w.env.print(x, func(t io.Writer) {
+		row(t, "route", orDash(x.Route))
+		row(t, "service", x.Service)
+		row(t, "class", orDash(x.Class))
+		row(t, "tier", x.Tier)
+		row(t, "once only", x.OnceOnly)
+		row(t, "time-out", x.Timeout)
+		row(t, "retries", x.Retries)
+		for _, v := range x.Targets {
+			row(t, "target", fmt.Sprintf("weight %d, %q: %s", v.Weight, v.Selector, orDash(strings.Join(v.VMs, " "))))
+		}
+		for _, why := range x.Why {
+			row(t, "why", why)
+		}
+	})
+}
--- a/pkg/config/object_parse.go
+++ b/pkg/config/object_parse.go
@@ -170,3 +170,22 @@
 	}
 	return f
 }
+
+// Format writes objects as YAML documents that Parse reads.
+func Format(objs []Object) (string, error) {
+	var b strings.Builder
+	for i, o := range objs {
+		if i > 0 {
+			b.WriteString("---\n")
+		}
+		enc := yaml.NewEncoder(&b)
+		enc.SetIndent(2)
+		if err := enc.Encode(o); err != nil {
+			return "", err
+		}
+		if err := enc.Close(); err != nil {
+			return "", err
+		}
+	}
+	return b.String(), nil
+}
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -84,7 +84,7 @@
 type Control struct {
 	Exchange  time.Duration `yaml:"exchange,omitempty"`  // between exchanges with one neighbour
 	PollHead  time.Duration `yaml:"pollHead,omitempty"`  // between readings of the table
-	PollList   time.Duration `yaml:"pollList,omitempty"`   // between readings of the list of VMs
+	PollList  time.Duration `yaml:"pollList,omitempty"`  // between readings of the list of VMs
 	Neighbors int           `yaml:"neighbors,omitempty"` // daemons that this one exchanges control state with
 	Subset    int           `yaml:"subset,omitempty"`    // servers of one service that this daemon calls
 }
@@ -101,7 +101,7 @@
 	DefaultSlowCaller      = 10 * time.Second
 	DefaultExchange        = time.Second
 	DefaultPollHead        = 5 * time.Second
-	DefaultPollList         = 2 * time.Second
+	DefaultPollList        = 2 * time.Second
 	DefaultNeighbors       = 6
 )
 
