--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -72,6 +72,8 @@
 	platformC map[netip.Addr]bool
 	mu        sync.Mutex
 	outlets   []*http.Transport
+	claims    bool         // once-only calls are claimed in the table first
+	tokens    *http.Client // callers' connections for tokens
 }
 
 // zoneName names the lab's zones a, b, c and so on.
@@ -90,6 +92,7 @@
 		Graph: g, History: &History{}, Fabric: &Fabric{}, Platform: &platform.Memory{},
 		opts: opts, authority: a, platformC: map[netip.Addr]bool{},
 	}
+	c.tokens = c.client()
 	for z := range g.Zones {
 		c.zones = append(c.zones, zoneName(z))
 		c.Entries = append(c.Entries, c.layVM("", z, z))
--- a/pkg/lab/fake_caller.go
+++ b/pkg/lab/fake_caller.go
@@ -49,6 +49,9 @@
 func (c *Cluster) entry() entryCall {
 	if c.Entries[0].Node == nil {
 		straight := c.straight(1)
+		if c.claims {
+			straight = c.claiming(straight)
+		}
 		return func(ctx context.Context, _ int, o outgoing) reply { return straight(ctx, o) }
 	}
 	client := c.client()
@@ -131,6 +134,7 @@
 	begin := time.Now()
 	out := Demand{ID: d.id, Class: d.class.Name, At: begin}
 	entry := d.entry
+	key := d.id
 	for out.Tries < load.Patience.Tries && !out.Served {
 		if out.Tries > 0 {
 			wait := time.Duration(float64(load.Patience.Backoff) * (0.5 + rnd.Float64()))
@@ -142,7 +146,14 @@
 			}
 		}
 		out.Tries++
-		a := c.try(ctx, enter, load.Patience, d, entry)
+		if d.class.Token && key == d.id {
+			key = c.tokenFor(ctx, load.Patience, d, entry)
+		}
+		if key == "" {
+			key = d.id // no token was to be had, and nothing was sent
+			continue
+		}
+		a := c.try(ctx, enter, load.Patience, d, key, entry)
 		out.Served = a.Served && time.Since(begin) <= load.Patience.Whole
 		if a.Outcome == wire.Ran && a.Status == http.StatusConflict {
 			break // it ran; the answer is no longer there
@@ -153,12 +164,12 @@
 }
 
 // try is one attempt of a caller.
-func (c *Cluster) try(ctx context.Context, enter entryCall, p Patience, d demandPlan, entry int) Attempt {
+func (c *Cluster) try(ctx context.Context, enter entryCall, p Patience, d demandPlan, key string, entry int) Attempt {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
 	h := http.Header{}
 	h.Set(headerLabRequest, d.id)
-	h.Set(wire.HeaderKey, d.id)
+	h.Set(wire.HeaderKey, key)
 	a := Attempt{Request: d.id, Class: d.class.Name, Entry: c.Entries[entry].Info.Name, Start: time.Now()}
 	rep := enter(ctx, entry, outgoing{service: d.class.Root, method: d.class.method(), path: d.class.path(), header: h})
 	a.End = time.Now()
@@ -173,3 +184,20 @@
 	c.History.addAttempt(a)
 	return a
 }
+
+// tokenFor gets a token for the request from an entry, or an empty one on failure; without daemons the
+// request's id has to do.
+func (c *Cluster) tokenFor(ctx context.Context, p Patience, d demandPlan, entry int) string {
+	if c.Entries[0].Node == nil {
+		return d.id
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	rep := send(ctx, c.tokens, "http://"+at(c.Entries[entry].Addr, portCallers), outgoing{
+		method: http.MethodGet, path: "/.rockspoke/token?service=" + d.class.Root, header: http.Header{},
+	})
+	if rep.err != nil || rep.status != http.StatusOK {
+		return ""
+	}
+	return strings.TrimSpace(rep.body)
+}
--- a/pkg/lab/graph.go
+++ b/pkg/lab/graph.go
@@ -32,6 +32,7 @@
 	Name     string
 	Tier     priority.Tier
 	OnceOnly bool
+	Token    bool    // callers get a token from their entry first, and use it as the key
 	Share    float64 // of the load; 0 for a class that only services call
 	Timeout  time.Duration
 	Root     string             // service that callers' requests go to
--- /dev/null
+++ b/pkg/lab/system_claim.go
@@ -0,0 +1,48 @@
+package lab
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// nameClaim is the baseline that claims each once-only request in the platform's table before it runs.
+const nameClaim = "claim-per-request"
+
+// claimTime is the longest time for one claim.
+const claimTime = 500 * time.Millisecond
+
+// claimSystem is a pass-through with a table row a once-only call. A second attempt finds the row and is
+// answered as unknown; without the table nothing runs.
+var claimSystem = System{nameClaim, func(_ context.Context, g *Graph, o Options) (*Cluster, error) {
+	c, err := newCluster(g, o)
+	if err != nil {
+		return nil, err
+	}
+	c.claims = true
+	return c, c.startBackends(func(*VM) caller { return c.claiming(c.straight(1)) })
+}}
+
+// claiming claims once-only calls before they are made.
+func (c *Cluster) claiming(next caller) caller {
+	p := c.Platform.Platform()
+	return func(ctx context.Context, o outgoing) reply {
+		if o.method == http.MethodGet {
+			return next(ctx, o)
+		}
+		key := "claim/" + o.header.Get(headerLabRequest) + "/" + o.service + o.path + o.header.Get(headerLabPlace)
+		cctx, cancel := context.WithTimeout(ctx, claimTime)
+		defer cancel()
+		err := p.Commit(cctx, platform.Tx{
+			Checks: []platform.Check{{Key: key}},
+			Writes: []platform.Write{{Key: key, Value: []byte("claimed")}},
+		})
+		if err != nil {
+			return reply{status: http.StatusGatewayTimeout, outcome: wire.Unknown}
+		}
+		return next(ctx, o)
+	}
+}
