Same root request for a caller's repeats through any entry

Ruled out: key moves and restarts, since every double was of the derived class. Change: the root's identity comes from the caller's key.

--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -157,9 +157,16 @@
 			return nil, errors.Join(err, c.Stop())
 		}
 	}
-	return c, c.awaitReady(ctx)
+	if err := c.awaitReady(ctx); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	pause(ctx, rampTime) // backend servers start cold
+	return c, nil
 }
 
+// rampTime is the cold start ramp of the lab's daemons.
+const rampTime = time.Second
+
 // All returns the entry VMs and the VMs with backend servers.
 func (c *Cluster) All() []*VM { return append(append([]*VM(nil), c.Entries...), c.VMs...) }
 
@@ -204,7 +211,7 @@
 		v.cfg.Listen.Callers = at(v.Addr, portCallers)
 	} else {
 		v.cfg.Listen.Outbound = at(v.Addr, portOutbound)
-		v.cfg.Backend = settings.Backend{Address: at(v.Addr, portBackend), Ramp: time.Second}
+		v.cfg.Backend = settings.Backend{Address: at(v.Addr, portBackend), Ramp: rampTime}
 	}
 	for _, e := range c.Entries {
 		v.cfg.Seeds = append(v.cfg.Seeds, e.Info.Peer)
--- a/pkg/lab/experiment_slow_deep.go
+++ b/pkg/lab/experiment_slow_deep.go
@@ -56,6 +56,7 @@
 	r.recovery(demands, window{begin, begin.Add(p.calm)}, begin.Add(p.calm+p.cause), begin.Add(whole))
 	r.promises(g, attempts, runs)
 	r.Extra = map[string]float64{
+		"served_before_cause": servedShare(demands, window{begin, begin.Add(p.calm)}),
 		"served_during_cause": servedShare(demands, window{begin.Add(p.calm), begin.Add(p.calm + p.cause)}),
 		"served_after_cause":  servedShare(demands, window{begin.Add(p.calm + p.cause), begin.Add(whole)}),
 		"wasted_runs_share":   wastedShare(runs, demands),
--- a/pkg/lab/experiment_steady.go
+++ b/pkg/lab/experiment_steady.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -61,12 +62,12 @@
 	straight := c.client()
 	target := "http://" + at(c.serversOf(pingName)[0].Addr, portBackend)
 	for i := 0; time.Now().Before(end); i++ {
-		o := outgoing{service: pingName, method: http.MethodGet, path: "/" + pingName, header: http.Header{}}
+		o := outgoing{service: pingName, method: http.MethodGet, path: "/" + pingName, header: pingHeader(2 * i)}
 		t := time.Now()
 		if rep := enter(ctx, 0, o); rep.err == nil && rep.status == http.StatusOK {
 			_ = through.RecordValue(time.Since(t).Microseconds()) // within the histogram's range
 		}
-		o.header = http.Header{}
+		o.header = pingHeader(2*i + 1)
 		t = time.Now()
 		if rep := send(ctx, straight, target, o); rep.err == nil {
 			_ = bare.RecordValue(time.Since(t).Microseconds()) // within the histogram's range
@@ -78,6 +79,12 @@
 	return through, bare
 }
 
+func pingHeader(i int) http.Header {
+	h := http.Header{}
+	h.Set(headerLabRequest, fmt.Sprintf("ping-%d", i))
+	return h
+}
+
 // controlRate returns the control bytes a second of the busiest daemon since begin, or nil without daemons.
 func (c *Cluster) controlRate(begin time.Time) *float64 {
 	most := 0.0
--- a/pkg/lab/report.go
+++ b/pkg/lab/report.go
@@ -1,7 +1,10 @@
 package lab
 
 import (
+	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/priority"
@@ -37,7 +40,9 @@
 	ConfigInForceS     *float64           `json:"config_in_force_s"`
 	ConfigReverts      *int               `json:"config_reverts"`
 	ControlBytesPerS   *float64           `json:"control_bytes_per_s"`
-	Extra              map[string]float64 `json:"extra,omitempty"` // figures of one experiment alone
+	Extra              map[string]float64 `json:"extra,omitempty"`      // figures of one experiment alone
+	Series             []float64          `json:"series,omitempty"`     // served share of the requests of each 250 ms
+	Violations         []string           `json:"violations,omitempty"` // some of the cases where a promise was broken
 }
 
 func ptr[T any](v T) *T { return &v }
@@ -67,6 +72,7 @@
 	span := w.to.Sub(w.from).Seconds()
 	r.OfferedRPS = ptr(float64(offered) / span)
 	r.CapacityRPS = ptr(g.Capacity())
+	r.Series = series(demands)
 	r.GoodputRPS = ptr(float64(served) / span)
 	r.GoodputRatio = ptr(*r.GoodputRPS / min(*r.CapacityRPS, max(*r.OfferedRPS, 1e-9)))
 	r.ByClass = map[string]float64{}
@@ -78,8 +84,12 @@
 // promises fills in the figures that must hold at all times.
 func (r *Report) promises(g *Graph, attempts []Attempt, runs []Run) {
 	r.MaxRetries = ptr(maxRetries(runs))
-	r.Doubles = ptr(doubles(runs))
-	r.FalseNot = ptr(falseNotRun(g, attempts, runs))
+	n, examples := doubles(runs)
+	r.Doubles = ptr(n)
+	r.Violations = append(r.Violations, examples...)
+	n, examples = falseNotRun(g, attempts, runs)
+	r.FalseNot = ptr(n)
+	r.Violations = append(r.Violations, examples...)
 	wrong := 0
 	for _, a := range attempts {
 		if a.Wrong {
@@ -111,27 +121,38 @@
 }
 
 // doubles counts second starts of once-only work of one request at one place of the chain.
-func doubles(runs []Run) int {
+func doubles(runs []Run) (n int, examples []string) {
 	type workKey struct{ request, service, class, place string }
-	seen := map[workKey]int{}
-	n := 0
+	seen := map[workKey]Run{}
 	for _, run := range runs {
 		if !run.OnceOnly || run.Started.IsZero() {
 			continue
 		}
 		k := workKey{run.Request, run.Service, run.Class, run.Place}
-		if seen[k] > 0 {
-			n++
+		first, again := seen[k]
+		if !again {
+			seen[k] = run
+			continue
+		}
+		n++
+		if len(examples) < maxExamples {
+			examples = append(examples, fmt.Sprintf("%s of %s ran as %s at %s under %q and as %s at %s under %q", run.Class, run.Request,
+				first.ID, first.Started.Format(stampForm), first.Parent, run.ID, run.Started.Format(stampForm), run.Parent))
 		}
-		seen[k]++
 	}
-	return n
+	return n, examples
 }
 
+// maxExamples bounds the cases that a report shows of each broken promise; stampForm is how it shows times.
+const (
+	maxExamples = 5
+	stampForm   = "05.000"
+)
+
 // falseNotRun counts attempts told not-run although the work ran. A once-only refusal speaks of the key: no
 // run may have started by the refusal's end, nor one start later out of an attempt that began before it. A
 // repeatable refusal speaks of its attempt alone: no run may have started within it, if no other attempt overlapped.
-func falseNotRun(g *Graph, attempts []Attempt, runs []Run) int {
+func falseNotRun(g *Graph, attempts []Attempt, runs []Run) (n int, examples []string) {
 	starts := map[string][]time.Time{}
 	for _, run := range runs {
 		if run.Parent == "" && !run.Started.IsZero() {
@@ -142,20 +163,36 @@
 	for _, a := range attempts {
 		tries[a.Request] = append(tries[a.Request], a)
 	}
-	n := 0
 	for _, a := range attempts {
 		if a.Outcome != wire.NotRun {
 			continue
 		}
+		denied := ranWithin
 		if g.class(a.Class).OnceOnly {
-			if ranUnder(a, tries[a.Request], starts[a.Request]) {
-				n++
-			}
-		} else if ranWithin(a, tries[a.Request], starts[a.Request]) {
-			n++
+			denied = ranUnder
+		}
+		if !denied(a, tries[a.Request], starts[a.Request]) {
+			continue
+		}
+		n++
+		if len(examples) < maxExamples {
+			examples = append(examples, fmt.Sprintf("%s of %s was told not-run (%s) from %s to %s, and ran: %s", a.Class, a.Request, a.Reason,
+				a.Start.Format(stampForm), a.End.Format(stampForm), storyOf(tries[a.Request], starts[a.Request])))
 		}
 	}
-	return n
+	return n, examples
+}
+
+// storyOf tells a request's attempts and runs.
+func storyOf(tries []Attempt, starts []time.Time) string {
+	var b strings.Builder
+	for _, a := range tries {
+		fmt.Fprintf(&b, "[%s-%s %s %d %s %s] ", a.Start.Format(stampForm), a.End.Format(stampForm), a.Entry, a.Status, a.Outcome, a.Reason)
+	}
+	for _, s := range starts {
+		fmt.Fprintf(&b, "run %s ", s.Format(stampForm))
+	}
+	return b.String()
 }
 
 // ranUnder tells whether once-only work ran that the refusal a denies: a run by its end, or a later run that
@@ -254,6 +291,27 @@
 	r.Recovered = ptr(false)
 }
 
+// series returns the served share over the whole run, step by step.
+func series(demands []Demand) []float64 {
+	if len(demands) == 0 {
+		return nil
+	}
+	first, last := demands[0].At, demands[0].At
+	for _, d := range demands {
+		if d.At.Before(first) {
+			first = d.At
+		}
+		if d.At.After(last) {
+			last = d.At
+		}
+	}
+	var out []float64
+	for from := first; from.Before(last); from = from.Add(recoveryStep) {
+		out = append(out, math.Round(100*servedShare(demands, window{from, from.Add(recoveryStep)}))/100)
+	}
+	return out
+}
+
 func servedShare(demands []Demand, w window) float64 {
 	n, ok := 0, 0
 	for _, d := range demands {
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/priority"
 	"github.com/rockspoke/rockspoke/pkg/repeat"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -123,17 +124,18 @@
 		}
 		return a
 	}
+	// A repeat is the same root request, through whichever entry it comes: it has the same rank, and
+	// the once-only calls below it derive the same keys.
 	root := uuid.NewString()
-	identity := key
-	if identity == "" {
-		identity = root
+	if key != "" {
+		root = onceonly.RootOf(t.Service, key)
 	}
 	s := &sending{
 		treatment: t, deadline: deadline, req: q, ledger: e.Ledger,
 		sent: func() { n.guard.Sent(e) },
 		call: wire.Call{
 			Root: root, Service: t.Service, Class: t.Class, Started: now.UnixMilli(),
-			Priority: priority.New(t.Tier, identity, now),
+			Priority: priority.New(t.Tier, root, now),
 		},
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
--- a/pkg/onceonly/key.go
+++ b/pkg/onceonly/key.go
@@ -28,3 +28,9 @@
 	sum := sha256.Sum256([]byte(text))
 	return "derived-" + hex.EncodeToString(sum[:16])
 }
+
+// RootOf returns the identity of the root request that a caller's key names, the same at every entry.
+func RootOf(service, key string) string {
+	h := HashKey(service, key)
+	return "key-" + hex.EncodeToString(h[:])
+}
