--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	Labels func(service string, i int) map[string]string
 	// Settings changes a daemon's settings before it starts.
 	Settings func(*settings.Settings)
+	// Watch names a service whose gates are written to standard error while it runs.
+	Watch string
 	// Base moves the cluster's addresses, so that two can run at once: 127.Base.zone.n.
 	Base byte
 }
@@ -72,7 +75,8 @@
 	platformC map[netip.Addr]bool
 	mu        sync.Mutex
 	outlets   []*http.Transport
-	claims    bool         // once-only calls are claimed in the table first
+	claims    bool // once-only calls are claimed in the table first
+	stopWatch context.CancelFunc
 	tokens    *http.Client // callers' connections for tokens
 }
 
@@ -161,6 +165,11 @@
 		return nil, errors.Join(err, c.Stop())
 	}
 	pause(ctx, rampTime) // backend servers start cold
+	if opts.Watch != "" {
+		wctx, cancel := context.WithCancel(ctx)
+		c.stopWatch = cancel
+		go c.watchGates(wctx, os.Stderr, opts.Watch)
+	}
 	return c, nil
 }
 
@@ -346,6 +355,9 @@
 
 // Stop ends everything that the cluster started.
 func (c *Cluster) Stop() error {
+	if c.stopWatch != nil {
+		c.stopWatch()
+	}
 	var wg sync.WaitGroup
 	for _, v := range c.All() {
 		wg.Add(1)
--- a/pkg/lab/lab_run.go
+++ b/pkg/lab/lab_run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"slices"
@@ -17,15 +18,13 @@
 	seed           uint64
 	asJSON         bool
 	only           string
+	watch          string
 }
 
 // runCommand measures one experiment.
 func runCommand(stdout, stderr io.Writer) *ffcli.Command {
 	w := &runWork{stdout: stdout, stderr: stderr}
-	fs := newFlags("rockspoke-lab run", stderr)
-	fs.Uint64Var(&w.seed, "seed", 1, "seed of all random choices")
-	fs.BoolVar(&w.asJSON, "json", false, "one JSON object for each system")
-	fs.StringVar(&w.only, "systems", "", "systems to run, separated by commas; empty runs all")
+	fs := w.flags()
 	return &ffcli.Command{
 		Name: "run", ShortUsage: "rockspoke-lab run [--seed N] [--json] EXPERIMENT", FlagSet: fs,
 		ShortHelp: "measure one experiment, system after system on the same load", Exec: w.run,
@@ -47,6 +46,7 @@
 			continue
 		}
 		m := startMeter()
+		sys = sys.watching(w.watch)
 		r, err := x.Run(ctx, sys, w.seed)
 		if err != nil {
 			return fmt.Errorf("%s of %s: %w", x.Name, sys.Name, err)
@@ -72,11 +72,18 @@
 	if len(args) == 0 {
 		return "", &NoExperimentError{""}
 	}
+	fs := w.flags()
+	return args[0], fs.Parse(args[1:])
+}
+
+// flags makes the command's flags, with what was set before as defaults.
+func (w *runWork) flags() *flag.FlagSet {
 	fs := newFlags("rockspoke-lab run", w.stderr)
-	fs.Uint64Var(&w.seed, "seed", w.seed, "seed of all random choices")
+	fs.Uint64Var(&w.seed, "seed", max(w.seed, 1), "seed of all random choices")
 	fs.BoolVar(&w.asJSON, "json", w.asJSON, "one JSON object for each system")
 	fs.StringVar(&w.only, "systems", w.only, "systems to run, separated by commas; empty runs all")
-	return args[0], fs.Parse(args[1:])
+	fs.StringVar(&w.watch, "watch", w.watch, "service whose gates are shown while rockspoke runs")
+	return fs
 }
 
 func writeReports(w io.Writer, reports []Report) error {
--- a/pkg/lab/system.go
+++ b/pkg/lab/system.go
@@ -39,3 +39,13 @@
 	}
 	return System{}, &NoSystemError{name}
 }
+
+// watching returns the system with one service's gates shown while it runs.
+func (s System) watching(service string) System {
+	start := s.Start
+	s.Start = func(ctx context.Context, g *Graph, o Options) (*Cluster, error) {
+		o.Watch = service
+		return start(ctx, g, o)
+	}
+	return s
+}
