Admission level by rates, and a view that doesn't lag

Ruled out: the concurrency limit, which stayed at the slots outside the slow phase. Change: fading histogram of arrivals and completions; capacity from the limit and the time that calls hold slots, or from completions while a queue stands; falls worked out from the density of ranks seen above the level; overload looked for over one hold time; a call passes up what it met itself, with the lowest level among servers that would do; stale classes are judged by fresh ones of the same service.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -55,13 +55,14 @@
 	// floorSet says that the floor was given, rather than taken from the slots.
 	floorSet bool
 
-	intervalStart time.Time
-	done          int
-	refused       int
-	minSojourn    time.Duration
-	sojournSeen   bool
-	useSum        float64
-	useN          int
+	raiseStart  time.Time
+	lowerStart  time.Time
+	raised      time.Time // when the level last rose
+	refused     int
+	most        int // calls running and queued at once since lowerStart
+	minSojourn  time.Duration
+	sojournSeen bool
+	hold        time.Duration // smoothed time for which a call holds a slot
 }
 
 // NewGate returns a Gate with the given settings that starts cold at now.
@@ -78,10 +79,11 @@
 	cfg.MaxSojourn = orDefault(cfg.MaxSojourn, DefaultMaxSojourn)
 	cfg.Interval = orDefault(cfg.Interval, DefaultInterval)
 	return &Gate{
-		cfg:           cfg,
-		limit:         newLimit(cfg.Slots, cfg.Floor, cfg.Ramp, now),
-		intervalStart: now,
-		floorSet:      floorSet,
+		cfg:        cfg,
+		limit:      newLimit(cfg.Slots, cfg.Floor, cfg.Ramp, now),
+		raiseStart: now,
+		lowerStart: now,
+		floorSet:   floorSet,
 	}
 }
 
@@ -141,14 +143,21 @@
 	}
 }
 
-// Done notes that a started call has ended. own is its time in the backend server less its waits
-// for outbound calls; counted says whether own is a fair sample of the server's speed.
-func (g *Gate) Done(now time.Time, own time.Duration, counted bool) {
+// holdGain is the weight of one call in the smoothed time that calls hold a slot.
+const holdGain = 0.15
+
+// Done notes that a started call has ended. held is the time that it held its slot, and own that time less
+// its waits for outbound calls; counted says whether they are fair samples of the server's speed.
+func (g *Gate) Done(now time.Time, held, own time.Duration, counted bool) {
 	if counted {
 		g.limit.observe(own, g.running)
+		if g.hold == 0 {
+			g.hold = held
+		}
+		g.hold += time.Duration(holdGain * float64(held-g.hold))
 	}
 	g.running--
-	g.done++
+	g.level.done++
 	g.drain(now)
 }
 
@@ -161,30 +170,81 @@
 	return true
 }
 
+// maxInterval bounds the time between such looks where calls hold their slots for long.
+const maxInterval = 400 * time.Millisecond
+
+// interval is the time between looks at whether the server is overloaded: as long as a call holds its slot, so that a queue that
+// stands for so long is more than a burst.
+func (g *Gate) interval() time.Duration {
+	return max(g.cfg.Interval, min(g.hold, maxInterval))
+}
+
+// maxSojourn is the longest wait in the queue: no shorter than the time in which the slots turn over once.
+func (g *Gate) maxSojourn() time.Duration {
+	return max(g.cfg.MaxSojourn, min(g.hold, maxInterval))
+}
+
 // Tick moves the limit and the level and refuses queued calls that have waited too long.
 func (g *Gate) Tick(now time.Time) {
 	g.expire(now)
 	g.drain(now)
-	g.useSum += float64(g.running) / float64(g.limit.current(now))
-	g.useN++
 	g.limit.tick(now)
-	if now.Sub(g.intervalStart) < g.cfg.Interval {
-		return
+	g.most = max(g.most, g.running+len(g.queue))
+	if elapsed := now.Sub(g.lowerStart); elapsed >= g.lowerInterval() {
+		g.level.pass(elapsed)
+		g.lowerStart = now
+		g.lowerLevel(now)
+	}
+	if now.Sub(g.raiseStart) >= g.interval() {
+		g.raiseStart = now
+		g.raiseLevel(now)
 	}
+}
+
+// lowerInterval is the time between falls of the level: long enough for callers to hear of one fall and
+// for their calls to come in before the next.
+func (g *Gate) lowerInterval() time.Duration {
+	return max(2*g.cfg.Interval, min(g.hold/4, maxInterval/2))
+}
+
+// raiseLevel looks whether a queue stood for the whole interval, or calls had to be refused.
+func (g *Gate) raiseLevel(now time.Time) {
 	standing := g.sojournSeen && g.minSojourn > g.cfg.Target
-	overloaded := standing || g.refused > 0
-	g.level.tick(overloaded, g.done, g.useSum/float64(g.useN))
-	g.intervalStart = now
-	g.done, g.refused, g.useSum, g.useN = 0, 0, 0, 0
+	if standing || g.refused > 0 {
+		g.level.tick(true, g.capacity(now))
+		g.raised = now
+	}
+	g.refused = 0
 	g.sojournSeen = false
 }
 
+// roomShare is the share of the limit that must not have been passed for the level to fall.
+const roomShare = 0.9
+
+// lowerLevel lets more in when there was room all the time, and no sooner than calls of the last raise
+// could have come and gone.
+func (g *Gate) lowerLevel(now time.Time) {
+	room := float64(g.most) <= roomShare*float64(g.limit.current(now))
+	g.most = g.running + len(g.queue)
+	if room && now.Sub(g.raised) >= g.interval() {
+		g.level.tick(false, g.capacity(now))
+	}
+}
+
+// capacity returns the calls a second that the limit allows by the time that calls hold their slots.
+func (g *Gate) capacity(now time.Time) float64 {
+	if g.hold == 0 {
+		return 0
+	}
+	return float64(g.limit.current(now)) / g.hold.Seconds()
+}
+
 // expire refuses queued calls past their deadline or the longest sojourn.
 func (g *Gate) expire(now time.Time) {
 	for i := 0; i < len(g.queue); {
 		t := g.queue[i]
 		late := !now.Before(t.Deadline)
-		if !late && now.Sub(t.arrived) < g.cfg.MaxSojourn {
+		if !late && now.Sub(t.arrived) < g.maxSojourn() {
 			i++
 			continue
 		}
--- a/pkg/node/call_gate.go
+++ b/pkg/node/call_gate.go
@@ -50,10 +50,10 @@
 	return (<-verdicts).Reason
 }
 
-func (k *gatekeeper) done(now time.Time, own time.Duration, counted bool) {
+func (k *gatekeeper) done(now time.Time, held, own time.Duration, counted bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.gate.Done(now, own, counted)
+	k.gate.Done(now, held, own, counted)
 }
 
 func (k *gatekeeper) tick(now time.Time) {
--- a/pkg/node/call_inbound.go
+++ b/pkg/node/call_inbound.go
@@ -65,7 +65,7 @@
 	if in.open == 0 {
 		in.waited += now.Sub(in.openSince)
 	}
-	in.level = max(in.level, a.Level)
+	in.level = max(in.level, a.Below)
 	in.onceBelow = in.onceBelow || a.OnceOnly
 	if a.Outcome == wire.Ran {
 		if in.places == nil {
--- a/pkg/node/call_runner.go
+++ b/pkg/node/call_runner.go
@@ -30,7 +30,7 @@
 	started := n.clock.Now()
 	n.metrics.Observe("queue_time", started.Sub(arrived).Microseconds())
 	if ctx.Err() != nil {
-		n.gate.done(started, 0, false)
+		n.gate.done(started, 0, 0, false)
 		return refusal(wire.ReasonDeadline, 0)
 	}
 	a := n.toBackend(ctx, in, q)
@@ -45,15 +45,15 @@
 // release gives the slot back with the time that the call spent in the backend server itself.
 func (n *Node) release(in *inbound, started time.Time, counted bool) {
 	now := n.clock.Now()
-	own := now.Sub(started) - in.read(now).waited
-	n.gate.done(now, max(own, 0), counted)
+	held := now.Sub(started)
+	n.gate.done(now, held, max(held-in.read(now).waited, 0), counted)
 }
 
 // judge settles the outcome: a server's own refusal is believed only where nothing was called under it.
 func (n *Node) judge(in *inbound, a *answer, route string, started time.Time) *answer {
 	now := n.clock.Now()
 	r := in.read(now)
-	a.meta.Level = max(a.meta.Level, r.level)
+	a.meta.Below = max(a.meta.Below, r.level)
 	a.meta.OnceOnly = a.meta.OnceOnly || r.onceBelow
 	if a.meta.Outcome != wire.Ran {
 		if a.meta.Outcome == wire.NotRun {
@@ -103,7 +103,6 @@
 func (n *Node) stamp(a *answer, tokens int) {
 	r := n.gate.read(n.clock.Now())
 	a.meta.Own = r.Level
-	a.meta.Level = max(a.meta.Level, r.Level)
 	a.meta.Load = float64(r.Running+r.Queued) / float64(max(r.Limit, 1))
 	a.meta.Tokens = tokens
 	a.meta.Leaving = n.leaving.Load()
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -7,6 +7,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/ledger"
+	"github.com/rockspoke/rockspoke/pkg/level"
 	"github.com/rockspoke/rockspoke/pkg/priority"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -25,9 +26,13 @@
 	sent func()
 }
 
-// routeName is the name under which levels and times of the call are learned.
+// routeName is the name under which times of the call are learned, and route that for levels.
 func (s *sending) routeName() string { return s.treatment.Service + "/" + s.treatment.Class }
 
+func (s *sending) route() level.Route {
+	return level.Route{Service: s.treatment.Service, Class: s.treatment.Class}
+}
+
 // send makes the attempts of a call and returns the last answer.
 func (n *Node) send(ctx context.Context, s *sending) *answer {
 	now := n.clock.Now()
@@ -36,10 +41,10 @@
 		n.metrics.Inc("refused_deadline")
 		return n.refuse(ctx, s, wire.ReasonDeadline)
 	}
-	if lvl := n.levels.Current(now, route); s.call.Priority.Favor(s.call.Depth) < lvl {
+	if s.call.Priority.Favor(s.call.Depth+1) < n.routeLevel(now, s) {
 		n.metrics.Inc("refused_local")
 		a := n.refuse(ctx, s, wire.ReasonLevel)
-		a.meta.Level = lvl
+		a.meta.Below = n.routeLevel(now, s)
 		return a
 	}
 	var a *answer
@@ -50,12 +55,20 @@
 		a.meta.OnceOnly = true
 	}
 	end := n.clock.Now()
+	// What this very call met goes up, not what other calls met some time ago.
+	a.meta.Below = max(a.meta.Below, n.lowestLevel(end, s.treatment))
 	if a.meta.Outcome == wire.Ran && a.status < 500 {
 		n.needs.observe(end, route, end.Sub(now))
 	}
 	return a
 }
 
+// routeLevel is the level that the call meets: the lowest among the servers that it may go to, since
+// any of them will do, or the highest seen below them.
+func (n *Node) routeLevel(now time.Time, s *sending) priority.Priority {
+	return max(n.lowestLevel(now, s.treatment), n.levels.Current(now, s.route()))
+}
+
 // sendRepeatable tries servers until one answers or the tokens are spent.
 func (n *Node) sendRepeatable(ctx context.Context, s *sending) *answer {
 	var tried []*routing.Server
@@ -73,7 +86,6 @@
 		if found != routing.Picked {
 			if first && found == routing.AtLevel {
 				a = refusal(wire.ReasonLevel, 0)
-				a.meta.Level = n.lowestLevel(now, s.treatment)
 			}
 			return a
 		}
@@ -147,7 +159,7 @@
 	if !a.heard {
 		return
 	}
-	n.levels.Observe(n.clock.Now(), s.routeName(), a.meta.Level)
+	n.levels.Observe(n.clock.Now(), s.route(), a.meta.Below)
 }
 
 func (n *Node) pick(now time.Time, t *config.Treatment, p priority.Priority, tried []*routing.Server) (s *routing.Server, o routing.Outcome) {
@@ -156,13 +168,23 @@
 	return s, o
 }
 
-// lowestLevel returns the lowest level among the servers of the treatment.
+// lowestLevel returns the lowest level among the servers of the treatment, 0 if there are none.
 func (n *Node) lowestLevel(now time.Time, t *config.Treatment) priority.Priority {
 	low := priority.Max
+	any := false
 	for _, g := range n.groups(t) {
-		for _, s := range append(g.Near[:len(g.Near):len(g.Near)], g.Far...) {
-			low = min(low, s.Level(now))
+		if g.Weight == 0 {
+			continue
 		}
+		for _, list := range [][]*routing.Server{g.Near, g.Far} {
+			for _, s := range list {
+				any = true
+				low = min(low, s.Level(now))
+			}
+		}
+	}
+	if !any {
+		return 0
 	}
 	return low
 }
--- a/pkg/wire/header.go
+++ b/pkg/wire/header.go
@@ -54,11 +54,10 @@
 type Answer struct {
 	Outcome  Outcome           `json:"o"`
 	Reason   Reason            `json:"w,omitempty"`
-	Level    priority.Priority `json:"l,omitempty"` // highest admission level in the subtree
 	Own      priority.Priority `json:"m,omitempty"` // admission level of this backend server alone
+	Below    priority.Priority `json:"l,omitempty"` // highest level among the services that the call reached below it
 	Tokens   int               `json:"t,omitempty"` // retry tokens that come back
 	Load     float64           `json:"u,omitempty"` // calls in progress over the limit
-	NeedMS   int64             `json:"e,omitempty"` // time that the subtree has been seen to need
 	AfterMS  int64             `json:"a,omitempty"` // when to come back, in milliseconds
 	Version  int64             `json:"v,omitempty"` // configuration version in force
 	Leaving  bool              `json:"x,omitempty"` // this backend server takes no new work
