Notes between entries, slow start by utilisation, falls scaled by room

Cause: (1) retry-storm showed 3 retries of a request whose bound is 2: the caller repeated through another zone's entry, which had a ledger of its own. (2) In the rolling stop a restarted, cold server got as many calls as warm ones, queued them, and threw its level up; levels then took 2.5 s to fall at low use. Change: an entry sends the others a note of a request that failed after it was sent on (tokens left); answers carry calls and limit, and routing compares the share of the limit in use, with a limit of one for a server not heard from; the first probe downwards grows with the room there is. The leave experiment waits for a started server to be warm, as a rolling stop would.

--- a/pkg/admission/admission_level.go
+++ b/pkg/admission/admission_level.go
@@ -23,8 +23,9 @@
 	fill = 0.97
 	// damping is the share of the spare capacity that one tick gives back.
 	damping = 0.5
-	// probeFirst and probeMost are the first and the largest step down into ranks or tiers of unknown demand.
-	probeFirst = priority.Span / 32
+	// probeFirst and probeMost are the first and the largest step down into ranks or tiers of unknown
+	// demand; the first is for an idle server, and less the busier it is.
+	probeFirst = priority.Span / 8
 	probeMost  = priority.Span / 2
 	// leastSample is the count of remembered arrivals that tells how dense a tier is.
 	leastSample = 3
@@ -73,7 +74,7 @@
 	switch {
 	case overloaded:
 		v.raise(v.believed(capacity) * fill)
-		v.probe = probeFirst
+		v.probe = 0
 	case v.value > 0 && capacity > 0:
 		v.lower(capacity * fill)
 	}
@@ -113,26 +114,26 @@
 func (v *level) lower(room float64) {
 	spare := room - v.above(v.value)
 	if spare <= 0 {
+		v.probe = 0
 		return
 	}
 	floor := priority.Floor(v.value.Tier())
 	density := v.density()
 	if density == 0 || v.value == floor {
-		v.probeDown()
+		v.probeDown(spare / room)
 		return
 	}
 	fall := priority.Priority(min(damping*spare/density, float64(priority.Span)))
 	if v.value-floor <= fall {
 		v.value = floor
-		v.probe = probeFirst
 		return
 	}
 	v.value -= max(fall, step/4)
 }
 
 // probeDown takes a step into a part whose demand isn't known, and doubles the next one.
-func (v *level) probeDown() {
-	v.probe = max(v.probe, probeFirst)
+func (v *level) probeDown(spareShare float64) {
+	v.probe = max(v.probe, priority.Priority(spareShare*probeFirst), step)
 	v.value -= min(v.probe, v.value)
 	v.probe = min(2*v.probe, probeMost)
 }
--- a/pkg/lab/experiment_leave.go
+++ b/pkg/lab/experiment_leave.go
@@ -11,15 +11,20 @@
 // The leave experiment stops one server after the other under this load.
 const (
 	leaveLoad  = 0.5
-	leaveTime  = 16 * time.Second
+	leaveTime  = 18 * time.Second
 	leaveStart = time.Second
 	leavePause = 100 * time.Millisecond
-	leaveMost  = 8 * time.Second
+	// leaveWarm is the wait for a started server to be warm before the next one stops.
+	leaveWarm = 1100 * time.Millisecond
+	leaveMost = 8 * time.Second
 )
 
 // runLeave stops every backend server in turn, as planned stops are done, and starts it again.
 func runLeave(ctx context.Context, sys System, seed uint64) (Report, error) {
 	g := voltaChain()
+	for i := range g.Services {
+		g.Services[i].Servers = 3
+	}
 	c, err := sys.Start(ctx, g, Options{Seed: seed})
 	if err != nil {
 		return Report{}, err
@@ -83,7 +88,7 @@
 		}
 		l.back = time.Now()
 		list = append(list, l)
-		pause(ctx, leavePause)
+		pause(ctx, leaveWarm)
 	}
 	return list
 }
--- a/pkg/lab/report.go
+++ b/pkg/lab/report.go
@@ -42,6 +42,7 @@
 	ControlBytesPerS   *float64           `json:"control_bytes_per_s"`
 	Extra              map[string]float64 `json:"extra,omitempty"`      // figures of one experiment alone
 	Series             []float64          `json:"series,omitempty"`     // served share of the requests of each 250 ms
+	Unserved           map[string]int     `json:"unserved,omitempty"`   // attempts that weren't served, by outcome and reason
 	Violations         []string           `json:"violations,omitempty"` // some of the cases where a promise was broken
 }
 
@@ -83,7 +84,11 @@
 
 // promises fills in the figures that must hold at all times.
 func (r *Report) promises(g *Graph, attempts []Attempt, runs []Run) {
-	r.MaxRetries = ptr(maxRetries(runs))
+	most, worst := maxRetries(runs)
+	r.MaxRetries = ptr(most)
+	if most > g.Retries {
+		r.Violations = append(r.Violations, retryStory(worst, attempts, runs))
+	}
 	n, examples := doubles(runs)
 	r.Doubles = ptr(n)
 	r.Violations = append(r.Violations, examples...)
@@ -91,10 +96,14 @@
 	r.FalseNot = ptr(n)
 	r.Violations = append(r.Violations, examples...)
 	wrong := 0
+	r.Unserved = map[string]int{}
 	for _, a := range attempts {
 		if a.Wrong {
 			wrong++
 		}
+		if !a.Served {
+			r.Unserved[fmt.Sprintf("%d %s %s", a.Status, a.Outcome, a.Reason)]++
+		}
 	}
 	r.Wrong = ptr(wrong)
 	r.Inversions = ptr(inversions(g, attempts))
@@ -102,7 +111,7 @@
 
 // maxRetries counts, for each request, the arrivals at backend servers beyond the first of the same call
 // by the same run (or by the caller), and returns the most.
-func maxRetries(runs []Run) int {
+func maxRetries(runs []Run) (most int, worst string) {
 	type callKey struct{ request, parent, place, service string }
 	seen := map[callKey]int{}
 	per := map[string]int{}
@@ -113,11 +122,30 @@
 		}
 		seen[k]++
 	}
-	most := 0
-	for _, n := range per {
-		most = max(most, n)
+	for request, n := range per {
+		if n > most {
+			most, worst = n, request
+		}
+	}
+	return most, worst
+}
+
+// retryStory tells the attempts and runs of a request.
+func retryStory(request string, attempts []Attempt, runs []Run) string {
+	var tries []Attempt
+	for _, a := range attempts {
+		if a.Request == request {
+			tries = append(tries, a)
+		}
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s was retried too often: %s", request, storyOf(tries, nil))
+	for _, r := range runs {
+		if r.Request == request {
+			fmt.Fprintf(&b, "%s@%s<%s ", r.ID, r.Arrived.Format(stampForm), r.Parent)
+		}
 	}
-	return most
+	return b.String()
 }
 
 // doubles counts second starts of once-only work of one request at one place of the chain.
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -105,6 +105,16 @@
 	return n
 }
 
+// Cap writes off what the balance holds above n.
+func (l *Ledger) Cap(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if over := l.balance - max(n, 0); over > 0 {
+		l.balance -= over
+		l.spent += over
+	}
+}
+
 // Balance returns the tokens left to spend or lend.
 func (l *Ledger) Balance() int {
 	l.mu.Lock()
--- a/pkg/node/call_runner.go
+++ b/pkg/node/call_runner.go
@@ -103,7 +103,8 @@
 func (n *Node) stamp(a *answer, tokens int) {
 	r := n.gate.read(n.clock.Now())
 	a.meta.Own = r.Level
-	a.meta.Load = float64(r.Running+r.Queued) / float64(max(r.Limit, 1))
+	a.meta.Calls = r.Running + r.Queued
+	a.meta.Limit = r.Limit
 	a.meta.Tokens = tokens
 	a.meta.Leaving = n.leaving.Load()
 	a.meta.Version = n.snapshot.Load().version()
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -147,6 +147,9 @@
 	}
 	cancel()
 	n.guard.End(n.clock.Now(), e, a)
+	if key != "" && !t.OnceOnly && (a.meta.Outcome != wire.Ran || a.status >= http.StatusInternalServerError) {
+		n.noteRepeat(key, e)
+	}
 	return a
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,6 +48,7 @@
 	gate     *gatekeeper
 	home     *homeKeeper
 	guard    repeat.Guard
+	notes    chan repeat.Note
 	inbounds sync.Map // id to *inbound
 	nextID   atomic.Uint64
 	running  sync.WaitGroup
@@ -95,6 +96,7 @@
 			leave: logger("leave"), once: logger("once-only"),
 		},
 		control: make(chan func(*controlState), 256),
+		notes:   make(chan repeat.Note, maxNotes),
 		rnd:     rand.New(rand.NewPCG(seed, 1)),
 		stopped: make(chan struct{}),
 	}
@@ -132,6 +134,9 @@
 	n.publish(state)
 	go n.controlLoop(state)
 	go n.tickGate()
+	if cfg := n.cfg.Listen; cfg.Callers != "" {
+		go n.sendNotes()
+	}
 	if err := n.startHTTP(); err != nil {
 		return errors.Join(err, n.Close())
 	}
--- a/pkg/node/peer_server.go
+++ b/pkg/node/peer_server.go
@@ -22,6 +22,7 @@
 	pathExchange = "/.rockspoke/exchange"
 	pathSettle   = "/.rockspoke/settle"
 	pathHandover = "/.rockspoke/handover"
+	pathNotes    = "/.rockspoke/repeats"
 	pathVMs      = "/.rockspoke/vms"
 )
 
@@ -68,6 +69,8 @@
 		serveControl(n, w, r, func(in settleRequest) (settleReply, error) { return n.settleHere(in), nil })
 	case pathHandover:
 		serveControl(n, w, r, n.takeHandover)
+	case pathNotes:
+		serveControl(n, w, r, n.takeNotes)
 	case pathVMs:
 		serveControl(n, w, r, func(struct{}) (vmList, error) { return n.vmList(r.Context()) })
 	default:
--- a/pkg/repeat/repeat_guard.go
+++ b/pkg/repeat/repeat_guard.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// Left tells whether the request was sent on, and how many tokens it has left.
+func (g *Guard) Left(e *Entry) (left int, sent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return e.Ledger.Balance(), e.sent
+}
+
 // Sent notes that the attempt has left the entry, so that a repeat of it counts as a retry.
 func (g *Guard) Sent(e *Entry) {
 	g.mu.Lock()
@@ -115,6 +122,29 @@
 	e.sent = true
 }
 
+// Note tells another entry of a request whose caller is likely to repeat it.
+type Note struct {
+	Key  string `json:"k"`
+	Left int    `json:"l"` // retry tokens left
+}
+
+// Learn takes a note of another entry: the request was sent on there, and no more tokens are left than it says.
+func (g *Guard) Learn(now time.Time, n Note) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.customer(now, "")
+	e, met := g.keys[n.Key]
+	if !met {
+		if len(g.keys) >= maxKeys {
+			return
+		}
+		e = &Entry{Ledger: ledger.New(n.Left), ended: now}
+		g.keys[n.Key] = e
+	}
+	e.sent = true
+	e.Ledger.Cap(n.Left)
+}
+
 // End notes that an attempt has ended, with a result that those who joined may share.
 func (g *Guard) End(now time.Time, e *Entry, result any) {
 	g.mu.Lock()
--- a/pkg/routing/server_state.go
+++ b/pkg/routing/server_state.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +26,8 @@
 	Peer string
 
 	running atomic.Int64
-	load    atomic.Uint64 // float64 bits
+	calls   atomic.Int64 // that the server told of, less this daemon's own at that time
+	limit   atomic.Int64 // that the server told of; 0 if it never did
 	level   atomic.Uint32
 	seen    atomic.Int64 // Unix nanoseconds
 	leaving atomic.Bool
@@ -49,7 +49,9 @@
 
 // Answered takes in what an answer showed of the server.
 func (s *Server) Answered(now time.Time, a wire.Answer) {
-	s.load.Store(math.Float64bits(a.Load))
+	// The call that was answered has ended by now, and isn't among the server's any more.
+	s.calls.Store(int64(a.Calls) - max(s.running.Load()-1, 0))
+	s.limit.Store(int64(a.Limit))
 	s.level.Store(uint32(a.Own))
 	s.seen.Store(now.UnixNano())
 	if a.Leaving {
@@ -114,21 +116,29 @@
 	return priority.Priority(s.level.Load())
 }
 
-// busy orders servers: calls that this daemon has in progress there, and the load that the server told.
+// unknownLimit is assumed of a server that has not answered yet: it may just have started cold.
+const unknownLimit = 1
+
+// busy orders servers: the share of its limit that a server uses, by what it told last and by the calls
+// that this daemon has sent and got back since.
 func (s *Server) busy(now time.Time) float64 {
-	b := float64(s.running.Load())
-	if now.UnixNano()-s.seen.Load() <= int64(statStale) {
-		b += 4 * math.Float64frombits(s.load.Load())
+	limit := s.limit.Load()
+	own := s.running.Load()
+	if limit == 0 {
+		return (float64(own) + 0.5) / unknownLimit
+	}
+	if now.UnixNano()-s.seen.Load() > int64(statStale) {
+		return float64(own) / float64(limit)
 	}
-	return b
+	return float64(max(s.calls.Load()+own, own)) / float64(limit)
 }
 
-// crowded tells whether the server has said that it is full.
+// crowdedShare is the share of its limit above which a server counts as full.
+const crowdedShare = 0.9
+
+// crowded tells whether the server is full, as far as is known.
 func (s *Server) crowded(now time.Time) bool {
-	if now.UnixNano()-s.seen.Load() > int64(statStale) {
-		return false
-	}
-	return s.level.Load() > 0 || math.Float64frombits(s.load.Load()) > 0.95
+	return s.Level(now) > 0 || s.busy(now) > crowdedShare
 }
 
 // Reading is a Server's state for dumps.
@@ -136,7 +146,7 @@
 	VM      string            `json:"vm"`
 	Zone    string            `json:"zone"`
 	Running int64             `json:"running"`
-	Load    float64           `json:"load"`
+	Load    float64           `json:"load"` // share of its limit in use
 	Level   priority.Priority `json:"level"`
 	Leaving bool              `json:"leaving"`
 	Aside   bool              `json:"aside"`
@@ -148,7 +158,7 @@
 	aside := s.asideFor > 0
 	s.mu.Unlock()
 	return Reading{
-		VM: s.VM, Zone: s.Zone, Running: s.running.Load(), Load: math.Float64frombits(s.load.Load()),
+		VM: s.VM, Zone: s.Zone, Running: s.running.Load(), Load: s.busy(now),
 		Level: s.Level(now), Leaving: s.leaving.Load(), Aside: aside,
 	}
 }
--- a/pkg/wire/header.go
+++ b/pkg/wire/header.go
@@ -57,7 +57,8 @@
 	Own      priority.Priority `json:"m,omitempty"` // admission level of this backend server alone
 	Below    priority.Priority `json:"l,omitempty"` // highest level among the services that the call reached below it
 	Tokens   int               `json:"t,omitempty"` // retry tokens that come back
-	Load     float64           `json:"u,omitempty"` // calls in progress over the limit
+	Calls    int               `json:"u,omitempty"` // calls running and queued at this backend server
+	Limit    int               `json:"n,omitempty"` // calls that it may run at once now
 	AfterMS  int64             `json:"a,omitempty"` // when to come back, in milliseconds
 	Version  int64             `json:"v,omitempty"` // configuration version in force
 	Leaving  bool              `json:"x,omitempty"` // this backend server takes no new work
