--- a/pkg/admission/admission_level.go
+++ b/pkg/admission/admission_level.go
@@ -24,7 +24,7 @@
 	// fill is the share of the capacity that the level lets through.
 	fill = 1.0
 	// damping is the share of the spare capacity that one tick gives back.
-	damping = 0.5
+	damping = 0.8
 	// probeFirst and probeMost are the first and the largest step down into ranks or tiers of unknown
 	// demand; the first is for an idle server, and less the busier it is.
 	probeFirst = priority.Span / 8
