--- a/pkg/lab/experiment_config.go
+++ b/pkg/lab/experiment_config.go
@@ -56,6 +56,7 @@
 	defer func() { _ = c.Stop() }()
 	w := &configWatch{accepted: map[int64]time.Time{}, last: map[string]int64{}, reached: map[int64]int{}}
 	begin := time.Now()
+	before := c.controlBytes()
 	wctx, stopWatch := context.WithCancel(ctx)
 	watched := make(chan struct{})
 	go func() {
@@ -79,7 +80,7 @@
 	var r Report
 	r.ConfigInForceS = ptr(w.slowest.Seconds())
 	r.ConfigReverts = ptr(w.reverts)
-	r.ControlBytesPerS = c.controlRate(begin)
+	r.ControlBytesPerS = c.controlRate(before, begin)
 	wrong := c.checkSettled(ctx, &tally)
 	r.Extra = map[string]float64{
 		"daemons": float64(len(c.All())), "accepted": float64(tally.accepted.Load()), "raced": float64(tally.raced.Load()),
--- a/pkg/lab/experiment_steady.go
+++ b/pkg/lab/experiment_steady.go
@@ -31,6 +31,7 @@
 	defer func() { _ = c.Stop() }()
 	var wg sync.WaitGroup
 	begin := time.Now()
+	before := c.controlBytes()
 	var through, bare *hdrhistogram.Histogram
 	wg.Add(1)
 	go func() {
@@ -50,7 +51,7 @@
 		"through_p50_ms": ms(through, 50), "through_p99_ms": ms(through, 99),
 		"bare_p50_ms": ms(bare, 50), "bare_p99_ms": ms(bare, 99), "pings": float64(through.TotalCount()),
 	}
-	r.ControlBytesPerS = c.controlRate(begin)
+	r.ControlBytesPerS = c.controlRate(before, begin)
 	return r, nil
 }
 
@@ -85,14 +86,25 @@
 	return h
 }
 
-// controlRate returns the control bytes a second of the busiest daemon since begin, or nil without daemons.
-func (c *Cluster) controlRate(begin time.Time) *float64 {
-	most := 0.0
+// controlBytes returns the control bytes of each daemon so far.
+func (c *Cluster) controlBytes() map[string]int64 {
+	out := map[string]int64{}
 	for _, v := range c.All() {
-		if v.Node == nil {
-			return nil
+		if v.Node != nil {
+			out[v.Info.Name] = v.Node.Metrics().Count("control_bytes")
 		}
-		most = max(most, float64(v.Node.Metrics().Count("control_bytes"))/time.Since(begin).Seconds())
+	}
+	return out
+}
+
+// controlRate returns the control bytes a second of the busiest daemon since begin, or nil without daemons.
+func (c *Cluster) controlRate(before map[string]int64, begin time.Time) *float64 {
+	if len(before) == 0 {
+		return nil
+	}
+	most := 0.0
+	for name, now := range c.controlBytes() {
+		most = max(most, float64(now-before[name])/time.Since(begin).Seconds())
 	}
 	return &most
 }
--- a/pkg/lab/lab_run.go
+++ b/pkg/lab/lab_run.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -19,6 +22,7 @@
 	asJSON         bool
 	only           string
 	watch          string
+	profile        string
 }
 
 // runCommand measures one experiment.
@@ -40,6 +44,11 @@
 	if err != nil {
 		return err
 	}
+	stop, err := startProfile(w.profile)
+	if err != nil {
+		return err
+	}
+	defer stop()
 	var reports []Report
 	for _, sys := range slices.Concat(Systems, x.Also) {
 		if w.only != "" && !slices.Contains(strings.Split(w.only, ","), sys.Name) {
@@ -67,6 +76,24 @@
 	return writeReports(w.stdout, reports)
 }
 
+// startProfile writes a processor profile to the file until the function that it returns is called.
+func startProfile(file string) (stop func(), err error) {
+	if file == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = f.Close() // the profile is only looked at
+	}, nil
+}
+
 // parse takes the experiment's name; flags may stand after it too.
 func (w *runWork) parse(args []string) (string, error) {
 	if len(args) == 0 {
@@ -82,6 +109,7 @@
 	fs.Uint64Var(&w.seed, "seed", max(w.seed, 1), "seed of all random choices")
 	fs.BoolVar(&w.asJSON, "json", w.asJSON, "one JSON object for each system")
 	fs.StringVar(&w.only, "systems", w.only, "systems to run, separated by commas; empty runs all")
+	fs.StringVar(&w.profile, "cpuprofile", w.profile, "file to write a processor profile to")
 	fs.StringVar(&w.watch, "watch", w.watch, "service whose gates are shown while rockspoke runs")
 	return fs
 }
