--- /dev/null
+++ b/pkg/member/roster_test.go
@@ -0,0 +1,67 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func list(names ...string) []VM {
+	var out []VM
+	for _, n := range names {
+		out = append(out, VM{Name: n})
+	}
+	return out
+}
+
+func TestOneListMayMissAVM(t *testing.T) {
+	c := qt.New(t)
+	var r Roster
+	c.Assert(r.Refresh(begin, list("a", "b", "c")), qt.IsTrue)
+	c.Assert(r.Refresh(begin, list("a", "b")), qt.IsTrue)
+	c.Assert(r.VMs(), qt.HasLen, 3)
+	c.Assert(r.Gone("c"), qt.IsFalse)
+	r.Refresh(begin, list("a", "b"))
+	c.Assert(r.VMs(), qt.HasLen, 2)
+	c.Assert(r.Gone("c"), qt.IsTrue)
+	c.Assert(r.Gone("never-seen"), qt.IsFalse, qt.Commentf("an unknown VM isn't gone"))
+	r.Refresh(begin, list("a", "b", "c"))
+	c.Assert(r.Gone("c"), qt.IsFalse)
+}
+
+func TestImplausiblyEmptyListIsSetAside(t *testing.T) {
+	c := qt.New(t)
+	var r Roster
+	r.Refresh(begin, list("a", "b", "c", "d"))
+	for range 10 {
+		c.Assert(r.Refresh(begin, nil), qt.IsFalse)
+	}
+	c.Assert(r.VMs(), qt.HasLen, 4)
+	c.Assert(r.Refresh(begin, list("a")), qt.IsTrue, qt.Commentf("told again and again, a small list is believed"))
+}
+
+func TestNodeInfoMergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		infos := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) NodeInfo {
+			return NodeInfo{
+				VM:          rapid.SampledFrom([]string{"a", "b"}).Draw(t, "vm"),
+				Incarnation: rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "inc"),
+				Leaving:     rapid.Bool().Draw(t, "leaving"),
+			}
+		}), 1, 10).Draw(t, "infos")
+		var forward, shuffled Roster
+		for _, n := range infos {
+			forward.Merge(n)
+		}
+		for _, n := range rapid.Permutation(infos).Draw(t, "order") {
+			shuffled.Merge(n)
+		}
+		if forward.Digest() != shuffled.Digest() {
+			t.Fatalf("%v and %v", forward.Nodes(), shuffled.Nodes())
+		}
+	})
+}
