--- /dev/null
+++ b/pkg/lab/cluster_test.go
@@ -0,0 +1,281 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// startSmall runs a cluster of two services, for tests that look at single requests.
+func startSmall(t *testing.T, opts Options) *Cluster {
+	t.Helper()
+	g := &Graph{
+		Zones: 2, Retries: 2,
+		Services: []Service{
+			{Name: "front", Servers: 2, Slots: 20, Time: 2 * time.Millisecond},
+			{Name: "back", Servers: 4, Slots: 20, Time: 2 * time.Millisecond},
+		},
+		Classes: []Class{
+			{Name: "reads", Tier: 2, Share: 0.5, Timeout: 5 * time.Second, Root: "front", Calls: chainCalls("reads", "front", "back")},
+			{Name: "billing", Tier: 3, OnceOnly: true, Share: 0.5, Timeout: 5 * time.Second, Root: "front", Calls: chainCalls("billing", "front", "back")},
+		},
+	}
+	opts.Seed = 1
+	c, err := StartRockspoke(context.Background(), g, opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Stop() })
+	return c
+}
+
+// ask sends one request of a caller through an entry.
+func (c *Cluster) ask(entry int, class, key string, more http.Header) reply {
+	cl := c.Graph.class(class)
+	h := more.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set(headerLabRequest, key)
+	if key != "" {
+		h.Set(wire.HeaderKey, key)
+	}
+	return c.entry()(context.Background(), entry, outgoing{service: cl.Root, method: cl.method(), path: cl.path(), header: h})
+}
+
+func (c *Cluster) runsOf(request, service string) int {
+	_, runs, _ := c.History.Snapshot()
+	n := 0
+	for _, r := range runs {
+		if r.Request == request && r.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOnceOnlyRequestRunsOnceThroughAnyEntry(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	for i := range 4 {
+		rep := cl.ask(i%2, "billing", "invoice-1", nil)
+		c.Assert(rep.err, qt.IsNil)
+		c.Assert(rep.status, qt.Equals, http.StatusOK)
+		c.Assert(rep.outcome, qt.Equals, wire.Ran)
+		c.Assert(rep.body, qt.Equals, answerTo("invoice-1", "front"))
+	}
+	c.Assert(cl.runsOf("invoice-1", "front"), qt.Equals, 1)
+	c.Assert(cl.runsOf("invoice-1", "back"), qt.Equals, 1)
+}
+
+func TestKeysAreKnownAfterTheirHomeHasLeft(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	for i := range 20 {
+		c.Assert(cl.ask(0, "billing", fmt.Sprint("k", i), nil).status, qt.Equals, http.StatusOK)
+	}
+	front := cl.serversOf("front")[0]
+	c.Assert(front.Node.Stop(context.Background()), qt.IsNil)
+	for i := range 20 {
+		rep := cl.ask(1, "billing", fmt.Sprint("k", i), nil)
+		c.Assert(rep.body, qt.Equals, answerTo(fmt.Sprint("k", i), "front"))
+		c.Assert(cl.runsOf(fmt.Sprint("k", i), "front"), qt.Equals, 1)
+	}
+}
+
+func TestKeysOfAKilledHomeAreInDoubtAndNeverRunAgain(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	for i := range 20 {
+		c.Assert(cl.ask(0, "billing", fmt.Sprint("k", i), nil).status, qt.Equals, http.StatusOK)
+	}
+	for _, v := range cl.serversOf("front") {
+		c.Assert(v.Node.Close(), qt.IsNil)
+	}
+	for _, v := range cl.serversOf("front") {
+		c.Assert(cl.StartNode(context.Background(), v), qt.IsNil)
+	}
+	for i := range 20 {
+		rep := cl.ask(1, "billing", fmt.Sprint("k", i), nil)
+		c.Assert(rep.outcome, qt.Equals, wire.Unknown, qt.Commentf("%+v", rep))
+		c.Assert(cl.runsOf(fmt.Sprint("k", i), "front"), qt.Equals, 1)
+	}
+	// Work without a key of the caller's own goes on at once, by tokens.
+	c.Assert(cl.ask(1, "billing", "", nil).status, qt.Equals, http.StatusOK)
+}
+
+func TestTokenWorksThroughAnyEntryAndForgedOnesDont(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	d := demandPlan{id: "t", class: cl.Graph.class("billing")}
+	token := cl.tokenFor(context.Background(), hardRetries(), d, 0)
+	c.Assert(token, qt.Not(qt.Equals), "")
+	for i := range 2 {
+		c.Assert(cl.ask(i, "billing", token, nil).outcome, qt.Equals, wire.Ran)
+	}
+	c.Assert(cl.runsOf(token, "front"), qt.Equals, 1)
+	forged := cl.ask(0, "billing", token[:len(token)-3]+"AAA", nil)
+	c.Assert(forged.outcome, qt.Not(qt.Equals), wire.Ran)
+}
+
+func TestForgedInternalHeadersOfCallersDontCount(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	forged := http.Header{}
+	wire.EncodeCall(forged, wire.Call{Root: "r", Service: "back", Tokens: 99, Delegated: true})
+	forged.Set(wire.HeaderRequest, "x")
+	rep := cl.ask(0, "reads", "r1", forged)
+	c.Assert(rep.status, qt.Equals, http.StatusOK)
+	c.Assert(rep.body, qt.Equals, answerTo("r1", "front"))
+}
+
+// TestRepeatedParentKeepsItsOnceOnlyCall is the case in which a repeatable request that its caller repeated
+// through another entry ran the once-only call below it again.
+func TestRepeatedParentKeepsItsOnceOnlyCall(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	cl.Graph.Classes[0].Calls = map[string][]Stage{"front": {{{"back", "billing"}}}}
+	for i := range 4 {
+		c.Assert(cl.ask(i%2, "reads", "visit", nil).status, qt.Equals, http.StatusOK)
+	}
+	c.Assert(cl.runsOf("visit", "front") > 1, qt.IsTrue)
+	c.Assert(cl.runsOf("visit", "back"), qt.Equals, 1)
+}
+
+func TestLabelsMoveTrafficWithoutAFailedRequest(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{Labels: func(_ string, i int) map[string]string {
+		return map[string]string{"dc": []string{"old", "new"}[i%2]}
+	}})
+	ctx := context.Background()
+	n := cl.Entries[0].Node
+	_, err := n.Change(ctx, config.Change{Base: n.Document().Version, ID: "targets", Put: []config.Object{{
+		Kind: config.KindPolicy, Name: "move",
+		Policy: &config.PolicySpec{Selector: "team=lab", Order: 1, Targets: []config.Target{{Selector: "dc=old", Weight: 1}}},
+	}}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(cl.inForce(n.Document().Version), qt.IsTrue)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		cl.Run(ctx, Load{Seed: 1, Patience: Patience{Timeout: 5 * time.Second, Tries: 1, Whole: 5 * time.Second}, Phases: []Phase{{3 * time.Second, 60}}})
+	}()
+	pause(ctx, time.Second)
+	// The old VMs become new ones, and the new ones old: all traffic moves by this one edit of labels.
+	var objs []config.Object
+	for _, v := range cl.VMs {
+		dc := "new"
+		if v.Info.Labels["dc"] == "new" {
+			dc = "old"
+		}
+		objs = append(objs, config.Object{Kind: config.KindVM, Name: v.Info.Name, Labels: map[string]string{"dc": dc}})
+	}
+	doc, err := n.Change(ctx, config.Change{Base: n.Document().Version, ID: "swap", Put: objs})
+	c.Assert(err, qt.IsNil)
+	c.Assert(cl.inForce(doc.Version), qt.IsTrue)
+	moved := time.Now().Add(200 * time.Millisecond) // calls that were chosen before have arrived by then
+	<-done
+	_, runs, demands := cl.History.Snapshot()
+	for _, d := range demands {
+		c.Assert(d.Served, qt.IsTrue, qt.Commentf("%+v", d))
+	}
+	before := 0
+	for _, r := range runs {
+		left := cl.vm(r.Server).Info.Labels["dc"] == "old"
+		if left && r.Arrived.Before(moved) {
+			before++
+		}
+		c.Assert(left && r.Arrived.After(moved), qt.IsFalse, qt.Commentf("%s got work after the move", r.Server))
+	}
+	c.Assert(before > 0, qt.IsTrue)
+}
+
+func (c *Cluster) vm(name string) *VM {
+	for _, v := range c.All() {
+		if v.Info.Name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// inForce waits until every daemon has the version.
+func (c *Cluster) inForce(version int64) bool {
+	for range 100 {
+		r := c.Entries[0].Node.Versions(context.Background(), version)
+		if len(r.InForce) == len(c.All()) {
+			return true
+		}
+		pause(context.Background(), 50*time.Millisecond)
+	}
+	return false
+}
+
+func TestRestartDuringAnOutageTakesThePeersConfiguration(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	ctx := context.Background()
+	n := cl.Entries[0].Node
+	doc, err := n.Change(ctx, config.Change{Base: n.Document().Version, ID: "x", Label: &config.LabelEdit{
+		Kind: config.KindService, Name: "front", Set: map[string]string{"a": "b"},
+	}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(cl.inForce(doc.Version), qt.IsTrue)
+	cl.Platform.SetFaults(platform.Faults{Down: true})
+	v := cl.VMs[0]
+	c.Assert(v.Node.Close(), qt.IsNil)
+	c.Assert(cl.StartNode(ctx, v), qt.IsNil)
+	c.Assert(cl.inForce(doc.Version), qt.IsTrue)
+	c.Assert(cl.ask(0, "reads", "during", nil).status, qt.Equals, http.StatusOK)
+}
+
+func TestLostAnswerOfTheStoreIsSettled(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	ctx := context.Background()
+	n := cl.Entries[0].Node
+	edit := func(id string) config.Change {
+		return config.Change{Base: n.Document().Version, ID: id, Label: &config.LabelEdit{
+			Kind: config.KindService, Name: "front", Set: map[string]string{"by": id},
+		}}
+	}
+	cl.Platform.SetFaults(platform.Faults{LoseAnswer: true})
+	doc, err := n.Change(ctx, edit("lost"))
+	c.Assert(err, qt.IsNil, qt.Commentf("the commit took effect, so the change was accepted"))
+	c.Assert(doc.ChangeID, qt.Equals, "lost")
+	old := edit("late")
+	old.Base--
+	_, err = n.Change(ctx, old)
+	c.Assert(err, qt.ErrorMatches, `version is .* meanwhile`)
+	cl.Platform.SetFaults(platform.Faults{Down: true})
+	_, err = n.Change(ctx, edit("down"))
+	c.Assert(err, qt.ErrorAs, new(*platform.RefusedError))
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	v := cl.serversOf("back")[0]
+	ctx := context.Background()
+	n := cl.Entries[0].Node
+	doc, err := n.Change(ctx, config.Change{Base: n.Document().Version, ID: "leave", Label: &config.LabelEdit{
+		Kind: config.KindVM, Name: v.Info.Name, Set: map[string]string{config.LabelLeaving: "true"},
+	}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(cl.inForce(doc.Version), qt.IsTrue)
+	c.Assert(v.Node.Leaving(), qt.IsTrue)
+	since := time.Now()
+	for i := range 40 {
+		c.Assert(cl.ask(i%2, "reads", fmt.Sprint("r", i), nil).status, qt.Equals, http.StatusOK)
+	}
+	_, runs, _ := cl.History.Snapshot()
+	for _, r := range runs {
+		c.Assert(r.Server == v.Info.Name && r.Arrived.After(since), qt.IsFalse)
+	}
+}
--- a/pkg/node/control_loop.go
+++ b/pkg/node/control_loop.go
@@ -81,10 +81,11 @@
 	case <-n.ctx.Done():
 		return errStopped
 	}
+	// The loop ends only between two functions, so after that fn can't run any more.
 	select {
 	case <-done:
 		return nil
-	case <-n.ctx.Done():
+	case <-n.stopped:
 		return errStopped
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -127,6 +127,7 @@
 	n.backend = n.newBackendTransport()
 	if err := n.startPeers(); err != nil {
 		n.stop()
+		close(n.stopped) // there is no control goroutine to wait for
 		return err
 	}
 	state := newControlState(n)
