--- a/pkg/cli/cli_main.go
+++ b/pkg/cli/cli_main.go
@@ -42,7 +42,12 @@
 	root := &ffcli.Command{
 		Name: "rockspoke", ShortUsage: "rockspoke <command> [flags] [arguments]", LongHelp: rootHelp, FlagSet: fs,
 		Options: []ff.Option{ff.WithEnvVarPrefix("ROCKSPOKE")},
-		Exec:    func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("there is no command %q; see rockspoke --help", args[0])
+			}
+			return flag.ErrHelp
+		},
 	}
 	for _, mk := range commands {
 		root.Subcommands = append(root.Subcommands, flagsAnywhere(mk(e)))
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -86,6 +86,10 @@
 		var cert *tls.CertificateVerificationError
 		if errors.As(err, &op) && op.Op == "dial" || errors.As(err, &cert) {
 			last = err
+			var lost *LostError
+			if errors.As(err, &lost) {
+				last = lost.Cause
+			}
 			continue
 		}
 		return err
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -86,7 +86,7 @@
 	c.Assert(got["policy.targets.0.weight"], qt.Equals, 16)
 	c.Assert(got["rout"], qt.Equals, 20)
 	c.Assert(got["kind"], qt.Equals, 22)
-	c.Assert(err, qt.ErrorMatches, `(?s).*bad.yaml:9:.*fast.*`)
+	c.Assert(err, qt.ErrorMatches, `(?s).*bad.yaml:9: class.timeout: "fast" isn.t a time with a unit.*`)
 }
 
 func TestChangeIsMadeWholeOrNotAtAll(t *testing.T) {
--- a/pkg/config/object_parse.go
+++ b/pkg/config/object_parse.go
@@ -18,6 +18,8 @@
 	Line  int    `json:"line,omitempty"` // 0 if unknown
 	Field string `json:"field,omitempty"`
 	Msg   string `json:"msg"`
+
+	value string // that couldn't be read, if the YAML library told
 }
 
 // Error shows the fault as file:line: field: message.
@@ -102,7 +104,9 @@
 	// second, strict decoder only looks for unknown fields.
 	loc := located{node: node.Content[0]}
 	if err := node.Decode(&loc.obj); err != nil {
-		return located{}, YAMLFaults(file, err)
+		faults := YAMLFaults(file, err)
+		NameFields(loc.node, faults)
+		return located{}, faults
 	}
 	var scratch Object
 	dec := yaml.NewDecoder(bytes.NewReader(raw))
@@ -142,6 +146,7 @@
 // The forms of the YAML library's messages.
 var (
 	yamlLine    = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
+	yamlType    = regexp.MustCompile("^cannot unmarshal !!\\w+ `([^`]*)` into (\\S+)$")
 	yamlUnknown = regexp.MustCompile(`^field (\S+) not found in type \S+$`)
 )
 
@@ -164,6 +169,10 @@
 		f.Line, _ = strconv.Atoi(m[1])
 		f.Msg = m[2]
 	}
+	if m := yamlType.FindStringSubmatch(f.Msg); m != nil {
+		f.value = m[1]
+		f.Msg = fmt.Sprintf("%q isn't %s", m[1], typeWord(m[2]))
+	}
 	if m := yamlUnknown.FindStringSubmatch(f.Msg); m != nil {
 		f.Field = m[1]
 		f.Msg = "unknown field"
@@ -189,3 +198,48 @@
 	}
 	return b.String(), nil
 }
+
+// typeWord says what a value of a Go type looks like.
+func typeWord(goType string) string {
+	switch goType {
+	case "time.Duration":
+		return "a time with a unit, as in 500ms or 2s"
+	case "bool":
+		return "true or false"
+	case "int", "int64", "priority.Tier":
+		return "a whole number"
+	default:
+		return "a " + goType
+	}
+}
+
+// NameFields finds the fields of faults that have only a line, by the values that the lines hold.
+func NameFields(root *yaml.Node, faults []FieldError) {
+	for i, f := range faults {
+		if f.Field == "" && f.value != "" {
+			faults[i].Field = fieldAt(root, "", f.Line, f.value)
+		}
+	}
+}
+
+func fieldAt(n *yaml.Node, path string, line int, value string) string {
+	if n.Kind == yaml.ScalarNode && n.Line == line && strings.HasPrefix(n.Value, strings.TrimSuffix(value, "...")) {
+		return path
+	}
+	for i, c := range n.Content {
+		name := path
+		switch n.Kind {
+		case yaml.MappingNode:
+			if i%2 == 0 {
+				continue
+			}
+			name = strings.TrimPrefix(path+"."+n.Content[i-1].Value, ".")
+		case yaml.SequenceNode:
+			name = path + "." + strconv.Itoa(i)
+		}
+		if f := fieldAt(c, name, line, value); f != "" {
+			return f
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/metric/metric_test.go
@@ -0,0 +1,45 @@
+package metric
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestPageHasEveryMetricAndNoOther(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	c.Assert(err, qt.IsNil)
+	var rows []string
+	for _, line := range strings.Split(string(page), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			rows = append(rows, line)
+		}
+	}
+	var want []string
+	for _, m := range Metrics {
+		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s |", m.Name, m.Kind, m.Unit, m.Help))
+	}
+	c.Assert(rows, qt.DeepEquals, want)
+}
+
+func TestTextForm(t *testing.T) {
+	c := qt.New(t)
+	s := NewSet()
+	s.Inc("retries")
+	s.Set("limit", 7)
+	s.Observe("call_time", 100)
+	var b bytes.Buffer
+	s.WriteText(&b)
+	for _, line := range []string{
+		"# TYPE rockspoke_retries counter\nrockspoke_retries 1\n",
+		"# TYPE rockspoke_limit gauge\nrockspoke_limit 7\n",
+		"# TYPE rockspoke_call_time summary\n", "rockspoke_call_time{quantile=\"0.99\"} 100\n", "rockspoke_call_time_count 1\n",
+	} {
+		c.Assert(strings.Contains(b.String(), line), qt.IsTrue, qt.Commentf("%q", line))
+	}
+}
