--- /dev/null
+++ b/pkg/lab/capacity_slopes.go
@@ -0,0 +1,322 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/member"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
+	"github.com/rockspoke/rockspoke/pkg/routing"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// Series is one quantity measured at several sizes.
+type Series struct {
+	Name  string // what was measured
+	Per   string // what the size counts
+	Unit  string
+	Sizes []float64
+	Value []float64
+}
+
+// add notes one measurement.
+func (s *Series) add(size, value float64) {
+	s.Sizes = append(s.Sizes, size)
+	s.Value = append(s.Value, value)
+}
+
+// Slope returns the least-squares line through the measurements: the value at size 0, and its growth.
+func (s *Series) Slope() (base, slope float64) {
+	n := float64(len(s.Sizes))
+	var sx, sy, sxx, sxy float64
+	for i, x := range s.Sizes {
+		sx += x
+		sy += s.Value[i]
+		sxx += x * x
+		sxy += x * s.Value[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return (sy - slope*sx) / n, slope
+}
+
+// capacityCommand measures the slopes of docs/CAPACITY.md.
+func capacityCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "capacity", ShortUsage: "rockspoke-lab capacity", FlagSet: newFlags("rockspoke-lab capacity", stderr),
+		ShortHelp: "measure the slopes that docs/CAPACITY.md is worked out from, in about a minute",
+		Exec:      func(ctx context.Context, _ []string) error { return capacitySlopes(ctx, stdout) },
+	}
+}
+
+func capacitySlopes(ctx context.Context, w io.Writer) error {
+	list := []Series{keySlope(), memberSlope(), ruleSlope()}
+	hops, err := hopSlope(ctx)
+	if err != nil {
+		return err
+	}
+	daemons, err := daemonSlopes(ctx)
+	if err != nil {
+		return err
+	}
+	list = append(append(list, hops...), daemons...)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "quantity\tunit\tmeasured at size: value\tat size 0\tslope\tper")
+	for _, s := range list {
+		points := ""
+		for i := range s.Sizes {
+			points += fmt.Sprintf("%g: %.4g  ", s.Sizes[i], s.Value[i])
+		}
+		base, slope := s.Slope()
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.4g\t%.4g\t%s\n", s.Name, s.Unit, points, base, slope, s.Per)
+	}
+	return t.Flush()
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+func keySlope() Series {
+	s := Series{Name: "memory of remembered keys", Per: "key", Unit: "bytes"}
+	for _, n := range []int{50_000, 100_000, 200_000} {
+		before := heap()
+		var m onceonly.Memory
+		now := time.Now()
+		for i := range n {
+			k := onceonly.HashKey("s", fmt.Sprint(i))
+			m.Begin(now, k, 1, false)
+			m.Finish(now, k, wire.Ran, &onceonly.Recorded{Status: 200, Body: []byte("done")}, now)
+		}
+		s.add(float64(n), heap()-before)
+		runtime.KeepAlive(&m)
+	}
+	return s
+}
+
+// capacityServices is the number of services in the target.
+const capacityServices = 18
+
+func capacityVMs(n int) []member.VM {
+	vms := make([]member.VM, n)
+	for i := range vms {
+		vms[i] = member.VM{
+			Name: fmt.Sprintf("vm-%d", i), Service: fmt.Sprintf("svc%d", i%capacityServices), Zone: fmt.Sprintf("zone-%d", i%7),
+			Peer: "127.0.0.1:8443", Labels: map[string]string{"dc": "old", "rack": fmt.Sprint(i % 40)},
+		}
+	}
+	return vms
+}
+
+func memberSlope() Series {
+	s := Series{Name: "processor time of taking a list of VMs and grouping one service", Per: "VM", Unit: "us"}
+	doc := &config.Document{Version: 1, Objects: configGraph().Objects()}
+	plan, err := config.Compile(doc)
+	if err != nil {
+		return s
+	}
+	for _, n := range []int{130, 260, 520} {
+		vms := capacityVMs(n)
+		const times = 50
+		begin := time.Now()
+		for range times {
+			var r member.Roster
+			var pool routing.Pool
+			r.Refresh(begin, vms)
+			var list []routing.Candidate
+			for _, v := range r.VMs() {
+				list = append(list, routing.Candidate{VM: v, Labels: v.AllLabels(nil)})
+			}
+			routing.Choice{Zone: "zone-1"}.Groups(&pool, plan.Call("svc1", config.Match{}), list)
+		}
+		s.add(float64(n), float64(time.Since(begin).Microseconds())/times)
+	}
+	return s
+}
+
+func ruleSlope() Series {
+	s := Series{Name: "processor time of compiling a configuration of 18 services", Per: "class and policy", Unit: "us"}
+	for _, n := range []int{20, 40, 80} {
+		doc := &config.Document{Version: 1}
+		for i := range capacityServices {
+			doc.Objects = append(doc.Objects, config.Object{
+				Kind: config.KindService, Name: fmt.Sprintf("svc%d", i), Labels: map[string]string{"n": fmt.Sprint(i)},
+				Service: &config.ServiceSpec{Slots: 100, Connections: 1000},
+			})
+		}
+		for i := range n {
+			name := fmt.Sprintf("x%d", i)
+			doc.Objects = append(doc.Objects,
+				config.Object{Kind: config.KindClass, Name: name, Class: &config.ClassSpec{PathPrefix: "/" + name}},
+				config.Object{Kind: config.KindPolicy, Name: name, Policy: &config.PolicySpec{Selector: fmt.Sprintf("n=%d", i%capacityServices)}})
+		}
+		const times = 20
+		begin := time.Now()
+		for range times {
+			if _, err := config.Compile(doc); err != nil {
+				return s
+			}
+		}
+		s.add(float64(n), float64(time.Since(begin).Microseconds())/times)
+	}
+	return s
+}
+
+// The load of the hop measurement.
+const (
+	hopTime = 3 * time.Second
+	hopRate = 150
+)
+
+// hopSlope measures the processor time of whole requests by the depth of their chain, with the fakes and
+// callers, and without daemons for comparison.
+func hopSlope(ctx context.Context) ([]Series, error) {
+	through := Series{Name: "processor time of a request, daemons, fakes and callers together", Per: "hop", Unit: "us"}
+	bare := Series{Name: "the same without daemons", Per: "hop", Unit: "us"}
+	for _, depth := range []int{1, 2, 4} {
+		for _, sys := range Systems[:2] {
+			us, err := requestTime(ctx, sys, depth)
+			if err != nil {
+				return nil, err
+			}
+			if sys.Name == NameRockspoke {
+				through.add(float64(depth), us)
+			} else {
+				bare.add(float64(depth), us)
+			}
+		}
+	}
+	return []Series{through, bare}, nil
+}
+
+func requestTime(ctx context.Context, sys System, depth int) (float64, error) {
+	g := &Graph{Zones: 3, Retries: 2}
+	var names []string
+	for i := range depth {
+		names = append(names, fmt.Sprintf("h%d", i))
+		g.Services = append(g.Services, Service{Name: names[i], Servers: 3, Slots: 40, Time: 2 * time.Millisecond})
+	}
+	g.Classes = []Class{{Name: "reads", Tier: 2, Share: 1, Timeout: time.Second, Root: names[0], Calls: chainCalls("reads", names...)}}
+	c, err := sys.Start(ctx, g, Options{Seed: 1})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.Stop() }()
+	// What the daemons do at rest is taken off.
+	idle := processorTime()
+	pause(ctx, time.Second)
+	idle = processorTime() - idle
+	before := processorTime()
+	c.Run(ctx, Load{Seed: 1, Patience: hardRetries(), Phases: []Phase{{hopTime, hopRate}}})
+	used := processorTime() - before - time.Duration(hopTime.Seconds()*float64(idle))
+	_, _, demands := c.History.Snapshot()
+	return float64(used.Microseconds()) / float64(max(len(demands), 1)), nil
+}
+
+// The cluster measurements: services of three servers each, and what is done at each size.
+var daemonServices = []int{4, 8, 14}
+
+const (
+	daemonIdle    = 4 * time.Second
+	daemonChanges = 8
+)
+
+// daemonSlopes measures what one daemon spends on control by the number of daemons.
+func daemonSlopes(ctx context.Context) ([]Series, error) {
+	cpu := Series{Name: "processor time of a daemon at rest", Per: "daemon in the cluster", Unit: "% of a core"}
+	bytes := Series{Name: "control bytes of a daemon at rest", Per: "daemon in the cluster", Unit: "B/s"}
+	mem := Series{Name: "memory of a daemon with its connections to neighbours", Per: "daemon in the cluster", Unit: "kB"}
+	conn := Series{Name: "memory of connections, both ends", Per: "connection", Unit: "kB"}
+	change := Series{Name: "control bytes of a daemon for one change", Per: "daemon in the cluster", Unit: "B"}
+	force := Series{Name: "time until a change is in force everywhere", Per: "daemon in the cluster", Unit: "ms"}
+	for _, n := range daemonServices {
+		if err := measureDaemons(ctx, n, &cpu, &bytes, &mem, &conn, &change, &force); err != nil {
+			return nil, err
+		}
+	}
+	return []Series{cpu, bytes, mem, conn, change, force}, nil
+}
+
+func measureDaemons(ctx context.Context, services int, cpu, bytes, mem, conn, change, force *Series) error {
+	g := configGraph()
+	g.Services = g.Services[:services]
+	empty := heap()
+	c, err := StartRockspoke(ctx, g, Options{Seed: 1})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Stop() }()
+	n := float64(len(c.All()))
+	pause(ctx, 2*time.Second)
+	mem.add(n, (heap()-empty)/n/1000)
+	used, sent := processorTime(), c.controlTotal()
+	pause(ctx, daemonIdle)
+	cpu.add(n, 100*(processorTime()-used).Seconds()/daemonIdle.Seconds()/n)
+	bytes.add(n, (c.controlTotal()-sent)/daemonIdle.Seconds()/n)
+	before, conns := heap(), c.connections()
+	c.Entries[0].Node.Versions(ctx, 1)
+	c.Entries[1].Node.Versions(ctx, 1)
+	conn.add(c.connections()-conns, (heap()-before)/1000)
+	return c.measureChanges(ctx, n, change, force)
+}
+
+// measureChanges makes some changes one after the other, and adds what one of them costs and takes.
+func (c *Cluster) measureChanges(ctx context.Context, n float64, change, force *Series) error {
+	sent := c.controlTotal()
+	var slowest time.Duration
+	for i := range daemonChanges {
+		node := c.Entries[i%len(c.Entries)].Node
+		made := time.Now()
+		doc, err := node.Change(ctx, config.Change{Base: node.Document().Version, ID: fmt.Sprint("change", i), Label: &config.LabelEdit{
+			Kind: config.KindService, Name: "svc0", Set: map[string]string{"i": fmt.Sprint(i)},
+		}})
+		if err != nil {
+			return err
+		}
+		for !c.allAt(doc.Version) && time.Since(made) < 10*time.Second {
+			pause(ctx, time.Millisecond)
+		}
+		slowest = max(slowest, time.Since(made))
+	}
+	// Exchanges at rest go on meanwhile, and are counted in: the changes follow each other so fast that
+	// they hardly matter.
+	change.add(n, (c.controlTotal()-sent)/n/daemonChanges)
+	force.add(n, float64(slowest.Milliseconds()))
+	return nil
+}
+
+func (c *Cluster) allAt(version int64) bool {
+	for _, v := range c.All() {
+		if v.Node.Document().Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Cluster) controlTotal() float64 {
+	sum := int64(0)
+	for _, b := range c.controlBytes() {
+		sum += b
+	}
+	return float64(sum)
+}
+
+func (c *Cluster) connections() float64 {
+	n := 0
+	for _, v := range c.All() {
+		n += v.Node.Dump().PeerConns
+	}
+	return float64(n)
+}
--- /dev/null
+++ b/pkg/node/backend_client_test.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// TestRequestIsSentOnceToABackendServer breaks kept-alive connections after the request was read, which makes
+// Go's client send a request with an Idempotency-Key again by itself, unless it is kept from that.
+func TestRequestIsSentOnceToABackendServer(t *testing.T) {
+	c := qt.New(t)
+	var got atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if got.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer srv.Close()
+	n := &Node{cfg: settings.Settings{Backend: settings.Backend{Address: srv.Listener.Addr().String()}}, network: Network{}.fill()}
+	n.backend = n.newBackendTransport()
+	defer n.backend.CloseIdleConnections()
+	send := func(body []byte) *answer {
+		in := &inbound{id: "1", call: wire.Call{Key: "k"}}
+		return n.toBackend(context.Background(), in, &request{method: http.MethodPost, uri: "/", header: http.Header{}, body: body})
+	}
+	c.Assert(send(nil).meta.Outcome, qt.Equals, wire.Ran, qt.Commentf("the first leaves a connection behind"))
+	for _, body := range [][]byte{nil, []byte("charge")} {
+		before := got.Load()
+		a := send(body)
+		c.Assert(a.meta.Outcome, qt.Equals, wire.Unknown)
+		c.Assert(got.Load()-before, qt.Equals, int64(1))
+	}
+}
+
+func TestConnectionThatWasNeverMadeIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := ln.Addr().String()
+	c.Assert(ln.Close(), qt.IsNil)
+	n := &Node{cfg: settings.Settings{Backend: settings.Backend{Address: addr}}, network: Network{}.fill()}
+	n.backend = n.newBackendTransport()
+	a := n.toBackend(context.Background(), &inbound{id: "1"}, &request{method: http.MethodGet, uri: "/", header: http.Header{}})
+	c.Assert(a.meta.Outcome, qt.Equals, wire.NotRun)
+}
+
+func TestRefusalOfAServerThatCalledOnIsNotBelieved(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	n := &Node{clock: fixedClock{now}, metrics: newTestMetrics()}
+	busy := func() *answer {
+		return &answer{meta: wire.Answer{Outcome: wire.Ran}, status: http.StatusServiceUnavailable, header: http.Header{"Retry-After": {"1"}}}
+	}
+	c.Assert(n.judge(&inbound{}, busy(), "r", now).meta.Outcome, qt.Equals, wire.NotRun)
+	called := &inbound{}
+	called.begin(now)
+	called.end(now, 1, wire.Answer{Outcome: wire.Ran})
+	c.Assert(n.judge(called, busy(), "r", now).meta.Outcome, qt.Equals, wire.Ran)
+}
--- a/pkg/onceonly/home_test.go
+++ b/pkg/onceonly/home_test.go
@@ -230,3 +230,20 @@
 		m.Finish(begin, k, wire.Ran, nil, time.Time{})
 	}
 }
+
+// TestClosedRangeTakesNoAttempts is the time between a hand-over's export and the owner's hearing of the new row.
+func TestClosedRangeTakesNoAttempts(t *testing.T) {
+	c := qt.New(t)
+	w := &world{homes: make([]*Home, 2), ran: map[Hash]int{}, now: begin}
+	w.start(0)
+	w.start(1)
+	w.row = NewRow(service, []Node{w.node(0)})
+	w.homes[0].Adopt(begin, w.row)
+	k := HashKey(service, "k")
+	w.handOver(0, 1, k.Range())
+	w.attempt(0, k)
+	w.homes[1].Adopt(begin, w.row)
+	w.attempt(1, k)
+	c.Assert(w.ran[k], qt.Equals, 1)
+	c.Assert(w.homes[1].Memory.Knows(k), qt.IsTrue, qt.Commentf("it ran at the next owner"))
+}
