--- a/pkg/lab/capacity_slopes.go
+++ b/pkg/lab/capacity_slopes.go
@@ -224,33 +224,61 @@
 	return float64(used.Microseconds()) / float64(max(len(demands), 1)), nil
 }
 
-// The cluster measurements: services of three servers each, and what is done at each size.
-var daemonServices = []int{4, 8, 14}
+// The cluster measurements: servers of each of four services, and then services of three servers each.
+var (
+	daemonServers  = []int{3, 6, 12}
+	daemonServices = []int{4, 8, 14}
+)
 
 const (
+	daemonSettle  = 7 * time.Second // news of started nodes goes along with exchanges for a while
 	daemonIdle    = 4 * time.Second
 	daemonChanges = 8
 )
 
-// daemonSlopes measures what one daemon spends on control by the number of daemons.
+// daemonCosts is what one daemon spends on control, measured at several sizes.
+type daemonCosts struct {
+	cpu, bytes, mem, conn, change, force Series
+}
+
+func newDaemonCosts(per string) *daemonCosts {
+	return &daemonCosts{
+		cpu:    Series{Name: "processor time of a daemon at rest", Per: per, Unit: "% of a core"},
+		bytes:  Series{Name: "control bytes of a daemon at rest", Per: per, Unit: "B/s"},
+		mem:    Series{Name: "memory of a daemon with its connections to neighbours", Per: per, Unit: "kB"},
+		conn:   Series{Name: "memory of connections, both ends", Per: "connection", Unit: "kB"},
+		change: Series{Name: "control bytes of a daemon for one change", Per: per, Unit: "B"},
+		force:  Series{Name: "time until a change is in force everywhere", Per: per, Unit: "ms"},
+	}
+}
+
+// daemonSlopes measures what one daemon spends on control by the number of daemons, and of services.
 func daemonSlopes(ctx context.Context) ([]Series, error) {
-	cpu := Series{Name: "processor time of a daemon at rest", Per: "daemon in the cluster", Unit: "% of a core"}
-	bytes := Series{Name: "control bytes of a daemon at rest", Per: "daemon in the cluster", Unit: "B/s"}
-	mem := Series{Name: "memory of a daemon with its connections to neighbours", Per: "daemon in the cluster", Unit: "kB"}
-	conn := Series{Name: "memory of connections, both ends", Per: "connection", Unit: "kB"}
-	change := Series{Name: "control bytes of a daemon for one change", Per: "daemon in the cluster", Unit: "B"}
-	force := Series{Name: "time until a change is in force everywhere", Per: "daemon in the cluster", Unit: "ms"}
-	for _, n := range daemonServices {
-		if err := measureDaemons(ctx, n, &cpu, &bytes, &mem, &conn, &change, &force); err != nil {
+	byDaemon := newDaemonCosts("daemon")
+	for _, servers := range daemonServers {
+		if err := byDaemon.measure(ctx, daemonServices[0], servers, false); err != nil {
 			return nil, err
 		}
 	}
-	return []Series{cpu, bytes, mem, conn, change, force}, nil
+	byService := newDaemonCosts("service with 3 daemons")
+	for _, services := range daemonServices {
+		if err := byService.measure(ctx, services, daemonServers[0], true); err != nil {
+			return nil, err
+		}
+	}
+	return []Series{
+		byDaemon.cpu, byDaemon.bytes, byDaemon.mem, byDaemon.conn, byDaemon.change, byDaemon.force,
+		byService.cpu, byService.bytes, byService.change,
+	}, nil
 }
 
-func measureDaemons(ctx context.Context, services int, cpu, bytes, mem, conn, change, force *Series) error {
+// measure runs a cluster of the size and adds what its daemons cost; the size counted is daemons or services.
+func (x *daemonCosts) measure(ctx context.Context, services, servers int, countServices bool) error {
 	g := configGraph()
 	g.Services = g.Services[:services]
+	for i := range g.Services {
+		g.Services[i].Servers = servers
+	}
 	empty := heap()
 	c, err := StartRockspoke(ctx, g, Options{Seed: 1})
 	if err != nil {
@@ -258,21 +286,25 @@
 	}
 	defer func() { _ = c.Stop() }()
 	n := float64(len(c.All()))
-	pause(ctx, 2*time.Second)
-	mem.add(n, (heap()-empty)/n/1000)
+	size := n
+	if countServices {
+		size = float64(services)
+	}
+	pause(ctx, daemonSettle)
+	x.mem.add(size, (heap()-empty)/n/1000)
 	used, sent := processorTime(), c.controlTotal()
 	pause(ctx, daemonIdle)
-	cpu.add(n, 100*(processorTime()-used).Seconds()/daemonIdle.Seconds()/n)
-	bytes.add(n, (c.controlTotal()-sent)/daemonIdle.Seconds()/n)
+	x.cpu.add(size, 100*(processorTime()-used).Seconds()/daemonIdle.Seconds()/n)
+	x.bytes.add(size, (c.controlTotal()-sent)/daemonIdle.Seconds()/n)
 	before, conns := heap(), c.connections()
 	c.Entries[0].Node.Versions(ctx, 1)
 	c.Entries[1].Node.Versions(ctx, 1)
-	conn.add(c.connections()-conns, (heap()-before)/1000)
-	return c.measureChanges(ctx, n, change, force)
+	x.conn.add(c.connections()-conns, (heap()-before)/1000)
+	return c.measureChanges(ctx, n, size, &x.change, &x.force)
 }
 
 // measureChanges makes some changes one after the other, and adds what one of them costs and takes.
-func (c *Cluster) measureChanges(ctx context.Context, n float64, change, force *Series) error {
+func (c *Cluster) measureChanges(ctx context.Context, n, size float64, change, force *Series) error {
 	sent := c.controlTotal()
 	var slowest time.Duration
 	for i := range daemonChanges {
@@ -291,8 +323,8 @@
 	}
 	// Exchanges at rest go on meanwhile, and are counted in: the changes follow each other so fast that
 	// they hardly matter.
-	change.add(n, (c.controlTotal()-sent)/n/daemonChanges)
-	force.add(n, float64(slowest.Milliseconds()))
+	change.add(size, (c.controlTotal()-sent)/n/daemonChanges)
+	force.add(size, float64(slowest.Milliseconds()))
 	return nil
 }
 
--- a/pkg/lab/lab_main.go
+++ b/pkg/lab/lab_main.go
@@ -48,7 +48,7 @@
 
 // commands is the table of commands; a new one is a file and a line.
 var commands = []func(stdout, stderr io.Writer) *ffcli.Command{
-	tryCommand, runCommand, listCommand, keysCommand, capacityCommand,
+	tryCommand, runCommand, listCommand, capacityCommand, keysCommand, platformCommand, backendCommand,
 }
 
 // tryCommand is the first command that a newcomer runs.
--- a/pkg/member/roster.go
+++ b/pkg/member/roster.go
@@ -60,6 +60,7 @@
 	nodes   map[string]NodeInfo
 	listAt  time.Time
 	doubts  int
+	changes int
 }
 
 // Refresh takes a list of the platform; it reports false for one that looks implausible and was set aside.
@@ -109,9 +110,30 @@
 		r.gone[name] = true
 		delete(r.nodes, name)
 	}
+	if !maps.EqualFunc(r.vms, next, VM.equal) {
+		r.changes++
+	}
 	r.vms = next
 }
 
+func (v VM) equal(w VM) bool {
+	return v.Name == w.Name && v.Service == w.Service && v.Zone == w.Zone && v.Peer == w.Peer &&
+		v.Leaving == w.Leaving && maps.Equal(v.Labels, w.Labels)
+}
+
+// Changes counts the lists that differed from the one before.
+func (r *Roster) Changes() int { return r.changes }
+
+// Doubtful tells whether a VM was missed by a list and not yet by a second one.
+func (r *Roster) Doubtful() bool {
+	for _, n := range r.missing {
+		if n < goneAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // Gone tells whether the platform has said, in several lists, that the VM is no more.
 func (r *Roster) Gone(vm string) bool {
 	_, listed := r.vms[vm]
--- a/pkg/node/control_loop.go
+++ b/pkg/node/control_loop.go
@@ -110,7 +110,7 @@
 	if due(now, &s.nextHead, s.n.jitter(c.PollHead)) {
 		s.work("head", s.n.pollTable)
 	}
-	if due(now, &s.nextVMs, s.n.jitter(c.PollList)) {
+	if due(now, &s.nextVMs, s.n.jitter(s.listPeriod())) {
 		s.work("vms", s.n.pollList)
 	}
 	if due(now, &s.nextRanges, rangePeriod) && s.n.cfg.Service != "" {
--- a/pkg/node/control_platform.go
+++ b/pkg/node/control_platform.go
@@ -165,14 +165,30 @@
 		return
 	}
 	n.toControl(func(s *controlState) {
+		before := s.roster.Changes()
 		if !s.roster.Refresh(n.clock.Now(), vms) {
 			n.log.control.Warn("list of VMs looks implausible and is set aside", "vms", len(vms))
 			return
 		}
-		n.publish(s)
+		if s.roster.Changes() != before {
+			n.publish(s)
+		}
 	})
 }
 
+// listPerVM makes the time between readings of the list of VMs grow with the list, so that the bytes read a
+// second don't.
+const listPerVM = 50 * time.Millisecond
+
+// listPeriod is the time until the next reading of the list: short while a VM is missing from the last one.
+func (s *controlState) listPeriod() time.Duration {
+	period := s.n.cfg.Control.PollList
+	if s.roster.Doubtful() {
+		return period
+	}
+	return max(period, time.Duration(len(s.n.snapshot.Load().vms))*listPerVM)
+}
+
 // askSeeds exchanges state with the seeds, and learns their VMs, while the platform can't be read.
 func (n *Node) askSeeds(ctx context.Context) {
 	if len(n.snapshot.Load().vms) > 1 && n.snapshot.Load().plan != nil {
