--- a/pkg/config/plan.go
+++ b/pkg/config/plan.go
@@ -37,28 +37,6 @@
 	other   *Treatment
 }
 
-// Treatment says how one class of calls to one service is handled.
-type Treatment struct {
-	Service     string
-	Class       string // empty if no class matches
-	Policies    []string
-	Tier        priority.Tier
-	OnceOnly    bool
-	Timeout     time.Duration
-	Retries     int
-	RetryShare  float64
-	RepeatShare float64
-	Targets     []CompiledTarget // empty means every VM of the service
-
-	spec ClassSpec
-}
-
-// CompiledTarget is a Target with its selector parsed.
-type CompiledTarget struct {
-	Selector labels.Selector
-	Weight   int
-}
-
 type routeRule struct {
 	name    string
 	spec    RouteSpec
@@ -69,13 +47,6 @@
 	other   *Treatment
 }
 
-type policyRule struct {
-	name     string
-	spec     PolicySpec
-	selector labels.Selector
-	targets  []CompiledTarget
-}
-
 // Compile turns a document into a Plan; the error is an *InvalidError.
 func Compile(doc *Document) (*Plan, error) {
 	if err := CheckDocument(doc.Objects); err != nil {
@@ -110,88 +81,6 @@
 	return p, nil
 }
 
-func compilePolicies(doc *Document) []policyRule {
-	var rules []policyRule
-	for _, o := range doc.Objects {
-		if o.Kind != KindPolicy {
-			continue
-		}
-		r := policyRule{name: o.Name, spec: *o.Policy, selector: mustParse(o.Policy.Selector)}
-		for _, t := range o.Policy.Targets {
-			r.targets = append(r.targets, CompiledTarget{mustParse(t.Selector), t.Weight})
-		}
-		rules = append(rules, r)
-	}
-	slices.SortFunc(rules, func(a, b policyRule) int {
-		return cmp.Or(cmp.Compare(b.spec.Order, a.spec.Order), cmp.Compare(a.name, b.name))
-	})
-	return rules
-}
-
-// mustParse parses a selector that CheckDocument has accepted.
-func mustParse(s string) labels.Selector {
-	sel, err := labels.Parse(s)
-	if err != nil {
-		return labels.Nothing()
-	}
-	return sel
-}
-
-func compileClasses(doc *Document, s *Service, routeLabels labels.Set, policies []policyRule) ([]*Treatment, *Treatment) {
-	base := labels.Merge(s.labels, routeLabels)
-	var list []*Treatment
-	for _, o := range doc.Objects {
-		if o.Kind != KindClass || (len(o.Class.Services) > 0 && !slices.Contains(o.Class.Services, s.Name)) {
-			continue
-		}
-		t := &Treatment{
-			Service: s.Name, Class: o.Name, Tier: o.Class.Tier, OnceOnly: o.Class.OnceOnly,
-			Timeout: cmp.Or(o.Class.Timeout, DefaultTimeout), spec: *o.Class,
-		}
-		t.attach(labels.Merge(base, o.Labels), policies)
-		list = append(list, t)
-	}
-	// The narrowest class goes first: by path, then by method, then by service.
-	slices.SortStableFunc(list, func(a, b *Treatment) int {
-		return cmp.Or(
-			cmp.Compare(len(b.spec.PathPrefix), len(a.spec.PathPrefix)),
-			cmp.Compare(min(len(b.spec.Methods), 1), min(len(a.spec.Methods), 1)),
-			cmp.Compare(min(len(b.spec.Services), 1), min(len(a.spec.Services), 1)),
-			cmp.Compare(a.Class, b.Class))
-	})
-	other := &Treatment{Service: s.Name, Tier: DefaultTier, Timeout: DefaultTimeout}
-	other.attach(base, policies)
-	return list, other
-}
-
-// attach fills in what the first policy that matches and sets a field says of it.
-func (t *Treatment) attach(set labels.Set, policies []policyRule) {
-	var retries *int
-	var retryShare, repeatShare *float64
-	for _, r := range policies {
-		if !r.selector.Matches(set) {
-			continue
-		}
-		t.Policies = append(t.Policies, r.name)
-		retries = cmp.Or(retries, r.spec.Retries)
-		retryShare = cmp.Or(retryShare, r.spec.RetryShare)
-		repeatShare = cmp.Or(repeatShare, r.spec.RepeatShare)
-		if t.Targets == nil {
-			t.Targets = r.targets
-		}
-	}
-	t.Retries = valueOr(retries, DefaultRetries)
-	t.RetryShare = valueOr(retryShare, DefaultRetryShare)
-	t.RepeatShare = valueOr(repeatShare, DefaultRepeatShare)
-}
-
-func valueOr[T any](p *T, def T) T {
-	if p == nil {
-		return def
-	}
-	return *p
-}
-
 // Match describes a request as far as routes and classes look at it.
 type Match struct {
 	Host   string
@@ -263,16 +152,3 @@
 	}
 	return list
 }
-
-// Takes tells whether the treatment's targets pick a VM with the labels.
-func (t *Treatment) Takes(set labels.Set) bool {
-	if len(t.Targets) == 0 {
-		return true
-	}
-	for _, target := range t.Targets {
-		if target.Weight > 0 && target.Selector.Matches(set) {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -15,7 +14,6 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
-	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/keys"
 	"github.com/rockspoke/rockspoke/pkg/logging"
 	"github.com/rockspoke/rockspoke/pkg/member"
@@ -185,32 +183,6 @@
 // All returns the entry VMs and the VMs with backend servers.
 func (c *Cluster) All() []*VM { return append(append([]*VM(nil), c.Entries...), c.VMs...) }
 
-// startPlatform runs the stand-in with the VM list and the first configuration.
-func (c *Cluster) startPlatform(ctx context.Context) error {
-	addr := netip.AddrFrom4([4]byte{127, c.opts.Base, 0, 1})
-	ln, err := net.Listen("tcp", at(addr, 7000))
-	if err != nil {
-		return err
-	}
-	c.standIn = &http.Server{Handler: platform.Server(c.Platform)}
-	go func() { _ = c.standIn.Serve(ln) }() // ends with Stop
-	var list []member.VM
-	for _, v := range c.All() {
-		list = append(list, v.Info)
-	}
-	c.Platform.SetVMs(list)
-	return c.seedConfig(ctx)
-}
-
-// seedConfig writes version 1 as an operator's first change would.
-func (c *Cluster) seedConfig(ctx context.Context) error {
-	doc := config.Document{Version: 1, ChangeID: "lab", Author: "lab", At: time.Now().UTC(), Objects: c.Graph.Objects()}
-	if err := config.CheckDocument(doc.Objects); err != nil {
-		return err
-	}
-	return node.WriteFirst(ctx, c.Platform.Platform(), doc)
-}
-
 // StartNode runs a VM's daemon, in a new life if it ran before.
 func (c *Cluster) StartNode(ctx context.Context, v *VM) error {
 	m, err := c.authority.Issue(keys.Identity{Role: keys.RoleVM, Name: v.Info.Name, Zone: v.Info.Zone}, time.Hour)
@@ -249,47 +221,6 @@
 	return n.Start(ctx)
 }
 
-// platformOf gives a VM the stand-in, unless it is cut off from it.
-func (c *Cluster) platformOf(v *VM) platform.Platform {
-	url := "http://" + at(netip.AddrFrom4([4]byte{127, c.opts.Base, 0, 1}), 7000)
-	t := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, network, addr)
-	}}
-	c.mu.Lock()
-	c.outlets = append(c.outlets, t)
-	c.mu.Unlock()
-	return platform.HTTP{URL: url, Client: &http.Client{Transport: &gatedTransport{next: t, cluster: c, vm: v}}}.Platform()
-}
-
-// gatedTransport refuses a VM's platform calls while it is cut off or frozen.
-type gatedTransport struct {
-	next    http.RoundTripper
-	cluster *Cluster
-	vm      *VM
-}
-
-// RoundTrip sends the request unless the VM is cut off.
-func (t *gatedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	t.cluster.Fabric.awaitThaw(t.vm.Addr)
-	t.cluster.mu.Lock()
-	cut := t.cluster.platformC[t.vm.Addr]
-	t.cluster.mu.Unlock()
-	if cut {
-		return nil, &net.OpError{Op: "dial", Err: errCut}
-	}
-	return t.next.RoundTrip(r)
-}
-
-// CutPlatform cuts VMs off from the platform, or heals it.
-func (c *Cluster) CutPlatform(vms []*VM, cut bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, v := range vms {
-		c.platformC[v.Addr] = cut
-	}
-}
-
 // readyTime is the longest wait for a new cluster's key ranges and members.
 const readyTime = 15 * time.Second
 
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -154,13 +154,6 @@
 	}
 }
 
-func pastDecision(st State) Decision {
-	if st == Finished {
-		return Decision{Action: Replay, Outcome: wire.Ran, Answer: &Recorded{}}
-	}
-	return Decision{Action: Refuse, Outcome: wire.Unknown, Reason: wire.ReasonLost}
-}
-
 // Wait calls fn with the record when the key's running call ends; it reports false if none runs.
 func (m *Memory) Wait(key Hash, fn func(Record)) bool {
 	rec, ok := m.recent[key]
@@ -250,60 +243,6 @@
 	m.recent[key] = rec
 }
 
-func (m *Memory) inPast(key Hash) (State, bool) {
-	for _, g := range m.past {
-		if st, ok := g[key]; ok {
-			return st, true
-		}
-	}
-	return 0, false
-}
-
-// makeRoom drops the oldest generation of past keys when the bound is reached; records inside
-// their window are never dropped for room.
-func (m *Memory) makeRoom() bool {
-	for len(m.recent)+m.pastKeys >= m.maxKeys() && len(m.past) > 0 {
-		m.pastKeys -= len(m.past[0])
-		m.past = m.past[1:]
-	}
-	return len(m.recent)+m.pastKeys < m.maxKeys()
-}
-
-// forget moves records whose window has ended to the past keys, where only their state is kept.
-func (m *Memory) forget(now time.Time) {
-	n := 0
-	for ; n < len(m.order) && !m.order[n].at.After(now); n++ {
-		m.retire(now, m.order[n].key)
-	}
-	if n > 0 {
-		m.order = m.order[n:]
-	}
-}
-
-func (m *Memory) retire(now time.Time, key Hash) {
-	rec, ok := m.recent[key]
-	if !ok || rec.State == Running || rec.Until.After(now) {
-		return
-	}
-	delete(m.recent, key)
-	if rec.Answer != nil && rec.Answer.Kept {
-		m.answerBytes -= len(rec.Answer.Body)
-	}
-	if rec.State == Closed {
-		return
-	}
-	if len(m.past) == 0 || now.Sub(m.pastStart) >= time.Hour {
-		m.past = append(m.past, map[Hash]State{})
-		m.pastStart = now
-	}
-	if len(m.past) > generations {
-		m.pastKeys -= len(m.past[0])
-		m.past = m.past[1:]
-	}
-	m.past[len(m.past)-1][key] = rec.State
-	m.pastKeys++
-}
-
 // Counts is a reading of a Memory.
 type Counts struct {
 	Recent      int `json:"recent"`
@@ -322,12 +261,3 @@
 	}
 	return c
 }
-
-// Knows tells whether the key was met and not forgotten.
-func (m *Memory) Knows(key Hash) bool {
-	if _, ok := m.recent[key]; ok {
-		return true
-	}
-	_, ok := m.inPast(key)
-	return ok
-}
