Work whose caller left keeps its calls; stops wait in the right order; drain path; tests

(1) The inbound call of once-only work was forgotten when its caller left, so calls that the work still made had neither its keys nor its tokens. (2) A stop closed the outbound listener before the calls in progress had ended, and a WaitGroup was added to while it was waited for. (3) The setting backend.drainPath did nothing. Change: the end of the work ends its inbound call; callers' listener, then calls, then outbound listener, then a moment for the last answers; the path is asked each second. Refused certificates are logged. Tests: TestOnceOnlyWorkGoesOnWhenItsCallerLeaves, TestBackendServersOwnDrainMakesItLeave, TestCallerThatLeavesEndsTheWholeSubtree, TestStoppedClusterLeavesNoGoroutines, and others.

--- a/pkg/cli/cli_change.go
+++ b/pkg/cli/cli_change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -75,11 +76,29 @@
 	}
 }
 
-// finish reports an accepted change, and waits for it on request.
-func (e *env) finish(ctx context.Context, c *client.Client, a operator.Accepted, wait time.Duration) error {
+// changeFlags are the flags of every command that makes a change.
+type changeFlags struct {
+	wait bool
+	most time.Duration
+	note string
+}
+
+func (f *changeFlags) register(fs *flag.FlagSet) {
+	fs.BoolVar(&f.wait, "wait", false, "wait until the change is in force at every daemon")
+	fs.DurationVar(&f.most, "most", 10*time.Second, "longest time to wait")
+	fs.StringVar(&f.note, "note", "", "note to keep with the version")
+}
+
+// make sends a change, reports that it was accepted, and waits for it on request.
+func (f *changeFlags) make(ctx context.Context, e *env, c *client.Client, ch config.Change) error {
+	ch.Note = f.note
+	a, err := e.change(ctx, c, ch)
+	if err != nil {
+		return err
+	}
 	fmt.Fprintf(e.stdout, "accepted as version %d (change %s)\n", a.Version, a.ChangeID)
-	if wait == 0 {
+	if !f.wait {
 		return nil
 	}
-	return e.await(ctx, c, a.Version, wait)
+	return e.await(ctx, c, a.Version, f.most)
 }
--- a/pkg/cli/command_apply.go
+++ b/pkg/cli/command_apply.go
@@ -7,7 +7,6 @@
 	"os"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -28,10 +27,8 @@
 	files  stringList
 	drop   stringList
 	dryRun bool
-	wait   bool
-	most   time.Duration
-	note   string
 	base   int64
+	flags  changeFlags
 }
 
 // stringList is a flag that may be given several times.
@@ -52,9 +49,7 @@
 	fs.Var(&w.files, "f", "file of objects, - for standard input; may be given several times")
 	fs.Var(&w.drop, "delete", "object to remove, as Kind/name; may be given several times")
 	fs.BoolVar(&w.dryRun, "dry-run", false, "show what would change, and change nothing")
-	fs.BoolVar(&w.wait, "wait", false, "wait until the change is in force at every daemon")
-	fs.DurationVar(&w.most, "most", 10*time.Second, "longest time to wait")
-	fs.StringVar(&w.note, "note", "", "note to keep with the version")
+	w.flags.register(fs)
 	fs.Int64Var(&w.base, "base", 0, "version that the change is made for; 0 is the one in force")
 	return &ffcli.Command{
 		Name: "apply", ShortUsage: "rockspoke apply -f FILE [--dry-run] [--wait]",
@@ -77,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	ch := config.Change{Base: w.base, Note: w.note, Put: objs, Delete: w.drop}
+	ch := config.Change{Base: w.base, Put: objs, Delete: w.drop}
 	if ch.Base == 0 {
 		doc, err := c.Config(ctx)
 		if err != nil {
@@ -93,15 +88,7 @@
 		}
 		return w.env.print(p, func(t io.Writer) { previewTable(t, p) })
 	}
-	a, err := w.env.change(ctx, c, ch)
-	if err != nil {
-		return err
-	}
-	wait := w.most
-	if !w.wait {
-		wait = 0
-	}
-	return w.env.finish(ctx, c, a, wait)
+	return w.flags.make(ctx, w.env, c, ch)
 }
 
 // read takes in every file, and reports the faults of all of them together.
--- a/pkg/cli/command_label.go
+++ b/pkg/cli/command_label.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -23,18 +22,14 @@
 type labelWork struct {
 	env      *env
 	selector string
-	wait     bool
-	most     time.Duration
-	note     string
+	flags    changeFlags
 }
 
 func labelCommand(e *env) *ffcli.Command {
 	w := &labelWork{env: e}
 	fs := e.flags("rockspoke label")
 	fs.StringVar(&w.selector, "l", "", "selector of the objects to label, instead of a name")
-	fs.BoolVar(&w.wait, "wait", false, "wait until the change is in force at every daemon")
-	fs.DurationVar(&w.most, "most", 10*time.Second, "longest time to wait")
-	fs.StringVar(&w.note, "note", "", "note to keep with the version")
+	w.flags.register(fs)
 	return &ffcli.Command{
 		Name: "label", ShortUsage: "rockspoke label [flags] KIND [NAME] KEY=VALUE|KEY- ...",
 		ShortHelp: "set or remove labels", LongHelp: labelHelp, FlagSet: fs, Exec: w.run,
@@ -54,15 +49,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := w.env.change(ctx, c, config.Change{Base: doc.Version, Note: w.note, Label: &edit})
-	if err != nil {
-		return err
-	}
-	wait := w.most
-	if !w.wait {
-		wait = 0
-	}
-	return w.env.finish(ctx, c, a, wait)
+	return w.flags.make(ctx, w.env, c, config.Change{Base: doc.Version, Label: &edit})
 }
 
 // parse reads the arguments.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -48,8 +48,14 @@
 	return logging.Factory{W: w, Levels: logging.Levels{All: cfg.Log.Level, Parts: cfg.Log.Parts}, Clock: c}
 }
 
-func newKeys(cfg settings.Settings, c clock.Clock) (*keys.Store, error) {
-	return keys.Open(cfg.Keys, c.Now)
+func newKeys(cfg settings.Settings, c clock.Clock, f logging.Factory) (*keys.Store, error) {
+	k, err := keys.Open(cfg.Keys, c.Now)
+	if err != nil {
+		return nil, err
+	}
+	log := f.Part("keys")
+	k.Refused = func(err error) { log.Warn("certificate refused", "err", err) }
+	return k, nil
 }
 
 func newPlatform(cfg settings.Settings) platform.Platform {
--- a/pkg/keys/key_store.go
+++ b/pkg/keys/key_store.go
@@ -40,6 +40,9 @@
 
 // Store holds the keys in use and reads them anew on request, so that they can be replaced without a restart.
 type Store struct {
+	// Refused is told of each certificate of the other side that was refused; it is set before the first connection.
+	Refused func(err error)
+
 	files Files
 	now   func() time.Time
 	cur   atomic.Pointer[Material]
@@ -150,6 +153,14 @@
 }
 
 func (s *Store) verify(cs tls.ConnectionState, use x509.ExtKeyUsage, roles []Role) (Identity, error) {
+	id, err := s.identify(cs, use, roles)
+	if err != nil && s.Refused != nil {
+		s.Refused(err)
+	}
+	return id, err
+}
+
+func (s *Store) identify(cs tls.ConnectionState, use x509.ExtKeyUsage, roles []Role) (Identity, error) {
 	if len(cs.PeerCertificates) == 0 {
 		return Identity{}, &IdentityError{Want: "anyone", Have: ""}
 	}
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -45,7 +45,10 @@
 	stranger, err := NewAuthority(time.Now())
 	c.Assert(err, qt.IsNil)
 	vm := Identity{Role: RoleVM, Name: "vm-1", Zone: "z"}
-	server := issue(c, a, vm, time.Hour).ServerConfig(nil, RoleVM)
+	serverKeys := issue(c, a, vm, time.Hour)
+	refused := 0
+	serverKeys.Refused = func(error) { refused++ }
+	server := serverKeys.ServerConfig(nil, RoleVM)
 	for _, x := range []struct {
 		name string
 		good bool
@@ -61,6 +64,7 @@
 		serverErr, clientErr := shake(c, server, x.k.ClientConfig(nil, x.want))
 		c.Assert(serverErr == nil && clientErr == nil, qt.Equals, x.good, qt.Commentf("%s: %v, %v", x.name, serverErr, clientErr))
 	}
+	c.Assert(refused, qt.Equals, 2, qt.Commentf("the server tells of those that showed it a bad certificate"))
 }
 
 func TestKeysAreReplacedWithoutARestart(t *testing.T) {
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -198,7 +198,7 @@
 		v.cfg.Listen.Callers = at(v.Addr, portCallers)
 	} else {
 		v.cfg.Listen.Outbound = at(v.Addr, portOutbound)
-		v.cfg.Backend = settings.Backend{Address: at(v.Addr, portBackend), Ramp: rampTime}
+		v.cfg.Backend = settings.Backend{Address: at(v.Addr, portBackend), Ramp: rampTime, DrainPath: drainPath}
 	}
 	for _, e := range c.Entries {
 		v.cfg.Seeds = append(v.cfg.Seeds, e.Info.Peer)
--- a/pkg/lab/cluster_test.go
+++ b/pkg/lab/cluster_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/platform"
@@ -279,3 +281,114 @@
 		c.Assert(r.Server == v.Info.Name && r.Arrived.After(since), qt.IsFalse)
 	}
 }
+
+func TestBackendServersOwnDrainMakesItLeave(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	v := cl.serversOf("back")[1]
+	v.Backend.Drain(true)
+	for range 100 {
+		if v.Node.Leaving() && v.Node.Status().KeyRanges == 0 {
+			break
+		}
+		pause(context.Background(), 50*time.Millisecond)
+	}
+	c.Assert(v.Node.Leaving(), qt.IsTrue)
+	c.Assert(v.Node.Status().KeyRanges, qt.Equals, 0)
+}
+
+func TestCallerThatLeavesEndsTheWholeSubtree(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	for _, v := range cl.serversOf("back") {
+		v.Backend.Slow(1000) // 2 s instead of 2 ms
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	h := http.Header{}
+	h.Set(headerLabRequest, "left")
+	rep := cl.entry()(ctx, 0, outgoing{service: "front", method: http.MethodGet, path: "/reads", header: h})
+	c.Assert(rep.err, qt.IsNotNil)
+	for range 40 {
+		if ended(cl, "left") {
+			break
+		}
+		pause(context.Background(), 50*time.Millisecond)
+	}
+	_, runs, _ := cl.History.Snapshot()
+	services := map[string]bool{}
+	for _, r := range runs {
+		if r.Request == "left" {
+			services[r.Service] = true
+			c.Assert(r.Ended.IsZero(), qt.IsFalse, qt.Commentf("%s still works for a caller that left", r.ID))
+			c.Assert(r.Done, qt.IsFalse)
+		}
+	}
+	c.Assert(services, qt.DeepEquals, map[string]bool{"front": true, "back": true})
+}
+
+// TestOnceOnlyWorkGoesOnWhenItsCallerLeaves is the case in which the calls that such work still made were no
+// longer known to belong to it, and so had neither its tokens nor its keys.
+func TestOnceOnlyWorkGoesOnWhenItsCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	for _, v := range cl.serversOf("front") {
+		v.Backend.Slow(400) // 400 ms before the call below, and after it
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+	defer cancel()
+	h := http.Header{}
+	h.Set(headerLabRequest, "gone")
+	h.Set(wire.HeaderKey, "gone")
+	cl.entry()(ctx, 0, outgoing{service: "front", method: http.MethodPost, path: "/billing", header: h})
+	calls := 0
+	for _, v := range cl.serversOf("front") {
+		calls += len(v.Node.Dump().Calls)
+	}
+	c.Assert(calls, qt.Equals, 1, qt.Commentf("the call is still known while its work goes on"))
+	rep := cl.ask(1, "billing", "gone", nil)
+	c.Assert(rep.body, qt.Equals, answerTo("gone", "front"))
+	c.Assert(cl.runsOf("gone", "front"), qt.Equals, 1)
+	c.Assert(cl.runsOf("gone", "back"), qt.Equals, 1)
+}
+
+// ended tells whether every run of the request has ended.
+func ended(cl *Cluster, request string) bool {
+	_, runs, _ := cl.History.Snapshot()
+	for _, r := range runs {
+		if r.Request == request && r.Ended.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+func TestBadRequestsOfCallersAreRefusedClearly(t *testing.T) {
+	c := qt.New(t)
+	cl := startSmall(t, Options{})
+	for _, x := range []struct {
+		header, value string
+	}{
+		{wire.HeaderKey, strings.Repeat("k", wire.MaxKey+1)},
+		{wire.HeaderKey, "no\tcontrol characters"},
+		{wire.HeaderTimeout, "soon"},
+		{wire.HeaderTimeout, "-1"},
+	} {
+		rep := cl.ask(0, "billing", "", http.Header{x.header: {x.value}})
+		c.Assert(rep.status, qt.Equals, http.StatusBadRequest, qt.Commentf("%+v", x))
+		c.Assert(rep.outcome, qt.Equals, wire.NotRun)
+		c.Assert(strings.Contains(rep.body, x.header), qt.IsTrue, qt.Commentf("%q", rep.body))
+	}
+	_, runs, _ := cl.History.Snapshot()
+	c.Assert(runs, qt.HasLen, 0)
+}
+
+func TestStoppedClusterLeavesNoGoroutines(t *testing.T) {
+	c := qt.New(t)
+	before := goleak.IgnoreCurrent()
+	cl, err := StartRockspoke(context.Background(), configGraph(), Options{Seed: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(cl.ask(0, "reads", "r", nil).status, qt.Equals, http.StatusOK)
+	c.Assert(cl.Stop(), qt.IsNil)
+	c.Assert(goleak.Find(before), qt.IsNil)
+}
--- a/pkg/lab/fake_backend.go
+++ b/pkg/lab/fake_backend.go
@@ -57,6 +57,7 @@
 	next    atomic.Int64
 	slow    atomic.Int64 // service time is multiplied by this over 100; 0 means 100
 	down    atomic.Bool
+	drain   atomic.Bool
 	drop    atomic.Int64 // every n-th answer is lost after the work; 0 means none
 
 	mu     sync.Mutex
@@ -93,6 +94,12 @@
 // Down makes the server break every connection at once, or be well again.
 func (b *Backend) Down(v bool) { b.down.Store(v) }
 
+// Drain makes the server say that it drains.
+func (b *Backend) Drain(v bool) { b.drain.Store(v) }
+
+// drainPath is where the fakes say whether they drain.
+const drainPath = "/drain"
+
 // DropEvery loses every n-th answer after the work is done; 0 loses none.
 func (b *Backend) DropEvery(n int) { b.drop.Store(int64(n)) }
 
@@ -109,6 +116,10 @@
 	if b.down.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == drainPath {
+		w.Header().Set("Rockspoke-Drain", strconv.FormatBool(b.drain.Load()))
+		return
+	}
 	n := b.next.Add(1)
 	class := b.graph.class(r.URL.Path[1:])
 	_, _ = io.Copy(io.Discard, r.Body) // the fakes' requests carry nothing of interest
--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -137,7 +137,7 @@
 	result := make(chan *answer, 1)
 	n.running.Add(1)
 	go func() {
-		defer n.running.Done()
+		defer n.running.Add(-1)
 		defer cancel()
 		a := n.execute(runCtx, in, q)
 		rec := a.recorded()
@@ -151,6 +151,12 @@
 	case a := <-result:
 		return a
 	case <-ctx.Done():
+		// What the backend server calls until the end still belongs to this call.
+		in.detached = true
+		go func() {
+			<-result
+			n.endInbound(in)
+		}()
 		return uncertain(wire.ReasonRunning)
 	}
 }
--- a/pkg/node/call_inbound.go
+++ b/pkg/node/call_inbound.go
@@ -18,6 +18,7 @@
 	call     wire.Call
 	deadline time.Time
 	ledger   *ledger.Ledger
+	detached bool // once-only work that goes on after its caller left; its end ends the inbound call
 
 	mu        sync.Mutex
 	places    map[uint64]int    // calls that ended well, by signature
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -34,7 +34,7 @@
 		switch {
 		case ctx.Err() != nil || !n.clock.Now().Before(s.deadline):
 			return n.certain(s, a)
-		case a.meta.Outcome == wire.NotRun && moved(a.meta.Reason):
+		case a.meta.Outcome == wire.NotRun && a.meta.Reason == wire.ReasonNotOwner:
 			n.wantFrom(srv.VM)
 			if !n.sleep(ctx, n.jitter(pause), s.deadline) {
 				return n.certain(s, a)
@@ -56,11 +56,6 @@
 	}
 }
 
-// moved tells whether the refusal only says that the key's home is elsewhere.
-func moved(r wire.Reason) bool {
-	return r == wire.ReasonNotOwner || r == wire.ReasonStopped
-}
-
 // lostOnTheWay tells whether the home's own word never came, so that asking it again may bring it.
 func lostOnTheWay(a *answer) bool { return !a.heard && a.meta.Reason == wire.ReasonLost }
 
@@ -70,7 +65,7 @@
 	if a.meta.Outcome != wire.NotRun || !s.otherAttempts {
 		return a
 	}
-	if !a.heard || moved(a.meta.Reason) || a.meta.Reason == wire.ReasonBadRequest || a.meta.Reason == wire.ReasonMemory {
+	if !a.heard || a.meta.Reason == wire.ReasonNotOwner || a.meta.Reason == wire.ReasonBadRequest || a.meta.Reason == wire.ReasonMemory {
 		a.meta.Outcome = wire.Unknown
 	}
 	return a
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -22,34 +22,34 @@
 const pathToken = "/.rockspoke/token"
 
 // startHTTP binds the listeners for callers and for the backend server's outbound calls.
-func (n *Node) startHTTP() error {
-	for _, l := range []struct {
-		field, addr string
-		handler     http.HandlerFunc
-	}{
-		{"listen.callers", n.cfg.Listen.Callers, n.serveCaller},
-		{"listen.outbound", n.cfg.Listen.Outbound, n.serveOutbound},
-	} {
-		if l.addr == "" {
-			continue
+func (n *Node) startHTTP() (err error) {
+	if a := n.cfg.Listen.Callers; a != "" {
+		if n.callers, err = n.serveHTTP("listen.callers", a, n.serveCaller); err != nil {
+			return err
 		}
-		ln, err := n.network.Listen(l.addr)
-		if err != nil {
-			return fmt.Errorf("%s: %w", l.field, err)
-		}
-		s := &http.Server{
-			Handler: l.handler, ReadTimeout: n.cfg.Limits.SlowCaller, MaxHeaderBytes: n.cfg.Limits.HeaderBytes,
-			IdleTimeout: time.Minute,
+	}
+	if a := n.cfg.Listen.Outbound; a != "" {
+		n.outbound, err = n.serveHTTP("listen.outbound", a, n.serveOutbound)
+	}
+	return err
+}
+
+func (n *Node) serveHTTP(field, address string, h http.HandlerFunc) (*http.Server, error) {
+	ln, err := n.network.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", field, err)
+	}
+	s := &http.Server{
+		Handler: h, ReadTimeout: n.cfg.Limits.SlowCaller, MaxHeaderBytes: n.cfg.Limits.HeaderBytes,
+		IdleTimeout: time.Minute,
+	}
+	go func() {
+		err := s.Serve(newLimitListener(ln, n.cfg.Limits.Connections))
+		if err != nil && !errors.Is(err, http.ErrServerClosed) && n.ctx.Err() == nil {
+			n.log.call.Error("listener ended", "field", field, "err", err)
 		}
-		n.servers = append(n.servers, s)
-		go func() {
-			err := s.Serve(newLimitListener(ln, n.cfg.Limits.Connections))
-			if err != nil && !errors.Is(err, http.ErrServerClosed) && n.ctx.Err() == nil {
-				n.log.call.Error("listener ended", "field", l.field, "err", err)
-			}
-		}()
-	}
-	return nil
+	}()
+	return s, nil
 }
 
 // serveCaller takes a request from a caller.
@@ -61,7 +61,7 @@
 		return
 	}
 	n.running.Add(1)
-	defer n.running.Done()
+	defer n.running.Add(-1)
 	a := n.entry(r)
 	defer a.finish()
 	switch a.meta.Outcome {
@@ -134,7 +134,7 @@
 		treatment: t, deadline: deadline, req: q, ledger: e.Ledger,
 		sent: func() { n.guard.Sent(e) },
 		call: wire.Call{
-			Root: root, Service: t.Service, Class: t.Class, Started: now.UnixMilli(),
+			Root: root, Service: t.Service, Class: t.Class,
 			Priority: priority.New(t.Tier, root, now),
 		},
 	}
--- a/pkg/node/control_leaving.go
+++ b/pkg/node/control_leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -19,6 +20,30 @@
 	go n.leave()
 }
 
+// drainPeriod is the time between looks at whether the backend server drains, and drainTime the longest look.
+const (
+	drainPeriod = time.Second
+	drainTime   = 500 * time.Millisecond
+)
+
+// pollDrain asks the backend server whether it drains; only its clear word counts, since health endpoints mislead.
+func (n *Node) pollDrain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.cfg.Backend.Address+n.cfg.Backend.DrainPath, nil)
+	if err != nil {
+		return
+	}
+	resp, err := n.backend.RoundTrip(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close() // only the header matters
+	if resp.Header.Get(headerDrain) == "true" {
+		n.Leave("backend server drains")
+	}
+}
+
 func (n *Node) leave() {
 	err := n.onControl(n.ctx, func(s *controlState) {
 		s.mergeNode(n.clock.Now(), s.self())
@@ -69,25 +94,34 @@
 	for ctx.Err() == nil && n.ownsRanges() {
 		_ = n.sleep(ctx, 20*time.Millisecond, n.clock.Now().Add(time.Hour))
 	}
-	for _, s := range n.servers {
-		if err := s.Shutdown(ctx); err != nil && err != http.ErrServerClosed {
-			n.log.leave.Warn("listener didn't drain", "err", err)
-		}
+	n.drain(ctx, n.callers)
+	// The backend server may still make calls for those in progress, so its listener goes last.
+	for ctx.Err() == nil && n.running.Load() > 0 {
+		_ = n.sleep(ctx, 10*time.Millisecond, n.clock.Now().Add(time.Hour))
 	}
-	done := make(chan struct{})
-	go func() {
-		n.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		n.log.leave.Warn("stop waits no longer for calls in progress")
+	n.drain(ctx, n.outbound)
+	if left := n.running.Load(); left > 0 {
+		n.log.leave.Warn("stop waits no longer for calls in progress", "calls", left)
 	}
+	// The last answers may still be on their way out of the peer socket.
+	_ = n.sleep(ctx, lastAnswers, n.clock.Now().Add(time.Hour))
 	n.log.leave.Info("daemon stops")
 	return n.Close()
 }
 
+// lastAnswers is the time for the last answers to leave before connections are closed.
+const lastAnswers = 150 * time.Millisecond
+
+// drain closes a listener and waits for its requests in progress.
+func (n *Node) drain(ctx context.Context, s *http.Server) {
+	if s == nil {
+		return
+	}
+	if err := s.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.log.leave.Warn("listener didn't drain", "err", err)
+	}
+}
+
 func (n *Node) ownsRanges() bool {
 	owns := false
 	n.home.with(func(h *onceonly.Home) {
--- a/pkg/node/control_loop.go
+++ b/pkg/node/control_loop.go
@@ -33,6 +33,7 @@
 	nextHead     time.Time
 	nextVMs      time.Time
 	nextRanges   time.Time
+	nextDrain    time.Time
 	busy         map[string]bool // work of which one instance runs at a time
 }
 
@@ -116,6 +117,9 @@
 	if due(now, &s.nextRanges, rangePeriod) && s.n.cfg.Service != "" {
 		s.work("ranges", s.n.keepRanges)
 	}
+	if s.n.cfg.Backend.DrainPath != "" && due(now, &s.nextDrain, drainPeriod) {
+		s.work("drain", s.n.pollDrain)
+	}
 	for vm, at := range s.recent {
 		if now.Sub(at) > recentFor {
 			delete(s.recent, vm)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -51,7 +51,7 @@
 	notes    chan repeat.Note
 	inbounds sync.Map // id to *inbound
 	nextID   atomic.Uint64
-	running  sync.WaitGroup
+	running  atomic.Int64 // calls and runs in progress; a stop waits for none to be left
 	leaving  atomic.Bool
 
 	rndMu sync.Mutex
@@ -60,7 +60,8 @@
 	peers   *peerClients
 	backend *http.Transport
 
-	servers  []*http.Server
+	callers  *http.Server // nil unless the settings name a listener
+	outbound *http.Server // likewise
 	peerHTTP *http3.Server
 	stop     context.CancelFunc
 	ctx      context.Context
@@ -172,8 +173,10 @@
 func (n *Node) Close() error {
 	n.once.Do(func() {
 		n.stop()
-		for _, s := range n.servers {
-			_ = s.Close() // open connections are cut on purpose
+		for _, s := range []*http.Server{n.callers, n.outbound} {
+			if s != nil {
+				_ = s.Close() // open connections are cut on purpose
+			}
 		}
 		if n.peerHTTP != nil {
 			_ = n.peerHTTP.Close()
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -18,7 +18,7 @@
 func (n *Node) serveOutbound(w http.ResponseWriter, r *http.Request) {
 	n.metrics.Inc("outbound_calls")
 	n.running.Add(1)
-	defer n.running.Done()
+	defer n.running.Add(-1)
 	id := r.Header.Get(wire.HeaderRequest)
 	wire.StripInternal(r.Header)
 	q, err := readRequest(r, n.cfg.Limits.RequestBytes)
@@ -110,7 +110,7 @@
 	s := &sending{
 		treatment: t, deadline: now.Add(t.Timeout), req: q, ledger: ledger.New(t.Retries),
 		call: wire.Call{
-			Root: root, Service: t.Service, Class: t.Class, Started: now.UnixMilli(),
+			Root: root, Service: t.Service, Class: t.Class,
 			Priority: priority.New(t.Tier, root, now),
 		},
 	}
--- a/pkg/node/peer_server.go
+++ b/pkg/node/peer_server.go
@@ -117,7 +117,7 @@
 		return
 	}
 	n.running.Add(1)
-	defer n.running.Done()
+	defer n.running.Add(-1)
 	deadline := arrived.Add(call.Remain())
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
@@ -129,7 +129,10 @@
 		a = n.runLocal(ctx, in, q)
 	}
 	defer a.finish()
-	tokens := n.endInbound(in)
+	tokens := 0
+	if !in.detached {
+		tokens = n.endInbound(in)
+	}
 	n.metrics.Observe("call_time", n.clock.Now().Sub(arrived).Microseconds())
 	n.answerPeer(w, a, tokens)
 }
--- a/pkg/settings/settings_check.go
+++ b/pkg/settings/settings_check.go
@@ -81,6 +81,9 @@
 	if s.Service == "" && s.Backend.Address != "" {
 		c.fail("service", "must be set, since backend.address is")
 	}
+	if p := s.Backend.DrainPath; p != "" && !strings.HasPrefix(p, "/") {
+		c.fail("backend.drainPath", "must start with '/'")
+	}
 	c.platform(s.Platform)
 	c.keyFiles(s)
 	c.levels(s.Log)
--- a/pkg/wire/header.go
+++ b/pkg/wire/header.go
@@ -47,7 +47,6 @@
 	Key       string            `json:"k,omitempty"` // key of once-only work
 	Depth     int               `json:"n"`           // hops from the entry
 	Delegated bool              `json:"g,omitempty"` // the key's home answers for this run
-	Started   int64             `json:"b,omitempty"` // when the entry took the request, Unix milliseconds
 }
 
 // Answer is what a daemon tells the one that called it.
--- a/pkg/wire/outcome.go
+++ b/pkg/wire/outcome.go
@@ -19,29 +19,28 @@
 // The reasons that daemons give.
 const (
 	ReasonNone       Reason = ""
-	ReasonLevel      Reason = "level"           // below the admission level
-	ReasonQueue      Reason = "queue"           // waited too long, or evicted by a higher priority
-	ReasonDeadline   Reason = "deadline"        // too little time left
-	ReasonLeaving    Reason = "leaving"         // the backend server is leaving
-	ReasonNoServer   Reason = "no-server"       // no backend server matches the policy
-	ReasonRefused    Reason = "server-refused"  // the backend server itself refused
-	ReasonNotOwner   Reason = "not-owner"       // this node isn't the home of the key
-	ReasonQuiet      Reason = "quiet-window"    // the key's history was lost, and it may have run
-	ReasonClosed     Reason = "closed"          // refused before, and still within an attempt's time
-	ReasonMemory     Reason = "memory"          // no room to remember another key
-	ReasonLost       Reason = "lost"            // the answer was lost on the way
-	ReasonRetries    Reason = "retries"         // the retry budget is spent
-	ReasonRunning    Reason = "running"         // an earlier attempt hasn't ended
-	ReasonMismatch   Reason = "key-mismatch"    // the key came with another request before
-	ReasonBadRequest Reason = "bad-request"     // the request can't be taken
-	ReasonNoRoute    Reason = "no-route"        // no route matches the request
-	ReasonStopped    Reason = "daemon-stopping" // the daemon is about to stop
+	ReasonLevel      Reason = "level"          // below the admission level
+	ReasonQueue      Reason = "queue"          // waited too long, or evicted by a higher priority
+	ReasonDeadline   Reason = "deadline"       // too little time left
+	ReasonLeaving    Reason = "leaving"        // the backend server is leaving
+	ReasonNoServer   Reason = "no-server"      // no backend server matches the policy
+	ReasonRefused    Reason = "server-refused" // the backend server itself refused
+	ReasonNotOwner   Reason = "not-owner"      // this node isn't the home of the key
+	ReasonQuiet      Reason = "quiet-window"   // the key's history was lost, and it may have run
+	ReasonClosed     Reason = "closed"         // refused before, and still within an attempt's time
+	ReasonMemory     Reason = "memory"         // no room to remember another key
+	ReasonLost       Reason = "lost"           // the answer was lost on the way
+	ReasonRetries    Reason = "retries"        // the retry budget is spent
+	ReasonRunning    Reason = "running"        // an earlier attempt hasn't ended
+	ReasonMismatch   Reason = "key-mismatch"   // the key came with another request before
+	ReasonBadRequest Reason = "bad-request"    // the request can't be taken
+	ReasonNoRoute    Reason = "no-route"       // no route matches the request
 )
 
 // Elsewhere tells whether the refusal speaks of one backend server only, so that another may be tried.
 func (r Reason) Elsewhere() bool {
 	switch r {
-	case ReasonLeaving, ReasonQueue, ReasonRefused, ReasonLevel, ReasonStopped, ReasonNotOwner:
+	case ReasonLeaving, ReasonQueue, ReasonRefused, ReasonLevel, ReasonNotOwner:
 		return true
 	default:
 		return false
