--- a/pkg/lab/capacity_slopes.go
+++ b/pkg/lab/capacity_slopes.go
@@ -56,7 +56,7 @@
 }
 
 func capacitySlopes(ctx context.Context, w io.Writer) error {
-	list := []Series{keySlope(), memberSlope(), ruleSlope()}
+	list := append(keySlopes(), memberSlope(), ruleSlope())
 	hops, err := hopSlope(ctx)
 	if err != nil {
 		return err
@@ -88,8 +88,10 @@
 	return float64(m.HeapAlloc + m.StackInuse)
 }
 
-func keySlope() Series {
-	s := Series{Name: "memory of remembered keys", Per: "key", Unit: "bytes"}
+// keySlopes measures what a remembered key costs within its repeat window, and after it.
+func keySlopes() []Series {
+	recent := Series{Name: "memory of keys in their repeat window", Per: "key", Unit: "bytes"}
+	old := Series{Name: "memory of keys past their window", Per: "key", Unit: "bytes"}
 	for _, n := range []int{50_000, 100_000, 200_000} {
 		before := heap()
 		var m onceonly.Memory
@@ -99,10 +101,13 @@
 			m.Begin(now, k, 1, false)
 			m.Finish(now, k, wire.Ran, &onceonly.Recorded{Status: 200, Body: []byte("done")}, now)
 		}
-		s.add(float64(n), heap()-before)
+		recent.add(float64(n), heap()-before)
+		// The first attempt after the window moves all of them to the old keys.
+		m.Begin(now.Add(2*onceonly.DefaultWindow), onceonly.HashKey("s", "next"), 1, false)
+		old.add(float64(n), heap()-before)
 		runtime.KeepAlive(&m)
 	}
-	return s
+	return []Series{recent, old}
 }
 
 // capacityServices is the number of services in the target.
--- a/pkg/onceonly/key_forget.go
+++ b/pkg/onceonly/key_forget.go
@@ -1,6 +1,7 @@
 package onceonly
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -22,7 +23,9 @@
 	for ; n < len(m.order) && !m.order[n].at.After(now); n++ {
 		m.retire(now, m.order[n].key)
 	}
-	if n > 0 {
+	if n > len(m.order)/2 {
+		m.order = slices.Clone(m.order[n:]) // lets the memory of the others go
+	} else if n > 0 {
 		m.order = m.order[n:]
 	}
 }
