--- a/pkg/node/backend_client_test.go
+++ b/pkg/node/backend_client_test.go
@@ -11,6 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -57,7 +59,7 @@
 func TestRefusalOfAServerThatCalledOnIsNotBelieved(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_000_000, 0)
-	n := &Node{clock: fixedClock{now}, metrics: newTestMetrics()}
+	n := &Node{clock: clock.NewManual(now), metrics: metric.NewSet()}
 	busy := func() *answer {
 		return &answer{meta: wire.Answer{Outcome: wire.Ran}, status: http.StatusServiceUnavailable, header: http.Header{"Retry-After": {"1"}}}
 	}
