Baselines feel cuts and pauses too

Cause: pauses and zone cuts acted on the daemons' network alone, so the availability of baselines in once-only and zone-cut said nothing. Change: a baseline's call across a cut or to a paused VM hangs until its time-out, and a claim of a VM that is cut off from the platform isn't made.

--- a/pkg/lab/baseline.go
+++ b/pkg/lab/baseline.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -29,19 +30,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return c, c.startBackends(func(*VM) caller { return c.straight(tries) })
+	return c, c.startBackends(func(v *VM) caller { return c.straight(v.Addr, tries) })
 }
 
-// straight calls a random server of the service, up to the given number of times.
-func (c *Cluster) straight(tries int) caller {
+// straight calls a random server of the service from an address, up to the given number of times.
+func (c *Cluster) straight(from netip.Addr, tries int) caller {
 	client := c.client()
 	var n atomic.Uint64
 	return func(ctx context.Context, o outgoing) reply {
 		var rep reply
-		for try := range tries {
-			r := rand.New(rand.NewPCG(c.opts.Seed, n.Add(1)))
-			v := c.serversOf(o.service)[r.IntN(len(c.serversOf(o.service)))]
-			rep = c.tryOnce(ctx, client, at(v.Addr, portBackend), o, tries, try)
+		for range tries {
+			r := rand.New(rand.NewPCG(c.opts.Seed+uint64(from.As4()[3]), n.Add(1)))
+			servers := c.serversOf(o.service)
+			rep = c.tryOnce(ctx, client, from, servers[r.IntN(len(servers))], o, tries)
 			if ctx.Err() != nil || (rep.err == nil && rep.status < http.StatusInternalServerError) {
 				break
 			}
@@ -53,13 +54,18 @@
 	}
 }
 
-func (c *Cluster) tryOnce(ctx context.Context, client *http.Client, addr string, o outgoing, tries, _ int) reply {
-	if tries == 1 {
-		return send(ctx, client, "http://"+addr, o)
+func (c *Cluster) tryOnce(ctx context.Context, client *http.Client, from netip.Addr, to *VM, o outgoing, tries int) reply {
+	if tries > 1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, hopTimeout)
+		defer cancel()
 	}
-	ctx, cancel := context.WithTimeout(ctx, hopTimeout)
-	defer cancel()
-	return send(ctx, client, "http://"+addr, o)
+	if c.Fabric.blocked(from, to.Addr) {
+		// Nothing gets through, and nothing says so: the call hangs until its time-out.
+		<-ctx.Done()
+		return reply{err: errCut}
+	}
+	return send(ctx, client, "http://"+at(to.Addr, portBackend), o)
 }
 
 func (c *Cluster) serversOf(service string) []*VM {
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -70,7 +70,7 @@
 	authority *keys.Authority
 	zones     []string
 	standIn   *http.Server
-	platformC map[netip.Addr]bool
+	cutFrom   map[netip.Addr]bool // addresses that can't reach the platform
 	mu        sync.Mutex
 	outlets   []*http.Transport
 	claims    bool // once-only calls are claimed in the table first
@@ -98,7 +98,7 @@
 	}
 	c := &Cluster{
 		Graph: g, History: &History{}, Fabric: &Fabric{}, Platform: &platform.Memory{},
-		opts: opts, authority: a, platformC: map[netip.Addr]bool{},
+		opts: opts, authority: a, cutFrom: map[netip.Addr]bool{},
 	}
 	c.tokens = c.client()
 	for z := range g.Zones {
--- a/pkg/lab/cluster_platform.go
+++ b/pkg/lab/cluster_platform.go
@@ -62,10 +62,7 @@
 // RoundTrip sends the request unless the VM is cut off.
 func (t *gatedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	t.cluster.Fabric.awaitThaw(t.vm.Addr)
-	t.cluster.mu.Lock()
-	cut := t.cluster.platformC[t.vm.Addr]
-	t.cluster.mu.Unlock()
-	if cut {
+	if t.cluster.cutOff(t.vm.Addr) {
 		return nil, &net.OpError{Op: "dial", Err: errCut}
 	}
 	return t.next.RoundTrip(r)
@@ -76,6 +73,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, v := range vms {
-		c.platformC[v.Addr] = cut
+		c.cutFrom[v.Addr] = cut
 	}
 }
+
+// cutOff tells whether the address can't reach the platform.
+func (c *Cluster) cutOff(a netip.Addr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cutFrom[a]
+}
--- a/pkg/lab/experiment_zone_cut.go
+++ b/pkg/lab/experiment_zone_cut.go
@@ -55,14 +55,12 @@
 	r.goodput(g, demands, window{begin.Add(cutCalm), begin.Add(cutCalm + cutTime)})
 	r.recovery(demands, window{begin, begin.Add(cutCalm)}, begin.Add(cutCalm+cutTime), begin.Add(whole))
 	r.promises(g, attempts, runs)
-	if c.Entries[0].Node != nil {
-		r.Extra = map[string]float64{}
-		w := window{begin.Add(cutCalm), begin.Add(cutCalm + cutTime)}
-		for _, class := range g.Classes {
-			in, out := servedByEntry(attempts, demands, w, class.Name, inside)
-			r.Extra["inside_"+class.Name] = in
-			r.Extra["outside_"+class.Name] = out
-		}
+	r.Extra = map[string]float64{}
+	w := window{begin.Add(cutCalm), begin.Add(cutCalm + cutTime)}
+	for _, class := range g.Classes {
+		in, out := servedByEntry(attempts, demands, w, class.Name, inside)
+		r.Extra["inside_"+class.Name] = in
+		r.Extra["outside_"+class.Name] = out
 	}
 	return r, nil
 }
--- a/pkg/lab/fake_caller.go
+++ b/pkg/lab/fake_caller.go
@@ -48,11 +48,14 @@
 // entry returns the way in for callers: the daemons' listeners where there are daemons, else a root service's servers.
 func (c *Cluster) entry() entryCall {
 	if c.Entries[0].Node == nil {
-		straight := c.straight(1)
-		if c.claims {
-			straight = c.claiming(straight)
+		ways := make([]caller, len(c.Entries))
+		for i, v := range c.Entries {
+			ways[i] = c.straight(v.Addr, 1)
+			if c.claims {
+				ways[i] = c.claiming(v.Addr, ways[i])
+			}
 		}
-		return func(ctx context.Context, _ int, o outgoing) reply { return straight(ctx, o) }
+		return func(ctx context.Context, i int, o outgoing) reply { return ways[i](ctx, o) }
 	}
 	client := c.client()
 	return func(ctx context.Context, i int, o outgoing) reply {
--- a/pkg/lab/system_claim.go
+++ b/pkg/lab/system_claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/platform"
@@ -23,11 +24,11 @@
 		return nil, err
 	}
 	c.claims = true
-	return c, c.startBackends(func(*VM) caller { return c.claiming(c.straight(1)) })
+	return c, c.startBackends(func(v *VM) caller { return c.claiming(v.Addr, c.straight(v.Addr, 1)) })
 }}
 
-// claiming claims once-only calls before they are made.
-func (c *Cluster) claiming(next caller) caller {
+// claiming claims once-only calls before they are made, unless the address is cut off from the platform.
+func (c *Cluster) claiming(from netip.Addr, next caller) caller {
 	p := c.Platform.Platform()
 	return func(ctx context.Context, o outgoing) reply {
 		if o.method == http.MethodGet {
@@ -36,6 +37,10 @@
 		key := "claim/" + o.header.Get(headerLabRequest) + "/" + o.service + o.path + o.header.Get(headerLabPlace)
 		cctx, cancel := context.WithTimeout(ctx, claimTime)
 		defer cancel()
+		if c.cutOff(from) {
+			<-cctx.Done()
+			return reply{status: http.StatusServiceUnavailable, outcome: wire.NotRun}
+		}
 		err := p.Commit(cctx, platform.Tx{
 			Checks: []platform.Check{{Key: key}},
 			Writes: []platform.Write{{Key: key, Value: []byte("claimed")}},
--- a/pkg/node/peer_client.go
+++ b/pkg/node/peer_client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -239,10 +238,6 @@
 
 // Close closes the stream and ends its context.
 func (r *cancelReader) Close() error {
-	return errors.Join(r.ReadCloser.Close(), cancelled(r.cancel))
-}
-
-func cancelled(cancel context.CancelFunc) error {
-	cancel()
-	return nil
+	defer r.cancel()
+	return r.ReadCloser.Close()
 }
