--- a/pkg/lab/system_claim.go
+++ b/pkg/lab/system_claim.go
@@ -39,7 +39,7 @@
 		defer cancel()
 		if c.cutOff(from) {
 			<-cctx.Done()
-			return reply{status: http.StatusServiceUnavailable, outcome: wire.NotRun}
+			return reply{status: http.StatusGatewayTimeout, outcome: wire.Unknown}
 		}
 		err := p.Commit(cctx, platform.Tx{
 			Checks: []platform.Check{{Key: key}},
