--- a/pkg/admission/concurrency_limit.go
+++ b/pkg/admission/concurrency_limit.go
@@ -40,7 +40,6 @@
 
 	baseline  time.Duration
 	lastOwn   time.Duration
-	lastRate  float64
 	cutFrom   float64 // value before a cut that is on trial, else 0
 	cutRate   float64
 	holdUntil time.Time
@@ -86,7 +85,7 @@
 }
 
 func (l *limit) judge(now time.Time, own time.Duration, rate float64) {
-	l.lastOwn, l.lastRate = own, rate
+	l.lastOwn = own
 	if l.baseline == 0 || own < l.baseline {
 		l.baseline = own
 	}
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 
@@ -76,9 +77,9 @@
 	if cfg.QueueLen == 0 {
 		cfg.QueueLen = cfg.Slots
 	}
-	cfg.Target = orDefault(cfg.Target, DefaultTarget)
-	cfg.MaxSojourn = orDefault(cfg.MaxSojourn, DefaultMaxSojourn)
-	cfg.Interval = orDefault(cfg.Interval, DefaultInterval)
+	cfg.Target = cmp.Or(cfg.Target, DefaultTarget)
+	cfg.MaxSojourn = cmp.Or(cfg.MaxSojourn, DefaultMaxSojourn)
+	cfg.Interval = cmp.Or(cfg.Interval, DefaultInterval)
 	return &Gate{
 		cfg:        cfg,
 		limit:      newLimit(cfg.Slots, cfg.Floor, cfg.Ramp, now),
@@ -88,13 +89,6 @@
 	}
 }
 
-func orDefault(d, def time.Duration) time.Duration {
-	if d == 0 {
-		return def
-	}
-	return d
-}
-
 // Arrive decides about a new call. A refused call never starts.
 func (g *Gate) Arrive(now time.Time, t *Ticket) Verdict {
 	g.level.arrive(t.Priority)
--- a/pkg/lab/capacity_slopes.go
+++ b/pkg/lab/capacity_slopes.go
@@ -138,7 +138,7 @@
 		for range times {
 			var r member.Roster
 			var pool routing.Pool
-			r.Refresh(begin, vms)
+			r.Refresh(vms)
 			var list []routing.Candidate
 			for _, v := range r.VMs() {
 				list = append(list, routing.Candidate{VM: v, Labels: v.AllLabels(nil)})
--- a/pkg/member/roster.go
+++ b/pkg/member/roster.go
@@ -6,7 +6,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"k8s.io/apimachinery/pkg/labels"
 )
@@ -58,14 +57,13 @@
 	missing map[string]int
 	gone    map[string]bool
 	nodes   map[string]NodeInfo
-	listAt  time.Time
 	doubts  int
 	changes int
 }
 
 // Refresh takes a list of the platform; it reports false for one that looks implausible and was set aside.
 // The same implausible list three times in a row is believed.
-func (r *Roster) Refresh(now time.Time, list []VM) bool {
+func (r *Roster) Refresh(list []VM) bool {
 	next := make(map[string]VM, len(list))
 	for _, v := range list {
 		next[v.Name] = v
@@ -83,7 +81,6 @@
 		}
 	}
 	r.doubts = 0
-	r.listAt = now
 	r.take(next)
 	return true
 }
@@ -140,9 +137,6 @@
 	return !listed && r.gone[vm]
 }
 
-// Known tells whether any list was ever taken.
-func (r *Roster) Known() bool { return !r.listAt.IsZero() }
-
 // Merge takes what a node says of itself, directly or through others; it reports whether that was news.
 func (r *Roster) Merge(n NodeInfo) bool {
 	if r.nodes == nil {
--- a/pkg/member/roster_test.go
+++ b/pkg/member/roster_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
-var begin = time.Unix(1_000_000, 0)
-
 func list(names ...string) []VM {
 	var out []VM
 	for _, n := range names {
@@ -21,31 +18,31 @@
 func TestOneListMayMissAVM(t *testing.T) {
 	c := qt.New(t)
 	var r Roster
-	c.Assert(r.Refresh(begin, list("a", "b", "c")), qt.IsTrue)
-	c.Assert(r.Refresh(begin, list("a", "b")), qt.IsTrue)
+	c.Assert(r.Refresh(list("a", "b", "c")), qt.IsTrue)
+	c.Assert(r.Refresh(list("a", "b")), qt.IsTrue)
 	c.Assert(r.VMs(), qt.HasLen, 3)
 	c.Assert(r.Gone("c"), qt.IsFalse)
 	c.Assert(r.Doubtful(), qt.IsTrue)
 	c.Assert(r.Changes(), qt.Equals, 1)
-	r.Refresh(begin, list("a", "b"))
+	r.Refresh(list("a", "b"))
 	c.Assert(r.Doubtful(), qt.IsFalse)
 	c.Assert(r.Changes(), qt.Equals, 2)
 	c.Assert(r.VMs(), qt.HasLen, 2)
 	c.Assert(r.Gone("c"), qt.IsTrue)
 	c.Assert(r.Gone("never-seen"), qt.IsFalse, qt.Commentf("an unknown VM isn't gone"))
-	r.Refresh(begin, list("a", "b", "c"))
+	r.Refresh(list("a", "b", "c"))
 	c.Assert(r.Gone("c"), qt.IsFalse)
 }
 
 func TestImplausiblyEmptyListIsSetAside(t *testing.T) {
 	c := qt.New(t)
 	var r Roster
-	r.Refresh(begin, list("a", "b", "c", "d"))
+	r.Refresh(list("a", "b", "c", "d"))
 	for range 10 {
-		c.Assert(r.Refresh(begin, nil), qt.IsFalse)
+		c.Assert(r.Refresh(nil), qt.IsFalse)
 	}
 	c.Assert(r.VMs(), qt.HasLen, 4)
-	c.Assert(r.Refresh(begin, list("a")), qt.IsTrue, qt.Commentf("told again and again, a small list is believed"))
+	c.Assert(r.Refresh(list("a")), qt.IsTrue, qt.Commentf("told again and again, a small list is believed"))
 }
 
 func TestNodeInfoMergesInAnyOrder(t *testing.T) {
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -41,10 +41,10 @@
 		n.metrics.Inc("refused_deadline")
 		return n.refuse(ctx, s, wire.ReasonDeadline)
 	}
-	if s.call.Priority.Favor(s.call.Depth+1) < n.routeLevel(now, s) {
+	if lvl := n.routeLevel(now, s); s.call.Priority.Favor(s.call.Depth+1) < lvl {
 		n.metrics.Inc("refused_local")
 		a := n.refuse(ctx, s, wire.ReasonLevel)
-		a.meta.Below = n.routeLevel(now, s)
+		a.meta.Below = lvl
 		return a
 	}
 	var a *answer
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -81,6 +81,11 @@
 	if n.clock.Now().Add(d).After(deadline) {
 		return false
 	}
+	return n.wait(ctx, d)
+}
+
+// wait waits for d, and reports false if the context ends first.
+func (n *Node) wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/pkg/node/caller_repeat_notes.go
+++ b/pkg/node/caller_repeat_notes.go
@@ -43,7 +43,7 @@
 		case <-n.ctx.Done():
 			return
 		}
-		if !n.sleep(n.ctx, noteDelay, n.clock.Now().Add(time.Hour)) {
+		if !n.wait(n.ctx, noteDelay) {
 			return
 		}
 		for more := true; more; {
--- a/pkg/node/config_change.go
+++ b/pkg/node/config_change.go
@@ -136,7 +136,7 @@
 		case !errors.As(last, &refused):
 			doubt = true
 		}
-		if !n.sleep(ctx, n.jitter(100*time.Millisecond), n.clock.Now().Add(time.Hour)) {
+		if !n.wait(ctx, n.jitter(100*time.Millisecond)) {
 			break
 		}
 	}
--- a/pkg/node/control_leaving.go
+++ b/pkg/node/control_leaving.go
@@ -54,7 +54,7 @@
 		return
 	}
 	for !n.giveRangesAway(n.ctx) {
-		if !n.sleep(n.ctx, waitTime/2, n.clock.Now().Add(time.Hour)) {
+		if !n.wait(n.ctx, waitTime/2) {
 			return
 		}
 	}
@@ -90,21 +90,21 @@
 	n.Leave("stop")
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Backend.StopWait)
 	defer cancel()
-	_ = n.sleep(ctx, stopGrace, n.clock.Now().Add(time.Hour)) // cut short by the context only
+	_ = n.wait(ctx, stopGrace) // cut short by the context only
 	for ctx.Err() == nil && n.ownsRanges() {
-		_ = n.sleep(ctx, 20*time.Millisecond, n.clock.Now().Add(time.Hour))
+		_ = n.wait(ctx, 20*time.Millisecond)
 	}
 	n.drain(ctx, n.callers)
 	// The backend server may still make calls for those in progress, so its listener goes last.
 	for ctx.Err() == nil && n.running.Load() > 0 {
-		_ = n.sleep(ctx, 10*time.Millisecond, n.clock.Now().Add(time.Hour))
+		_ = n.wait(ctx, 10*time.Millisecond)
 	}
 	n.drain(ctx, n.outbound)
 	if left := n.running.Load(); left > 0 {
 		n.log.leave.Warn("stop waits no longer for calls in progress", "calls", left)
 	}
 	// The last answers may still be on their way out of the peer socket.
-	_ = n.sleep(ctx, lastAnswers, n.clock.Now().Add(time.Hour))
+	_ = n.wait(ctx, lastAnswers)
 	n.log.leave.Info("daemon stops")
 	return n.Close()
 }
--- a/pkg/node/control_platform.go
+++ b/pkg/node/control_platform.go
@@ -34,9 +34,8 @@
 
 // learn fills the control state at start: from the platform, else from its snapshot object and the seeds.
 func (n *Node) learn(ctx context.Context, s *controlState) {
-	now := n.clock.Now()
 	if vms, err := n.readVMs(ctx); err == nil {
-		s.roster.Refresh(now, vms)
+		s.roster.Refresh(vms)
 	} else {
 		n.log.control.Warn("list of VMs can't be read", "err", err)
 	}
@@ -166,7 +165,7 @@
 	}
 	n.toControl(func(s *controlState) {
 		before := s.roster.Changes()
-		if !s.roster.Refresh(n.clock.Now(), vms) {
+		if !s.roster.Refresh(vms) {
 			n.log.control.Warn("list of VMs looks implausible and is set aside", "vms", len(vms))
 			return
 		}
@@ -211,7 +210,7 @@
 		return
 	}
 	n.toControl(func(s *controlState) {
-		if s.roster.Refresh(n.clock.Now(), list.VMs) {
+		if s.roster.Refresh(list.VMs) {
 			n.publish(s)
 		}
 	})
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -123,7 +123,7 @@
 	if !moved {
 		return false
 	}
-	if !n.sleep(ctx, time.Duration(v.turn)*turnWait, n.clock.Now().Add(time.Hour)) && v.turn > 0 {
+	if !n.wait(ctx, time.Duration(v.turn)*turnWait) && v.turn > 0 {
 		return true
 	}
 	n.changeRow(ctx, row, "moved from VMs that are gone")
@@ -233,7 +233,7 @@
 			n.home.with(func(h *onceonly.Home) { h.Reopen(ranges) })
 			return fmt.Errorf("row of %s: %w", changed.Service, err)
 		}
-		if !n.sleep(ctx, waitTime, n.clock.Now().Add(time.Hour)) {
+		if !n.wait(ctx, waitTime) {
 			return ctx.Err()
 		}
 	}
--- a/pkg/node/snapshot.go
+++ b/pkg/node/snapshot.go
@@ -20,8 +20,7 @@
 	neighbors  []member.VM
 	selfTarget map[*config.Treatment]bool
 
-	mu     sync.Mutex
-	groups map[*config.Treatment][]routing.Group
+	groups sync.Map // *config.Treatment to []routing.Group, worked out at first use
 }
 
 func (s *snapshot) version() int64 {
@@ -33,17 +32,11 @@
 
 // groupsOf returns the servers that the treatment's targets pick, worked out at first use.
 func (s *snapshot) groupsOf(choice routing.Choice, pool *routing.Pool, t *config.Treatment) []routing.Group {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if g, ok := s.groups[t]; ok {
-		return g
+	if g, ok := s.groups.Load(t); ok {
+		return g.([]routing.Group)
 	}
-	if s.groups == nil {
-		s.groups = map[*config.Treatment][]routing.Group{}
-	}
-	g := choice.Groups(pool, t, s.candidates)
-	s.groups[t] = g
-	return g
+	g, _ := s.groups.LoadOrStore(t, choice.Groups(pool, t, s.candidates))
+	return g.([]routing.Group)
 }
 
 func (n *Node) choice() routing.Choice {
