Store package: the product's interface to table and objects gets its own name

Cause: a folder platform/ for the users' platform is to come, and two packages of one name would puzzle a newcomer. Change: pkg/platform renamed to pkg/store; names of fields stay.

--- a/pkg/cli/cases_test.go
+++ b/pkg/cli/cases_test.go
@@ -21,7 +21,7 @@
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/node"
 	"github.com/rockspoke/rockspoke/pkg/operator"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -60,7 +60,7 @@
 		{Role: keys.RoleReadOnly, Name: "kofi"},
 	}), qt.IsNil)
 	ip := fmt.Sprintf("127.2%02d.1.1", os.Getpid()%50)
-	var mem platform.Memory
+	var mem store.Memory
 	mem.SetVMs([]member.VM{{
 		Name: "hire-ledger-0", Service: "hire-ledger", Zone: "z", Peer: ip + ":8443", Labels: map[string]string{"dc": "old"},
 	}})
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -19,7 +19,7 @@
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/node"
 	"github.com/rockspoke/rockspoke/pkg/operator"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -58,11 +58,11 @@
 	return k, nil
 }
 
-func newPlatform(cfg settings.Settings) platform.Platform {
-	return platform.HTTP{URL: cfg.Platform.URL}.Platform()
+func newPlatform(cfg settings.Settings) store.Platform {
+	return store.HTTP{URL: cfg.Platform.URL}.Platform()
 }
 
-func newNode(cfg settings.Settings, p platform.Platform, k *keys.Store, c clock.Clock, m *metric.Set, f logging.Factory) (*node.Node, error) {
+func newNode(cfg settings.Settings, p store.Platform, k *keys.Store, c clock.Clock, m *metric.Set, f logging.Factory) (*node.Node, error) {
 	return node.New(node.Options{
 		Settings: cfg, Platform: p, Keys: k, Clock: c, Metrics: m, Logger: f.Part,
 	})
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -19,7 +19,7 @@
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/node"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -62,7 +62,7 @@
 	Graph    *Graph
 	History  *History
 	Fabric   *Fabric
-	Platform *platform.Memory
+	Platform *store.Memory
 	VMs      []*VM
 	Entries  []*VM
 
@@ -97,7 +97,7 @@
 		opts.Base = firstBase + byte(os.Getpid()%bases)
 	}
 	c := &Cluster{
-		Graph: g, History: &History{}, Fabric: &Fabric{}, Platform: &platform.Memory{},
+		Graph: g, History: &History{}, Fabric: &Fabric{}, Platform: &store.Memory{},
 		opts: opts, authority: a, cutFrom: map[netip.Addr]bool{},
 	}
 	c.tokens = c.client()
--- a/pkg/lab/cluster_platform.go
+++ b/pkg/lab/cluster_platform.go
@@ -10,7 +10,7 @@
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/node"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // startPlatform runs the stand-in with the VM list and the first configuration.
@@ -20,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	c.standIn = &http.Server{Handler: platform.Server(c.Platform)}
+	c.standIn = &http.Server{Handler: store.Server(c.Platform)}
 	go func() { _ = c.standIn.Serve(ln) }() // ends with Stop
 	var list []member.VM
 	for _, v := range c.All() {
@@ -40,7 +40,7 @@
 }
 
 // platformOf gives a VM the stand-in, unless it is cut off from it.
-func (c *Cluster) platformOf(v *VM) platform.Platform {
+func (c *Cluster) platformOf(v *VM) store.Platform {
 	url := "http://" + at(netip.AddrFrom4([4]byte{127, c.opts.Base, 0, 1}), 7000)
 	t := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		var d net.Dialer
@@ -49,7 +49,7 @@
 	c.mu.Lock()
 	c.outlets = append(c.outlets, t)
 	c.mu.Unlock()
-	return platform.HTTP{URL: url, Client: &http.Client{Transport: &gatedTransport{next: t, cluster: c, vm: v}}}.Platform()
+	return store.HTTP{URL: url, Client: &http.Client{Transport: &gatedTransport{next: t, cluster: c, vm: v}}}.Platform()
 }
 
 // gatedTransport refuses a VM's platform calls while it is cut off or frozen.
--- a/pkg/lab/cluster_test.go
+++ b/pkg/lab/cluster_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -235,7 +235,7 @@
 	}})
 	c.Assert(err, qt.IsNil)
 	c.Assert(cl.inForce(doc.Version), qt.IsTrue)
-	cl.Platform.SetFaults(platform.Faults{Down: true})
+	cl.Platform.SetFaults(store.Faults{Down: true})
 	v := cl.VMs[0]
 	c.Assert(v.Node.Close(), qt.IsNil)
 	c.Assert(cl.StartNode(ctx, v), qt.IsNil)
@@ -253,7 +253,7 @@
 			Kind: config.KindService, Name: "front", Set: map[string]string{"by": id},
 		}}
 	}
-	cl.Platform.SetFaults(platform.Faults{LoseAnswer: true})
+	cl.Platform.SetFaults(store.Faults{LoseAnswer: true})
 	doc, err := n.Change(ctx, edit("lost"))
 	c.Assert(err, qt.IsNil, qt.Commentf("the commit took effect, so the change was accepted"))
 	c.Assert(doc.ChangeID, qt.Equals, "lost")
@@ -261,9 +261,9 @@
 	old.Base--
 	_, err = n.Change(ctx, old)
 	c.Assert(err, qt.ErrorMatches, `version is .* meanwhile`)
-	cl.Platform.SetFaults(platform.Faults{Down: true})
+	cl.Platform.SetFaults(store.Faults{Down: true})
 	_, err = n.Change(ctx, edit("down"))
-	c.Assert(err, qt.ErrorAs, new(*platform.RefusedError))
+	c.Assert(err, qt.ErrorAs, new(*store.RefusedError))
 }
 
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
--- a/pkg/lab/experiment_config.go
+++ b/pkg/lab/experiment_config.go
@@ -11,7 +11,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/node"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // The config experiment: how many operators race, for how long, and how large the cluster is.
@@ -141,12 +141,12 @@
 // shakeStore makes the store lose answers, go slow and go down in turn.
 func (c *Cluster) shakeStore(ctx context.Context, seed uint64, end time.Time) {
 	rnd := rand.New(rand.NewPCG(seed, 12))
-	kinds := []platform.Faults{{}, {LoseAnswer: true}, {}, {Delay: 100 * time.Millisecond}, {}, {Down: true}}
+	kinds := []store.Faults{{}, {LoseAnswer: true}, {}, {Delay: 100 * time.Millisecond}, {}, {Down: true}}
 	for time.Now().Before(end) {
 		c.Platform.SetFaults(kinds[rnd.IntN(len(kinds))])
 		pause(ctx, 300*time.Millisecond)
 	}
-	c.Platform.SetFaults(platform.Faults{})
+	c.Platform.SetFaults(store.Faults{})
 }
 
 // checkSettled counts the changes of which an operator was told what the table contradicts.
--- a/pkg/lab/experiment_once_only.go
+++ b/pkg/lab/experiment_once_only.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -115,13 +115,13 @@
 	},
 	{
 		"store down",
-		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(platform.Faults{Down: true}) },
-		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(platform.Faults{}) },
+		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(store.Faults{Down: true}) },
+		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(store.Faults{}) },
 	},
 	{
 		"store loses answers",
-		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(platform.Faults{LoseAnswer: true}) },
-		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(platform.Faults{}) },
+		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(store.Faults{LoseAnswer: true}) },
+		func(_ context.Context, c *Cluster, _ *VM) { c.Platform.SetFaults(store.Faults{}) },
 	},
 }
 
--- a/pkg/lab/experiment_store_outage.go
+++ b/pkg/lab/experiment_store_outage.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // The store is away for most of this experiment.
@@ -27,9 +27,9 @@
 	begin := time.Now()
 	var behind float64
 	stop := runStages(ctx, io.Discard, begin, []stageAt{
-		{after: outageCalm, do: func() { c.Platform.SetFaults(platform.Faults{Down: true}) }},
+		{after: outageCalm, do: func() { c.Platform.SetFaults(store.Faults{Down: true}) }},
 		{after: outageCalm + outageTime/3, do: func() { behind = c.restartDuringOutage(ctx) }},
-		{after: outageCalm + outageTime, do: func() { c.Platform.SetFaults(platform.Faults{}) }},
+		{after: outageCalm + outageTime, do: func() { c.Platform.SetFaults(store.Faults{}) }},
 	})
 	whole := outageCalm + outageTime + outageAfter
 	c.Run(ctx, Load{Seed: seed, Patience: hardRetries(), Phases: []Phase{{whole, outageLoad * g.Capacity()}}})
--- a/pkg/lab/history_check_test.go
+++ b/pkg/lab/history_check_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/node"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -175,7 +175,7 @@
 			// Each operator goes on until some of its changes are accepted, from the version that it saw last.
 			seen, accepted := int64(1), 0
 			for i := 0; accepted < changesEach; i++ {
-				cl.Platform.SetFaults(platform.Faults{LoseAnswer: (who+i)%2 == 0})
+				cl.Platform.SetFaults(store.Faults{LoseAnswer: (who+i)%2 == 0})
 				n := cl.All()[(who+i)%len(cl.All())].Node
 				in := changeInput{max(n.Document().Version, seen)}
 				call := time.Now()
--- a/pkg/lab/lab_serve.go
+++ b/pkg/lab/lab_serve.go
@@ -15,7 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/rockspoke/rockspoke/pkg/member"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // platformCommand serves the stand-in for the users' platform.
@@ -27,7 +27,7 @@
 		Name: "platform", ShortUsage: "rockspoke-lab platform --vms FILE [--listen IP:PORT]", FlagSet: fs,
 		ShortHelp: "serve the stand-in for the platform, in memory, until interrupted",
 		Exec: func(ctx context.Context, _ []string) error {
-			var m platform.Memory
+			var m store.Memory
 			data, err := os.ReadFile(*file)
 			if err != nil {
 				return err
@@ -37,7 +37,7 @@
 				return fmt.Errorf("%s: %w", *file, err)
 			}
 			m.SetVMs(vms)
-			return serveUntilInterrupted(ctx, stdout, *listen, platform.Server(&m))
+			return serveUntilInterrupted(ctx, stdout, *listen, store.Server(&m))
 		},
 	}
 }
--- a/pkg/lab/system_claim.go
+++ b/pkg/lab/system_claim.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -41,9 +41,9 @@
 			<-cctx.Done()
 			return reply{status: http.StatusGatewayTimeout, outcome: wire.Unknown}
 		}
-		err := p.Commit(cctx, platform.Tx{
-			Checks: []platform.Check{{Key: key}},
-			Writes: []platform.Write{{Key: key, Value: []byte("claimed")}},
+		err := p.Commit(cctx, store.Tx{
+			Checks: []store.Check{{Key: key}},
+			Writes: []store.Write{{Key: key, Value: []byte("claimed")}},
 		})
 		if err != nil {
 			return reply{status: http.StatusGatewayTimeout, outcome: wire.Unknown}
--- a/pkg/node/config_change.go
+++ b/pkg/node/config_change.go
@@ -10,7 +10,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // NoVersionError reports a configuration version that isn't in the table.
@@ -50,7 +50,7 @@
 const changeTries = 4
 
 // Change makes an operator's change: accepted means committed in the platform's table. The error is a
-// *config.InvalidError, *config.NoObjectError, *RaceError, *InDoubtError or *platform.RefusedError.
+// *config.InvalidError, *config.NoObjectError, *RaceError, *InDoubtError or *store.RefusedError.
 func (n *Node) Change(ctx context.Context, ch config.Change) (*config.Document, error) {
 	base, err := n.newest(ctx)
 	if err != nil {
@@ -77,7 +77,7 @@
 func (n *Node) newest(ctx context.Context) (*config.Document, error) {
 	doc, err := n.readDocument(ctx, 0)
 	if err != nil {
-		return nil, &platform.RefusedError{Reason: "the newest configuration can't be read: " + err.Error()}
+		return nil, &store.RefusedError{Reason: "the newest configuration can't be read: " + err.Error()}
 	}
 	if doc == nil {
 		return &config.Document{}, nil
@@ -125,8 +125,8 @@
 		last = n.platform.Commit(pctx, tx)
 		cancel()
 		var (
-			conflict *platform.ConflictError
-			refused  *platform.RefusedError
+			conflict *store.ConflictError
+			refused  *store.RefusedError
 		)
 		switch {
 		case last == nil:
@@ -247,18 +247,18 @@
 }
 
 // WriteFirst writes the first configuration into an empty platform, as a first change would.
-func WriteFirst(ctx context.Context, p platform.Platform, doc config.Document) error {
+func WriteFirst(ctx context.Context, p store.Platform, doc config.Document) error {
 	return p.Commit(ctx, documentTx(&doc))
 }
 
 // documentTx is the transaction that makes a document the newest version.
-func documentTx(doc *config.Document) platform.Tx {
-	return platform.Tx{
-		Checks: []platform.Check{
+func documentTx(doc *config.Document) store.Tx {
+	return store.Tx{
+		Checks: []store.Check{
 			{Key: keyHead, Version: doc.Version - 1},
 			{Key: keyChange + doc.ChangeID, Version: 0},
 		},
-		Writes: []platform.Write{
+		Writes: []store.Write{
 			{Key: keyHead, Value: marshal(head{doc.Version, doc.ChangeID})},
 			{Key: fmt.Sprintf(keyVersion, doc.Version), Value: marshal(doc)},
 			{Key: keyChange + doc.ChangeID, Value: []byte(strconv.FormatInt(doc.Version, 10))},
--- a/pkg/node/control_platform.go
+++ b/pkg/node/control_platform.go
@@ -10,7 +10,7 @@
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // The keys of the table and the names of objects.
@@ -227,17 +227,17 @@
 }
 
 // commitRow writes a row of key ranges and returns the row that is in the table afterwards. Any error
-// but a *platform.RefusedError leaves open whether the row was written, now or later.
+// but a *store.RefusedError leaves open whether the row was written, now or later.
 func (n *Node) commitRow(ctx context.Context, row onceonly.Row) (onceonly.Row, error) {
 	key := keyRanges + row.Service
-	tx := platform.Tx{
-		Checks: []platform.Check{{Key: key, Version: row.Version - 1}},
-		Writes: []platform.Write{{Key: key, Value: marshal(row)}},
+	tx := store.Tx{
+		Checks: []store.Check{{Key: key, Version: row.Version - 1}},
+		Writes: []store.Write{{Key: key, Value: marshal(row)}},
 	}
 	pctx, cancel := n.platformTime(ctx)
 	defer cancel()
 	err := n.platform.Commit(pctx, tx)
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if err == nil || !errors.As(err, &conflict) {
 		return row, err
 	}
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 )
 
@@ -225,7 +225,7 @@
 		if err == nil {
 			return n.finishHandover(ctx, have, changed, ranges)
 		}
-		var refused *platform.RefusedError
+		var refused *store.RefusedError
 		if !errors.As(err, &refused) {
 			doubt = true
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,7 +20,7 @@
 	"github.com/rockspoke/rockspoke/pkg/level"
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/repeat"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 	"github.com/rockspoke/rockspoke/pkg/settings"
@@ -31,7 +31,7 @@
 	cfg         settings.Settings
 	incarnation string
 	clock       clock.Clock
-	platform    platform.Platform
+	platform    store.Platform
 	keys        *keys.Store
 	network     Network
 	metrics     *metric.Set
--- a/pkg/node/node_options.go
+++ b/pkg/node/node_options.go
@@ -8,7 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/keys"
 	"github.com/rockspoke/rockspoke/pkg/metric"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -39,7 +39,7 @@
 // Options is what a daemon is made of; Logger and Seed may be left out.
 type Options struct {
 	Settings settings.Settings
-	Platform platform.Platform
+	Platform store.Platform
 	Keys     *keys.Store
 	Clock    clock.Clock
 	Network  Network
--- a/pkg/operator/operator_problem.go
+++ b/pkg/operator/operator_problem.go
@@ -8,7 +8,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/node"
-	"github.com/rockspoke/rockspoke/pkg/platform"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // ProblemKind sorts problems, so that a client knows what to do next.
@@ -44,7 +44,7 @@
 		noObject *config.NoObjectError
 		race     *node.RaceError
 		doubt    *node.InDoubtError
-		refused  *platform.RefusedError
+		refused  *store.RefusedError
 		noVer    *node.NoVersionError
 		noRoute  *node.NoRouteError
 	)
