--- a/pkg/cli/cases_test.go
+++ b/pkg/cli/cases_test.go
@@ -21,8 +21,8 @@
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/node"
 	"github.com/rockspoke/rockspoke/pkg/operator"
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 var update = flag.Bool("update", false, "write what the cases print as what is expected")
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/node"
 	"github.com/rockspoke/rockspoke/pkg/operator"
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // startTime is the longest time for a start; a start waits for the platform's time-outs at most.
--- a/pkg/daemon/daemon_main.go
+++ b/pkg/daemon/daemon_main.go
@@ -9,8 +9,10 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
 
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
@@ -22,11 +24,17 @@
 	ExitSettings = 2 // wrong use or settings
 )
 
+// envPrefix begins the environment variables that stand for flags, such as ROCKSPOKE_SETTINGS.
+const envPrefix = "ROCKSPOKE"
+
 const usage = `rockspoked runs beside one backend server, or on an entry VM, and carries calls.
 
   SIGTERM, SIGINT  leave: take no new work, hand over key ranges, end calls in progress, stop
   SIGUSR1          write the state to the log
-  SIGHUP           read the key files again
+  SIGHUP           read the key files again; a node of a mesh reads its settings again
+
+The file may also be named by ROCKSPOKE_SETTINGS in the environment. With a mesh section in it the daemon is a
+node of a mesh: it finds the others by itself, and every request begins beside a backend server.
 
 Exit status: 0 stopped as asked, 1 failed, 2 wrong settings.
 
@@ -43,6 +51,7 @@
 	status := ExitOK
 	cmd := &ffcli.Command{
 		Name: "rockspoked", ShortUsage: "rockspoked --settings FILE [--check]", LongHelp: usage, FlagSet: fs,
+		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			status = run(ctx, *file, *check, stdout, stderr)
 			return nil
@@ -68,18 +77,25 @@
 		fmt.Fprintf(stdout, "%s: settings are good\n", file)
 		return ExitOK
 	}
-	if err := serve(ctx, cfg, stderr); err != nil {
+	if err := serve(ctx, newApp(file, cfg, stdout, stderr)); err != nil {
 		fmt.Fprintf(stderr, "rockspoked: %v\n", err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
+// newApp returns the daemon that the settings ask for.
+func newApp(file string, cfg settings.Settings, stdout, stderr io.Writer) *fx.App {
+	if cfg.Mesh != nil {
+		return MeshApp(file, cfg, stdout)
+	}
+	return App(cfg, stderr)
+}
+
 // serve runs the daemon until the context ends or a signal asks it to leave.
-func serve(ctx context.Context, cfg settings.Settings, w io.Writer) error {
+func serve(ctx context.Context, app *fx.App) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	app := App(cfg, w)
 	if err := app.Err(); err != nil {
 		return eris.Wrap(err, "daemon can't be made")
 	}
--- /dev/null
+++ b/pkg/daemon/mesh_daemon.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/logging"
+	"github.com/rockspoke/rockspoke/pkg/mesh"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/platform"
+)
+
+// MeshApp returns a node of a mesh as an fx application; logs go to w. The file is read again on SIGHUP.
+func MeshApp(file string, cfg settings.Settings, w io.Writer) *fx.App {
+	return fx.New(
+		fx.Supply(cfg),
+		fx.Supply(fx.Annotate(w, fx.As(new(io.Writer)))),
+		fx.Provide(newClock, newFactory, newMeshNode),
+		fx.Invoke(runMeshNode),
+		fx.Invoke(func(lc fx.Lifecycle, n *mesh.Node, f logging.Factory) { watchMeshSignals(lc, file, n, f) }),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTime),
+		fx.StopTimeout(cfg.Mesh.Grace+time.Second),
+	)
+}
+
+func newMeshNode(cfg settings.Settings, c clock.Clock, f logging.Factory) (*mesh.Node, error) {
+	ip, _, err := net.SplitHostPort(cfg.Listen.Peers)
+	if err != nil {
+		return nil, err
+	}
+	store := &platform.StoreClient{URL: cfg.Platform.URL, HTTP: mesh.NewStoreHTTP(ip)}
+	return mesh.New(mesh.Options{
+		Settings: cfg, Names: platform.Headers, Store: store.Store(), Decode: platform.DecodeState,
+		Control: platform.Control, Clock: c, Logger: f.Part,
+	})
+}
+
+func runMeshNode(lc fx.Lifecycle, n *mesh.Node) {
+	lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+}
+
+// watchMeshSignals dumps the state on SIGUSR1 and reads the settings again on SIGHUP.
+func watchMeshSignals(lc fx.Lifecycle, file string, n *mesh.Node, f logging.Factory) {
+	log := f.Part("daemon")
+	signals := make(chan os.Signal, 4)
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+			go func() {
+				for {
+					select {
+					case sig := <-signals:
+						meshSignal(sig, file, n, log)
+					case <-done:
+						return
+					}
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			signal.Stop(signals)
+			close(done)
+			return nil
+		},
+	})
+}
+
+func meshSignal(sig os.Signal, file string, n *mesh.Node, log *slog.Logger) {
+	if sig == syscall.SIGUSR1 {
+		b, err := json.Marshal(n.Dump())
+		if err != nil {
+			log.Error("state can't be dumped", "err", err)
+			return
+		}
+		log.Info("state", "dump", string(b))
+		return
+	}
+	cfg, err := settings.Load(file)
+	if err != nil {
+		log.Error("settings can't be read, the old ones stay in use", "err", err)
+		return
+	}
+	n.Reload(cfg)
+	log.Info("settings read again")
+}
--- /dev/null
+++ b/pkg/desired/desired_state.go
@@ -0,0 +1,166 @@
+package desired
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Kind says how often the requests of a route may run.
+type Kind uint8
+
+// The kinds of route.
+const (
+	Repeatable Kind = iota + 1 // may run more than once
+	Once                       // at most once for each attempt of a client
+	Download                   // large answers, repeatable
+)
+
+// String names the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case Once:
+		return "once"
+	case Download:
+		return "download"
+	default:
+		return "unknown"
+	}
+}
+
+// Target is one part of a split route.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route says where the requests of one host and path prefix go, and under which bounds.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // longest time that a request is held; 0: no bound
+	Goal        time.Duration // an answer within it earns its full worth
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // most backend servers that one attempt of a client is sent to
+	Targets     []Target
+}
+
+// Service is what the operator says of a service.
+type Service struct {
+	Name           string
+	MaxConnections int // of all callers together, at one backend server; 0: not bounded
+}
+
+// Limits bounds what clients may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration // longest time for a request's header
+	IdleTime    time.Duration // longest rest of a kept connection
+}
+
+// State is one version of the desired state; it is never changed after New.
+type State struct {
+	Version  int64
+	Source   []byte // as it was read, to be handed on to other nodes
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string]map[string]*Route
+}
+
+// InvalidError says which field of a desired state is wrong.
+type InvalidError struct {
+	Field string
+	Value string
+	Msg   string
+}
+
+// Error names the field, its value and the fault.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("desired state: %s %q: %s", e.Field, e.Value, e.Msg)
+}
+
+// New indexes a state; the error is an *InvalidError.
+func New(s State) (*State, error) {
+	if s.Version <= 0 {
+		return nil, &InvalidError{"version", fmt.Sprint(s.Version), "must be above 0"}
+	}
+	s.byHost = make(map[string]map[string]*Route)
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if err := r.check(); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		if s.byHost[host] == nil {
+			s.byHost[host] = make(map[string]*Route)
+		}
+		s.byHost[host][r.Prefix] = r
+	}
+	return &s, nil
+}
+
+func (r *Route) check() error {
+	at := "route " + r.Name
+	switch {
+	case r.Host == "":
+		return &InvalidError{at + " host", r.Host, "must be set"}
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return &InvalidError{at + " prefix", r.Prefix, "must begin and end with '/'"}
+	case r.Kind == 0:
+		return &InvalidError{at + " kind", "", "isn't known"}
+	case len(r.Targets) == 0:
+		return &InvalidError{at + " service", "", "must be set"}
+	}
+	total := 0
+	for _, t := range r.Targets {
+		if t.Weight < 0 {
+			return &InvalidError{at + " weight", fmt.Sprint(t.Weight), "must not be negative"}
+		}
+		total += t.Weight
+	}
+	if total == 0 {
+		return &InvalidError{at + " split", "0", "needs a weight above 0"}
+	}
+	return nil
+}
+
+// Match returns the route of a request, or nil; path may hold a query.
+func (s *State) Match(host, path string) *Route {
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes := s.byHost[strings.ToLower(host)]
+	if routes == nil {
+		return nil
+	}
+	for {
+		i := strings.LastIndexByte(path, '/')
+		if i < 0 {
+			return nil
+		}
+		if r := routes[path[:i+1]]; r != nil {
+			return r
+		}
+		path = path[:i]
+	}
+}
+
+// Serves tells whether the route sends requests to the service.
+func (r *Route) Serves(service string) bool {
+	for _, t := range r.Targets {
+		if t.Service == service && t.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/desired/doc.go
@@ -0,0 +1,7 @@
+// Package desired holds the desired state that the operator has put in force:
+// routes, services and limits.
+//
+// A State is immutable: a node decodes each version once, indexes it and
+// publishes it whole. A request keeps the State that it came in with. Match
+// finds the route of a request by its host and the longest path prefix.
+package desired
--- /dev/null
+++ b/pkg/directory/directory.go
@@ -0,0 +1,49 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Directory holds the newest Record of each VM; its zero value is empty. It isn't safe for concurrent use.
+type Directory struct {
+	records map[string]Record
+}
+
+// Merge takes records that were heard and returns those that were news.
+func (d *Directory) Merge(heard ...Record) []Record {
+	if d.records == nil {
+		d.records = make(map[string]Record)
+	}
+	var news []Record
+	for _, r := range heard {
+		if r.Host == "" || r.Phase > Gone {
+			continue
+		}
+		if old, ok := d.records[r.Host]; ok && !r.newer(old) {
+			continue
+		}
+		d.records[r.Host] = r
+		news = append(news, r)
+	}
+	return news
+}
+
+// Get returns the record of a VM.
+func (d *Directory) Get(host string) (Record, bool) {
+	r, ok := d.records[host]
+	return r, ok
+}
+
+// All returns every record in order of host.
+func (d *Directory) All() []Record {
+	all := make([]Record, 0, len(d.records))
+	for _, r := range d.records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Host, b.Host) })
+	return all
+}
+
+// Remove forgets a VM whose row was deleted.
+func (d *Directory) Remove(host string) { delete(d.records, host) }
--- /dev/null
+++ b/pkg/gate/doc.go
@@ -0,0 +1,15 @@
+// Package gate decides which requests a backend server starts, and when.
+//
+// A Gate stands before one backend server that nobody else can reach, so its
+// count of requests in progress is exact. A request arrives as a Ticket. The
+// Gate starts it while the limit allows, lets it wait in a short queue, or
+// refuses it: then it certainly hasn't run, and can go to another server.
+// Calls of requests that are in progress elsewhere go before new root
+// requests, since work was already spent on them.
+//
+// A Gate does no I/O, starts no goroutine and reads no clock. It differs from
+// package admission's: there every request carries a priority through the
+// whole chain and a level is raised; here calls carry nothing of their root,
+// so roots are limited at the entry (package overload) and the Gate only
+// orders what comes.
+package gate
--- /dev/null
+++ b/pkg/httpconn/pool.go
@@ -0,0 +1,164 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+)
+
+// bufferBytes is the size of a connection's read and write buffers: most headers and small bodies fit.
+const bufferBytes = 4 << 10
+
+// DefaultIdle is how long a connection rests before it isn't used again. Servers close idle connections
+// after some seconds, and a request that crosses the close is lost.
+const DefaultIdle = 4 * time.Second
+
+// Pool keeps connections to one address. The zero value of every field but Dial and Clock works.
+type Pool struct {
+	Dial  func(ctx context.Context) (net.Conn, error)
+	Clock clock.Clock
+	// Idle is how long a connection may rest; 0 means DefaultIdle.
+	Idle time.Duration
+	// MaxOpen bounds the connections, in use and idle; 0: not bounded.
+	MaxOpen int
+
+	mu     sync.Mutex
+	idle   []*Conn // the last one was used last
+	open   int
+	closed bool
+}
+
+// Conn is a connection that carries one request at a time.
+type Conn struct {
+	pool   *Pool
+	raw    net.Conn
+	br     *bufio.Reader
+	bw     *bufio.Writer
+	rested time.Time     // when it was put back
+	keep   time.Duration // how long the server said that it keeps an idle connection; 0: not said
+	Fresh  bool          // no request was sent on it before
+}
+
+// get returns a connection that rested, or a new one; the error is an *Error of kind NotConnected.
+func (p *Pool) get(ctx context.Context) (*Conn, error) {
+	if c := p.takeIdle(); c != nil {
+		return c, nil
+	}
+	raw, err := p.Dial(ctx)
+	if err != nil {
+		p.release()
+		return nil, &Error{Kind: NotConnected, Cause: err}
+	}
+	return &Conn{
+		pool: p, raw: raw, Fresh: true,
+		br: bufio.NewReaderSize(raw, bufferBytes),
+		bw: bufio.NewWriterSize(raw, bufferBytes),
+	}, nil
+}
+
+// takeIdle returns a usable idle connection, or nil when one is to be made, which it counts.
+func (p *Pool) takeIdle() *Conn {
+	now := p.Clock.Now()
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.open++
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if now.Sub(c.rested) < c.restLimit() && quiet(c) {
+			c.Fresh = false
+			return c
+		}
+		c.Close()
+	}
+}
+
+// restLimit is how long the connection may rest: half of what the server said, to leave time for the way.
+func (c *Conn) restLimit() time.Duration {
+	limit := c.pool.Idle
+	if limit == 0 {
+		limit = DefaultIdle
+	}
+	if c.keep > 0 {
+		limit = min(limit, c.keep/2)
+	}
+	return limit
+}
+
+func (p *Pool) put(c *Conn) {
+	c.rested = p.Clock.Now()
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Open returns how many connections there are, in use and idle.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Sweep closes connections that have rested too long.
+func (p *Pool) Sweep() {
+	now := p.Clock.Now()
+	p.mu.Lock()
+	kept := p.idle[:0]
+	var old []*Conn
+	for _, c := range p.idle {
+		if now.Sub(c.rested) < c.restLimit() {
+			kept = append(kept, c)
+		} else {
+			old = append(old, c)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Close closes the idle connections; those in use are closed when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// Reopen lets a closed pool be used again.
+func (p *Pool) Reopen() {
+	p.mu.Lock()
+	p.closed = false
+	p.mu.Unlock()
+}
+
+// Close closes the connection for good; the other side learns by it that an exchange was given up.
+func (c *Conn) Close() {
+	_ = c.raw.Close() // it is given up either way
+	c.pool.release()
+}
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -19,8 +19,8 @@
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/node"
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
--- a/pkg/lab/experiment_once_only.go
+++ b/pkg/lab/experiment_once_only.go
@@ -6,8 +6,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // The once-only experiment: steady demand, and a fault of a random kind at random times.
--- /dev/null
+++ b/pkg/mesh/backend.go
@@ -0,0 +1,151 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// backend is the way to the backend server on this VM.
+type backend struct {
+	n    *Node
+	pool *httpconn.Pool
+}
+
+func newBackend(n *Node) *backend {
+	return &backend{n: n, pool: &httpconn.Pool{Dial: dialFunc(n.ip, n.cfg.Backend.Address, backendDialTime), Clock: n.clock}}
+}
+
+// serve puts a request through the gate and hands it to the backend server.
+func (b *backend) serve(ctx context.Context, q *request) *answer {
+	own := b.n.view.Load().own
+	if own.Service != q.Service || own.Instance == "" {
+		return refused(wire.ReasonNoServer)
+	}
+	if reason := b.enter(ctx, q); reason != wire.ReasonNone {
+		return refused(reason)
+	}
+	begun := b.n.clock.Now()
+	a, outcome := b.send(ctx, q, own.Instance)
+	b.n.gateMu.Lock()
+	now := b.n.clock.Now()
+	b.n.gate.Done(now, now.Sub(begun), outcome)
+	b.n.gateMu.Unlock()
+	return a
+}
+
+// enter waits for the gate; it returns why the request was refused, or ReasonNone once it may start.
+func (b *backend) enter(ctx context.Context, q *request) wire.Reason {
+	verdicts := make(chan gate.Verdict, 1)
+	t := &gate.Ticket{
+		Inner: q.Inner, Priority: q.Priority, Deadline: q.deadline,
+		Notify: func(v gate.Verdict) { verdicts <- v },
+	}
+	b.n.gateMu.Lock()
+	v := b.n.gate.Arrive(b.n.clock.Now(), t)
+	b.n.gateMu.Unlock()
+	if v.Queued {
+		select {
+		case v = <-verdicts:
+		case <-ctx.Done():
+			return b.withdraw(t, verdicts)
+		}
+	}
+	if v.Start {
+		return wire.ReasonNone
+	}
+	return v.Reason
+}
+
+// withdraw takes back a ticket whose caller has gone.
+func (b *backend) withdraw(t *gate.Ticket, verdicts <-chan gate.Verdict) wire.Reason {
+	b.n.gateMu.Lock()
+	queued := b.n.gate.Cancel(t)
+	b.n.gateMu.Unlock()
+	if queued {
+		return wire.ReasonDeadline
+	}
+	v := <-verdicts
+	if !v.Start {
+		return v.Reason
+	}
+	b.n.gateMu.Lock()
+	b.n.gate.Done(b.n.clock.Now(), 0, gate.Left)
+	b.n.gateMu.Unlock()
+	return wire.ReasonDeadline
+}
+
+// answerMargin is taken off the time that a backend server is given, so that its own answer at the end of
+// it still arrives in time.
+const answerMargin = 20 * time.Millisecond
+
+// send hands a request to the server and judges what comes back.
+func (b *backend) send(ctx context.Context, q *request, instance string) (*answer, gate.Outcome) {
+	left := q.deadline.Sub(b.n.clock.Now()) - answerMargin
+	if left < time.Millisecond {
+		return refused(wire.ReasonDeadline), gate.Left
+	}
+	h := q.header.Clone()
+	h.Set(b.n.names.Instance, instance)
+	h.Set(b.n.names.Caller, q.Caller)
+	h.Set(b.n.names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+	res, err := b.pool.Do(ctx, &httpconn.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Header: h,
+		Body: q.body, Stream: q.stream, StreamLen: q.length,
+	})
+	if err != nil {
+		return b.failed(err)
+	}
+	if res.Header.Get(b.n.names.AttemptID) != q.id {
+		_ = res.Body.Close() // it belongs to another request, and so does what follows on the connection
+		if notExecuted(res, b.n.names) && res.Header.Get(b.n.names.AttemptID) == "" {
+			return b.shed(res), gate.Shed
+		}
+		return lost(wire.ReasonLost), gate.Failed
+	}
+	if notExecuted(res, b.n.names) {
+		_ = drainBody(res) // the refusal itself is known; its text isn't used
+		return b.shed(res), gate.Shed
+	}
+	a := &answer{outcome: wire.Ran, arrived: true, status: res.Status, header: endToEnd(res.Header)}
+	if err := a.readWhole(res); err != nil {
+		return b.failed(err)
+	}
+	if a.status >= http.StatusInternalServerError {
+		return a, gate.Failed
+	}
+	return a, gate.Answered
+}
+
+// notExecuted tells whether the server says that it hasn't run the request.
+func notExecuted(res *httpconn.Response, names HeaderNames) bool {
+	return res.Header.Get(names.NotRun) != "" || res.Status == http.StatusMisdirectedRequest
+}
+
+func (b *backend) shed(res *httpconn.Response) *answer {
+	reason := wire.ReasonRefused
+	if res.Status == http.StatusMisdirectedRequest {
+		reason = wire.ReasonNoServer
+	}
+	a := refused(reason)
+	a.arrived = res.Status != http.StatusMisdirectedRequest
+	return a
+}
+
+func (b *backend) failed(err error) (*answer, gate.Outcome) {
+	switch {
+	case unsent(err):
+		return refused(wire.ReasonNoServer), gate.Failed
+	case ended(err):
+		a := lost(wire.ReasonDeadline)
+		a.canceled = true
+		return a, gate.Left
+	default:
+		return lost(wire.ReasonLost), gate.Failed
+	}
+}
--- /dev/null
+++ b/pkg/mesh/control_loop.go
@@ -0,0 +1,139 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/directory"
+)
+
+// controlState belongs to the control goroutine.
+type controlState struct {
+	own       directory.OwnServer
+	directory directory.Directory
+	nextTalk  time.Time
+}
+
+// tickPeriod is the time between looks at what is due.
+const tickPeriod = 50 * time.Millisecond
+
+// controlLoop owns the control state until ctx ends.
+func (n *Node) controlLoop(ctx context.Context) {
+	ticks, stop := n.clock.NewTicker(tickPeriod)
+	defer stop()
+	n.publish()
+	for {
+		select {
+		case f := <-n.events:
+			f()
+		case <-ticks:
+			n.tick(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// do hands a piece of work to the control goroutine.
+func (n *Node) do(f func()) { n.events <- f }
+
+func (n *Node) tick(ctx context.Context) {
+	now := n.clock.Now()
+	n.gateMu.Lock()
+	n.gate.Expire(now)
+	n.gateMu.Unlock()
+	if now.Before(n.control.nextTalk) {
+		return
+	}
+	n.control.nextTalk = now.Add(jitter(n.talkPeriod()))
+	n.talk(ctx, talkFanout)
+}
+
+// publish makes the control state visible to requests.
+func (n *Node) publish() {
+	v := &view{services: make(map[string][]*peer), own: n.control.own.Record(), self: n.peer(n.ip)}
+	for _, r := range n.control.directory.All() {
+		if r.Phase != directory.Serving {
+			continue
+		}
+		p := n.peer(r.Host)
+		p.describe(r, n.cfg.Zone)
+		v.services[r.Service] = append(v.services[r.Service], p)
+	}
+	n.view.Store(v)
+}
+
+// ownChanged follows a change of this VM's backend server: the gate first, then the others.
+func (n *Node) ownChanged(fresh bool) {
+	r := n.control.own.Record()
+	n.gateMu.Lock()
+	if r.Phase == directory.Serving {
+		n.gate.Open(r.Slots, fresh)
+	} else {
+		n.gate.Close()
+	}
+	n.gateMu.Unlock()
+	n.control.directory.Merge(r)
+	n.publish()
+	n.controlLog.Info("own server changed", "instance", r.Instance, "service", r.Service, "phase", r.Phase.String(),
+		"generation", r.Generation, "slots", r.Slots)
+	n.records.want(r)
+	n.announce()
+}
+
+// merge takes records that were heard, by what way is for the log.
+func (n *Node) merge(from string, records []directory.Record) {
+	for _, r := range records {
+		if r.Host == n.ip && n.control.own.Recall(r) {
+			n.ownChanged(true)
+		}
+	}
+	news := n.control.directory.Merge(records...)
+	if len(news) == 0 {
+		return
+	}
+	for _, r := range news {
+		n.controlLog.Info("server record", "host", r.Host, "instance", r.Instance, "service", r.Service,
+			"phase", r.Phase.String(), "generation", r.Generation, "from", from)
+	}
+	n.publish()
+}
+
+// Heartbeat takes a heartbeat of the backend server on this VM. For one that drains it returns when that
+// is recorded beyond this process, or can't be for now; this node itself sends it nothing from then on.
+func (n *Node) Heartbeat(ctx context.Context, r directory.Registration) {
+	generation := make(chan int64, 1)
+	n.do(func() {
+		before := n.control.own.Record()
+		if n.control.own.Heartbeat(r) {
+			n.ownChanged(before.Instance != r.Instance)
+		}
+		generation <- n.control.own.Record().Generation
+	})
+	g := <-generation
+	if r.Draining {
+		n.records.await(ctx, g)
+	}
+}
+
+// Leave takes the word of the backend server that it ends.
+func (n *Node) Leave(ctx context.Context, instance string) {
+	generation := make(chan int64, 1)
+	n.do(func() {
+		if n.control.own.Leave(instance) {
+			n.ownChanged(false)
+		}
+		generation <- n.control.own.Record().Generation
+	})
+	n.records.await(ctx, <-generation)
+}
+
+// withPort returns the host with the port of another address.
+func withPort(host, addr string) string {
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return host
+	}
+	return net.JoinHostPort(host, port)
+}
--- /dev/null
+++ b/pkg/mesh/dump.go
@@ -0,0 +1,41 @@
+package mesh
+
+import (
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// Dump is the state of a node, with the names that its logs use.
+type Dump struct {
+	Host     string             `json:"host"`
+	Epoch    int64              `json:"epoch"`
+	Version  int64              `json:"version"`
+	Stopping bool               `json:"stopping"`
+	InUse    int64              `json:"in_progress"`
+	Gate     gate.Reading       `json:"gate"`
+	Records  []directory.Record `json:"records"`
+}
+
+// Dump returns the state of the node.
+func (n *Node) Dump() Dump {
+	d := Dump{Host: n.ip, Epoch: n.epoch, Stopping: n.stop.leaving(), InUse: n.stop.busy.Load()}
+	if s := n.state.Load(); s != nil {
+		d.Version = s.Version
+	}
+	n.gateMu.Lock()
+	d.Gate = n.gate.Read()
+	n.gateMu.Unlock()
+	records := make(chan []directory.Record, 1)
+	n.do(func() { records <- n.control.directory.All() })
+	d.Records = <-records
+	return d
+}
+
+// Reload takes over what may change while the node runs: the seeds and the mesh bounds.
+func (n *Node) Reload(cfg settings.Settings) {
+	n.do(func() {
+		n.cfg.Seeds = cfg.Seeds
+		n.controlLog.Info("settings", "seeds", cfg.Seeds)
+	})
+}
--- /dev/null
+++ b/pkg/mesh/forward.go
@@ -0,0 +1,166 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// delivery is the story of one request at the node where it began.
+type delivery struct {
+	n        *Node
+	q        *request
+	route    *desired.Route
+	tried    []*peer
+	arrivals int // backend servers that it reached, or may have reached
+}
+
+// run sends the request until it is answered or given up.
+func (d *delivery) run(ctx context.Context) *answer {
+	var last *answer
+	for {
+		if ctx.Err() != nil {
+			return d.giveUp(last, wire.ReasonDeadline)
+		}
+		p := choose(d.n.clock.Now(), d.n.view.Load().services[d.q.Service], d.tried)
+		if p == nil {
+			return d.giveUp(last, wire.ReasonNoServer)
+		}
+		d.tried = append(d.tried, p)
+		a := d.send(ctx, p)
+		if a.arrived {
+			d.arrivals++
+		}
+		if a.outcome == wire.Ran || a.canceled {
+			return a
+		}
+		if !d.again(a) {
+			return d.giveUp(a, a.reason)
+		}
+		d.n.callLog.Info("sent again", "request", d.q.id, "route", d.route.Name, "peer", p.host,
+			"outcome", a.outcome, "reason", a.reason, "arrivals", d.arrivals)
+		if last == nil || last.outcome != wire.Unknown {
+			last = a
+		}
+	}
+}
+
+// again tells whether a request that wasn't answered may be sent to another server.
+func (d *delivery) again(a *answer) bool {
+	if d.q.stream != nil {
+		return false // part of the body may be gone
+	}
+	if a.outcome == wire.Unknown && d.q.Once {
+		return false
+	}
+	if !a.arrived {
+		return true // the gate's refusal is no arrival: going on costs nothing
+	}
+	return d.arrivals < max(d.route.MaxAttempts, 1) && d.n.mayRepeat(d.q)
+}
+
+// giveUp returns the final answer of a request that no server answered. It says that the request hasn't
+// run only if that is certain.
+func (d *delivery) giveUp(last *answer, reason wire.Reason) *answer {
+	if last != nil && last.outcome == wire.Unknown {
+		return last
+	}
+	return refused(reason)
+}
+
+// send hands the request to one server, through the node beside it.
+func (d *delivery) send(ctx context.Context, p *peer) *answer {
+	p.inflight.Add(1)
+	defer p.inflight.Add(-1)
+	if p.local {
+		a := d.n.backend.serve(ctx, d.q)
+		p.heard(d.n.clock.Now(), d.n.replyHeader(a))
+		return a
+	}
+	left := d.q.deadline.Sub(d.n.clock.Now())
+	if left <= 0 {
+		return refused(wire.ReasonDeadline)
+	}
+	h := d.q.header.Clone()
+	h.Set(headerCall, d.q.encode())
+	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	res, err := p.pool.Do(ctx, &httpconn.Request{
+		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h,
+		Body: d.q.body, Stream: d.q.stream, StreamLen: d.q.length,
+	})
+	if err != nil {
+		return d.peerFailed(p, err)
+	}
+	r, err := parseReply(res.Header.Get(headerReply))
+	if err != nil {
+		_ = res.Body.Close() // what is there isn't a node's answer
+		d.n.callLog.Warn("peer answer refused", "request", d.q.id, "peer", p.host, "err", err)
+		return lost(wire.ReasonLost)
+	}
+	p.heard(d.n.clock.Now(), r)
+	d.n.noticeVersion(p.host, r.Version)
+	return d.read(p, res, r)
+}
+
+// read takes the rest of a node's answer.
+func (d *delivery) read(p *peer, res *httpconn.Response, r reply) *answer {
+	a := &answer{outcome: r.Outcome, reason: r.Reason, arrived: r.ByServer, status: res.Status}
+	if r.Outcome != wire.Ran {
+		if err := drainBody(res); err != nil {
+			d.n.callLog.Debug("rest of a refusal lost", "peer", p.host, "err", err)
+		}
+		return a
+	}
+	a.arrived = true
+	a.header = endToEnd(res.Header)
+	if err := a.readWhole(res); err != nil {
+		return d.peerFailed(p, err)
+	}
+	return a
+}
+
+// peerFailed judges an exchange with a node that gave no whole answer.
+func (d *delivery) peerFailed(p *peer, err error) *answer {
+	if ended(err) {
+		a := lost(wire.ReasonDeadline)
+		a.canceled = true
+		return a
+	}
+	if p.failed(d.n.clock.Now()) {
+		d.n.callLog.Warn("peer set aside", "peer", p.host, "request", d.q.id, "err", err)
+	}
+	if unsent(err) {
+		return refused(wire.ReasonNoServer)
+	}
+	return lost(wire.ReasonLost)
+}
+
+// retryBase is the least time after which a refused client is told to come back.
+const retryBase = 200 * time.Millisecond
+
+// writeFinal answers a client.
+func (n *Node) writeFinal(w http.ResponseWriter, q *request, a *answer) {
+	if n.stop.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if a.outcome == wire.Ran {
+		a.write(w)
+		return
+	}
+	status := http.StatusBadGateway
+	switch {
+	case a.outcome == wire.NotRun:
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", retryAfter(n.comeBack(q)))
+	case a.canceled:
+		status = http.StatusGatewayTimeout
+	}
+	w.Header().Set(n.names.AttemptID, q.id)
+	w.Header().Set(wire.HeaderReason, string(a.reason))
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/pkg/mesh/inbound_server.go
@@ -0,0 +1,91 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// inboundHandler serves other nodes: their requests to this VM's backend server, and exchanges.
+func (n *Node) inboundHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == exchangePath && r.Header.Get(headerCall) == "" {
+			n.serveExchange(w, r)
+			return
+		}
+		n.serveInbound(w, r)
+	})
+}
+
+func (n *Node) serveInbound(w http.ResponseWriter, r *http.Request) {
+	c, err := parseCall(r.Header.Get(headerCall))
+	if err != nil {
+		n.callLog.Warn("peer request refused", "err", err, "peer", r.RemoteAddr)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	done := n.stop.begin()
+	defer done()
+	n.noticeVersion(r.RemoteAddr, c.Version)
+	q, err := n.newRequest(r, c, 0)
+	var a *answer
+	if err != nil {
+		a = refused(wire.ReasonBadRequest)
+	} else {
+		ctx, cancel := context.WithDeadline(r.Context(), q.deadline.Add(inboundGrace))
+		defer cancel()
+		a = n.backend.serve(ctx, q)
+	}
+	n.reply(w, a)
+}
+
+// inboundGrace is how long past a request's deadline the answer is still awaited: the sender's own clock
+// ends it, and a little delay on the way must not break off what is just ready.
+const inboundGrace = 100 * time.Millisecond
+
+// reply answers the node that sent a request.
+func (n *Node) reply(w http.ResponseWriter, a *answer) {
+	w.Header().Set(headerReply, n.replyHeader(a).encode())
+	if n.stop.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if a.outcome == wire.Ran {
+		a.write(w)
+		return
+	}
+	w.Header()["Content-Type"] = nil
+	w.Header()["Date"] = nil
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// replyHeader puts the load of this VM's server beside what became of a request.
+func (n *Node) replyHeader(a *answer) reply {
+	n.gateMu.Lock()
+	g := n.gate.Read()
+	n.gateMu.Unlock()
+	r := reply{
+		Outcome: a.outcome, Reason: a.reason, ByServer: a.arrived,
+		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Hold: g.Hold,
+		Success: int(g.Success*100 + 0.5), Stopping: n.stop.leaving(),
+	}
+	if s := n.state.Load(); s != nil {
+		r.Version = s.Version
+	}
+	return r
+}
+
+// newRequest reads a request; most bounds its body, 0 for no bound.
+func (n *Node) newRequest(r *http.Request, c call, most int64) (*request, error) {
+	q := &request{
+		call: c, id: r.Header.Get(n.names.AttemptID), method: r.Method, uri: r.RequestURI, host: r.Host,
+		header: endToEnd(r.Header),
+	}
+	left := millis(r.Header.Get(n.names.TimeLeft))
+	if left == 0 {
+		left = defaultTimeLeft
+	}
+	q.deadline = n.clock.Now().Add(left)
+	return q, q.readBody(r, most)
+}
--- /dev/null
+++ b/pkg/mesh/mesh_options.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// HeaderNames are the headers that clients, nodes and backend servers use.
+type HeaderNames struct {
+	AttemptID string // identity of one attempt of a client
+	TimeLeft  string // milliseconds that the caller will still wait
+	Seal      string // a backend server's proof that the answer is its own
+	Instance  string // the start of the backend server that is meant
+	NotRun    string // set by a backend server that refuses
+	Caller    string // the service beside which the request began
+}
+
+// Store is what a node needs of the platform's store. Each call has its deadline from the context.
+type Store struct {
+	// ReadState returns the newest desired state as it was written, nil if there is none, and the
+	// version of the store from which changes are to be followed.
+	ReadState func(ctx context.Context) (data []byte, next int64, err error)
+	// FollowState waits for a change after the version; data is nil if there was none in time. The error
+	// is a *HistoryGoneError if the state must be read again.
+	FollowState func(ctx context.Context, after int64) (data []byte, next int64, err error)
+	// ReadRecords returns the records of all VMs.
+	ReadRecords func(ctx context.Context) ([]directory.Record, error)
+	// WriteRecord stores this VM's record. Nobody else writes it, so doing it twice does no harm.
+	WriteRecord func(ctx context.Context, r directory.Record) error
+}
+
+// HistoryGoneError reports that the store has forgotten what changed since a version.
+type HistoryGoneError struct{ After int64 }
+
+// Error says so.
+func (e *HistoryGoneError) Error() string { return "the store's history is gone" }
+
+// Options are what a Node is made of.
+type Options struct {
+	Settings settings.Settings
+	Names    HeaderNames
+	Store    Store
+	// Decode reads a desired state; the error names the field.
+	Decode func(data []byte) (*desired.State, error)
+	// Control returns the handler for the backend server's registrations and for the readiness check.
+	Control func(n *Node) http.Handler
+	Clock   clock.Clock
+	Logger  func(part string) *slog.Logger
+}
+
+// The bounds of connections and waits.
+const (
+	// dialTime bounds the making of a connection between nodes: zones are about a millisecond apart, and
+	// a lost opening packet is sent again after a second at the earliest.
+	dialTime = 350 * time.Millisecond
+	// backendDialTime bounds the making of a connection on this VM.
+	backendDialTime = time.Second
+	// probeAfter, probeEvery and unackedTime find a dead connection within about a second, so that a cut
+	// isn't waited out.
+	probeAfter  = 400 * time.Millisecond
+	probeEvery  = 300 * time.Millisecond
+	probeCount  = 2
+	unackedTime = time.Second
+	// bufferedBody is the largest body that is held whole, so that it can be sent again, or found broken
+	// before any of it is passed on.
+	bufferedBody = 128 << 10
+	// defaultTimeLeft is used where neither the client nor the route says how long a request may take.
+	defaultTimeLeft = 30 * time.Second
+)
--- /dev/null
+++ b/pkg/mesh/network.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is the number of the socket option TCP_USER_TIMEOUT on Linux, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// dialer makes connections from this VM's address that notice a dead peer within about a second.
+func dialer(ip string, timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:   timeout,
+		LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)},
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var serr error
+			err := c.Control(func(fd uintptr) {
+				serr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return serr
+		},
+	}
+}
+
+// dialFunc returns a function that connects to one address.
+func dialFunc(ip, addr string, timeout time.Duration) func(context.Context) (net.Conn, error) {
+	d := dialer(ip, timeout)
+	return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+}
+
+// storeIdle is how long a connection to the store rests.
+const storeIdle = 30 * time.Second
+
+// NewStoreHTTP returns the HTTP client for the store, from the address of this VM.
+func NewStoreHTTP(ip string) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer(ip, storeCallTime).DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     storeIdle,
+		DisableCompression:  true,
+	}}
+}
--- /dev/null
+++ b/pkg/mesh/node.go
@@ -0,0 +1,171 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// Node is one daemon of the mesh.
+type Node struct {
+	cfg    settings.Settings
+	names  HeaderNames
+	store  Store
+	decode func([]byte) (*desired.State, error)
+	clock  clock.Clock
+	ip     string
+	epoch  int64 // tells this life of the process from earlier ones
+
+	callLog, controlLog *slog.Logger
+
+	state   atomic.Pointer[desired.State]
+	fresh   atomic.Int64 // when the desired state was last confirmed, in Unix nanoseconds
+	view    atomic.Pointer[view]
+	stop    stopState
+	backend *backend
+
+	gateMu sync.Mutex
+	gate   gate.Gate
+
+	peersMu sync.Mutex
+	peers   map[string]*peer
+
+	events  chan func()
+	control controlState
+	records recordWriter
+
+	servers []*http.Server
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// view is what requests see of the control state.
+type view struct {
+	services map[string][]*peer // servers that take work, by service
+	own      directory.Record
+	self     *peer
+}
+
+// New returns a node that isn't started.
+func New(o Options) (*Node, error) {
+	host, _, err := net.SplitHostPort(o.Settings.Listen.Peers)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen.peers")
+	}
+	n := &Node{
+		cfg: o.Settings, names: o.Names, store: o.Store, decode: o.Decode, clock: o.Clock,
+		ip: host, epoch: o.Clock.Now().UnixMilli(),
+		callLog: o.Logger("call"), controlLog: o.Logger("control"),
+		peers:  make(map[string]*peer),
+		events: make(chan func(), eventQueue),
+	}
+	n.backend = newBackend(n)
+	n.control.own.Host = host
+	n.records.init()
+	n.view.Store(&view{})
+	n.servers = []*http.Server{
+		n.newServer(o.Settings.Listen.Peers, n.inboundHandler()),
+		n.newServer(o.Settings.Listen.Outbound, n.outboundHandler()),
+	}
+	control := o.Control(n)
+	n.servers = append(n.servers, n.newServer(o.Settings.Listen.Control, control))
+	if o.Settings.Listen.Ready != o.Settings.Listen.Control {
+		n.servers = append(n.servers, n.newServer(o.Settings.Listen.Ready, control))
+	}
+	return n, nil
+}
+
+// eventQueue is how many control events may wait.
+const eventQueue = 1024
+
+// Start binds the listeners and starts control work.
+func (n *Node) Start(ctx context.Context) error {
+	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	for _, s := range n.servers {
+		if err := n.listen(s); err != nil {
+			n.cancel()
+			return err
+		}
+	}
+	n.run(func() { n.controlLoop(ctx) })
+	n.run(func() { n.followState(ctx) })
+	n.run(func() { n.syncRecords(ctx) })
+	n.run(func() { n.writeRecords(ctx) })
+	n.controlLog.Info("started", "host", n.ip, "zone", n.cfg.Zone, "service", n.cfg.Service, "epoch", n.epoch)
+	return nil
+}
+
+func (n *Node) run(f func()) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		f()
+	}()
+}
+
+// listen binds a server's address and serves it until it is closed.
+func (n *Node) listen(s *http.Server) error {
+	ln, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Addr)
+	}
+	n.run(func() {
+		if err := s.Serve(ln); err != nil && !isClosed(err) {
+			n.controlLog.Error("listener ended", "address", s.Addr, "err", err)
+		}
+	})
+	return nil
+}
+
+func isClosed(err error) bool {
+	return eris.Is(err, http.ErrServerClosed) || eris.Is(err, net.ErrClosed)
+}
+
+// The bounds of inbound connections, where the desired state doesn't set them.
+const (
+	// headerTime is the longest time for a request's header.
+	headerTime = 5 * time.Second
+	// idleTime is how long a kept connection may rest: clients use theirs again after four fifths of what
+	// the operator allows, so this is well above.
+	idleTime = 90 * time.Second
+	// headerBytes bounds a request's header.
+	headerBytes = 64 << 10
+)
+
+func (n *Node) newServer(addr string, h http.Handler) *http.Server {
+	return &http.Server{
+		Addr: addr, Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(n.callLog.Handler(), slog.LevelDebug),
+	}
+}
+
+// Ready tells whether this node can serve.
+func (n *Node) Ready() bool { return n.state.Load() != nil && !n.stop.leaving() }
+
+// jitter returns a random time from half of d to one and a half of it, so that nodes don't act in step.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// sleep waits, and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/mesh/outbound_server.go
@@ -0,0 +1,137 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// outboundHandler serves clients and the backend server on this VM.
+func (n *Node) outboundHandler() http.Handler { return http.HandlerFunc(n.serveOutbound) }
+
+func (n *Node) serveOutbound(w http.ResponseWriter, r *http.Request) {
+	done := n.stop.begin()
+	defer done()
+	state := n.state.Load()
+	if state == nil {
+		n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusServiceUnavailable)
+		return
+	}
+	route := state.Match(r.Host, r.RequestURI)
+	if route == nil {
+		n.noRoute(w, r)
+		return
+	}
+	if r.Header.Get(n.names.AttemptID) == "" {
+		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
+		return
+	}
+	inner := n.fromBackend(r)
+	c := call{
+		Service: pickTarget(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
+		Inner: inner, Once: route.Kind == desired.Once, Version: state.Version,
+	}
+	q, err := n.newRequest(r, c, state.Limits.BodyBytes)
+	if err != nil {
+		n.refuseBody(w, r, err)
+		return
+	}
+	if n.stop.refuses() && !inner {
+		n.writeFinal(w, q, refused(wire.ReasonLeaving))
+		return
+	}
+	n.serveRouted(w, r, q, route)
+}
+
+// serveRouted admits and sends a request whose route is known.
+func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request, q *request, route *desired.Route) {
+	if route.Timeout > 0 {
+		if end := n.clock.Now().Add(route.Timeout); end.Before(q.deadline) {
+			q.deadline = end
+		}
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	d := &delivery{n: n, q: q, route: route}
+	a := d.run(ctx)
+	if a.outcome != wire.Ran && r.Context().Err() == nil {
+		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
+			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version)
+	}
+	n.writeFinal(w, q, a)
+}
+
+// fromBackend tells whether a request is a call of the backend server on this VM.
+func (n *Node) fromBackend(r *http.Request) bool {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && host == n.ip
+}
+
+// stateTrusted is how long a desired state may go unconfirmed while its word is still taken that a route isn't there.
+const stateTrusted = time.Second
+
+// noRoute answers a request that no route matches; where the desired state may be old, the route may well exist.
+func (n *Node) noRoute(w http.ResponseWriter, r *http.Request) {
+	if n.clock.Now().UnixNano()-n.fresh.Load() > int64(stateTrusted) {
+		n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusServiceUnavailable)
+		return
+	}
+	n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusNotFound)
+}
+
+func (n *Node) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	status := http.StatusBadRequest
+	var b *bodyError
+	if errors.As(err, &b) {
+		status = b.status
+	}
+	n.refuseUnrouted(w, r, wire.ReasonBadRequest, status)
+}
+
+// refuseUnrouted answers a request that can't be sent anywhere.
+func (n *Node) refuseUnrouted(w http.ResponseWriter, r *http.Request, reason wire.Reason, status int) {
+	id := r.Header.Get(n.names.AttemptID)
+	n.callLog.Info("refused", "request", id, "host", r.Host, "path", r.URL.Path, "reason", reason, "status", status)
+	h := w.Header()
+	if id != "" {
+		h.Set(n.names.AttemptID, id)
+	}
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfter(jitter(retryBase)))
+	}
+	if n.stop.leaving() {
+		h.Set("Connection", "close")
+	}
+	h.Set(wire.HeaderReason, string(reason))
+	w.WriteHeader(status)
+}
+
+// pickTarget chooses the service of a split route by weight.
+func pickTarget(r *desired.Route) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	k := rand.IntN(total)
+	for _, t := range r.Targets {
+		if k -= t.Weight; k < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+// comeBack returns when a refused client should try again.
+func (n *Node) comeBack(q *request) time.Duration { return jitter(retryBase) }
+
+// mayRepeat tells whether the budget lets a request reach one more server.
+func (n *Node) mayRepeat(q *request) bool { return true }
--- /dev/null
+++ b/pkg/mesh/peer.go
@@ -0,0 +1,129 @@
+package mesh
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
+)
+
+// peer is another node, or this one, as a way to the backend server beside it.
+type peer struct {
+	host  string
+	local bool
+	pool  *httpconn.Pool
+
+	near     atomic.Bool // in this node's availability zone
+	slots    atomic.Int64
+	stopping atomic.Bool
+	inflight atomic.Int64 // sent by this node and not ended
+
+	mu       sync.Mutex
+	load     serverLoad
+	failures int
+	asideTil time.Time
+}
+
+// serverLoad is what a server's node last told of it.
+type serverLoad struct {
+	others  int64 // running and queued, without those of this node
+	limit   float64
+	hold    time.Duration
+	success float64 // share of good answers
+	at      time.Time
+}
+
+// The constants of setting a peer aside.
+const (
+	asideFirst = 250 * time.Millisecond
+	asideMost  = 4 * time.Second
+	// loadStale is how long a told load counts.
+	loadStale = 2 * time.Second
+)
+
+// get returns the peer of a VM, made if it is new.
+func (n *Node) peer(host string) *peer {
+	n.peersMu.Lock()
+	defer n.peersMu.Unlock()
+	p, ok := n.peers[host]
+	if !ok {
+		addr := withPort(host, n.cfg.Listen.Peers)
+		p = &peer{
+			host: host, local: host == n.ip,
+			pool: &httpconn.Pool{Dial: dialFunc(n.ip, addr, dialTime), Clock: n.clock, Idle: peerIdle},
+		}
+		n.peers[host] = p
+	}
+	return p
+}
+
+// peerIdle is how long a connection between nodes rests; it is far below idleTime, so that no request
+// crosses the other side's close.
+const peerIdle = 30 * time.Second
+
+// describe takes over what a record says of the peer's server.
+func (p *peer) describe(r directory.Record, zone string) {
+	p.near.Store(r.Zone == zone)
+	p.slots.Store(int64(r.Slots))
+}
+
+// heard takes the load that came with an answer, and ends the time aside.
+func (p *peer) heard(now time.Time, r reply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.load = serverLoad{
+		others: max(int64(r.Running+r.Queued)-p.inflight.Load(), 0),
+		limit:  float64(r.Limit), hold: r.Hold, success: float64(r.Success) / 100, at: now,
+	}
+	p.failures, p.asideTil = 0, time.Time{}
+	p.stopping.Store(r.Stopping)
+}
+
+// alive ends the time aside: the node was heard.
+func (p *peer) alive() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures, p.asideTil = 0, time.Time{}
+}
+
+// failed sets the peer aside for a growing time; it reports whether it was in use before.
+func (p *peer) failed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !now.Before(p.asideTil)
+	if first {
+		p.asideTil = now.Add(min(asideFirst<<min(p.failures, 6), asideMost))
+		p.failures++
+	}
+	return first
+}
+
+// usable tells whether the peer isn't set aside.
+func (p *peer) usable(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !now.Before(p.asideTil)
+}
+
+// estimate returns the peer's use, 1 when every slot that counts is taken, and the time that a request takes there.
+func (p *peer) estimate(now time.Time) (use float64, hold time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	capacity := float64(p.slots.Load())
+	others := int64(0)
+	success := 1.0
+	if p.load.limit > 0 {
+		capacity = p.load.limit
+		hold = p.load.hold
+	}
+	if now.Sub(p.load.at) < loadStale {
+		others = p.load.others
+		success = max(p.load.success, leastSuccess)
+	}
+	return float64(p.inflight.Load()+others+1) / max(capacity*success*success, 0.5), hold
+}
+
+// leastSuccess bounds how little a failing server counts for, so that it is still tried.
+const leastSuccess = 0.1
--- /dev/null
+++ b/pkg/mesh/peer_protocol.go
@@ -0,0 +1,109 @@
+package mesh
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// headerCall and headerReply carry what nodes tell each other beside a request and its answer. They are
+// short, since bytes between availability zones are paid for.
+const (
+	headerCall  = "Rs-C"
+	headerReply = "Rs-R"
+)
+
+// call is what a node tells the node beside the chosen server.
+type call struct {
+	Service  string
+	Route    string
+	Caller   string // service of the VM on which the request began
+	Priority int
+	Inner    bool
+	Once     bool
+	Version  int64 // desired state that the request came in with
+}
+
+// reply is what that node tells beside an answer or refusal.
+type reply struct {
+	Outcome   wire.Outcome
+	Reason    wire.Reason
+	ByServer  bool // the refusal is the server's own: it counts as an arrival there
+	Running   int
+	Queued    int
+	Limit     int
+	Hold      time.Duration
+	Success   int // good answers of the server in a hundred
+	Version   int64
+	Stopping  bool
+	ServiceIs string // service of the server, if it isn't the one that was called
+}
+
+// ProtocolError reports a header between nodes that can't be read.
+type ProtocolError struct {
+	Header string
+	Value  string
+}
+
+// Error names the header and its value.
+func (e *ProtocolError) Error() string { return fmt.Sprintf("peer header %s: %q", e.Header, e.Value) }
+
+func (c call) encode() string {
+	return fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, flags(c.Inner, c.Once), c.Version)
+}
+
+// flags packs up to ten booleans into a short number.
+func flags(bits ...bool) string {
+	n := 0
+	for i, b := range bits {
+		if b {
+			n |= 1 << i
+		}
+	}
+	return strconv.Itoa(n)
+}
+
+func parseCall(v string) (call, error) {
+	f := strings.Split(v, ",")
+	if len(f) != 6 {
+		return call{}, &ProtocolError{headerCall, v}
+	}
+	prio, err1 := strconv.Atoi(f[3])
+	bits, err2 := strconv.Atoi(f[4])
+	version, err3 := strconv.ParseInt(f[5], 10, 64)
+	if err1 != nil || err2 != nil || err3 != nil {
+		return call{}, &ProtocolError{headerCall, v}
+	}
+	return call{
+		Service: f[0], Route: f[1], Caller: f[2], Priority: prio,
+		Inner: bits&1 != 0, Once: bits&2 != 0, Version: version,
+	}, nil
+}
+
+func (r reply) encode() string {
+	return fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d,%s", r.Outcome, r.Reason, flags(r.ByServer, r.Stopping),
+		r.Running, r.Queued, r.Limit, r.Hold.Microseconds(), r.Success, r.Version, r.ServiceIs)
+}
+
+func parseReply(v string) (reply, error) {
+	f := strings.Split(v, ",")
+	if len(f) != 10 {
+		return reply{}, &ProtocolError{headerReply, v}
+	}
+	var n [7]int64
+	for i := range n {
+		var err error
+		if n[i], err = strconv.ParseInt(f[i+2], 10, 64); err != nil {
+			return reply{}, &ProtocolError{headerReply, v}
+		}
+	}
+	return reply{
+		Outcome: wire.Outcome(f[0]), Reason: wire.Reason(f[1]),
+		ByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0,
+		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
+		Hold: time.Duration(n[4]) * time.Microsecond, Success: int(n[5]), Version: n[6], ServiceIs: f[9],
+	}, nil
+}
--- /dev/null
+++ b/pkg/mesh/stop_state.go
@@ -0,0 +1,65 @@
+package mesh
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// stopState is where a planned stop stands, and what is in progress.
+type stopState struct {
+	since    atomic.Int64 // when leaving began, in Unix nanoseconds; 0: it hasn't
+	refusing atomic.Bool
+	busy     atomic.Int64
+}
+
+func (s *stopState) leaving() bool { return s.since.Load() != 0 }
+
+// refuses tells whether new requests of clients are turned away.
+func (s *stopState) refuses() bool { return s.refusing.Load() }
+
+// begin counts a request in progress; the returned function ends it.
+func (s *stopState) begin() func() {
+	s.busy.Add(1)
+	return func() { s.busy.Add(-1) }
+}
+
+// The times of a planned stop.
+const (
+	// stillServing is how long new requests are served after the stop began: clients that use their open
+	// connections learn only by the answers that they should go, and the platform needs two checks of
+	// readiness, a second apart, to send no new ones.
+	stillServing = 3300 * time.Millisecond
+	// stopMargin is kept free before the platform kills the process.
+	stopMargin = 400 * time.Millisecond
+	// stopPoll is the time between looks at whether all requests have ended.
+	stopPoll = 20 * time.Millisecond
+)
+
+// Stop leaves in order: not ready at once, serving on for a while, ending when nothing is in progress.
+func (n *Node) Stop(ctx context.Context) error {
+	begun := n.clock.Now()
+	n.stop.since.Store(begun.UnixNano())
+	n.controlLog.Info("stopping", "in_progress", n.stop.busy.Load())
+	n.do(n.announce)
+	end := begun.Add(n.cfg.Mesh.Grace - stopMargin)
+	for ctx.Err() == nil {
+		now := n.clock.Now()
+		if now.Sub(begun) >= stillServing {
+			n.stop.refusing.Store(true)
+			if n.stop.busy.Load() == 0 || !now.Before(end) {
+				break
+			}
+		}
+		sleep(ctx, stopPoll)
+	}
+	n.controlLog.Info("stopped", "in_progress", n.stop.busy.Load())
+	n.cancel()
+	for _, s := range n.servers {
+		if err := s.Close(); err != nil && !isClosed(err) {
+			n.controlLog.Warn("listener can't be closed", "address", s.Addr, "err", err)
+		}
+	}
+	n.running.Wait()
+	return nil
+}
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/routing"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // The periods of the care for key ranges: how often it looks, how long a new service's nodes are waited
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,10 +20,10 @@
 	"github.com/rockspoke/rockspoke/pkg/level"
 	"github.com/rockspoke/rockspoke/pkg/metric"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/repeat"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // Node is one running daemon.
--- a/pkg/node/node_options.go
+++ b/pkg/node/node_options.go
@@ -8,8 +8,8 @@
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/keys"
 	"github.com/rockspoke/rockspoke/pkg/metric"
-	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // Network opens a daemon's sockets; its functions are seams for faults. Nil ones use the machine's network.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -25,6 +25,7 @@
 	OnceOnly  OnceOnly   `yaml:"onceOnly,omitempty"`
 	Limits    Limits     `yaml:"limits,omitempty"`
 	Control   Control    `yaml:"control,omitempty"`
+	Mesh      *Mesh      `yaml:"mesh,omitempty"` // set: the daemon is a node of a mesh
 }
 
 // Listen holds the addresses that a daemon binds, as IP:port; an empty one isn't bound.
@@ -33,6 +34,9 @@
 	Peers     string `yaml:"peers"`               // HTTP/3 over UDP, from daemons
 	Outbound  string `yaml:"outbound,omitempty"`  // HTTP, from the backend server on this VM
 	Operators string `yaml:"operators,omitempty"` // HTTPS, from operators
+	Control   string `yaml:"control,omitempty"`   // HTTP, registrations of the backend server on this VM; mesh only
+	Ready     string `yaml:"ready,omitempty"`     // HTTP, the platform's readiness checks; mesh only
+	Metrics   string `yaml:"metrics,omitempty"`   // HTTP, metrics as text; mesh only
 }
 
 // Backend is the backend server on this VM.
@@ -125,6 +129,9 @@
 	fill(&s.Control.PollHead, DefaultPollHead)
 	fill(&s.Control.PollList, DefaultPollList)
 	fill(&s.Control.Neighbors, DefaultNeighbors)
+	if s.Mesh != nil {
+		s.Mesh.fill()
+	}
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
--- a/pkg/settings/settings_check.go
+++ b/pkg/settings/settings_check.go
@@ -84,8 +84,12 @@
 	if p := s.Backend.DrainPath; p != "" && !strings.HasPrefix(p, "/") {
 		c.fail("backend.drainPath", "must start with '/'")
 	}
+	if s.Mesh != nil {
+		c.mesh(s)
+	} else {
+		c.keyFiles(s)
+	}
 	c.platform(s.Platform)
-	c.keyFiles(s)
 	c.levels(s.Log)
 	c.durations(s)
 	c.numbers(s)
@@ -104,6 +108,8 @@
 		{"listen.callers", s.Listen.Callers},
 		{"listen.outbound", s.Listen.Outbound},
 		{"listen.operators", s.Listen.Operators},
+		{"listen.control", s.Listen.Control},
+		{"listen.metrics", s.Listen.Metrics},
 		{"backend.address", s.Backend.Address},
 	} {
 		if l.addr == "" {
