Nodes know each other from the start: records are read after each own write

Change: a node reads all records after it has written its own; a followed store counts as confirmed.

--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -23,6 +23,7 @@
 		if errors.As(err, &gone) {
 			next = -1
 		}
+		n.following.Store(false)
 		n.controlLog.Warn("desired state not followed", "err", err)
 		sleep(ctx, jitter(wait))
 		wait = min(2*wait, storeRetryMost)
@@ -44,7 +45,7 @@
 	if err != nil {
 		return next, err
 	}
-	n.fresh.Store(n.clock.Now().UnixNano())
+	n.following.Store(true)
 	if data != nil {
 		n.takeState("store", data)
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -31,11 +31,12 @@
 
 	callLog, controlLog *slog.Logger
 
-	state   atomic.Pointer[desired.State]
-	fresh   atomic.Int64 // when the desired state was last confirmed, in Unix nanoseconds
-	view    atomic.Pointer[view]
-	stop    stopState
-	backend *backend
+	state atomic.Pointer[desired.State]
+	// following tells that the store is heard: a change of the desired state would be known at once.
+	following atomic.Bool
+	view      atomic.Pointer[view]
+	stop      stopState
+	backend   *backend
 
 	gateMu sync.Mutex
 	gate   gate.Gate
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -62,7 +62,7 @@
 	a := d.run(ctx)
 	if a.outcome != wire.Ran && r.Context().Err() == nil {
 		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
-			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version)
+			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version, "remote", r.RemoteAddr, "inner", q.Inner)
 	}
 	n.writeFinal(w, q, a)
 }
@@ -73,12 +73,9 @@
 	return err == nil && host == n.ip
 }
 
-// stateTrusted is how long a desired state may go unconfirmed while its word is still taken that a route isn't there.
-const stateTrusted = time.Second
-
 // noRoute answers a request that no route matches; where the desired state may be old, the route may well exist.
 func (n *Node) noRoute(w http.ResponseWriter, r *http.Request) {
-	if n.clock.Now().UnixNano()-n.fresh.Load() > int64(stateTrusted) {
+	if !n.following.Load() {
 		n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -15,11 +15,13 @@
 	durable int64 // generation that the store has
 	changed chan struct{}
 	stored  chan struct{} // closed and made anew at each write
+	read    chan struct{} // asks for the records of all VMs
 }
 
 func (w *recordWriter) init() {
 	w.changed = make(chan struct{}, 1)
 	w.stored = make(chan struct{})
+	w.read = make(chan struct{}, 1)
 }
 
 // want asks for a record to be written.
@@ -105,6 +107,7 @@
 		cancel()
 		if err == nil {
 			n.records.done(r.Generation)
+			n.records.askRead()
 			continue
 		}
 		n.controlLog.Warn("record not stored", "generation", r.Generation, "err", err)
@@ -115,7 +118,16 @@
 	}
 }
 
-// syncRecords reads the records of all VMs at the start, and from time to time.
+// askRead asks for the records of all VMs. A node that has written its own then reads those of all that
+// wrote before it, and tells them of itself: so all know all, though nothing lists the VMs.
+func (w *recordWriter) askRead() {
+	select {
+	case w.read <- struct{}{}:
+	default:
+	}
+}
+
+// syncRecords reads the records of all VMs at the start, after each own write, and from time to time.
 func (n *Node) syncRecords(ctx context.Context) {
 	wait := storeRetryFirst
 	if !sleep(ctx, jitter(startSpread)) {
@@ -132,9 +144,19 @@
 			wait = min(2*wait, storeRetryMost)
 		} else {
 			wait = storeRetryFirst
-			n.do(func() { n.merge("store", records) })
+			n.do(func() {
+				n.merge("store", records)
+				n.announce()
+			})
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-n.records.read:
+		case <-ctx.Done():
 		}
-		if !sleep(ctx, pause) {
+		t.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
