Root admission by a learned call graph; budget of repeats; signals taken until the end

Change: nodes report demand, runs and holds; calls are told from roots by where they begin; each kind gets the share that the tightest service below it carries, by priority.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -35,7 +35,9 @@
 		fx.Supply(cfg),
 		fx.Supply(fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(newClock, newFactory, newKeys, newPlatform, metric.NewSet, newNode, newOperator),
-		fx.Invoke(runNode, runOperator, watchSignals),
+		// The last one in is stopped first: signals are taken until the node has stopped, since one that
+		// nobody takes would end the process.
+		fx.Invoke(watchSignals, runNode, runOperator),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTime),
 		fx.StopTimeout(cfg.Backend.StopWait+stopMargin),
--- a/pkg/daemon/mesh_daemon.go
+++ b/pkg/daemon/mesh_daemon.go
@@ -27,8 +27,10 @@
 		fx.Supply(cfg),
 		fx.Supply(fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(newClock, newFactory, newMeshNode),
-		fx.Invoke(runMeshNode),
+		// The last one in is stopped first: signals are taken until the node has stopped, since one that
+		// nobody takes would end the process.
 		fx.Invoke(func(lc fx.Lifecycle, n *mesh.Node, f logging.Factory) { watchMeshSignals(lc, file, n, f) }),
+		fx.Invoke(runMeshNode),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTime),
 		fx.StopTimeout(cfg.Mesh.Grace+time.Second),
--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -72,6 +72,7 @@
 	Limits   Limits
 
 	byHost map[string]map[string]*Route
+	byName map[string]*Route
 }
 
 // InvalidError says which field of a desired state is wrong.
@@ -92,6 +93,7 @@
 		return nil, &InvalidError{"version", fmt.Sprint(s.Version), "must be above 0"}
 	}
 	s.byHost = make(map[string]map[string]*Route)
+	s.byName = make(map[string]*Route)
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		if err := r.check(); err != nil {
@@ -102,6 +104,7 @@
 			s.byHost[host] = make(map[string]*Route)
 		}
 		s.byHost[host][r.Prefix] = r
+		s.byName[r.Name] = r
 	}
 	return &s, nil
 }
@@ -164,3 +167,14 @@
 	}
 	return false
 }
+
+// lowest is the priority of a route that isn't known.
+const lowest = 1 << 10
+
+// Priority returns the priority of a route by its name; one that isn't known comes last.
+func (s *State) Priority(route string) int {
+	if s == nil || s.byName[route] == nil {
+		return lowest
+	}
+	return s.byName[route].Priority
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -51,7 +51,8 @@
 	Running int           `json:"running"`
 	Queued  int           `json:"queued"`
 	Hold    time.Duration `json:"hold_ns"`
-	Success float64       `json:"success"`
+	Success float64       `json:"success"` // share of good answers among those of requests that ran
+	Shed    float64       `json:"shed"`    // share of requests that the server itself refused
 }
 
 // Gate decides for one backend server; it isn't safe for concurrent use.
@@ -63,6 +64,7 @@
 	order   int64
 	hold    time.Duration
 	success float64
+	shed    float64
 	open    bool
 }
 
@@ -72,7 +74,7 @@
 	if slots != g.slots || fresh {
 		g.slots = slots
 		g.limit = float64(slots) * limitShare
-		g.success = 1
+		g.success, g.shed = 1, 0
 	}
 	g.open = true
 }
@@ -173,6 +175,9 @@
 // Done notes that a started request has ended after it held its slot.
 func (g *Gate) Done(now time.Time, held time.Duration, o Outcome) {
 	g.running--
+	if o != Left {
+		g.shed -= successGain * g.shed
+	}
 	switch o {
 	case Answered:
 		g.observe(held)
@@ -181,7 +186,7 @@
 	case Failed:
 		g.success -= successGain * g.success
 	case Shed:
-		g.success -= successGain * g.success
+		g.shed += successGain
 		if float64(g.running) > 0.8*g.limit {
 			g.limit = max(g.limit*shedCut, float64(g.slots)*leastLimitShare)
 		}
@@ -243,5 +248,5 @@
 
 // Read returns the Gate's state.
 func (g *Gate) Read() Reading {
-	return Reading{Limit: g.limit, Running: g.running, Queued: len(g.queue), Hold: g.hold, Success: g.success}
+	return Reading{Limit: g.limit, Running: g.running, Queued: len(g.queue), Hold: g.hold, Success: g.success, Shed: g.shed}
 }
--- /dev/null
+++ b/pkg/mesh/admission.go
@@ -0,0 +1,294 @@
+package mesh
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/overload"
+)
+
+// admissionPlan is what requests see of what was learned; it is never changed once published.
+type admissionPlan struct {
+	shares map[string]overload.Share     // by root route
+	inner  map[string]bool               // routes that only backend servers call
+	runs   map[string]map[string]float64 // runs by service of one request of a route, its calls included
+}
+
+// planPeriod is the time between plans.
+const planPeriod = 200 * time.Millisecond
+
+// takeReports takes over reports of other nodes, and learns from them.
+func (n *Node) takeReports(now time.Time, reports []loadReport) {
+	for i := range reports {
+		r := &reports[i]
+		if r.Host == n.ip || !r.newer(n.control.reports[r.Host]) {
+			continue
+		}
+		r.heard = now
+		n.keepReport(r)
+	}
+}
+
+func (n *Node) keepReport(r *loadReport) {
+	n.control.reports[r.Host] = r
+	runs, calls := callgraph.Rates{}, callgraph.Rates{}
+	for route, x := range r.Runs {
+		runs[route] = x.Rate
+	}
+	for route, e := range r.Entries {
+		if n.isInner(route) {
+			calls[route] = e.Fresh + e.Returning
+		}
+	}
+	n.control.graph.Observe(r.Service, runs, calls)
+}
+
+// isInner tells whether only backend servers call the route, as far as it is known.
+func (n *Node) isInner(route string) bool {
+	p := n.plan.Load()
+	return p != nil && p.inner[route]
+}
+
+// The constants of telling calls from root requests.
+const (
+	// innerShare of a route's requests begin beside servers of one service if it is a call of theirs.
+	// Clients come to the VMs of all services alike.
+	innerShare = 0.97
+	// innerRate is the least rate a second from which that is judged.
+	innerRate = 2.0
+	// innerOrigins is the least number of services beside which requests are seen to begin.
+	innerOrigins = 2
+)
+
+// innerRoutes returns the routes that only the servers of one service call.
+func (n *Node) innerRoutes() map[string]bool {
+	from := map[string]map[string]float64{} // by route, by service beside which it began
+	origins := map[string]bool{}
+	for _, r := range n.control.reports {
+		for route, e := range r.Entries {
+			if from[route] == nil {
+				from[route] = map[string]float64{}
+			}
+			from[route][r.Service] += e.Fresh + e.Returning
+			origins[r.Service] = true
+		}
+	}
+	inner := map[string]bool{}
+	if len(origins) < innerOrigins {
+		return inner
+	}
+	for route, by := range from {
+		sum, most := 0.0, 0.0
+		for _, rate := range by {
+			sum += rate
+			most = max(most, rate)
+		}
+		inner[route] = sum >= innerRate && most >= innerShare*sum || sum < innerRate && n.isInner(route)
+	}
+	return inner
+}
+
+// reportOwn takes this node's own counts.
+func (n *Node) reportOwn(now time.Time) {
+	r := n.stats.report(now)
+	own := n.control.own.Record()
+	r.Host, r.Epoch, r.Service = n.ip, n.epoch, own.Service
+	n.control.reportSeq++
+	r.Seq = n.control.reportSeq
+	n.gateMu.Lock()
+	g := n.gate.Read()
+	n.gateMu.Unlock()
+	r.Limit, r.Shed = round(g.Limit), round(g.Shed)
+	r.heard = now
+	n.keepReport(&r)
+}
+
+// replan works out the shares from the reports that still count.
+func (n *Node) replan(now time.Time) {
+	for host, r := range n.control.reports {
+		if now.Sub(r.heard) > reportLife {
+			delete(n.control.reports, host)
+		}
+	}
+	places := n.places()
+	plan := &admissionPlan{inner: n.innerRoutes(), runs: make(map[string]map[string]float64)}
+	costs := n.control.graph.Costs(places)
+	for route, c := range costs {
+		plan.runs[route] = c.Runs
+	}
+	roots, capacity := n.roots(plan, costs), n.capacity()
+	plan.shares = overload.Plan(roots, capacity)
+	n.logPlan(now, plan, roots, capacity)
+	n.plan.Store(plan)
+}
+
+// places says where each route runs and for how long, by the reports.
+func (n *Node) places() map[string]callgraph.Place {
+	type sums struct {
+		rate, held float64
+		services   map[string]float64
+	}
+	all := map[string]*sums{}
+	for _, r := range n.control.reports {
+		for route, x := range r.Runs {
+			s := all[route]
+			if s == nil {
+				s = &sums{services: map[string]float64{}}
+				all[route] = s
+			}
+			s.rate += x.Rate
+			s.held += x.Rate * x.Hold
+			s.services[r.Service] += x.Rate
+		}
+	}
+	places := make(map[string]callgraph.Place, len(all))
+	for route, s := range all {
+		p := callgraph.Place{Shares: map[string]float64{}, Hold: s.held / s.rate}
+		for service, rate := range s.services {
+			p.Shares[service] = rate / s.rate
+		}
+		places[route] = p
+	}
+	return places
+}
+
+// roots returns the demand for each kind of root request.
+func (n *Node) roots(plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
+	state := n.state.Load()
+	byRoute := map[string]*overload.Root{}
+	for _, r := range n.control.reports {
+		for route, e := range r.Entries {
+			if plan.inner[route] {
+				continue
+			}
+			o := byRoute[route]
+			if o == nil {
+				o = &overload.Root{Route: route, Priority: state.Priority(route), Slots: costs[route].Slots}
+				byRoute[route] = o
+			}
+			o.Fresh += e.Fresh
+			o.Returning += e.Returning
+		}
+	}
+	roots := make([]overload.Root, 0, len(byRoute))
+	for _, r := range byRoute {
+		roots = append(roots, *r)
+	}
+	return roots
+}
+
+// capacity returns the slots of each service that its gates fill with work that succeeds.
+func (n *Node) capacity() map[string]float64 {
+	c := map[string]float64{}
+	for service, peers := range n.view.Load().services {
+		for _, p := range peers {
+			if r := n.control.reports[p.host]; r != nil && r.Limit > 0 {
+				c[service] += r.Limit * (1 - r.Shed)
+			} else if p.usable(n.clock.Now()) {
+				c[service] += float64(p.slots.Load())
+			}
+		}
+	}
+	return c
+}
+
+// planLogPeriod is the time between lines about a plan that holds something down.
+const planLogPeriod = time.Second
+
+// logPlan writes down what decided the shares while some kind is held down.
+func (n *Node) logPlan(now time.Time, plan *admissionPlan, roots []overload.Root, capacity map[string]float64) {
+	held := false
+	demand := map[string]float64{}
+	for _, r := range roots {
+		held = held || plan.shares[r.Route].Fresh < 1
+		for s, cost := range r.Slots {
+			demand[s] += cost * r.Fresh
+		}
+	}
+	if now.Before(n.control.nextPlanLog) || !(held || debugPlan) {
+		return
+	}
+	n.control.nextPlanLog = now.Add(planLogPeriod)
+	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "capacity", capacity, "reports", len(n.control.reports))
+	if debugPlan {
+		for _, r := range roots {
+			n.controlLog.Info("root "+r.Route, "fresh", r.Fresh, "ret", r.Returning, "slots", r.Slots, "runs", plan.runs[r.Route])
+		}
+	}
+}
+
+const debugPlan = true
+
+// admit decides whether a root request is taken in.
+func (n *Node) admit(q *request, left time.Duration) bool {
+	share := overload.Share{Fresh: 1, Returning: 1}
+	if p := n.plan.Load(); p != nil {
+		if s, ok := p.shares[q.Route]; ok {
+			share = s
+		}
+	}
+	ok, returning := n.stats.admit(n.clock.Now(), q.Route, left, share)
+	if !ok {
+		n.callLog.Info("not admitted", "request", q.id, "route", q.Route, "returning", returning,
+			"fresh_share", round(share.Fresh), "returning_share", round(share.Returning))
+	}
+	return ok
+}
+
+// mayRepeat tells whether the budget lets a request reach one more server, and pays for it.
+func (n *Node) mayRepeat(q *request) bool {
+	runs := n.runsOf(q)
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	return n.budget.Take(runs)
+}
+
+// earnRepeats notes a request that a server is about to get for the first time.
+func (n *Node) earnRepeats(q *request) {
+	runs := n.runsOf(q)
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Earn(runs)
+}
+
+// runsOf returns the runs by service that a request causes, as far as they are known.
+func (n *Node) runsOf(q *request) map[string]float64 {
+	if p := n.plan.Load(); p != nil {
+		if runs := p.runs[q.Route]; runs[q.Service] > 0 {
+			return runs
+		}
+	}
+	return map[string]float64{q.Service: 1}
+}
+
+// The constants of the repeat budget.
+const (
+	// repeatRatioShare of the operator's ratio is earned at each level of the graph: a request may be
+	// repeated at several levels above a service, and all of it adds up there.
+	repeatRatioShare = 0.25
+	// repeatBurstShare of the operator's slack is shared out to the nodes.
+	repeatBurstShare = 0.4
+)
+
+// tuneBudget shares the operator's bounds of repeats out to the nodes that are known.
+func (n *Node) tuneBudget() {
+	nodes := max(len(n.control.directory.All()), 1)
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Ratio = n.cfg.Mesh.RetryRatio * repeatRatioShare
+	n.budget.Burst = max(n.cfg.Mesh.RetrySlack*repeatBurstShare/float64(nodes), 1)
+}
+
+// comeBackShare of the time that a client has left is the longest after which it comes back as told.
+const comeBackShare = 1.0 / 3
+
+// comeBack returns when a refused client should try again: an overload takes its time to pass, so as late
+// as the client will still come, spread out so that not all come at once.
+func (n *Node) comeBack(q *request, a *answer) time.Duration {
+	most := time.Duration(float64(q.clientDeadline.Sub(n.clock.Now())) * comeBackShare)
+	if !a.overloaded {
+		most = min(most, 2*retryBase)
+	}
+	return max(most/2+rand.N(max(most/2, 1)), time.Millisecond)
+}
--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -20,11 +20,13 @@
 	reason   wire.Reason
 	arrived  bool // the request reached, or may have reached, a backend server
 	canceled bool // the caller has gone, or its time is up
-	status   int
-	header   http.Header
-	body     []byte
-	stream   io.ReadCloser // the rest of a long body
-	length   int64         // of the whole body; -1: not known
+	// overloaded tells that admission refused the request, which may take a while to pass.
+	overloaded bool
+	status     int
+	header     http.Header
+	body       []byte
+	stream     io.ReadCloser // the rest of a long body
+	length     int64         // of the whole body; -1: not known
 }
 
 func refused(reason wire.Reason) *answer { return &answer{outcome: wire.NotRun, reason: reason} }
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -36,6 +36,9 @@
 	now := b.n.clock.Now()
 	b.n.gate.Done(now, now.Sub(begun), outcome)
 	b.n.gateMu.Unlock()
+	if outcome != gate.Shed {
+		b.n.stats.run(now, q.Route, now.Sub(begun))
+	}
 	return a
 }
 
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -18,12 +18,17 @@
 // choose returns the server to send to, or nil if all were tried or there is none. Servers that are set
 // aside or stopping are taken only if there is no other.
 func choose(now time.Time, list []*peer, tried []*peer) *peer {
+	most := leastSuccess
+	for _, p := range list {
+		_, success := p.estimate(now)
+		most = max(most, success)
+	}
 	for _, last := range []bool{false, true} {
-		near, nearUse := best(now, list, tried, true, last)
+		near, nearUse := best(now, list, tried, most, true, last)
 		if near != nil && nearUse < crowded {
 			return near
 		}
-		far, farUse := best(now, list, tried, false, last)
+		far, farUse := best(now, list, tried, most, false, last)
 		switch {
 		case near == nil && far != nil:
 			return far
@@ -38,7 +43,7 @@
 
 // best returns the less used of two servers taken at random, so that nodes with the same news don't all
 // go to one.
-func best(now time.Time, list, tried []*peer, near, lastResort bool) (*peer, float64) {
+func best(now time.Time, list, tried []*peer, most float64, near, lastResort bool) (*peer, float64) {
 	var found *peer
 	var least float64
 	seen := 0
@@ -54,7 +59,9 @@
 		if !lastResort && (p.stopping.Load() || !p.usable(now)) {
 			continue
 		}
-		use, _ := p.estimate(now)
+		use, success := p.estimate(now)
+		// A server that fails fast looks idle: its use counts as much more, against the best of its service.
+		use *= (most / success) * (most / success)
 		if found == nil || use < least {
 			found, least = p, use
 		}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -5,14 +5,20 @@
 	"net"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 )
 
 // controlState belongs to the control goroutine.
 type controlState struct {
-	own       directory.OwnServer
-	directory directory.Directory
-	nextTalk  time.Time
+	own         directory.OwnServer
+	directory   directory.Directory
+	nextTalk    time.Time
+	nextPlan    time.Time
+	nextPlanLog time.Time
+	reports     map[string]*loadReport // newest of each node, by host
+	reportSeq   int64
+	graph       callgraph.Learner
 }
 
 // tickPeriod is the time between looks at what is due.
@@ -43,6 +49,11 @@
 	n.gateMu.Lock()
 	n.gate.Expire(now)
 	n.gateMu.Unlock()
+	if !now.Before(n.control.nextPlan) {
+		n.control.nextPlan = now.Add(planPeriod)
+		n.reportOwn(now)
+		n.replan(now)
+	}
 	if now.Before(n.control.nextTalk) {
 		return
 	}
@@ -62,6 +73,7 @@
 		v.services[r.Service] = append(v.services[r.Service], p)
 	}
 	n.view.Store(v)
+	n.tuneBudget()
 }
 
 // ownChanged follows a change of this VM's backend server: the gate first, then the others.
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -35,6 +35,7 @@
 	Version  int64              `json:"v"` // desired state in force
 	Stopping bool               `json:"x,omitempty"`
 	Records  []directory.Record `json:"r,omitempty"`
+	Reports  []loadReport       `json:"l,omitempty"`
 	State    []byte             `json:"s,omitempty"` // desired state, for a peer that has an older one
 }
 
@@ -87,6 +88,9 @@
 // newMessage tells what this node knows, with the desired state if the peer's version is lower.
 func (n *Node) newMessage(peerVersion int64) message {
 	m := message{From: n.ip, Stopping: n.stop.leaving(), Records: n.control.directory.All()}
+	for _, r := range n.control.reports {
+		m.Reports = append(m.Reports, *r)
+	}
 	if s := n.state.Load(); s != nil {
 		m.Version = s.Version
 		if peerVersion >= 0 && peerVersion < s.Version {
@@ -158,7 +162,10 @@
 	} else {
 		n.noticeVersion(m.From, m.Version)
 	}
-	n.do(func() { n.merge(m.From, m.Records) })
+	n.do(func() {
+		n.merge(m.From, m.Records)
+		n.takeReports(n.clock.Now(), m.Reports)
+	})
 	return &m
 }
 
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -156,7 +156,7 @@
 	switch {
 	case a.outcome == wire.NotRun:
 		status = http.StatusServiceUnavailable
-		w.Header().Set("Retry-After", retryAfter(n.comeBack(q)))
+		w.Header().Set("Retry-After", retryAfter(n.comeBack(q, a)))
 	case a.canceled:
 		status = http.StatusGatewayTimeout
 	}
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -68,7 +68,7 @@
 	r := reply{
 		Outcome: a.outcome, Reason: a.reason, ByServer: a.arrived,
 		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Hold: g.Hold,
-		Success: int(g.Success*100 + 0.5), Stopping: n.stop.leaving(),
+		Success: int(g.Success*(1-g.Shed)*100 + 0.5), Stopping: n.stop.leaving(),
 	}
 	if s := n.state.Load(); s != nil {
 		r.Version = s.Version
@@ -87,5 +87,6 @@
 		left = defaultTimeLeft
 	}
 	q.deadline = n.clock.Now().Add(left)
+	q.clientDeadline = q.deadline
 	return q, q.readBody(r, most)
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -16,6 +16,7 @@
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/overload"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -41,6 +42,11 @@
 	gateMu sync.Mutex
 	gate   gate.Gate
 
+	stats    trafficStats
+	plan     atomic.Pointer[admissionPlan]
+	budgetMu sync.Mutex
+	budget   overload.RepeatBudget
+
 	peersMu sync.Mutex
 	peers   map[string]*peer
 
@@ -75,7 +81,10 @@
 	}
 	n.backend = newBackend(n)
 	n.control.own.Host = host
+	n.control.reports = make(map[string]*loadReport)
 	n.records.init()
+	n.stats.init()
+	n.tuneBudget()
 	n.view.Store(&view{})
 	n.servers = []*http.Server{
 		n.newServer(o.Settings.Listen.Peers, n.inboundHandler()),
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -32,7 +30,7 @@
 		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
 		return
 	}
-	inner := n.fromBackend(r)
+	inner := n.isInner(route.Name)
 	c := call{
 		Service: pickTarget(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
 		Inner: inner, Once: route.Kind == desired.Once, Version: state.Version,
@@ -46,6 +44,12 @@
 		n.writeFinal(w, q, refused(wire.ReasonLeaving))
 		return
 	}
+	if !n.admit(q, q.deadline.Sub(n.clock.Now())) {
+		a := refused(wire.ReasonLevel)
+		a.overloaded = true
+		n.writeFinal(w, q, a)
+		return
+	}
 	n.serveRouted(w, r, q, route)
 }
 
@@ -58,21 +62,16 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	n.earnRepeats(q)
 	d := &delivery{n: n, q: q, route: route}
 	a := d.run(ctx)
 	if a.outcome != wire.Ran && r.Context().Err() == nil {
 		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
-			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version, "remote", r.RemoteAddr, "inner", q.Inner)
+			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version, "inner", q.Inner)
 	}
 	n.writeFinal(w, q, a)
 }
 
-// fromBackend tells whether a request is a call of the backend server on this VM.
-func (n *Node) fromBackend(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == n.ip
-}
-
 // noRoute answers a request that no route matches; where the desired state may be old, the route may well exist.
 func (n *Node) noRoute(w http.ResponseWriter, r *http.Request) {
 	if !n.following.Load() {
@@ -126,9 +125,3 @@
 	}
 	return r.Targets[0].Service
 }
-
-// comeBack returns when a refused client should try again.
-func (n *Node) comeBack(q *request) time.Duration { return jitter(retryBase) }
-
-// mayRepeat tells whether the budget lets a request reach one more server.
-func (n *Node) mayRepeat(q *request) bool { return true }
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -107,22 +107,21 @@
 	return !now.Before(p.asideTil)
 }
 
-// estimate returns the peer's use, 1 when every slot that counts is taken, and the time that a request takes there.
-func (p *peer) estimate(now time.Time) (use float64, hold time.Duration) {
+// estimate returns the peer's use, 1 when every slot that counts is taken, and its share of good answers.
+func (p *peer) estimate(now time.Time) (use, success float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	capacity := float64(p.slots.Load())
 	others := int64(0)
-	success := 1.0
+	success = 1
 	if p.load.limit > 0 {
 		capacity = p.load.limit
-		hold = p.load.hold
 	}
 	if now.Sub(p.load.at) < loadStale {
 		others = p.load.others
 		success = max(p.load.success, leastSuccess)
 	}
-	return float64(p.inflight.Load()+others+1) / max(capacity*success*success, 0.5), hold
+	return float64(p.inflight.Load()+others+1) / max(capacity, 1), success
 }
 
 // leastSuccess bounds how little a failing server counts for, so that it is still tried.
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -36,7 +36,7 @@
 	Queued    int
 	Limit     int
 	Hold      time.Duration
-	Success   int // good answers of the server in a hundred
+	Success   int // good answers of the server in a hundred, refusals of its own counted as none
 	Version   int64
 	Stopping  bool
 	ServiceIs string // service of the server, if it isn't the one that was called
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -19,6 +19,8 @@
 	stream   io.Reader // a body too long to be held; it can be sent once
 	length   int64     // of stream; -1 if it isn't known
 	deadline time.Time // when the answer is due at the latest
+	// clientDeadline is when the client gives up; the route may set an earlier deadline.
+	clientDeadline time.Time
 }
 
 // bodyError says why a body can't be read.
--- a/pkg/mesh/stop_state.go
+++ b/pkg/mesh/stop_state.go
@@ -54,6 +54,12 @@
 		sleep(ctx, stopPoll)
 	}
 	n.controlLog.Info("stopped", "in_progress", n.stop.busy.Load())
+	n.halt()
+	return nil
+}
+
+// halt ends all work of the node at once.
+func (n *Node) halt() {
 	n.cancel()
 	for _, s := range n.servers {
 		if err := s.Close(); err != nil && !isClosed(err) {
@@ -61,5 +67,4 @@
 		}
 	}
 	n.running.Wait()
-	return nil
 }
--- /dev/null
+++ b/pkg/overload/plan.go
@@ -0,0 +1,131 @@
+package overload
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Root is one kind of root request.
+type Root struct {
+	Route     string
+	Priority  int     // 0 is the most urgent
+	Fresh     float64 // first attempts a second, in the whole system
+	Returning float64 // attempts a second of clients that were refused before
+	Slots     map[string]float64
+}
+
+// Share is the part of a kind that is admitted.
+type Share struct {
+	Fresh     float64
+	Returning float64
+}
+
+// Target is the share of a service's capacity that admission fills: servers are chosen with news that is
+// a little old, so a full one beside an idle one has to be allowed for.
+const Target = 0.95
+
+// flow is the first or the returning attempts of a kind.
+type flow struct {
+	root      *Root
+	returning bool
+	rate      float64
+}
+
+// Plan returns the share of each kind that fits into the services' capacity, in slots.
+func Plan(roots []Root, capacity map[string]float64) map[string]Share {
+	left := make(map[string]float64, len(capacity))
+	for s, c := range capacity {
+		left[s] = c * Target
+	}
+	out := make(map[string]Share, len(roots))
+	flows := flowsOf(roots)
+	for len(flows) > 0 {
+		n := 1
+		for n < len(flows) && sameRank(flows[n], flows[0]) {
+			n++
+		}
+		fill(flows[:n], left, out)
+		flows = flows[n:]
+	}
+	return out
+}
+
+// flowsOf returns all flows, the first to be admitted first.
+func flowsOf(roots []Root) []flow {
+	var flows []flow
+	for i := range roots {
+		r := &roots[i]
+		flows = append(flows, flow{r, false, r.Fresh}, flow{r, true, r.Returning})
+	}
+	slices.SortStableFunc(flows, func(a, b flow) int {
+		return cmp.Or(cmp.Compare(a.root.Priority, b.root.Priority), boolOrder(a.returning, b.returning))
+	})
+	return flows
+}
+
+func sameRank(a, b flow) bool {
+	return a.root.Priority == b.root.Priority && a.returning == b.returning
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// fill gives flows of one rank their shares: each flow gets that of the tightest service below it, and what
+// one flow leaves over, since it is held down elsewhere, goes to the others.
+func fill(flows []flow, left map[string]float64, out map[string]Share) {
+	open := slices.Clone(flows)
+	for len(open) > 0 {
+		service, share := tightest(open, left)
+		var rest []flow
+		for _, f := range open {
+			if service != "" && f.root.Slots[service] == 0 {
+				rest = append(rest, f)
+				continue
+			}
+			grant(f, share, left, out)
+		}
+		open = rest
+	}
+}
+
+// tightest returns the service that allows the least share of the flows, or "" with 1 if all fit.
+func tightest(flows []flow, left map[string]float64) (string, float64) {
+	demand := map[string]float64{}
+	for _, f := range flows {
+		for s, cost := range f.root.Slots {
+			demand[s] += f.rate * cost
+		}
+	}
+	service, least := "", 1.0
+	for s, d := range demand {
+		room, known := left[s]
+		if !known || d <= 0 {
+			continue
+		}
+		if share := max(room, 0) / d; share < least || (share == least && service != "" && s < service) {
+			service, least = s, share
+		}
+	}
+	return service, least
+}
+
+func grant(f flow, share float64, left map[string]float64, out map[string]Share) {
+	o := out[f.root.Route]
+	if f.returning {
+		o.Returning = share
+	} else {
+		o.Fresh = share
+	}
+	out[f.root.Route] = o
+	for s, cost := range f.root.Slots {
+		left[s] -= f.rate * share * cost
+	}
+}
