Calls per run: learned at each server from what is in progress, with the duration over the same time

Cause: calls that fail end their parent early, so the calls per run and with them the demand looked smaller just when the service was overloaded, and the shares swung; routes that run rarely were given the calls of others. Change: each node learns its own server's calls from requests in progress, samples weighed by their noise, and reports calls per run; exchanges in msgpack, mostly inside the availability zone.

--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -2,95 +2,104 @@
 
 import "slices"
 
-// Rates are counts a second by route.
+// Rates are numbers by route: counts a second, or requests in progress.
 type Rates map[string]float64
 
 // The constants of learning.
 const (
-	// forget is the weight that earlier samples keep at each new one of a service: some tens of samples count.
-	forget = 0.97
-	// pull is how strongly the calls of a route are drawn to the average of its service, as a share of the
+	// forget is the weight that earlier samples keep at each new one: at ten a second, half a minute counts.
+	forget = 0.9975
+	// pull is how strongly the calls of a route are drawn to the average of its server, as a share of the
 	// evidence; it decides where the mix doesn't vary.
-	pull = 0.004
+	pull = 0.002
+	// pullAll is the same as a share of the evidence of all routes: one that hardly runs tells little.
+	pullAll = 0.0005
 	// rounds of the non-negative least squares, each a pass over the routes; the systems have few routes.
 	rounds = 30
-	// leastRate is the rate below which a route tells nothing.
-	leastRate = 0.5
 )
 
-// Learner holds what was learned of all services; its zero value knows nothing. It isn't safe for concurrent use.
+// Learner learns which calls the runs of each route make at one server, from samples of what was in
+// progress there and which calls it made meanwhile. Its zero value knows nothing; it isn't safe for
+// concurrent use.
 type Learner struct {
-	services map[string]*evidence
-}
-
-// evidence is the normal equations of one service, over the routes that run there.
-type evidence struct {
 	routes []string             // that ran, in the order of the rows below
-	runs   [][]float64          // sums of products of two routes' rates
-	calls  map[string][]float64 // by called route: sums of products with the rate of each route that ran
+	runs   [][]float64          // sums of products of two routes' requests in progress
+	busy   []float64            // sums of requests in progress
+	calls  map[string][]float64 // by called route: sums of products with the requests in progress of each route
 	total  map[string]float64   // sums by called route
-	sum    float64              // of all runs
-	solved map[string]Rates     // calls by route that ran; nil: not worked out since the last sample
+	ended  map[string]float64   // sums of runs ended a second, by route
+	sum    float64              // of all requests in progress
+	solved map[string]Rates     // calls a second by route that ran; nil: not worked out since the last sample
 }
 
-// Observe takes one sample of a node beside a server: what ran there and which calls the server made.
-func (l *Learner) Observe(service string, runs, calls Rates) {
-	if l.services == nil {
-		l.services = make(map[string]*evidence)
-	}
-	e := l.services[service]
-	if e == nil {
-		e = &evidence{calls: map[string][]float64{}, total: map[string]float64{}}
-		l.services[service] = e
+// Sample is what was seen of a server for a while.
+type Sample struct {
+	Busy  Rates // requests in progress, on average
+	Ended Rates // runs that ended, a second
+	Calls Rates // calls made, a second
+}
+
+// Observe takes one sample.
+func (l *Learner) Observe(s Sample) {
+	if l.calls == nil {
+		l.calls, l.total, l.ended = map[string][]float64{}, map[string]float64{}, map[string]float64{}
 	}
-	e.solved = nil
-	e.fade()
-	for route, x := range runs {
-		if x >= leastRate {
-			e.row(route)
+	l.solved = nil
+	l.fade()
+	for route, x := range s.Busy {
+		if x > 0 {
+			l.row(route)
 		}
 	}
-	x := make([]float64, len(e.routes))
-	for i, route := range e.routes {
-		if runs[route] >= leastRate {
-			x[i] = runs[route]
-		}
-		e.sum += x[i]
+	x := make([]float64, len(l.routes))
+	all := 0.0
+	for i, route := range l.routes {
+		x[i] = s.Busy[route]
+		all += x[i]
+		l.ended[route] += s.Ended[route]
+		l.busy[i] += x[i]
+		l.sum += x[i]
+	}
+	if all == 0 {
+		return // calls without a run are stray ones
 	}
+	// Calls come at random, so their count spreads with its size: samples weigh less the more was in
+	// progress. It also lets rate and duration change together without moving their product.
 	for i := range x {
 		for k := range x {
-			e.runs[i][k] += x[i] * x[k]
+			l.runs[i][k] += x[i] * x[k] / all
 		}
 	}
-	for c, y := range calls {
-		e.total[c] += y
-		products := e.products(c)
+	for c, y := range s.Calls {
+		l.total[c] += y
+		products := l.products(c)
 		for i := range x {
-			products[i] += x[i] * y
+			products[i] += x[i] * y / all
 		}
 	}
 }
 
 // row returns the place of a route that runs, made if it is new.
-func (e *evidence) row(route string) int {
-	if i := slices.Index(e.routes, route); i >= 0 {
+func (l *Learner) row(route string) int {
+	if i := slices.Index(l.routes, route); i >= 0 {
 		return i
 	}
-	e.routes = append(e.routes, route)
-	for i := range e.runs {
-		e.runs[i] = append(e.runs[i], 0)
+	l.routes = append(l.routes, route)
+	l.busy = append(l.busy, 0)
+	for i := range l.runs {
+		l.runs[i] = append(l.runs[i], 0)
 	}
-	e.runs = append(e.runs, make([]float64, len(e.routes)))
-	return len(e.routes) - 1
+	l.runs = append(l.runs, make([]float64, len(l.routes)))
+	return len(l.routes) - 1
 }
 
 // products returns the sums of a called route, with a place for each route that runs.
-func (e *evidence) products(c string) []float64 {
-	p := e.calls[c]
-	for len(p) < len(e.routes) {
+func (l *Learner) products(c string) []float64 {
+	p := l.calls[c]
+	for len(p) < len(l.routes) {
 		p = append(p, 0)
 	}
-	e.calls[c] = p
+	l.calls[c] = p
 	return p
 }
 
@@ -98,34 +107,40 @@
 const faded = 1e-3
 
 // fade forgets a part of all evidence, and routes of which nothing is left.
-func (e *evidence) fade() {
-	e.sum *= forget
-	for i := range e.runs {
-		scale(e.runs[i], forget)
+func (l *Learner) fade() {
+	l.sum *= forget
+	scale(l.busy, forget)
+	for i := range l.runs {
+		scale(l.runs[i], forget)
 	}
-	for c, p := range e.calls {
+	for c, p := range l.calls {
 		scale(p, forget)
-		if e.total[c] *= forget; e.total[c] < faded {
-			delete(e.total, c)
-			delete(e.calls, c)
+		if l.total[c] *= forget; l.total[c] < faded {
+			delete(l.total, c)
+			delete(l.calls, c)
 		}
 	}
-	for i := len(e.routes) - 1; i >= 0; i-- {
-		if e.runs[i][i] < faded {
-			e.drop(i)
+	for route := range l.ended {
+		l.ended[route] *= forget
+	}
+	for i := len(l.routes) - 1; i >= 0; i-- {
+		if l.runs[i][i] < faded {
+			l.drop(i)
 		}
 	}
 }
 
-func (e *evidence) drop(i int) {
-	e.routes = slices.Delete(e.routes, i, i+1)
-	e.runs = slices.Delete(e.runs, i, i+1)
-	for k := range e.runs {
-		e.runs[k] = slices.Delete(e.runs[k], i, i+1)
+func (l *Learner) drop(i int) {
+	delete(l.ended, l.routes[i])
+	l.routes = slices.Delete(l.routes, i, i+1)
+	l.busy = slices.Delete(l.busy, i, i+1)
+	l.runs = slices.Delete(l.runs, i, i+1)
+	for k := range l.runs {
+		l.runs[k] = slices.Delete(l.runs[k], i, i+1)
 	}
-	for c, p := range e.calls {
+	for c, p := range l.calls {
 		if i < len(p) {
-			e.calls[c] = slices.Delete(p, i, i+1)
+			l.calls[c] = slices.Delete(p, i, i+1)
 		}
 	}
 }
@@ -136,57 +151,68 @@
 	}
 }
 
-// Calls returns how many calls of each route one run of the route makes on the service.
-func (l *Learner) Calls(service, route string) Rates {
-	e := l.services[service]
-	if e == nil {
-		return nil
-	}
-	if e.solved == nil {
-		e.solveAll()
+// Calls returns how many calls of each route one run of the route makes.
+func (l *Learner) Calls(route string) Rates {
+	if l.solved == nil {
+		l.solveAll()
 	}
-	return e.solved[route]
+	return l.solved[route]
 }
 
-func (e *evidence) solveAll() {
-	e.solved = make(map[string]Rates, len(e.routes))
-	for _, route := range e.routes {
-		e.solved[route] = Rates{}
+func (l *Learner) solveAll() {
+	l.solved = make(map[string]Rates, len(l.routes))
+	for _, route := range l.routes {
+		l.solved[route] = Rates{}
 	}
-	for c := range e.total {
-		for i, n := range e.solve(c) {
-			if n > 0 {
-				e.solved[e.routes[i]][c] = n
+	for c := range l.total {
+		for i, rate := range l.solve(c) {
+			if n := rate * l.duration(i); n >= StrayCalls {
+				l.solved[l.routes[i]][c] = n
 			}
 		}
 	}
 }
 
-// solve returns the calls of route c by one run of each route: non-negative least squares, by passes that
+// duration returns how long a run takes, over the same time as the rates of calls: both grow and shrink
+// together when the services below are slow, so their product stays.
+func (l *Learner) duration(i int) float64 {
+	ended := l.ended[l.routes[i]]
+	if ended <= 0 {
+		return 0
+	}
+	return l.busy[i] / ended
+}
+
+// solve returns the calls a second of route c by one run in progress of each route: non-negative least squares, by passes that
 // set one route at a time.
-func (e *evidence) solve(c string) []float64 {
-	n := make([]float64, len(e.routes))
-	if e.sum <= 0 {
+func (l *Learner) solve(c string) []float64 {
+	n := make([]float64, len(l.routes))
+	if l.sum <= 0 {
 		return n
 	}
-	average := e.total[c] / e.sum
+	average := l.total[c] / l.sum
 	for i := range n {
 		n[i] = average
 	}
-	products := e.products(c)
+	products := l.products(c)
+	all := 0.0
+	for i := range l.runs {
+		all += l.runs[i][i]
+	}
 	for range rounds {
-		for i, row := range e.runs {
+		for i, row := range l.runs {
 			own := row[i]
 			if own <= 0 {
 				continue
 			}
-			rest := products[i] + pull*own*average
+			ridge := pull*own + pullAll*all
+			rest := products[i] + ridge*average
 			for k := range row {
 				if k != i {
 					rest -= row[k] * n[k]
 				}
 			}
-			n[i] = max(rest/(own*(1+pull)), 0)
+			n[i] = max(rest/(own+ridge), 0)
 		}
 	}
 	return n
@@ -204,9 +230,12 @@
 	Runs  map[string]float64 // runs by service
 }
 
+// Graph is the calls that one run makes, by the service that it runs on and its route.
+type Graph map[string]map[string]Rates
+
 // Costs returns the cost of one request of every route.
-func (l *Learner) Costs(places map[string]Place) map[string]Cost {
-	w := walk{learner: l, places: places, done: make(map[string]Cost, len(places)), open: map[string]bool{}}
+func Costs(graph Graph, places map[string]Place) map[string]Cost {
+	w := walk{graph: graph, places: places, done: make(map[string]Cost, len(places)), open: map[string]bool{}}
 	for route := range places {
 		w.cost(route)
 	}
@@ -216,14 +245,14 @@
 // walk works out each route once, after those that it calls. A route that is called below itself is left
 // out there: a few stray calls make such cycles look real.
 type walk struct {
-	learner *Learner
-	places  map[string]Place
-	done    map[string]Cost
-	open    map[string]bool // on the way down to the present route
+	graph  Graph
+	places map[string]Place
+	done   map[string]Cost
+	open   map[string]bool // on the way down to the present route
 }
 
-// strayCalls is the count of calls by one run below which they are taken for chance.
-const strayCalls = 0.02
+// StrayCalls is the count of calls by one run below which they are taken for chance.
+const StrayCalls = 0.02
 
 func (w *walk) cost(route string) Cost {
 	if c, ok := w.done[route]; ok {
@@ -238,8 +267,8 @@
 	for service, share := range p.Shares {
 		c.Slots[service] += share * p.Hold
 		c.Runs[service] += share
-		for called, n := range w.learner.Calls(service, route) {
-			if n >= strayCalls {
+		for called, n := range w.graph[service][route] {
+			if n >= StrayCalls {
 				c.add(w.cost(called), share*n)
 			}
 		}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -38,11 +38,6 @@
 	rootWaitHolds = 1.5
 	// successGain is the weight of one answer in the smoothed share of good answers.
 	successGain = 0.05
-	// shedCut and shedGrow move the limit of a server that refuses work while it should have room.
-	shedCut  = 0.95
-	shedGrow = 0.1
-	// leastLimitShare of the slots is the least limit.
-	leastLimitShare = 0.2
 )
 
 // Reading is a Gate's state.
@@ -182,14 +177,11 @@
 	case Answered:
 		g.observe(held)
 		g.success += successGain * (1 - g.success)
-		g.limit = min(g.limit+shedGrow, float64(g.slots)*limitShare)
 	case Failed:
 		g.success -= successGain * g.success
 	case Shed:
 		g.shed += successGain
-		if float64(g.running) > 0.8*g.limit {
-			g.limit = max(g.limit*shedCut, float64(g.slots)*leastLimitShare)
-		}
+		// The limit stays: a server that is never filled by us refuses for a fault of its own, whatever its load.
 	case Left:
 	}
 	g.drain(now)
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -32,16 +32,6 @@
 
 func (n *Node) keepReport(r *loadReport) {
 	n.control.reports[r.Host] = r
-	runs, calls := callgraph.Rates{}, callgraph.Rates{}
-	for route, x := range r.Runs {
-		runs[route] = x.Rate
-	}
-	for route, e := range r.Entries {
-		if n.isInner(route) {
-			calls[route] = e.Fresh + e.Returning
-		}
-	}
-	n.control.graph.Observe(r.Service, runs, calls)
 }
 
 // isInner tells whether only backend servers call the route, as far as it is known.
@@ -89,17 +79,33 @@
 	return inner
 }
 
+// samplePeriod is the time between samples of what runs at the own server: about as long as a run, so that
+// what is in progress varies from one to the next.
+const samplePeriod = 100 * time.Millisecond
+
+// learn takes a sample of the own server.
+func (n *Node) learn(now time.Time) {
+	n.control.learner.Observe(n.stats.sample(now, n.isInner))
+}
+
 // reportOwn takes this node's own counts.
 func (n *Node) reportOwn(now time.Time) {
 	r := n.stats.report(now)
 	own := n.control.own.Record()
 	r.Host, r.Epoch, r.Service = n.ip, n.epoch, own.Service
+	for route, run := range r.Runs {
+		run.Calls = callgraph.Rates{}
+		for called, k := range n.control.learner.Calls(route) {
+			run.Calls[called] = round(k)
+		}
+		r.Runs[route] = run
+	}
 	n.control.reportSeq++
 	r.Seq = n.control.reportSeq
 	n.gateMu.Lock()
 	g := n.gate.Read()
 	n.gateMu.Unlock()
-	r.Limit, r.Shed = round(g.Limit), round(g.Shed)
+	r.Limit = round(g.Limit)
 	r.heard = now
 	n.keepReport(&r)
 }
@@ -113,7 +119,7 @@
 	}
 	places := n.places()
 	plan := &admissionPlan{inner: n.innerRoutes(), runs: make(map[string]map[string]float64)}
-	costs := n.control.graph.Costs(places)
+	costs := callgraph.Costs(n.graph(), places)
 	for route, c := range costs {
 		plan.runs[route] = c.Runs
 	}
@@ -123,6 +129,31 @@
 	n.plan.Store(plan)
 }
 
+// graph returns the calls that one run makes, averaged over the servers of its service by their runs.
+func (n *Node) graph() callgraph.Graph {
+	g := callgraph.Graph{}
+	rates := map[[2]string]float64{}
+	for _, r := range n.control.reports {
+		for route, run := range r.Runs {
+			rates[[2]string{r.Service, route}] += run.Rate
+		}
+	}
+	for _, r := range n.control.reports {
+		if g[r.Service] == nil {
+			g[r.Service] = map[string]callgraph.Rates{}
+		}
+		for route, run := range r.Runs {
+			if g[r.Service][route] == nil {
+				g[r.Service][route] = callgraph.Rates{}
+			}
+			for called, k := range run.Calls {
+				g[r.Service][route][called] += k * run.Rate / rates[[2]string{r.Service, route}]
+			}
+		}
+	}
+	return g
+}
+
 // places says where each route runs and for how long, by the reports.
 func (n *Node) places() map[string]callgraph.Place {
 	type sums struct {
@@ -178,13 +209,14 @@
 	return roots
 }
 
-// capacity returns the slots of each service that its gates fill with work that succeeds.
+// capacity returns the slots of each service that its gates fill. Work that a server refuses takes no slot, so
+// a server that refuses a part of it counts in full.
 func (n *Node) capacity() map[string]float64 {
 	c := map[string]float64{}
 	for service, peers := range n.view.Load().services {
 		for _, p := range peers {
 			if r := n.control.reports[p.host]; r != nil && r.Limit > 0 {
-				c[service] += r.Limit * (1 - r.Shed)
+				c[service] += r.Limit
 			} else if p.usable(n.clock.Now()) {
 				c[service] += float64(p.slots.Load())
 			}
@@ -218,7 +250,7 @@
 	}
 }
 
-const debugPlan = true
+const debugPlan = false
 
 // admit decides whether a root request is taken in.
 func (n *Node) admit(q *request, left time.Duration) bool {
@@ -249,7 +281,7 @@
 	runs := n.runsOf(q)
 	n.budgetMu.Lock()
 	defer n.budgetMu.Unlock()
-	n.budget.Earn(runs)
+	n.budget.Earn(q.Service, runs)
 }
 
 // runsOf returns the runs by service that a request causes, as far as they are known.
@@ -264,9 +296,11 @@
 
 // The constants of the repeat budget.
 const (
-	// repeatRatioShare of the operator's ratio is earned at each level of the graph: a request may be
-	// repeated at several levels above a service, and all of it adds up there.
-	repeatRatioShare = 0.25
+	// repeatRatioShare of the operator's ratio is earned at the service itself; a request may be repeated
+	// at several levels above a service, and all of it adds up there.
+	repeatRatioShare = 0.5
+	// repeatBelowShare of the ratio is earned for the services that the request's calls run on.
+	repeatBelowShare = 0.12
 	// repeatBurstShare of the operator's slack is shared out to the nodes.
 	repeatBurstShare = 0.4
 )
@@ -277,6 +311,7 @@
 	n.budgetMu.Lock()
 	defer n.budgetMu.Unlock()
 	n.budget.Ratio = n.cfg.Mesh.RetryRatio * repeatRatioShare
+	n.budget.Below = n.cfg.Mesh.RetryRatio * repeatBelowShare
 	n.budget.Burst = max(n.cfg.Mesh.RetrySlack*repeatBurstShare/float64(nodes), 1)
 }
 
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -31,14 +31,13 @@
 		return refused(reason)
 	}
 	begun := b.n.clock.Now()
+	b.n.stats.begin(begun, q.Route)
 	a, outcome := b.send(ctx, q, own.Instance)
 	b.n.gateMu.Lock()
 	now := b.n.clock.Now()
 	b.n.gate.Done(now, now.Sub(begun), outcome)
 	b.n.gateMu.Unlock()
-	if outcome != gate.Shed {
-		b.n.stats.run(now, q.Route, now.Sub(begun))
-	}
+	b.n.stats.end(now, q.Route, now.Sub(begun), outcome != gate.Shed)
 	return a
 }
 
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -18,7 +18,8 @@
 	nextPlanLog time.Time
 	reports     map[string]*loadReport // newest of each node, by host
 	reportSeq   int64
-	graph       callgraph.Learner
+	learner     callgraph.Learner
+	nextSample  time.Time
 }
 
 // tickPeriod is the time between looks at what is due.
@@ -49,6 +50,10 @@
 	n.gateMu.Lock()
 	n.gate.Expire(now)
 	n.gateMu.Unlock()
+	if !now.Before(n.control.nextSample) {
+		n.control.nextSample = now.Add(samplePeriod)
+		n.learn(now)
+	}
 	if !now.Before(n.control.nextPlan) {
 		n.control.nextPlan = now.Add(planPeriod)
 		n.reportOwn(now)
@@ -58,7 +63,7 @@
 		return
 	}
 	n.control.nextTalk = now.Add(jitter(n.talkPeriod()))
-	n.talk(ctx, talkFanout)
+	n.talk(ctx)
 }
 
 // publish makes the control state visible to requests.
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/ugorji/go/codec"
+
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 )
@@ -18,10 +19,13 @@
 
 // The bounds of exchanges.
 const (
-	talkFanout = 2 // peers that are told at a time
+	nearFanout = 2 // peers of the own availability zone that are told at a time
+	// farTalkEvery is how many times the own availability zone is told for each time that any peer is:
+	// bytes between zones are paid for.
+	farTalkEvery = 2
 	// talkLeast is the time between exchanges of a small mesh; it grows with the number of nodes, so that
 	// the work of a node stays the same.
-	talkLeast = 400 * time.Millisecond
+	talkLeast = 300 * time.Millisecond
 	talkNodes = 24 // nodes up to which talkLeast holds
 	// talkTime bounds one exchange.
 	talkTime = 800 * time.Millisecond
@@ -31,12 +35,31 @@
 
 // message is what two nodes tell each other.
 type message struct {
-	From     string             `json:"f"`
-	Version  int64              `json:"v"` // desired state in force
-	Stopping bool               `json:"x,omitempty"`
-	Records  []directory.Record `json:"r,omitempty"`
-	Reports  []loadReport       `json:"l,omitempty"`
-	State    []byte             `json:"s,omitempty"` // desired state, for a peer that has an older one
+	From     string             `codec:"f"`
+	Version  int64              `codec:"v"` // desired state in force
+	Stopping bool               `codec:"x,omitempty"`
+	Records  []directory.Record `codec:"r,omitempty"`
+	Reports  []loadReport       `codec:"l,omitempty"`
+	State    []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
+}
+
+// wireFormat is msgpack with structs as arrays: exchanges between availability zones are paid by the byte.
+var wireFormat = func() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{WriteExt: true}
+	h.StructToArray = true
+	return h
+}()
+
+func encodeMessage(m message) ([]byte, error) {
+	var b []byte
+	err := codec.NewEncoderBytes(&b, wireFormat).Encode(m)
+	return b, err
+}
+
+func decodeMessage(data []byte) (message, error) {
+	var m message
+	err := codec.NewDecoderBytes(data, wireFormat).Decode(&m)
+	return m, err
 }
 
 func (n *Node) talkPeriod() time.Duration {
@@ -45,12 +68,20 @@
 }
 
 // talk exchanges with some peers taken at random.
-func (n *Node) talk(ctx context.Context, fanout int) {
-	hosts := n.talkTargets(fanout)
+func (n *Node) talk(ctx context.Context) {
+	hosts := n.talkTargets(nearFanout, false)
+	if rand.IntN(farTalkEvery) == 0 {
+		hosts = append(hosts, n.talkTargets(1, true)...)
+	}
+	n.tell(ctx, hosts)
+}
+
+// tell exchanges with the given peers.
+func (n *Node) tell(ctx context.Context, hosts []string) {
 	if len(hosts) == 0 {
 		return
 	}
-	body, err := json.Marshal(n.newMessage(-1))
+	body, err := encodeMessage(n.newMessage(-1))
 	if err != nil {
 		n.controlLog.Error("message can't be written", "err", err)
 		return
@@ -61,16 +92,16 @@
 }
 
 // announce tells news to some peers at once.
-func (n *Node) announce() { n.talk(context.Background(), announceFanout) }
+func (n *Node) announce() { n.tell(context.Background(), n.talkTargets(announceFanout, true)) }
 
 // announceFanout is how many peers hear of news at once; they tell others in turn.
 const announceFanout = 3
 
 // talkTargets returns peers taken at random, and seeds while few others are known.
-func (n *Node) talkTargets(fanout int) []string {
+func (n *Node) talkTargets(fanout int, far bool) []string {
 	var hosts []string
 	for _, r := range n.control.directory.All() {
-		if r.Host != n.ip {
+		if r.Host != n.ip && (far || r.Zone == n.cfg.Zone) {
 			hosts = append(hosts, r.Host)
 		}
 	}
@@ -140,7 +171,11 @@
 	n.do(func() { answers <- n.newMessage(m.Version) })
 	select {
 	case a := <-answers:
-		if err := json.NewEncoder(w).Encode(a); err != nil {
+		body, err := encodeMessage(a)
+		if err == nil {
+			_, err = w.Write(body)
+		}
+		if err != nil {
 			n.controlLog.Debug("exchange broke off", "peer", m.From, "err", err)
 		}
 	case <-r.Context().Done():
@@ -149,8 +184,8 @@
 
 // takeMessage takes over what a peer knows better; it returns nil if the message can't be read.
 func (n *Node) takeMessage(from string, data []byte) *message {
-	var m message
-	if err := json.Unmarshal(data, &m); err != nil {
+	m, err := decodeMessage(data)
+	if err != nil {
 		n.controlLog.Warn("message can't be read", "peer", from, "err", err)
 		return nil
 	}
@@ -171,7 +206,7 @@
 
 // fetchState exchanges with a peer that has a newer desired state.
 func (n *Node) fetchState(host string) {
-	body, err := json.Marshal(n.newMessage(-1))
+	body, err := encodeMessage(n.newMessage(-1))
 	if err != nil {
 		n.controlLog.Error("message can't be written", "err", err)
 		return
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
@@ -13,8 +14,7 @@
 	Epoch   int64                  `json:"e"` // life of the process
 	Seq     int64                  `json:"q"` // grows within one life
 	Service string                 `json:"s"`
-	Limit   float64                `json:"l"`           // slots that the gate fills
-	Shed    float64                `json:"g,omitempty"` // share of requests that the server itself refused
+	Limit   float64                `json:"l"` // slots that the gate fills
 	Entries map[string]entryReport `json:"n,omitempty"`
 	Runs    map[string]runReport   `json:"r,omitempty"` // started at the server, by route
 
@@ -27,10 +27,12 @@
 	Returning float64 `json:"b,omitempty"`
 }
 
-// runReport is how often a route runs at a server, and for how long it holds a slot, in seconds.
+// runReport is how often a route runs at a server, for how long it holds a slot, in seconds, and how many
+// calls of each route one run makes.
 type runReport struct {
-	Rate float64 `json:"r"`
-	Hold float64 `json:"h"`
+	Rate  float64         `json:"r"`
+	Hold  float64         `json:"h"`
+	Calls callgraph.Rates `json:"c,omitempty"`
 }
 
 // newer tells whether r replaces old.
@@ -49,10 +51,12 @@
 	mu      sync.Mutex
 	entries map[string]*entryStats
 	runs    map[string]*runStats
+	sampled time.Time
 }
 
 type entryStats struct {
 	fresh, returning overload.DecayingRate
+	since            int           // requests since the last sample
 	longest          time.Duration // most time that a client of this route ever had left
 	owedFresh        float64       // admissions not yet made, of each flow
 	owedReturning    float64
@@ -61,6 +65,17 @@
 type runStats struct {
 	rate overload.DecayingRate
 	held overload.DecayingRate // seconds held
+
+	running  int           // in progress now
+	since    time.Time     // when running last changed
+	ended    int           // since the last sample
+	occupied time.Duration // time in progress of all runs together, since the last sample
+}
+
+// pass adds up the time in progress.
+func (r *runStats) pass(now time.Time) {
+	r.occupied += time.Duration(r.running) * now.Sub(r.since)
+	r.since = now
 }
 
 func (s *trafficStats) init() {
@@ -68,17 +83,56 @@
 	s.runs = make(map[string]*runStats)
 }
 
-// run counts a run at the server on this VM that has ended.
-func (s *trafficStats) run(now time.Time, route string, held time.Duration) {
+// begin counts a run that starts at the server on this VM.
+func (s *trafficStats) begin(now time.Time, route string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.runs[route]
 	if r == nil {
-		r = &runStats{}
+		r = &runStats{since: now}
 		s.runs[route] = r
 	}
-	r.rate.Add(now, 1)
-	r.held.Add(now, held.Seconds())
+	r.pass(now)
+	r.running++
+}
+
+// end counts the end of such a run; one that the server refused isn't counted as a run.
+func (s *trafficStats) end(now time.Time, route string, held time.Duration, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.runs[route]
+	r.pass(now)
+	r.running--
+	r.ended++
+	if ran {
+		r.rate.Add(now, 1)
+		r.held.Add(now, held.Seconds())
+	}
+}
+
+// sample returns what was in progress since the last sample, on average, and the calls a second of the
+// inner routes.
+func (s *trafficStats) sample(now time.Time, inner func(route string) bool) callgraph.Sample {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	span := now.Sub(s.sampled).Seconds()
+	s.sampled = now
+	out := callgraph.Sample{Busy: callgraph.Rates{}, Ended: callgraph.Rates{}, Calls: callgraph.Rates{}}
+	for route, r := range s.runs {
+		r.pass(now)
+		if span > 0 && r.occupied > 0 {
+			out.Busy[route] = r.occupied.Seconds() / span
+			out.Ended[route] = float64(r.ended) / span
+		}
+		r.occupied, r.ended = 0, 0
+	}
+	for route, e := range s.entries {
+		if span > 0 && e.since > 0 && inner(route) {
+			out.Calls[route] = float64(e.since) / span
+		}
+		e.since = 0
+	}
+	return out
 }
 
 // returningShare of the longest time that clients of a route have is the time left below which an attempt
@@ -94,6 +148,7 @@
 		e = &entryStats{owedFresh: 1, owedReturning: 1}
 		s.entries[route] = e
 	}
+	e.since++
 	e.longest = max(e.longest, left)
 	returning = float64(left) < returningShare*float64(e.longest)
 	owed, part := &e.owedFresh, share.Fresh
@@ -111,8 +166,8 @@
 	return true, returning
 }
 
-// leastReported is the rate below which a route isn't reported.
-const leastReported = 0.05
+// leastReported is the rate below which a route isn't reported: it takes no part worth planning for.
+const leastReported = 1.0
 
 // report returns the counts as rates.
 func (s *trafficStats) report(now time.Time) loadReport {
--- a/pkg/overload/repeat_budget.go
+++ b/pkg/overload/repeat_budget.go
@@ -4,16 +4,21 @@
 // of a token at every service that it and its calls run on; a repeat pays at each of them, since the
 // calls of a run that is a repeat are repeats too. It isn't safe for concurrent use.
 type RepeatBudget struct {
-	Ratio float64 // tokens that one run earns
+	Ratio float64 // tokens that a request earns at its own service
+	Below float64 // tokens that each run below it earns
 	Burst float64 // most tokens of one service, and those at the start
 
 	tokens map[string]float64
 }
 
-// Earn notes a request with its runs by service.
-func (b *RepeatBudget) Earn(runs map[string]float64) {
+// Earn notes a request for a service, with its runs by service.
+func (b *RepeatBudget) Earn(service string, runs map[string]float64) {
 	for s, n := range runs {
-		b.set(s, min(b.level(s)+b.Ratio*n, b.Burst))
+		share := b.Below
+		if s == service {
+			share = b.Ratio
+		}
+		b.set(s, min(b.level(s)+share*n, max(b.Burst, n)))
 	}
 }
 
