Logs as JSON through a queue that never blocks, metrics of a mesh node, tests of its rules

Change: logging.Queue and a bound of lines for each message; node_metrics.go on go-metrics and HdrHistogram, served as text; tests of gate, directory, desired state, plan, budget, connections, adapter and of the node's rules on loopback; fuzz targets for what comes from the wire. Found by the tests: a rate that was idle for long forgot too much of its span (7 a second instead of 1).

--- a/pkg/daemon/mesh_daemon.go
+++ b/pkg/daemon/mesh_daemon.go
@@ -26,7 +26,7 @@
 	return fx.New(
 		fx.Supply(cfg),
 		fx.Supply(fx.Annotate(w, fx.As(new(io.Writer)))),
-		fx.Provide(newClock, newFactory, newMeshNode),
+		fx.Provide(newClock, newMeshFactory, newMeshNode),
 		// The last one in is stopped first: signals are taken until the node has stopped, since one that
 		// nobody takes would end the process.
 		fx.Invoke(func(lc fx.Lifecycle, n *mesh.Node, f logging.Factory) { watchMeshSignals(lc, file, n, f) }),
@@ -37,6 +37,25 @@
 	)
 }
 
+// meshLinesPerSecond bounds the lines of one message that a node writes in a second: enough to follow
+// requests one by one while little is refused, and a bounded share of the processor when much is.
+const meshLinesPerSecond = 25
+
+// flushTime is the longest time that the last lines are waited for.
+const flushTime = 200 * time.Millisecond
+
+func newMeshFactory(lc fx.Lifecycle, cfg settings.Settings, w io.Writer, c clock.Clock) logging.Factory {
+	q := logging.NewQueue(w, c, logging.DefaultQueue)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		q.Close(flushTime)
+		return nil
+	}})
+	return logging.Factory{
+		W: q, Levels: logging.Levels{All: cfg.Log.Level, Parts: cfg.Log.Parts}, Clock: c,
+		JSON: true, PerSecond: meshLinesPerSecond,
+	}
+}
+
 func newMeshNode(cfg settings.Settings, c clock.Clock, f logging.Factory) (*mesh.Node, error) {
 	ip, _, err := net.SplitHostPort(cfg.Listen.Peers)
 	if err != nil {
--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,83 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func beat(id string, call int64, draining bool) Registration {
+	return Registration{Instance: id, Service: "s", Zone: "z", Slots: 5, Call: call, Draining: draining}
+}
+
+func TestALateHeartbeatDoesNotReviveAServer(t *testing.T) {
+	c := qt.New(t)
+	o := OwnServer{Host: "h"}
+	c.Assert(o.Heartbeat(beat("a", 1, false)), qt.IsTrue)
+	c.Assert(o.Leave("a"), qt.IsTrue)
+	c.Assert(o.Heartbeat(beat("a", 2, false)), qt.IsFalse)
+	c.Assert(o.Record().Phase, qt.Equals, Gone)
+}
+
+func TestAnEarlierCallDoesNotTakeDrainingBack(t *testing.T) {
+	c := qt.New(t)
+	o := OwnServer{Host: "h"}
+	o.Heartbeat(beat("a", 5, true))
+	c.Assert(o.Heartbeat(beat("a", 4, false)), qt.IsFalse)
+	c.Assert(o.Heartbeat(beat("a", 6, false)), qt.IsFalse)
+	c.Assert(o.Record().Phase, qt.Equals, Draining)
+}
+
+func TestTheNextServerAtTheAddressServes(t *testing.T) {
+	c := qt.New(t)
+	o := OwnServer{Host: "h"}
+	o.Heartbeat(beat("a", 9, false))
+	o.Leave("a")
+	c.Assert(o.Heartbeat(beat("b", 1, false)), qt.IsTrue)
+	c.Assert(o.Record().Phase, qt.Equals, Serving)
+	c.Assert(o.Leave("a"), qt.IsFalse)
+	c.Assert(o.Record().Instance, qt.Equals, "b")
+}
+
+func TestARestartedNodeRecallsItsServerUntilItSpeaks(t *testing.T) {
+	c := qt.New(t)
+	o := OwnServer{Host: "h"}
+	old := Record{Host: "h", Generation: 7, Instance: "a", Service: "s", Slots: 5, Phase: Draining}
+	c.Assert(o.Recall(old), qt.IsTrue)
+	c.Assert(o.Record(), qt.Equals, old)
+	c.Assert(o.Heartbeat(beat("a", 3, false)), qt.IsTrue, qt.Commentf("zone is news"))
+	c.Assert(o.Record().Phase, qt.Equals, Draining, qt.Commentf("leaving isn't taken back"))
+	c.Assert(o.Record().Generation > 7, qt.IsTrue)
+}
+
+func TestAServerThatSpokeGoesAboveWhatOthersRemember(t *testing.T) {
+	c := qt.New(t)
+	o := OwnServer{Host: "h"}
+	o.Heartbeat(beat("b", 1, false))
+	c.Assert(o.Recall(Record{Host: "h", Generation: 40, Instance: "a", Service: "s", Phase: Gone}), qt.IsTrue)
+	c.Assert(o.Record().Instance, qt.Equals, "b")
+	c.Assert(o.Record().Generation, qt.Equals, int64(41))
+}
+
+// Nodes that hear the same records in any order, any number of times, end with the same directory.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var heard []Record
+		for range rapid.IntRange(1, 20).Draw(r, "n") {
+			g := rapid.Int64Range(1, 4).Draw(r, "generation")
+			heard = append(heard, Record{
+				Host: rapid.SampledFrom([]string{"a", "b"}).Draw(r, "host"), Generation: g,
+				Instance: "i", Phase: Phase(rapid.IntRange(0, 3).Draw(r, "phase")),
+			})
+		}
+		var d, e Directory
+		d.Merge(heard...)
+		rnd := rand.New(rand.NewPCG(1, 2))
+		rnd.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+		e.Merge(heard...)
+		e.Merge(heard...)
+		qt.Assert(t, e.All(), qt.DeepEquals, d.All())
+	})
+}
--- /dev/null
+++ b/pkg/gate/gate_test.go
@@ -0,0 +1,157 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func ticket(inner bool, priority int, left time.Duration, got *[]Verdict) *Ticket {
+	return &Ticket{Inner: inner, Priority: priority, Deadline: begin.Add(left), Notify: func(v Verdict) { *got = append(*got, v) }}
+}
+
+// warm returns an open gate whose requests hold a slot for the given time.
+func warm(slots int, hold time.Duration) *Gate {
+	g := &Gate{}
+	g.Open(slots, true)
+	g.hold = hold
+	return g
+}
+
+// fill starts requests until the limit is reached.
+func fill(c *qt.C, g *Gate) {
+	for g.room() {
+		v := g.Arrive(begin, ticket(false, 0, time.Second, new([]Verdict)))
+		c.Assert(v.Start, qt.IsTrue)
+	}
+}
+
+func TestClosedGateStartsNothingAndRefusesWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	g := warm(10, 20*time.Millisecond)
+	fill(c, g)
+	var got []Verdict
+	c.Assert(g.Arrive(begin, ticket(true, 0, time.Second, &got)).Queued, qt.IsTrue)
+	g.Close()
+	c.Assert(got, qt.DeepEquals, []Verdict{{Reason: wire.ReasonLeaving}})
+	c.Assert(g.Arrive(begin, ticket(true, 0, time.Second, &got)), qt.Equals, Verdict{Reason: wire.ReasonLeaving})
+	g.Done(begin, time.Millisecond, Answered)
+	c.Assert(g.Read().Queued, qt.Equals, 0)
+}
+
+func TestCallsOfRunningRequestsGoFirst(t *testing.T) {
+	c := qt.New(t)
+	g := warm(10, 20*time.Millisecond)
+	fill(c, g)
+	var low, high, inner []Verdict
+	c.Assert(g.Arrive(begin, ticket(false, 2, time.Second, &low)).Queued, qt.IsTrue)
+	c.Assert(g.Arrive(begin, ticket(false, 0, time.Second, &high)).Queued, qt.IsTrue)
+	c.Assert(g.Arrive(begin, ticket(true, 5, time.Second, &inner)).Queued, qt.IsTrue)
+	g.Done(begin, 20*time.Millisecond, Answered)
+	c.Assert([]int{len(inner), len(high), len(low)}, qt.DeepEquals, []int{1, 0, 0})
+	g.Done(begin, 20*time.Millisecond, Answered)
+	c.Assert([]int{len(inner), len(high), len(low)}, qt.DeepEquals, []int{1, 1, 0})
+}
+
+func TestRootsDontWaitLong(t *testing.T) {
+	c := qt.New(t)
+	g := warm(10, 100*time.Millisecond)
+	fill(c, g)
+	var got []Verdict
+	queued, refused := 0, 0
+	for range 100 {
+		if v := g.Arrive(begin, ticket(false, 0, time.Minute, &got)); v.Queued {
+			queued++
+		} else {
+			c.Assert(v.Reason, qt.Equals, wire.ReasonQueue)
+			refused++
+		}
+	}
+	c.Assert(queued > 0 && queued <= 15, qt.IsTrue, qt.Commentf("%d queued", queued))
+	c.Assert(refused > 0, qt.IsTrue)
+}
+
+func TestWhatCannotEndInTimeIsNotStarted(t *testing.T) {
+	c := qt.New(t)
+	g := warm(10, 100*time.Millisecond)
+	c.Assert(g.Arrive(begin, ticket(true, 0, 40*time.Millisecond, new([]Verdict))).Reason, qt.Equals, wire.ReasonDeadline)
+	fill(c, g)
+	var got []Verdict
+	c.Assert(g.Arrive(begin, ticket(true, 0, 200*time.Millisecond, &got)).Queued, qt.IsTrue)
+	g.Expire(begin.Add(170 * time.Millisecond))
+	c.Assert(got, qt.DeepEquals, []Verdict{{Reason: wire.ReasonDeadline}})
+}
+
+// A server that refuses half of its work whatever its load keeps its limit: cutting it only lost throughput.
+func TestLimitStaysWhenTheServerRefuses(t *testing.T) {
+	c := qt.New(t)
+	g := warm(20, 20*time.Millisecond)
+	before := g.Read().Limit
+	for range 200 {
+		c.Assert(g.Arrive(begin, ticket(true, 0, time.Second, new([]Verdict))).Start, qt.IsTrue)
+		g.Done(begin, time.Millisecond, Shed)
+	}
+	c.Assert(g.Read().Limit, qt.Equals, before)
+	c.Assert(g.Read().Shed > 0.9, qt.IsTrue)
+	c.Assert(g.Read().Hold, qt.Equals, 20*time.Millisecond)
+}
+
+// Whatever happens, no more run than the limit, and every queued ticket hears its end once.
+func TestCountsHoldInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		g := warm(rapid.IntRange(1, 8).Draw(r, "slots"), 20*time.Millisecond)
+		heard := map[int]int{}
+		var queued []int
+		tickets := map[int]*Ticket{}
+		now, running := begin, 0
+		for i := range rapid.IntRange(1, 80).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(r, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(r, "what") {
+			case 0, 1:
+				tk := &Ticket{Inner: i%2 == 0, Priority: i % 3, Deadline: now.Add(150 * time.Millisecond)}
+				tk.Notify = func(v Verdict) {
+					heard[i]++
+					if v.Start {
+						running++
+					}
+				}
+				switch v := g.Arrive(now, tk); {
+				case v.Start:
+					running++
+				case v.Queued:
+					queued = append(queued, i)
+					tickets[i] = tk
+				}
+			case 2:
+				if running > 0 {
+					running--
+					g.Done(now, 10*time.Millisecond, Outcome(1+i%4))
+				}
+			case 3:
+				g.Expire(now)
+			case 4:
+				for k, tk := range tickets {
+					if g.Cancel(tk) {
+						heard[k]++
+						break
+					}
+				}
+			}
+			if float64(running) > max(g.limit, 1)+1 || running != g.running {
+				r.Fatalf("%d run, gate counts %d, limit %v", running, g.running, g.limit)
+			}
+		}
+		g.Close()
+		for _, i := range queued {
+			if heard[i] != 1 {
+				r.Fatalf("ticket %d heard %d verdicts", i, heard[i])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/httpconn/httpconn_test.go
@@ -0,0 +1,283 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+)
+
+// script serves one connection after the other with what handle writes for each request.
+func script(t *testing.T, handle func(c net.Conn, n int, r *http.Request) bool) (*Pool, *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { ln.Close() })
+	conns := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !handle(c, n, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	d := net.Dialer{}
+	p := &Pool{Clock: clock.Real{}, Dial: func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", ln.Addr().String())
+	}}
+	t.Cleanup(p.Close)
+	return p, conns
+}
+
+func get(p *Pool, ctx context.Context) (string, error) {
+	res, err := p.Do(ctx, &Request{Method: "GET", URI: "/x?y=1", Host: "h", Header: http.Header{"A": {"b"}}})
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return string(b), err
+}
+
+func write(c net.Conn, s string) bool {
+	_, err := io.WriteString(c, s)
+	return err == nil
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func kindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	c := qt.New(t)
+	p, conns := script(t, func(n net.Conn, _ int, r *http.Request) bool {
+		return r.URL.RawQuery == "y=1" && r.Host == "h" && r.Header.Get("A") == "b" && write(n, okAnswer)
+	})
+	for range 5 {
+		body, err := get(p, context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "ok")
+	}
+	c.Assert(conns.Load(), qt.Equals, int64(1))
+	c.Assert(p.Open(), qt.Equals, 1)
+}
+
+// A second answer that comes late lies where the next one is due.
+func TestASurplusAnswerIsNeverRead(t *testing.T) {
+	c := qt.New(t)
+	p, conns := script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+		if !write(n, okAnswer) {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+		return write(n, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+	})
+	for range 4 {
+		body, err := get(p, context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "ok")
+		time.Sleep(60 * time.Millisecond)
+	}
+	c.Assert(conns.Load(), qt.Equals, int64(4))
+}
+
+func TestADeadIdleConnectionIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	p, _ := script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+		write(n, okAnswer)
+		return false
+	})
+	for range 3 {
+		_, err := get(p, context.Background())
+		c.Assert(err, qt.IsNil)
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// A request that was sent isn't sent again by the pool, whatever happens to it.
+func TestALostAnswerIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	seen := &atomic.Int64{}
+	p, _ := script(t, func(n net.Conn, k int, _ *http.Request) bool {
+		seen.Add(1)
+		return k == 1 && write(n, okAnswer)
+	})
+	_, err := get(p, context.Background())
+	c.Assert(err, qt.IsNil)
+	_, err = get(p, context.Background())
+	c.Assert(kindOf(err), qt.Equals, NoAnswer)
+	c.Assert(seen.Load(), qt.Equals, int64(2))
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	c := qt.New(t)
+	for name, bytes := range map[string]string{
+		"cut body":    "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf",
+		"cut chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"not HTTP":    "what is this\r\n\r\n",
+		"bad chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"cut header":  "HTTP/1.1 200 OK\r\nContent-Le",
+		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		p, _ := script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+			write(n, bytes)
+			return false
+		})
+		_, err := get(p, context.Background())
+		k := kindOf(err)
+		c.Assert(k == Broken || k == NoAnswer, qt.IsTrue, qt.Commentf("%s: %v", name, err))
+		c.Assert(p.Open(), qt.Equals, 0, qt.Commentf("%s", name))
+	}
+}
+
+func TestAnAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	c := qt.New(t)
+	p, _ := script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+		write(n, "HTTP/1.1 200 OK\r\n\r\nto the end")
+		return false
+	})
+	body, err := get(p, context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "to the end")
+
+	p, _ = script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+		write(n, "HTTP/1.1 200 OK\r\n\r\nto the ")
+		time.Sleep(20 * time.Millisecond)
+		_ = n.(*net.TCPConn).SetLinger(0) // the close becomes a reset
+		return false
+	})
+	_, err = get(p, context.Background())
+	c.Assert(kindOf(err), qt.Equals, Broken, qt.Commentf("%v", err))
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	c := qt.New(t)
+	gone := make(chan struct{})
+	p, _ := script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+		_, _ = n.Read(make([]byte, 1)) // returns when the other side closes
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := get(p, ctx)
+	c.Assert(kindOf(err), qt.Equals, Canceled)
+	<-gone
+}
+
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	c := qt.New(t)
+	p := &Pool{Clock: clock.Real{}, Dial: func(context.Context) (net.Conn, error) { return nil, net.ErrClosed }}
+	_, err := get(p, context.Background())
+	c.Assert(kindOf(err), qt.Equals, NotConnected)
+	c.Assert(p.Open(), qt.Equals, 0)
+}
+
+// An answer may come before a streamed body is sent; that connection isn't used again.
+func TestAnEarlyAnswerToALongBody(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	go func() {
+		for {
+			n, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer n.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(n)); err != nil {
+					return
+				}
+				write(n, okAnswer)
+				time.Sleep(50 * time.Millisecond)
+			}()
+		}
+	}()
+	d := net.Dialer{}
+	p := &Pool{Clock: clock.Real{}, Dial: func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", ln.Addr().String())
+	}}
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", 1000)), blockedReader{make(chan struct{})})
+	res, err := p.Do(context.Background(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Stream: body, StreamLen: 1 << 20})
+	c.Assert(err, qt.IsNil)
+	b, err := io.ReadAll(res.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(b), qt.Equals, "ok")
+	c.Assert(p.Open(), qt.Equals, 0)
+}
+
+type blockedReader struct{ c chan struct{} }
+
+func (r blockedReader) Read([]byte) (int, error) { <-r.c; return 0, io.EOF }
+
+func TestIdleTimeOfTheServerIsKept(t *testing.T) {
+	c := qt.New(t)
+	clk := clock.NewManual(time.Unix(0, 0))
+	p, conns := script(t, func(n net.Conn, _ int, _ *http.Request) bool {
+		return write(n, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2, max=9\r\nContent-Length: 0\r\n\r\n")
+	})
+	p.Clock = clk
+	for _, rest := range []time.Duration{900 * time.Millisecond, 1100 * time.Millisecond, 0} {
+		_, err := get(p, context.Background())
+		c.Assert(err, qt.IsNil)
+		clk.Advance(rest)
+	}
+	c.Assert(conns.Load(), qt.Equals, int64(2))
+	clk.Advance(time.Hour)
+	p.Sweep()
+	c.Assert(p.Open(), qt.Equals, 0)
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add(okAnswer)
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, bytes string) {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(server))
+			_, _ = io.WriteString(server, bytes)
+			server.Close()
+		}()
+		p := &Pool{Clock: clock.Real{}, Dial: func(context.Context) (net.Conn, error) { return client, nil }}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if _, err := get(p, ctx); err != nil && kindOf(err) == 0 {
+			t.Fatal(fmt.Errorf("untyped: %w", err))
+		}
+	})
+}
--- /dev/null
+++ b/pkg/logging/line_queue_test.go
@@ -0,0 +1,72 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+)
+
+// stalledWriter takes nothing until it is released.
+type stalledWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	b       bytes.Buffer
+}
+
+func (w *stalledWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(p)
+}
+
+func TestAStalledReaderHoldsNobodyUp(t *testing.T) {
+	c := qt.New(t)
+	w := &stalledWriter{release: make(chan struct{})}
+	clk := clock.NewManual(time.Unix(0, 0))
+	q := NewQueue(w, clk, 4)
+	f := Factory{W: q, Clock: clk, JSON: true, PerSecond: 1000}
+	log := f.Part("call")
+	for range 100 {
+		log.Info("refused", "request", "r")
+	}
+	left := q.LeftOut()
+	c.Assert(left >= 95 && left <= 96, qt.IsTrue, qt.Commentf("%d", left))
+	close(w.release)
+	q.Close(5 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, line := range strings.Split(strings.TrimSpace(w.b.String()), "\n") {
+		c.Assert(json.Valid([]byte(line)), qt.IsTrue, qt.Commentf("%s", line))
+	}
+}
+
+func TestLinesOfOneMessageAreBoundedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	var b bytes.Buffer
+	clk := clock.NewManual(time.Unix(0, 0))
+	log := Factory{W: &b, Clock: clk, JSON: true, PerSecond: 3}.Part("call")
+	for range 10 {
+		log.Info("refused")
+	}
+	c.Assert(strings.Count(b.String(), "\n"), qt.Equals, 3)
+	clk.Advance(2 * time.Second)
+	log.Info("refused")
+	c.Assert(b.String(), qt.Contains, `"repeated":7`)
+}
+
+func BenchmarkQueuedLine(b *testing.B) {
+	q := NewQueue(&bytes.Buffer{}, clock.Real{}, DefaultQueue)
+	log := Factory{W: q, Clock: clock.Real{}, JSON: true, PerSecond: 1 << 30}.Part("call")
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("refused", "request", "9c41d07be2a35f68", "route", "r", "reason", "level")
+	}
+}
--- a/pkg/logging/part_logger.go
+++ b/pkg/logging/part_logger.go
@@ -10,7 +10,7 @@
 	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
-// repeatPeriod is the time in which a repeated message is written once.
+// repeatPeriod is the time in which a repeated message is written a bounded number of times.
 const repeatPeriod = time.Second
 
 // Levels holds the level of all parts and of single ones, as debug, info, warn or error.
@@ -24,6 +24,10 @@
 	W      io.Writer
 	Levels Levels
 	Clock  clock.Clock
+	// JSON writes lines as JSON objects instead of text.
+	JSON bool
+	// PerSecond is how many lines of one message are written in a second; 0 means one.
+	PerSecond int
 }
 
 // Part returns the logger of one part, whose lines start with its name.
@@ -33,8 +37,12 @@
 	}
 	level := parseLevel(f.Levels.All, slog.LevelInfo)
 	level = parseLevel(f.Levels.Parts[name], level)
-	h := slog.NewTextHandler(f.W, &slog.HandlerOptions{Level: level})
-	return slog.New(&partHandler{next: h, prefix: name + ": ", seen: &repeats{}, clock: f.Clock})
+	opts := &slog.HandlerOptions{Level: level}
+	var h slog.Handler = slog.NewTextHandler(f.W, opts)
+	if f.JSON {
+		h = slog.NewJSONHandler(f.W, opts)
+	}
+	return slog.New(&partHandler{next: h, prefix: name + ": ", seen: &repeats{most: max(f.PerSecond, 1)}, clock: f.Clock})
 }
 
 func parseLevel(s string, def slog.Level) slog.Level {
@@ -90,11 +98,13 @@
 // repeats remembers when each message was last written.
 type repeats struct {
 	mu   sync.Mutex
+	most int // lines of one message in a period
 	last map[string]*repeat
 }
 
 type repeat struct {
-	at      time.Time
+	at      time.Time // when the period began
+	written int       // in the period
 	dropped int
 }
 
@@ -106,14 +116,18 @@
 	}
 	e, met := r.last[msg]
 	if met && now.Sub(e.at) < repeatPeriod {
-		e.dropped++
-		return 0, false
+		if e.written >= r.most {
+			e.dropped++
+			return 0, false
+		}
+		e.written++
+		return 0, true
 	}
 	if !met {
 		e = &repeat{}
 		r.last[msg] = e
 	}
 	dropped = e.dropped
-	e.at, e.dropped = now, 0
+	e.at, e.written, e.dropped = now, 1, 0
 	return dropped, true
 }
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -231,6 +231,12 @@
 // logPlan writes down what decided the shares while some kind is held down.
 func (n *Node) logPlan(now time.Time, plan *admissionPlan, roots []overload.Root, capacity map[string]float64) {
 	held := false
+	for route, s := range plan.shares {
+		if s.Fresh < 1 || n.control.sharesShown[route] {
+			n.control.sharesShown[route] = true
+			n.metrics.gauge(int64(s.Fresh*1000), "admitted_share", "route", route)
+		}
+	}
 	demand := map[string]float64{}
 	for _, r := range roots {
 		held = held || plan.shares[r.Route].Fresh < 1
@@ -272,8 +278,14 @@
 func (n *Node) mayRepeat(q *request) bool {
 	runs := n.runsOf(q)
 	n.budgetMu.Lock()
-	defer n.budgetMu.Unlock()
-	return n.budget.Take(runs)
+	ok := n.budget.Take(runs)
+	n.budgetMu.Unlock()
+	if ok {
+		n.metrics.count("repeats_total", "service", q.Service)
+	} else {
+		n.metrics.count("repeats_denied_total", "service", q.Service)
+	}
+	return ok
 }
 
 // earnRepeats notes a request that a server is about to get for the first time.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -23,6 +23,12 @@
 
 // serve puts a request through the gate and hands it to the backend server.
 func (b *backend) serve(ctx context.Context, q *request) *answer {
+	a := b.run(ctx, q)
+	b.n.metrics.count("arrivals_total", "service", q.Service, "outcome", string(a.outcome), "reason", string(a.reason))
+	return a
+}
+
+func (b *backend) run(ctx context.Context, q *request) *answer {
 	own := b.n.view.Load().own
 	if own.Service != q.Service || own.Instance == "" {
 		return refused(wire.ReasonNoServer)
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -17,6 +17,7 @@
 	nextPlan    time.Time
 	nextPlanLog time.Time
 	reports     map[string]*loadReport // newest of each node, by host
+	sharesShown map[string]bool        // routes with a metric of their share
 	reportSeq   int64
 	learner     callgraph.Learner
 	nextSample  time.Time
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -24,6 +24,7 @@
 			next = -1
 		}
 		n.following.Store(false)
+		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("desired state not followed", "err", err)
 		sleep(ctx, jitter(wait))
 		wait = min(2*wait, storeRetryMost)
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -132,6 +132,7 @@
 		return a
 	}
 	if p.failed(d.n.clock.Now()) {
+		d.n.metrics.count("peers_aside_total")
 		d.n.callLog.Warn("peer set aside", "peer", p.host, "request", d.q.id, "err", err)
 	}
 	if unsent(err) {
@@ -145,6 +146,7 @@
 
 // writeFinal answers a client.
 func (n *Node) writeFinal(w http.ResponseWriter, q *request, a *answer) {
+	n.metrics.count("requests_total", "route", q.Route, "service", q.Service, "outcome", string(a.outcome), "reason", string(a.reason))
 	if n.stop.leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/pkg/mesh/harness_test.go
+++ b/pkg/mesh/harness_test.go
@@ -311,3 +311,9 @@
 		Targets: []desired.Target{{Service: service, Weight: 1}},
 	}
 }
+
+func mustState(t testing.TB, s desired.State) []byte {
+	data, err := json.Marshal(s)
+	qt.Assert(t, err, qt.IsNil)
+	return data
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -42,6 +42,7 @@
 	gateMu sync.Mutex
 	gate   gate.Gate
 
+	metrics  nodeMetrics
 	stats    trafficStats
 	plan     atomic.Pointer[admissionPlan]
 	budgetMu sync.Mutex
@@ -82,8 +83,10 @@
 	n.backend = newBackend(n)
 	n.control.own.Host = host
 	n.control.reports = make(map[string]*loadReport)
+	n.control.sharesShown = make(map[string]bool)
 	n.records.init()
 	n.stats.init()
+	n.metrics.init()
 	n.tuneBudget()
 	n.view.Store(&view{})
 	n.servers = []*http.Server{
@@ -95,6 +98,9 @@
 	if o.Settings.Listen.Ready != o.Settings.Listen.Control {
 		n.servers = append(n.servers, n.newServer(o.Settings.Listen.Ready, control))
 	}
+	if o.Settings.Listen.Metrics != "" {
+		n.servers = append(n.servers, n.newServer(o.Settings.Listen.Metrics, n.metricsHandler()))
+	}
 	return n, nil
 }
 
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -63,8 +63,12 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	n.earnRepeats(q)
+	begun := n.clock.Now()
 	d := &delivery{n: n, q: q, route: route}
 	a := d.run(ctx)
+	if a.outcome == wire.Ran {
+		n.metrics.observe(n.clock.Now().Sub(begun), "request_seconds", "route", route.Name)
+	}
 	if a.outcome != wire.Ran && r.Context().Err() == nil {
 		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
 			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version, "inner", q.Inner)
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -110,6 +110,7 @@
 			n.records.askRead()
 			continue
 		}
+		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("record not stored", "generation", r.Generation, "err", err)
 		if !sleep(ctx, jitter(wait)) {
 			return
@@ -139,6 +140,7 @@
 		cancel()
 		pause := jitter(recordsPeriod)
 		if err != nil {
+			n.metrics.count("store_errors_total")
 			n.controlLog.Warn("records not read", "err", err)
 			pause = jitter(wait)
 			wait = min(2*wait, storeRetryMost)
--- a/pkg/overload/decaying_rate.go
+++ b/pkg/overload/decaying_rate.go
@@ -43,5 +43,5 @@
 	r.last = now
 	keep := math.Exp2(-float64(d) / float64(rateMemory))
 	r.sum *= keep
-	r.span = (r.span + d.Seconds()) * keep
+	r.span = r.span*keep + rateMemory.Seconds()/math.Ln2*(1-keep)
 }
--- /dev/null
+++ b/pkg/overload/overload_test.go
@@ -0,0 +1,118 @@
+package overload
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestUrgentKindsKeepTheirShare(t *testing.T) {
+	c := qt.New(t)
+	shares := Plan([]Root{
+		{Route: "bill", Priority: 0, Fresh: 100, Returning: 10, Slots: map[string]float64{"low": 0.1}},
+		{Route: "look", Priority: 2, Fresh: 200, Returning: 50, Slots: map[string]float64{"low": 0.1}},
+		{Route: "pull", Priority: 2, Fresh: 50, Slots: map[string]float64{"files": 0.1}},
+	}, map[string]float64{"low": 20, "files": 100})
+	c.Assert(shares["bill"], qt.Equals, Share{1, 1})
+	c.Assert(shares["pull"], qt.Equals, Share{1, 1})
+	c.Assert(math.Abs(shares["look"].Fresh-0.4) < 0.01, qt.IsTrue, qt.Commentf("%v", shares))
+	c.Assert(math.Abs(shares["look"].Returning) < 0.01, qt.IsTrue)
+}
+
+func TestWhatAKindLeavesGoesToOthers(t *testing.T) {
+	c := qt.New(t)
+	shares := Plan([]Root{
+		{Route: "a", Fresh: 100, Slots: map[string]float64{"x": 0.1, "y": 0.1}},
+		{Route: "b", Fresh: 100, Slots: map[string]float64{"y": 0.1}},
+	}, map[string]float64{"x": 2, "y": 12})
+	c.Assert(math.Abs(shares["a"].Fresh-2*Target/10) < 0.01, qt.IsTrue, qt.Commentf("%v", shares))
+	c.Assert(math.Abs(shares["b"].Fresh-(12*Target-2*Target)/10) < 0.01, qt.IsTrue, qt.Commentf("%v", shares))
+}
+
+// No service gets more than its capacity, no kind is held down without need, and a less urgent kind that
+// needs the same services never has the larger share.
+func TestPlanFitsAndKeepsTheOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		capacity := map[string]float64{}
+		for i := range 3 {
+			capacity[fmt.Sprint("s", i)] = rapid.Float64Range(0, 50).Draw(r, "capacity")
+		}
+		var roots []Root
+		for i := range rapid.IntRange(1, 6).Draw(r, "kinds") {
+			slots := map[string]float64{}
+			for s := range capacity {
+				if rapid.Bool().Draw(r, "uses") {
+					slots[s] = rapid.Float64Range(0.01, 0.5).Draw(r, "cost")
+				}
+			}
+			roots = append(roots, Root{
+				Route: fmt.Sprint(i), Priority: rapid.IntRange(0, 2).Draw(r, "priority"),
+				Fresh: rapid.Float64Range(0, 200).Draw(r, "fresh"), Returning: rapid.Float64Range(0, 50).Draw(r, "back"), Slots: slots,
+			})
+		}
+		shares := Plan(roots, capacity)
+		for s, room := range capacity {
+			used, tight := 0.0, false
+			for _, k := range roots {
+				sh := shares[k.Route]
+				if sh.Fresh < 0 || sh.Fresh > 1 || sh.Returning < 0 || sh.Returning > 1 {
+					r.Fatalf("share %v of %s", sh, k.Route)
+				}
+				used += k.Slots[s] * (k.Fresh*sh.Fresh + k.Returning*sh.Returning)
+				tight = tight || k.Slots[s] > 0
+			}
+			if tight && used > room*Target+1e-6 {
+				r.Fatalf("%s gets %v of %v", s, used, room)
+			}
+		}
+		for _, a := range roots {
+			for _, b := range roots {
+				if a.Priority < b.Priority && sameServices(a, b) && shares[a.Route].Fresh < shares[b.Route].Fresh-1e-9 {
+					r.Fatalf("%s (%d) has %v, %s (%d) has %v", a.Route, a.Priority, shares[a.Route], b.Route, b.Priority, shares[b.Route])
+				}
+			}
+		}
+	})
+}
+
+func sameServices(a, b Root) bool {
+	if len(a.Slots) != len(b.Slots) || len(a.Slots) == 0 {
+		return false
+	}
+	for s := range a.Slots {
+		if b.Slots[s] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRateForgets(t *testing.T) {
+	c := qt.New(t)
+	var r DecayingRate
+	now := time.Unix(0, 0)
+	for range 3000 {
+		now = now.Add(time.Millisecond)
+		r.Add(now, 0.1)
+	}
+	c.Assert(math.Abs(r.PerSecond(now)-100) < 5, qt.IsTrue, qt.Commentf("%v", r.PerSecond(now)))
+	c.Assert(r.PerSecond(now.Add(5*time.Second)) < 2, qt.IsTrue)
+}
+
+// A repeat is paid at every service that its calls reach.
+func TestRepeatsPayForTheirCalls(t *testing.T) {
+	c := qt.New(t)
+	b := RepeatBudget{Ratio: 0.1, Below: 0.1, Burst: 2}
+	whole := map[string]float64{"top": 1, "low": 4}
+	c.Assert(b.Take(whole), qt.IsFalse, qt.Commentf("two tokens don't pay four runs"))
+	for range 50 {
+		b.Earn("top", whole)
+	}
+	c.Assert(b.Take(whole), qt.IsTrue)
+	c.Assert(b.Take(whole), qt.IsFalse)
+	c.Assert(b.Take(map[string]float64{"top": 1}), qt.IsTrue, qt.Commentf("a refused repeat takes nothing"))
+}
