trace command, page of logs checked against the code; reads repeated after a server's failure

Cause: a read that one server fails (its own error, or a grey server) was passed on as failed though another could serve it; and on call had no tool to follow a request through several logs. Change: a 500 to repeatable work goes on to another server within budget and bound, unless the kind is held down; pkg/trace and rockspoke trace; docs/LOGS.md and docs/PLATFORM.md.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -244,20 +244,13 @@
 			demand[s] += cost * r.Fresh
 		}
 	}
-	if now.Before(n.control.nextPlanLog) || !(held || debugPlan) {
+	if !held || now.Before(n.control.nextPlanLog) {
 		return
 	}
 	n.control.nextPlanLog = now.Add(planLogPeriod)
 	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "capacity", capacity, "reports", len(n.control.reports))
-	if debugPlan {
-		for _, r := range roots {
-			n.controlLog.Info("root "+r.Route, "fresh", r.Fresh, "ret", r.Returning, "slots", r.Slots, "runs", plan.runs[r.Route])
-		}
-	}
 }
 
-const debugPlan = false
-
 // admit decides whether a root request is taken in.
 func (n *Node) admit(q *request, left time.Duration) bool {
 	share := overload.Share{Fresh: 1, Returning: 1}
@@ -274,6 +267,16 @@
 	return ok
 }
 
+// heldDown tells whether admission takes in only a part of a kind of root request now.
+func (n *Node) heldDown(route string) bool {
+	p := n.plan.Load()
+	if p == nil {
+		return false
+	}
+	s, ok := p.shares[route]
+	return ok && s.Fresh < 1
+}
+
 // mayRepeat tells whether the budget lets a request reach one more server, and pays for it.
 func (n *Node) mayRepeat(q *request) bool {
 	runs := n.runsOf(q)
--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -29,6 +29,11 @@
 	length     int64         // of the whole body; -1: not known
 }
 
+// failed tells whether a server ran the request and answered with a failure that another one may not give.
+func (a *answer) failed() bool {
+	return a.outcome == wire.Ran && a.status == http.StatusInternalServerError && a.stream == nil
+}
+
 func refused(reason wire.Reason) *answer { return &answer{outcome: wire.NotRun, reason: reason} }
 
 func lost(reason wire.Reason) *answer {
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -17,7 +17,8 @@
 	q        *request
 	route    *desired.Route
 	tried    []*peer
-	arrivals int // backend servers that it reached, or may have reached
+	arrivals int     // backend servers that it reached, or may have reached
+	failure  *answer // a server's own failure, which is the answer if no other server does better
 }
 
 // run sends the request until it is answered or given up.
@@ -36,7 +37,10 @@
 		if a.arrived {
 			d.arrivals++
 		}
-		if a.outcome == wire.Ran || a.canceled {
+		if a.failed() {
+			d.failure = a
+		}
+		if a.outcome == wire.Ran && !a.failed() || a.canceled {
 			return a
 		}
 		if !d.again(a) {
@@ -44,7 +48,7 @@
 		}
 		d.n.callLog.Info("sent again", "request", d.q.id, "route", d.route.Name, "peer", p.host,
 			"outcome", a.outcome, "reason", a.reason, "arrivals", d.arrivals)
-		if last == nil || last.outcome != wire.Unknown {
+		if a.outcome != wire.Ran && (last == nil || last.outcome != wire.Unknown) {
 			last = a
 		}
 	}
@@ -55,9 +59,12 @@
 	if d.q.stream != nil {
 		return false // part of the body may be gone
 	}
-	if a.outcome == wire.Unknown && d.q.Once {
+	if a.outcome != wire.NotRun && d.q.Once {
 		return false
 	}
+	if a.failed() && d.n.heldDown(d.q.Route) {
+		return false // its calls failed, most likely; another run would only add to the load
+	}
 	if !a.arrived {
 		return true // the gate's refusal is no arrival: going on costs nothing
 	}
@@ -67,6 +74,9 @@
 // giveUp returns the final answer of a request that no server answered. It says that the request hasn't
 // run only if that is certain.
 func (d *delivery) giveUp(last *answer, reason wire.Reason) *answer {
+	if d.failure != nil {
+		return d.failure
+	}
 	if last != nil && last.outcome == wire.Unknown {
 		return last
 	}
--- /dev/null
+++ b/pkg/mesh/log_lines_test.go
@@ -0,0 +1,83 @@
+package mesh
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// logParts are the loggers' fields and the prefixes of their lines.
+var logParts = map[string]string{"callLog": "call", "controlLog": "control"}
+
+// TestPageHasEveryLogLineAndItsFields compares docs/LOGS.md with the calls in the code.
+func TestPageHasEveryLogLineAndItsFields(t *testing.T) {
+	c := qt.New(t)
+	files, err := filepath.Glob("*.go")
+	c.Assert(err, qt.IsNil)
+	found := map[string]bool{}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		c.Assert(err, qt.IsNil)
+		ast.Inspect(f, func(n ast.Node) bool {
+			if line, ok := logLine(n); ok {
+				found[line] = true
+			}
+			return true
+		})
+	}
+	page, err := os.ReadFile("../../docs/LOGS.md")
+	c.Assert(err, qt.IsNil)
+	told := map[string]bool{}
+	for _, line := range strings.Split(string(page), "\n") {
+		if cells := strings.Split(line, " | "); strings.HasPrefix(line, "| `") && len(cells) == 4 {
+			told[strings.Join(cells[:3], " | ")] = true
+		}
+	}
+	for line := range found {
+		c.Check(told[line], qt.IsTrue, qt.Commentf("not on the page: %s", line))
+	}
+	for line := range told {
+		c.Check(found[line], qt.IsTrue, qt.Commentf("not in the code: %s", line))
+	}
+}
+
+// logLine returns the page's first cells for a call that writes a line.
+func logLine(n ast.Node) (string, bool) {
+	call, ok := n.(*ast.CallExpr)
+	if !ok {
+		return "", false
+	}
+	sel, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return "", false
+	}
+	x, ok := sel.X.(*ast.SelectorExpr)
+	if !ok || logParts[x.Sel.Name] == "" || len(call.Args) == 0 || sel.Sel.Name == "Handler" {
+		return "", false
+	}
+	msg, err := strconv.Unquote(call.Args[0].(*ast.BasicLit).Value)
+	if err != nil {
+		return "", false
+	}
+	var fields []string
+	for i := 1; i < len(call.Args); i += 2 {
+		key, err := strconv.Unquote(call.Args[i].(*ast.BasicLit).Value)
+		if err == nil {
+			fields = append(fields, key)
+		}
+	}
+	slices.Sort(fields)
+	return fmt.Sprintf("| `%s: %s` | %s | %s", logParts[x.Sel.Name], msg, strings.ToLower(sel.Sel.Name), strings.Join(fields, ", ")), true
+}
--- a/pkg/mesh/rules_test.go
+++ b/pkg/mesh/rules_test.go
@@ -161,6 +161,42 @@
 	c.Assert(h.Get(testNames.Seal), qt.Equals, "sealed")
 }
 
+// A read that one server fails is read from another; once-only work isn't.
+func TestReadsAreRepeatedAfterAServersFailure(t *testing.T) {
+	c := qt.New(t)
+	s := three(t)
+	s.handleAll(func(f *fakeServer, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testNames.Seal, f.instance)
+		if f == s.servers[0] {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		fmt.Fprint(w, "text")
+	})
+	status, _, _ := s.ask(0, http.MethodGet, "/read/x", "g", time.Second)
+	c.Assert(status, qt.Equals, 200)
+	status, _, h := s.ask(0, http.MethodPost, "/pay/x", "p", time.Second)
+	c.Assert(status == 200 || h.Get(testNames.Seal) == s.servers[0].instance, qt.IsTrue)
+	for _, id := range s.allRan() {
+		c.Assert(id == "g" || id == "p", qt.IsTrue)
+	}
+	n := 0
+	for _, id := range s.allRan() {
+		if id == "p" {
+			n++
+		}
+	}
+	c.Assert(n, qt.Equals, 1)
+
+	s.handleAll(func(f *fakeServer, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testNames.Seal, f.instance)
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "its text")
+	})
+	status, body, _ := s.ask(0, http.MethodGet, "/read/x", "g2", time.Second)
+	c.Assert(status, qt.Equals, http.StatusInternalServerError)
+	c.Assert(body, qt.Equals, "its text")
+}
+
 func TestADrainingServerGetsNothingFromAnyNode(t *testing.T) {
 	c := qt.New(t)
 	s := three(t)
--- /dev/null
+++ b/pkg/trace/doc.go
@@ -0,0 +1,7 @@
+// Package trace reads the logs of several nodes and tells one request's story, or why requests weren't served.
+//
+// Lines may come with something before the JSON object, such as a time and a
+// node's name; what stands before it is kept as the line's source. A line
+// without a JSON object, or with one that isn't a log line, is left out and
+// counted.
+package trace
