Choice of server: slow near servers are left; rates over half a second at least

Change: the score weighs use by success and by the root of slowness, far servers are looked at when the near one is three times slower; a rate is taken over half a second at least.

--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,28 +12,67 @@
 	// crowded is the use from which on servers of other zones are looked at: below it a request waits for
 	// nothing, and bytes between zones are paid for.
 	crowded = 0.75
-	// farPenalty is the use by which a server of another zone has to be better.
+	// farPenalty is the score by which a server of another zone has to be better.
 	farPenalty = 0.15
+	// slowRatio is how much slower than those of other zones a near server may be: the servers of one
+	// service differ in speed by about that much when all is well.
+	slowRatio = 3.0
+	// overUse weighs use beyond all slots, where requests wait.
+	overUse = 4.0
+	// looked is how many servers of a zone are compared.
+	looked = 3
 )
 
+// standard is the best that is believed of any server of a service; the others are measured against it.
+type standard struct {
+	success float64
+	hold    time.Duration
+}
+
+func standardOf(now time.Time, list []*peer) standard {
+	s := standard{success: leastSuccess}
+	for _, p := range list {
+		e := p.estimate(now)
+		s.success = max(s.success, e.success)
+		if e.hold > 0 && (s.hold == 0 || e.hold < s.hold) {
+			s.hold = e.hold
+		}
+	}
+	return s
+}
+
+// slowness is how many times longer than the fastest a server takes, at least 1.
+func (s standard) slowness(e estimate) float64 {
+	if s.hold == 0 || e.hold == 0 {
+		return 1
+	}
+	return float64(e.hold) / float64(s.hold)
+}
+
+// score is lower for a better server. One that fails fast looks idle, so its use counts as much more; a slow
+// one gets fewer requests than its slots would take, since each holds the callers' slots too.
+func (s standard) score(e estimate) float64 {
+	failing := s.success / e.success
+	return e.use*failing*failing*math.Sqrt(s.slowness(e)) + overUse*max(e.use-1, 0)
+}
+
 // choose returns the server to send to, or nil if all were tried or there is none. Servers that are set
 // aside or stopping are taken only if there is no other.
 func choose(now time.Time, list []*peer, tried []*peer) *peer {
-	most := leastSuccess
-	for _, p := range list {
-		_, success := p.estimate(now)
-		most = max(most, success)
+	if len(list) == 0 {
+		return nil
 	}
+	s := standardOf(now, list)
 	for _, last := range []bool{false, true} {
-		near, nearUse := best(now, list, tried, most, true, last)
-		if near != nil && nearUse < crowded {
+		near, nearScore := s.best(now, list, tried, true, last)
+		if near != nil && nearScore < crowded && s.slowness(near.estimate(now)) < slowRatio {
 			return near
 		}
-		far, farUse := best(now, list, tried, most, false, last)
+		far, farScore := s.best(now, list, tried, false, last)
 		switch {
 		case near == nil && far != nil:
 			return far
-		case near != nil && (far == nil || nearUse <= farUse+farPenalty):
+		case near != nil && (far == nil || nearScore <= farScore+farPenalty):
 			return near
 		case far != nil:
 			return far
@@ -41,16 +81,12 @@
 	return nil
 }
 
-// best returns the less used of two servers taken at random, so that nodes with the same news don't all
-// go to one.
-func best(now time.Time, list, tried []*peer, most float64, near, lastResort bool) (*peer, float64) {
+// best returns the best of a few servers taken at random, so that nodes with the same news don't all go to one.
+func (s standard) best(now time.Time, list, tried []*peer, near, lastResort bool) (*peer, float64) {
 	var found *peer
 	var least float64
 	seen := 0
-	start := 0
-	if len(list) > 1 {
-		start = rand.IntN(len(list))
-	}
+	start := rand.IntN(len(list))
 	for i := range list {
 		p := list[(start+i)%len(list)]
 		if p.near.Load() != near || slices.Contains(tried, p) {
@@ -59,11 +95,8 @@
 		if !lastResort && (p.stopping.Load() || !p.usable(now)) {
 			continue
 		}
-		use, success := p.estimate(now)
-		// A server that fails fast looks idle: its use counts as much more, against the best of its service.
-		use *= (most / success) * (most / success)
-		if found == nil || use < least {
-			found, least = p, use
+		if score := s.score(p.estimate(now)); found == nil || score < least {
+			found, least = p, score
 		}
 		if seen++; seen == looked {
 			break
@@ -71,6 +104,3 @@
 	}
 	return found, least
 }
-
-// looked is how many servers of a zone are compared.
-const looked = 3
--- /dev/null
+++ b/pkg/mesh/choose_server_test.go
@@ -0,0 +1,79 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var chooseTime = time.Unix(1_000_000, 0)
+
+func server(host string, near bool, running int, hold time.Duration, success int) *peer {
+	p := &peer{host: host}
+	p.near.Store(near)
+	p.slots.Store(20)
+	p.heard(chooseTime, reply{Running: running, Limit: 20, Hold: hold, Success: success})
+	return p
+}
+
+// share returns how many of 1000 choices fall on the peer.
+func share(p *peer, list ...*peer) int {
+	n := 0
+	for range 1000 {
+		if choose(chooseTime, list, nil) == p {
+			n++
+		}
+	}
+	return n
+}
+
+func TestNearServersAreTakenWhileTheyArentCrowded(t *testing.T) {
+	c := qt.New(t)
+	near, far := server("n", true, 10, 20*time.Millisecond, 100), server("f", false, 0, 20*time.Millisecond, 100)
+	c.Assert(share(near, near, far), qt.Equals, 1000)
+	full := server("n", true, 20, 20*time.Millisecond, 100)
+	c.Assert(share(far, full, far), qt.Equals, 1000)
+}
+
+// A near server that is many times slower holds the slots of all who call it; it used to get every request
+// until it was three quarters full.
+func TestASlowNearServerIsLeft(t *testing.T) {
+	c := qt.New(t)
+	slow, far := server("n", true, 5, 300*time.Millisecond, 100), server("f", false, 5, 25*time.Millisecond, 100)
+	c.Assert(share(far, slow, far), qt.Equals, 1000)
+	usual := server("n", true, 5, 60*time.Millisecond, 100)
+	c.Assert(share(usual, usual, far), qt.Equals, 1000)
+}
+
+// A server that fails fast looks idle.
+func TestAFailingServerIsntTakenForAnIdleOne(t *testing.T) {
+	c := qt.New(t)
+	grey, far := server("n", true, 2, 5*time.Millisecond, 30), server("f", false, 10, 20*time.Millisecond, 100)
+	c.Assert(share(far, grey, far), qt.Equals, 1000)
+	allGrey := server("f", false, 2, 5*time.Millisecond, 30)
+	c.Assert(share(grey, grey, allGrey), qt.Equals, 1000, qt.Commentf("where all fail alike, the near one"))
+}
+
+func TestSetAsideServersAreTheLastResort(t *testing.T) {
+	c := qt.New(t)
+	a, b := server("a", true, 0, time.Millisecond, 100), server("b", true, 15, time.Millisecond, 100)
+	a.failed(chooseTime)
+	c.Assert(share(b, a, b), qt.Equals, 1000)
+	b.stopping.Store(true)
+	c.Assert(choose(chooseTime, []*peer{a}, nil), qt.Equals, a)
+	c.Assert(choose(chooseTime, []*peer{a}, []*peer{a}), qt.IsNil)
+	c.Assert(choose(chooseTime, nil, nil), qt.IsNil)
+	c.Assert(a.usable(chooseTime.Add(asideFirst)), qt.IsTrue)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	var list []*peer
+	for i := range 12 {
+		list = append(list, server("x", i < 4, i, 20*time.Millisecond, 100))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		choose(chooseTime, list, nil)
+	}
+}
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -107,21 +107,30 @@
 	return !now.Before(p.asideTil)
 }
 
-// estimate returns the peer's use, 1 when every slot that counts is taken, and its share of good answers.
-func (p *peer) estimate(now time.Time) (use, success float64) {
+// estimate is what is believed of a peer's server.
+type estimate struct {
+	use     float64       // 1 when every slot that counts is taken
+	success float64       // share of good answers
+	hold    time.Duration // for which a request holds a slot; 0: not known
+}
+
+// estimate returns what is believed now; news that is too old says nothing.
+func (p *peer) estimate(now time.Time) estimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	e := estimate{success: 1}
 	capacity := float64(p.slots.Load())
 	others := int64(0)
-	success = 1
 	if p.load.limit > 0 {
 		capacity = p.load.limit
 	}
 	if now.Sub(p.load.at) < loadStale {
 		others = p.load.others
-		success = max(p.load.success, leastSuccess)
+		e.success = max(p.load.success, leastSuccess)
+		e.hold = p.load.hold
 	}
-	return float64(p.inflight.Load()+others+1) / max(capacity, 1), success
+	e.use = float64(p.inflight.Load()+others+1) / max(capacity, 1)
+	return e
 }
 
 // leastSuccess bounds how little a failing server counts for, so that it is still tried.
--- a/pkg/overload/decaying_rate.go
+++ b/pkg/overload/decaying_rate.go
@@ -28,8 +28,9 @@
 	return r.sum / max(r.span, leastSpan)
 }
 
-// leastSpan is the least time in seconds that a rate is taken over.
-const leastSpan = 0.1
+// leastSpan is the least time in seconds that a rate is taken over: clients that waited for a start all
+// come in its first moment.
+const leastSpan = 0.5
 
 func (r *DecayingRate) pass(now time.Time) {
 	if r.last.IsZero() {
