--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -1,6 +1,9 @@
 package callgraph
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Rates are numbers by route: counts a second, or requests in progress.
 type Rates map[string]float64
@@ -39,13 +42,14 @@
 	Calls Rates // calls made, a second
 }
 
-// Observe takes one sample.
-func (l *Learner) Observe(s Sample) {
+// Observe takes one sample; its weight is 1 for a usual one, and less for one that is to count and to push
+// out older ones less.
+func (l *Learner) Observe(s Sample, weight float64) {
 	if l.calls == nil {
 		l.calls, l.total, l.ended = map[string][]float64{}, map[string]float64{}, map[string]float64{}
 	}
 	l.solved = nil
-	l.fade()
+	l.fade(math.Pow(forget, weight))
 	for route, x := range s.Busy {
 		if x > 0 {
 			l.row(route)
@@ -56,9 +60,9 @@
 	for i, route := range l.routes {
 		x[i] = s.Busy[route]
 		all += x[i]
-		l.ended[route] += s.Ended[route]
-		l.busy[i] += x[i]
-		l.sum += x[i]
+		l.ended[route] += weight * s.Ended[route]
+		l.busy[i] += weight * x[i]
+		l.sum += weight * x[i]
 	}
 	if all == 0 {
 		return // calls without a run are stray ones
@@ -67,14 +71,14 @@
 	// progress. It also lets rate and duration change together without moving their product.
 	for i := range x {
 		for k := range x {
-			l.runs[i][k] += x[i] * x[k] / all
+			l.runs[i][k] += weight * x[i] * x[k] / all
 		}
 	}
 	for c, y := range s.Calls {
-		l.total[c] += y
+		l.total[c] += weight * y
 		products := l.products(c)
 		for i := range x {
-			products[i] += x[i] * y / all
+			products[i] += weight * x[i] * y / all
 		}
 	}
 }
@@ -107,21 +111,21 @@
 const faded = 1e-3
 
 // fade forgets a part of all evidence, and routes of which nothing is left.
-func (l *Learner) fade() {
-	l.sum *= forget
-	scale(l.busy, forget)
+func (l *Learner) fade(keep float64) {
+	l.sum *= keep
+	scale(l.busy, keep)
 	for i := range l.runs {
-		scale(l.runs[i], forget)
+		scale(l.runs[i], keep)
 	}
 	for c, p := range l.calls {
-		scale(p, forget)
-		if l.total[c] *= forget; l.total[c] < faded {
+		scale(p, keep)
+		if l.total[c] *= keep; l.total[c] < faded {
 			delete(l.total, c)
 			delete(l.calls, c)
 		}
 	}
 	for route := range l.ended {
-		l.ended[route] *= forget
+		l.ended[route] *= keep
 	}
 	for i := len(l.routes) - 1; i >= 0; i-- {
 		if l.runs[i][i] < faded {
@@ -165,14 +169,24 @@
 		l.solved[route] = Rates{}
 	}
 	for c := range l.total {
-		for i, rate := range l.solve(c) {
-			if n := rate * l.duration(i); n >= StrayCalls {
-				l.solved[l.routes[i]][c] = n
+		n := l.solve(c)
+		most := 0.0
+		for i := range n {
+			n[i] *= l.duration(i)
+			most = max(most, n[i])
+		}
+		for i := range n {
+			if n[i] >= max(StrayCalls, tracePart*most) {
+				l.solved[l.routes[i]][c] = n[i]
 			}
 		}
 	}
 }
 
+// tracePart of the calls of the route that makes most of them is what another one makes at least to be
+// believed: less than that can't be told from noise within a day's load.
+const tracePart = 0.2
+
 // duration returns how long a run takes, over the same time as the rates of calls: both grow and shrink
 // together when the services below are slow, so their product stays.
 func (l *Learner) duration(i int) float64 {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -36,6 +36,10 @@
 	rootWaitLeast = 60 * time.Millisecond
 	// rootWaitHolds is the longest wait of a root request in holding times: longer queues only add delay.
 	rootWaitHolds = 1.5
+	// innerWaitLeast and innerWaitHolds are the same for calls of running requests, which lose more: with
+	// longer waits at each of several calls the whole request is late.
+	innerWaitLeast = 100 * time.Millisecond
+	innerWaitHolds = 4
 	// successGain is the weight of one answer in the smoothed share of good answers.
 	successGain = 0.05
 )
@@ -145,13 +149,14 @@
 	return time.Duration(float64(place+1) * float64(g.hold) / max(g.limit, 1))
 }
 
-// longestWait is how long the ticket may wait: a call until it couldn't end in time, a root for a short time.
+// longestWait is how long the ticket may wait: a root for a short time, a call longer, and neither so long
+// that it couldn't end in time.
 func (g *Gate) longestWait(t *Ticket, left time.Duration) time.Duration {
-	most := left - g.hold
-	if !t.Inner {
-		most = min(most, max(rootWaitLeast, time.Duration(rootWaitHolds*float64(g.hold))))
+	least, holds := rootWaitLeast, rootWaitHolds
+	if t.Inner {
+		least, holds = innerWaitLeast, innerWaitHolds
 	}
-	return most
+	return min(left-g.hold, max(least, time.Duration(holds*float64(g.hold))))
 }
 
 func (g *Gate) room() bool { return float64(g.running) < max(g.limit, 1) }
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
@@ -83,9 +84,18 @@
 // what is in progress varies from one to the next.
 const samplePeriod = 100 * time.Millisecond
 
+// unfairWeight is what a sample counts in which many runs failed: enough to know something after a restart
+// in the middle of an overload, too little to push out what was learned before it.
+const unfairWeight = 0.02
+
 // learn takes a sample of the own server.
 func (n *Node) learn(now time.Time) {
-	n.control.learner.Observe(n.stats.sample(now, n.isInner))
+	s, fair := n.stats.sample(now, n.isInner)
+	weight := 1.0
+	if !fair {
+		weight = unfairWeight
+	}
+	n.control.learner.Observe(s, weight)
 }
 
 // reportOwn takes this node's own counts.
@@ -105,7 +115,7 @@
 	n.gateMu.Lock()
 	g := n.gate.Read()
 	n.gateMu.Unlock()
-	r.Limit = round(g.Limit)
+	r.Limit, r.Excess = round(g.Limit), round(n.excess(now, g))
 	r.heard = now
 	n.keepReport(&r)
 }
@@ -209,14 +219,32 @@
 	return roots
 }
 
+// The constants of a server to which more comes than it can take.
+const (
+	// backlogTime is the time in which what waits at a gate is to be worked off, beside what comes.
+	backlogTime = 500 * time.Millisecond
+	// turnedWeight of the slots that refused calls would take count: a call may be refused by several servers.
+	turnedWeight = 0.5
+	// leastCapacity is the share of a server's slots that is planned for whatever waits there.
+	leastCapacity = 0.3
+)
+
+// excess returns the slots by which more comes to the own server than planned for, whatever the reason:
+// what waits has to be worked off, and calls that the gate refuses belong to roots that were admitted.
+func (n *Node) excess(now time.Time, g gate.Reading) float64 {
+	waiting := float64(g.Queued) / backlogTime.Seconds()
+	return (waiting + turnedWeight*n.stats.turnedAwayRate(now)) * g.Hold.Seconds()
+}
+
 // capacity returns the slots of each service that its gates fill. Work that a server refuses takes no slot, so
-// a server that refuses a part of it counts in full.
+// a server that refuses a part of it counts in full. One to which more
+// comes than it can take counts for less.
 func (n *Node) capacity() map[string]float64 {
 	c := map[string]float64{}
 	for service, peers := range n.view.Load().services {
 		for _, p := range peers {
 			if r := n.control.reports[p.host]; r != nil && r.Limit > 0 {
-				c[service] += r.Limit
+				c[service] += max(r.Limit-r.Excess, leastCapacity*r.Limit)
 			} else if p.usable(n.clock.Now()) {
 				c[service] += float64(p.slots.Load())
 			}
@@ -267,14 +295,20 @@
 	return ok
 }
 
-// heldDown tells whether admission takes in only a part of a kind of root request now.
-func (n *Node) heldDown(route string) bool {
+// soundShare is the share of good answers of the best server of a service below which its failures are
+// taken for those of something that they share, so that another server would fail as well.
+const soundShare = 0.8
+
+// worthAnother tells whether a request that one server failed has a chance at another one.
+func (n *Node) worthAnother(q *request) bool {
 	p := n.plan.Load()
-	if p == nil {
+	if p == nil || p.runs[q.Route][q.Service] == 0 {
+		return false // what a repeat costs below isn't known
+	}
+	if s, held := p.shares[q.Route]; held && s.Fresh < 1 {
 		return false
 	}
-	s, ok := p.shares[route]
-	return ok && s.Fresh < 1
+	return standardOf(n.clock.Now(), n.view.Load().services[q.Service]).success >= soundShare
 }
 
 // mayRepeat tells whether the budget lets a request reach one more server, and pays for it.
@@ -313,9 +347,9 @@
 const (
 	// repeatRatioShare of the operator's ratio is earned at the service itself; a request may be repeated
 	// at several levels above a service, and all of it adds up there.
-	repeatRatioShare = 0.5
+	repeatRatioShare = 0.4
 	// repeatBelowShare of the ratio is earned for the services that the request's calls run on.
-	repeatBelowShare = 0.12
+	repeatBelowShare = 0.1
 	// repeatBurstShare of the operator's slack is shared out to the nodes.
 	repeatBurstShare = 0.4
 )
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -34,6 +34,9 @@
 		return refused(wire.ReasonNoServer)
 	}
 	if reason := b.enter(ctx, q); reason != wire.ReasonNone {
+		if q.Inner && reason == wire.ReasonQueue {
+			b.n.stats.turnedAway(b.n.clock.Now())
+		}
 		return refused(reason)
 	}
 	begun := b.n.clock.Now()
@@ -43,7 +46,7 @@
 	now := b.n.clock.Now()
 	b.n.gate.Done(now, now.Sub(begun), outcome)
 	b.n.gateMu.Unlock()
-	b.n.stats.end(now, q.Route, now.Sub(begun), outcome != gate.Shed)
+	b.n.stats.end(now, q.Route, now.Sub(begun), outcome != gate.Shed, outcome == gate.Answered)
 	return a
 }
 
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -62,7 +62,7 @@
 	if a.outcome != wire.NotRun && d.q.Once {
 		return false
 	}
-	if a.failed() && d.n.heldDown(d.q.Route) {
+	if a.failed() && !d.n.worthAnother(d.q) {
 		return false // its calls failed, most likely; another run would only add to the load
 	}
 	if !a.arrived {
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -14,7 +14,8 @@
 	Epoch   int64                  `json:"e"` // life of the process
 	Seq     int64                  `json:"q"` // grows within one life
 	Service string                 `json:"s"`
-	Limit   float64                `json:"l"` // slots that the gate fills
+	Limit   float64                `json:"l"`           // slots that the gate fills
+	Excess  float64                `json:"w,omitempty"` // slots by which more comes than the gate lets through
 	Entries map[string]entryReport `json:"n,omitempty"`
 	Runs    map[string]runReport   `json:"r,omitempty"` // started at the server, by route
 
@@ -52,6 +53,7 @@
 	entries map[string]*entryStats
 	runs    map[string]*runStats
 	sampled time.Time
+	turned  overload.DecayingRate // calls that the gate refused for want of room
 }
 
 type entryStats struct {
@@ -69,6 +71,7 @@
 	running  int           // in progress now
 	since    time.Time     // when running last changed
 	ended    int           // since the last sample
+	good     int           // of those, with an answer of the server's work
 	occupied time.Duration // time in progress of all runs together, since the last sample
 }
 
@@ -97,34 +100,54 @@
 }
 
 // end counts the end of such a run; one that the server refused isn't counted as a run.
-func (s *trafficStats) end(now time.Time, route string, held time.Duration, ran bool) {
+func (s *trafficStats) end(now time.Time, route string, held time.Duration, ran, good bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.runs[route]
 	r.pass(now)
 	r.running--
 	r.ended++
+	if good {
+		r.good++
+	}
 	if ran {
 		r.rate.Add(now, 1)
 		r.held.Add(now, held.Seconds())
 	}
 }
 
+// turnedAway counts a call that the gate refused for want of room.
+func (s *trafficStats) turnedAway(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turned.Add(now, 1)
+}
+
+// turnedAwayRate returns those calls a second.
+func (s *trafficStats) turnedAwayRate(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turned.PerSecond(now)
+}
+
 // sample returns what was in progress since the last sample, on average, and the calls a second of the
-// inner routes.
-func (s *trafficStats) sample(now time.Time, inner func(route string) bool) callgraph.Sample {
+// inner routes. It isn't fair if many runs failed: those end before they have made all of their calls.
+func (s *trafficStats) sample(now time.Time, inner func(route string) bool) (out callgraph.Sample, fair bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	span := now.Sub(s.sampled).Seconds()
 	s.sampled = now
-	out := callgraph.Sample{Busy: callgraph.Rates{}, Ended: callgraph.Rates{}, Calls: callgraph.Rates{}}
+	ended, good := 0, 0
+	out = callgraph.Sample{Busy: callgraph.Rates{}, Ended: callgraph.Rates{}, Calls: callgraph.Rates{}}
 	for route, r := range s.runs {
 		r.pass(now)
 		if span > 0 && r.occupied > 0 {
 			out.Busy[route] = r.occupied.Seconds() / span
 			out.Ended[route] = float64(r.ended) / span
 		}
-		r.occupied, r.ended = 0, 0
+		ended += r.ended
+		good += r.good
+		r.occupied, r.ended, r.good = 0, 0, 0
 	}
 	for route, e := range s.entries {
 		if span > 0 && e.since > 0 && inner(route) {
@@ -132,9 +155,12 @@
 		}
 		e.since = 0
 	}
-	return out
+	return out, float64(good) >= fairShare*float64(ended)
 }
 
+// fairShare of the runs must have succeeded for a sample to be learned from.
+const fairShare = 0.9
+
 // returningShare of the longest time that clients of a route have is the time left below which an attempt
 // is one of a client that was refused before: a first attempt brings the whole time.
 const returningShare = 0.995
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -78,12 +78,22 @@
 	}
 }
 
+// cheapShare of what the dearest flow takes of the tightest service is what another flow takes at most to
+// be let through before it: holding it down would free next to nothing there.
+const cheapShare = 0.35
+
 // fill gives flows of one rank their shares: each flow gets that of the tightest service below it, and what
-// one flow leaves over, since it is held down elsewhere, goes to the others.
+// one flow leaves over, since it is held down elsewhere, goes to the others. Flows that take little of that
+// service go first.
 func fill(flows []flow, left map[string]float64, out map[string]Share) {
 	open := slices.Clone(flows)
 	for len(open) > 0 {
 		service, share := tightest(open, left)
+		if cheap, dear := splitByCost(open, service); len(cheap) > 0 {
+			fill(cheap, left, out)
+			open = dear
+			continue
+		}
 		var rest []flow
 		for _, f := range open {
 			if service != "" && f.root.Slots[service] == 0 {
@@ -96,6 +106,22 @@
 	}
 }
 
+// splitByCost returns the flows that take little of the service, though something, and the others.
+func splitByCost(flows []flow, service string) (cheap, dear []flow) {
+	most := 0.0
+	for _, f := range flows {
+		most = max(most, f.root.Slots[service])
+	}
+	for _, f := range flows {
+		if cost := f.root.Slots[service]; cost > 0 && cost < cheapShare*most {
+			cheap = append(cheap, f)
+		} else {
+			dear = append(dear, f)
+		}
+	}
+	return cheap, dear
+}
+
 // tightest returns the service that allows the least share of the flows, or "" with 1 if all fit.
 func tightest(flows []flow, left map[string]float64) (string, float64) {
 	demand := map[string]float64{}
