--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -14,9 +14,12 @@
 	forget = 0.9975
 	// pull is how strongly the calls of a route are drawn to the average of its server, as a share of the
 	// evidence; it decides where the mix doesn't vary.
-	pull = 0.002
+	pull = 0.0005
 	// pullAll is the same as a share of the evidence of all routes: one that hardly runs tells little.
-	pullAll = 0.0005
+	pullAll = 0.00005
+	// mostCalls is how many times the average of its server a route may call at most: one that hardly runs
+	// is else given whatever the others leave unexplained.
+	mostCalls = 4
 	// rounds of the non-negative least squares, each a pass over the routes; the systems have few routes.
 	rounds = 30
 )
@@ -226,7 +229,7 @@
 					rest -= row[k] * n[k]
 				}
 			}
-			n[i] = max(rest/(own+ridge), 0)
+			n[i] = min(max(rest/(own+ridge), 0), mostCalls*average)
 		}
 	}
 	return n
