Duration of a run by runs begun or ended, whichever is more

Change: the duration is the time in progress by the larger of the two counts, the same in the long run. Test: TestTheFirstMomentsDontMakeRunsLookDear fails without the change.

--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -33,6 +33,7 @@
 	busy   []float64            // sums of requests in progress
 	calls  map[string][]float64 // by called route: sums of products with the requests in progress of each route
 	total  map[string]float64   // sums by called route
+	begun  map[string]float64   // sums of runs begun a second, by route
 	ended  map[string]float64   // sums of runs ended a second, by route
 	sum    float64              // of all requests in progress
 	solved map[string]Rates     // calls a second by route that ran; nil: not worked out since the last sample
@@ -41,6 +42,7 @@
 // Sample is what was seen of a server for a while.
 type Sample struct {
 	Busy  Rates // requests in progress, on average
+	Begun Rates // runs that began, a second
 	Ended Rates // runs that ended, a second
 	Calls Rates // calls made, a second
 }
@@ -49,7 +51,8 @@
 // out older ones less.
 func (l *Learner) Observe(s Sample, weight float64) {
 	if l.calls == nil {
-		l.calls, l.total, l.ended = map[string][]float64{}, map[string]float64{}, map[string]float64{}
+		l.calls, l.total = map[string][]float64{}, map[string]float64{}
+		l.begun, l.ended = map[string]float64{}, map[string]float64{}
 	}
 	l.solved = nil
 	l.fade(math.Pow(forget, weight))
@@ -63,6 +66,7 @@
 	for i, route := range l.routes {
 		x[i] = s.Busy[route]
 		all += x[i]
+		l.begun[route] += weight * s.Begun[route]
 		l.ended[route] += weight * s.Ended[route]
 		l.busy[i] += weight * x[i]
 		l.sum += weight * x[i]
@@ -128,6 +132,7 @@
 		}
 	}
 	for route := range l.ended {
+		l.begun[route] *= keep
 		l.ended[route] *= keep
 	}
 	for i := len(l.routes) - 1; i >= 0; i-- {
@@ -138,6 +143,7 @@
 }
 
 func (l *Learner) drop(i int) {
+	delete(l.begun, l.routes[i])
 	delete(l.ended, l.routes[i])
 	l.routes = slices.Delete(l.routes, i, i+1)
 	l.busy = slices.Delete(l.busy, i, i+1)
@@ -193,11 +199,13 @@
 // duration returns how long a run takes, over the same time as the rates of calls: both grow and shrink
 // together when the services below are slow, so their product stays.
 func (l *Learner) duration(i int) float64 {
-	ended := l.ended[l.routes[i]]
-	if ended <= 0 {
+	// Both counts are the same in the long run. In the first moments hardly any run has ended, and by those
+	// alone each one would seem to last for ever.
+	runs := max(l.begun[l.routes[i]], l.ended[l.routes[i]])
+	if runs <= 0 {
 		return 0
 	}
-	return l.busy[i] / ended
+	return l.busy[i] / runs
 }
 
 // solve returns the calls a second of route c by one run in progress of each route: non-negative least squares, by passes that
--- a/pkg/callgraph/learner_test.go
+++ b/pkg/callgraph/learner_test.go
@@ -63,6 +63,15 @@
 	c.Assert(taught.Calls("a")["x"] > 3.7, qt.IsTrue, qt.Commentf("%v", taught.Calls("a")))
 }
 
+// In the first moments hardly any run has ended. Going by those alone, each run seemed to make hundreds of
+// calls, and first attempts of all kinds were refused for a second after every start.
+func TestTheFirstMomentsDontMakeRunsLookDear(t *testing.T) {
+	c := qt.New(t)
+	var l Learner
+	l.Observe(Sample{Busy: Rates{"a": 10}, Begun: Rates{"a": 100}, Ended: Rates{"a": 1}, Calls: Rates{"x": 200}}, 1)
+	c.Assert(l.Calls("a")["x"] < 2.1, qt.IsTrue, qt.Commentf("%v", l.Calls("a")))
+}
+
 func TestForgottenRoutesLeaveNothingBehind(t *testing.T) {
 	c := qt.New(t)
 	var l Learner
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -70,7 +70,8 @@
 
 	running  int           // in progress now
 	since    time.Time     // when running last changed
-	ended    int           // since the last sample
+	begun    int           // since the last sample
+	ended    int           // as above
 	good     int           // of those, with an answer of the server's work
 	occupied time.Duration // time in progress of all runs together, since the last sample
 }
@@ -97,6 +98,7 @@
 	}
 	r.pass(now)
 	r.running++
+	r.begun++
 }
 
 // end counts the end of such a run; one that the server refused isn't counted as a run.
@@ -138,16 +140,17 @@
 	span := now.Sub(s.sampled).Seconds()
 	s.sampled = now
 	ended, good := 0, 0
-	out = callgraph.Sample{Busy: callgraph.Rates{}, Ended: callgraph.Rates{}, Calls: callgraph.Rates{}}
+	out = callgraph.Sample{Busy: callgraph.Rates{}, Begun: callgraph.Rates{}, Ended: callgraph.Rates{}, Calls: callgraph.Rates{}}
 	for route, r := range s.runs {
 		r.pass(now)
 		if span > 0 && r.occupied > 0 {
 			out.Busy[route] = r.occupied.Seconds() / span
+			out.Begun[route] = float64(r.begun) / span
 			out.Ended[route] = float64(r.ended) / span
 		}
 		ended += r.ended
 		good += r.good
-		r.occupied, r.ended, r.good = 0, 0, 0
+		r.occupied, r.begun, r.ended, r.good = 0, 0, 0, 0
 	}
 	for route, e := range s.entries {
 		if span > 0 && e.since > 0 && inner(route) {
