httpconn: no use of the deprecated http.ProtocolError

Change: the test for *http.ProtocolError goes. Such an error has no Timeout method and wraps nothing, so isTransport already tells it from an ended connection: kind Broken.

--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -97,8 +97,7 @@
 		res, err = http.ReadResponse(x.conn.br, &http.Request{Method: req.Method})
 	}
 	if err != nil {
-		var malformed *http.ProtocolError
-		if errors.As(err, &malformed) || !isTransport(err) {
+		if !isTransport(err) {
 			x.kind = Broken
 		}
 		return nil, err
