Remove what nothing uses

Cause: Directory.Get and Remove, OwnServer.Heard, Route.Serves, Pool.MaxOpen (documented, never enforced), Pool.Reopen, Conn.Fresh have no caller, not even a test; bytesReader and splitComma wrap one call for one caller. Change: they go; the page of package directory no longer says that a deleted row ends a record. Conclusion: no test touched; directory, desired, httpconn, mesh and platform pass.

--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -158,16 +158,6 @@
 	}
 }
 
-// Serves tells whether the route sends requests to the service.
-func (r *Route) Serves(service string) bool {
-	for _, t := range r.Targets {
-		if t.Service == service && t.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // lowest is the priority of a route that isn't known.
 const lowest = 1 << 10
 
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -29,12 +29,6 @@
 	return news
 }
 
-// Get returns the record of a VM.
-func (d *Directory) Get(host string) (Record, bool) {
-	r, ok := d.records[host]
-	return r, ok
-}
-
 // All returns every record in order of host.
 func (d *Directory) All() []Record {
 	all := make([]Record, 0, len(d.records))
@@ -44,6 +38,3 @@
 	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Host, b.Host) })
 	return all
 }
-
-// Remove forgets a VM whose row was deleted.
-func (d *Directory) Remove(host string) { delete(d.records, host) }
--- a/pkg/directory/doc.go
+++ b/pkg/directory/doc.go
@@ -3,6 +3,6 @@
 // Each node writes what it knows of its own backend server as a Record with a
 // generation that only grows. Records travel by the store's table and by the
 // exchanges between nodes, in any order; Merge keeps the newest. A Record
-// isn't dropped because its node is silent: the node itself says that its
-// server is gone, or the table's row is.
+// isn't dropped because its node is silent: only the node itself says that its
+// server is gone.
 package directory
--- a/pkg/directory/own_server.go
+++ b/pkg/directory/own_server.go
@@ -82,6 +82,3 @@
 
 // Record returns what is known now.
 func (o *OwnServer) Record() Record { return o.record }
-
-// Heard tells whether the server itself has spoken in this life of the node.
-func (o *OwnServer) Heard() bool { return o.heard }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -23,8 +23,6 @@
 	Clock clock.Clock
 	// Idle is how long a connection may rest; 0 means DefaultIdle.
 	Idle time.Duration
-	// MaxOpen bounds the connections, in use and idle; 0: not bounded.
-	MaxOpen int
 
 	mu     sync.Mutex
 	idle   []*Conn // the last one was used last
@@ -40,7 +38,6 @@
 	bw     *bufio.Writer
 	rested time.Time     // when it was put back
 	keep   time.Duration // how long the server said that it keeps an idle connection; 0: not said
-	Fresh  bool          // no request was sent on it before
 }
 
 // get returns a connection that rested, or a new one; the error is an *Error of kind NotConnected.
@@ -54,7 +51,7 @@
 		return nil, &Error{Kind: NotConnected, Cause: err}
 	}
 	return &Conn{
-		pool: p, raw: raw, Fresh: true,
+		pool: p, raw: raw,
 		br: bufio.NewReaderSize(raw, bufferBytes),
 		bw: bufio.NewWriterSize(raw, bufferBytes),
 	}, nil
@@ -75,7 +72,6 @@
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
 		if now.Sub(c.rested) < c.restLimit() && quiet(c) {
-			c.Fresh = false
 			return c
 		}
 		c.Close()
@@ -150,13 +146,6 @@
 	}
 }
 
-// Reopen lets a closed pool be used again.
-func (p *Pool) Reopen() {
-	p.mu.Lock()
-	p.closed = false
-	p.mu.Unlock()
-}
-
 // Close closes the connection for good; the other side learns by it that an exchange was given up.
 func (c *Conn) Close() {
 	_ = c.raw.Close() // it is given up either way
--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -1,13 +1,10 @@
 package mesh
 
 import (
-	"bytes"
 	"errors"
 	"io"
-	"iter"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
@@ -96,18 +93,6 @@
 	return errors.As(err, &e) && e.Kind == httpconn.NotConnected
 }
 
-func bytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
-func splitComma(s string) iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for f := range strings.SplitSeq(s, ",") {
-			if !yield(strings.TrimSpace(f)) {
-				return
-			}
-		}
-	}
-}
-
 // retryAfter writes a time in seconds, with fractions.
 func retryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -52,7 +54,7 @@
 		return nil
 	}
 	q.length = r.ContentLength
-	q.stream = io.MultiReader(bytesReader(head), r.Body)
+	q.stream = io.MultiReader(bytes.NewReader(head), r.Body)
 	return nil
 }
 
@@ -68,8 +70,8 @@
 		out[k] = v
 	}
 	for _, named := range h["Connection"] {
-		for f := range splitComma(named) {
-			out.Del(f)
+		for f := range strings.SplitSeq(named, ",") {
+			out.Del(strings.TrimSpace(f))
 		}
 	}
 	for _, k := range hopHeaders {
