mesh: remove reply.ServiceIs and HeaderNames.Seal

Cause: no code sets or reads ServiceIs, and no code reads Seal: a server's seal is passed on like any end-to-end header. Change: both go; the reply header between nodes is one empty field shorter, so nodes from before and after this commit don't read each other's. Numbers of fields have names.

--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -16,7 +16,6 @@
 type HeaderNames struct {
 	AttemptID string // identity of one attempt of a client
 	TimeLeft  string // milliseconds that the caller will still wait
-	Seal      string // a backend server's proof that the answer is its own
 	Instance  string // the start of the backend server that is meant
 	NotRun    string // set by a backend server that refuses
 	Caller    string // the service beside which the request began
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -16,6 +16,12 @@
 	headerReply = "Rs-R"
 )
 
+// callFields and replyFields are how many fields the two headers have.
+const (
+	callFields  = 6
+	replyFields = 9
+)
+
 // call is what a node tells the node beside the chosen server.
 type call struct {
 	Service  string
@@ -29,17 +35,16 @@
 
 // reply is what that node tells beside an answer or refusal.
 type reply struct {
-	Outcome   wire.Outcome
-	Reason    wire.Reason
-	ByServer  bool // the refusal is the server's own: it counts as an arrival there
-	Running   int
-	Queued    int
-	Limit     int
-	Hold      time.Duration
-	Success   int // good answers of the server in a hundred, refusals of its own counted as none
-	Version   int64
-	Stopping  bool
-	ServiceIs string // service of the server, if it isn't the one that was called
+	Outcome  wire.Outcome
+	Reason   wire.Reason
+	ByServer bool // the refusal is the server's own: it counts as an arrival there
+	Running  int
+	Queued   int
+	Limit    int
+	Hold     time.Duration
+	Success  int // good answers of the server in a hundred, refusals of its own counted as none
+	Version  int64
+	Stopping bool
 }
 
 // ProtocolError reports a header between nodes that can't be read.
@@ -68,7 +73,7 @@
 
 func parseCall(v string) (call, error) {
 	f := strings.Split(v, ",")
-	if len(f) != 6 {
+	if len(f) != callFields {
 		return call{}, &ProtocolError{headerCall, v}
 	}
 	prio, err1 := strconv.Atoi(f[3])
@@ -84,13 +89,13 @@
 }
 
 func (r reply) encode() string {
-	return fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d,%s", r.Outcome, r.Reason, flags(r.ByServer, r.Stopping),
-		r.Running, r.Queued, r.Limit, r.Hold.Microseconds(), r.Success, r.Version, r.ServiceIs)
+	return fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, flags(r.ByServer, r.Stopping),
+		r.Running, r.Queued, r.Limit, r.Hold.Microseconds(), r.Success, r.Version)
 }
 
 func parseReply(v string) (reply, error) {
 	f := strings.Split(v, ",")
-	if len(f) != 10 {
+	if len(f) != replyFields {
 		return reply{}, &ProtocolError{headerReply, v}
 	}
 	var n [7]int64
@@ -104,6 +109,6 @@
 		Outcome: wire.Outcome(f[0]), Reason: wire.Reason(f[1]),
 		ByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0,
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
-		Hold: time.Duration(n[4]) * time.Microsecond, Success: int(n[5]), Version: n[6], ServiceIs: f[9],
+		Hold: time.Duration(n[4]) * time.Microsecond, Success: int(n[5]), Version: n[6],
 	}, nil
 }
