clock: one Sleep for lab, node and mesh

Cause: the same timer with a context stood in pkg/lab (pause), pkg/node (wait) and pkg/mesh (sleep).

--- a/pkg/lab/capacity_daemons.go
+++ b/pkg/lab/capacity_daemons.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/config"
 )
 
@@ -50,7 +51,7 @@
 	defer func() { _ = c.Stop() }()
 	// What the daemons do at rest is taken off.
 	idle := processorTime()
-	pause(ctx, time.Second)
+	clock.Sleep(ctx, time.Second)
 	idle = processorTime() - idle
 	before := processorTime()
 	c.Run(ctx, Load{Seed: 1, Patience: hardRetries(), Phases: []Phase{{hopTime, hopRate}}})
@@ -125,10 +126,10 @@
 	if countServices {
 		size = float64(services)
 	}
-	pause(ctx, daemonSettle)
+	clock.Sleep(ctx, daemonSettle)
 	x.mem.add(size, (heap()-empty)/n/1000)
 	used, sent := processorTime(), c.controlTotal()
-	pause(ctx, daemonIdle)
+	clock.Sleep(ctx, daemonIdle)
 	x.cpu.add(size, 100*(processorTime()-used).Seconds()/daemonIdle.Seconds()/n)
 	x.bytes.add(size, (c.controlTotal()-sent)/daemonIdle.Seconds()/n)
 	before, conns := heap(), c.connections()
@@ -152,7 +153,7 @@
 			return err
 		}
 		for !c.allAt(doc.Version) && time.Since(made) < 10*time.Second {
-			pause(ctx, time.Millisecond)
+			clock.Sleep(ctx, time.Millisecond)
 		}
 		slowest = max(slowest, time.Since(made))
 	}
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -168,7 +168,7 @@
 	if err := c.awaitReady(ctx); err != nil {
 		return nil, errors.Join(err, c.Stop())
 	}
-	pause(ctx, rampTime) // backend servers start cold
+	clock.Sleep(ctx, rampTime) // backend servers start cold
 	if opts.Watch != "" {
 		wctx, cancel := context.WithCancel(ctx)
 		c.stopWatch = cancel
@@ -231,7 +231,7 @@
 		if c.ready() {
 			return nil
 		}
-		if !pause(ctx, 50*time.Millisecond) {
+		if !clock.Sleep(ctx, 50*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
--- a/pkg/lab/cluster_test.go
+++ b/pkg/lab/cluster_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/store"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -113,7 +114,7 @@
 		if cl.ask(1, "billing", "", nil).status == http.StatusOK {
 			return
 		}
-		pause(context.Background(), 50*time.Millisecond)
+		clock.Sleep(context.Background(), 50*time.Millisecond)
 	}
 	c.Fatal("no work goes on without a caller's key")
 }
@@ -174,7 +175,7 @@
 		defer close(done)
 		cl.Run(ctx, Load{Seed: 1, Patience: Patience{Timeout: 5 * time.Second, Tries: 1, Whole: 5 * time.Second}, Phases: []Phase{{3 * time.Second, 60}}})
 	}()
-	pause(ctx, time.Second)
+	clock.Sleep(ctx, time.Second)
 	// The old VMs become new ones, and the new ones old: all traffic moves by this one edit of labels.
 	var objs []config.Object
 	for _, v := range cl.VMs {
@@ -220,7 +221,7 @@
 		if len(r.InForce) == len(c.All()) {
 			return true
 		}
-		pause(context.Background(), 50*time.Millisecond)
+		clock.Sleep(context.Background(), 50*time.Millisecond)
 	}
 	return false
 }
@@ -297,7 +298,7 @@
 		if v.Node.Leaving() && v.Node.Status().KeyRanges == 0 {
 			break
 		}
-		pause(context.Background(), 50*time.Millisecond)
+		clock.Sleep(context.Background(), 50*time.Millisecond)
 	}
 	c.Assert(v.Node.Leaving(), qt.IsTrue)
 	c.Assert(v.Node.Status().KeyRanges, qt.Equals, 0)
@@ -319,7 +320,7 @@
 		if ended(cl, "left") {
 			break
 		}
-		pause(context.Background(), 50*time.Millisecond)
+		clock.Sleep(context.Background(), 50*time.Millisecond)
 	}
 	_, runs, _ := cl.History.Snapshot()
 	services := map[string]bool{}
--- a/pkg/lab/experiment_config.go
+++ b/pkg/lab/experiment_config.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/node"
 	"github.com/rockspoke/rockspoke/pkg/store"
@@ -74,7 +75,7 @@
 	}
 	c.shakeStore(ctx, seed, begin.Add(configTime))
 	wg.Wait()
-	pause(ctx, configSettle)
+	clock.Sleep(ctx, configSettle)
 	stopWatch()
 	<-watched
 	var r Report
@@ -110,7 +111,7 @@
 func (c *Cluster) operate(ctx context.Context, w *configWatch, t *operatorTally, who int, seed uint64, end time.Time) {
 	rnd := rand.New(rand.NewPCG(seed, uint64(100+who)))
 	for i := 0; time.Now().Before(end); i++ {
-		pause(ctx, time.Duration(rnd.Float64()*float64(2*configThink)))
+		clock.Sleep(ctx, time.Duration(rnd.Float64()*float64(2*configThink)))
 		n := c.All()[rnd.IntN(len(c.All()))].Node
 		id := fmt.Sprintf("op%d-%d", who, i)
 		doc, err := n.Change(ctx, config.Change{
@@ -144,7 +145,7 @@
 	kinds := []store.Faults{{}, {LoseAnswer: true}, {}, {Delay: 100 * time.Millisecond}, {}, {Down: true}}
 	for time.Now().Before(end) {
 		c.Platform.SetFaults(kinds[rnd.IntN(len(kinds))])
-		pause(ctx, 300*time.Millisecond)
+		clock.Sleep(ctx, 300*time.Millisecond)
 	}
 	c.Platform.SetFaults(store.Faults{})
 }
@@ -171,7 +172,7 @@
 
 // watchVersions looks at every daemon's version again and again.
 func (c *Cluster) watchVersions(ctx context.Context, w *configWatch) {
-	for pause(ctx, configPeriod) {
+	for clock.Sleep(ctx, configPeriod) {
 		now := time.Now()
 		least := int64(1 << 62)
 		w.mu.Lock()
--- a/pkg/lab/experiment_leave.go
+++ b/pkg/lab/experiment_leave.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -62,7 +63,7 @@
 // rollingStop stops and starts each server. Without daemons a server just stops.
 func (c *Cluster) rollingStop(ctx context.Context, end time.Time) []leaving {
 	var list []leaving
-	if !pause(ctx, leaveStart) {
+	if !clock.Sleep(ctx, leaveStart) {
 		return nil
 	}
 	for _, v := range c.VMs {
@@ -77,7 +78,7 @@
 		}
 		c.cutRunning(v)
 		v.Backend.Stop()
-		if !pause(ctx, leavePause) {
+		if !clock.Sleep(ctx, leavePause) {
 			return list
 		}
 		if v.Backend.Start() != nil {
@@ -88,7 +89,7 @@
 		}
 		l.back = time.Now()
 		list = append(list, l)
-		pause(ctx, leaveWarm)
+		clock.Sleep(ctx, leaveWarm)
 	}
 	return list
 }
--- a/pkg/lab/experiment_once_only.go
+++ b/pkg/lab/experiment_once_only.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/store"
 )
@@ -157,7 +158,7 @@
 		if v.Backend.Start() == nil {
 			break
 		}
-		pause(ctx, 50*time.Millisecond)
+		clock.Sleep(ctx, 50*time.Millisecond)
 	}
 	if v.Node == nil {
 		return
@@ -166,7 +167,7 @@
 		if c.StartNode(ctx, v) == nil {
 			return
 		}
-		pause(ctx, 50*time.Millisecond)
+		clock.Sleep(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -175,7 +176,7 @@
 func (c *Cluster) randomFaults(ctx context.Context, seed uint64, from, to time.Time) map[string]float64 {
 	rnd := rand.New(rand.NewPCG(seed, 11))
 	counts := map[string]float64{}
-	pause(ctx, time.Until(from))
+	clock.Sleep(ctx, time.Until(from))
 	running := make(chan struct{}, 2)
 	busy := map[netip.Addr]bool{}
 	kinds := map[string]bool{}
@@ -185,7 +186,7 @@
 	for time.Now().Before(to) {
 		f, v := faults[rnd.IntN(len(faults))], c.VMs[rnd.IntN(len(c.VMs))]
 		last := faultMin + time.Duration(rnd.Float64()*float64(faultSpan))
-		pause(ctx, faultEvery)
+		clock.Sleep(ctx, faultEvery)
 		for len(running) == cap(running) {
 			finish()
 		}
@@ -198,7 +199,7 @@
 		wait++
 		go func() {
 			f.begin(ctx, c, v)
-			pause(ctx, last)
+			clock.Sleep(ctx, last)
 			f.end(ctx, c, v)
 			finished <- func() {
 				<-running
--- a/pkg/lab/experiment_steady.go
+++ b/pkg/lab/experiment_steady.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
 // The pings of the steady experiment: a service that takes no time of its own, called by two ways in turn.
@@ -73,7 +75,7 @@
 		if rep := send(ctx, straight, target, o); rep.err == nil {
 			_ = bare.RecordValue(time.Since(t).Microseconds()) // within the histogram's range
 		}
-		if !pause(ctx, pingEvery) {
+		if !clock.Sleep(ctx, pingEvery) {
 			break
 		}
 	}
--- a/pkg/lab/experiment_store_outage.go
+++ b/pkg/lab/experiment_store_outage.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
@@ -65,7 +66,7 @@
 		if v.Node.Status().Version >= want {
 			break
 		}
-		pause(ctx, 10*time.Millisecond)
+		clock.Sleep(ctx, 10*time.Millisecond)
 	}
 	return time.Since(begin).Seconds()
 }
--- a/pkg/lab/fake_backend.go
+++ b/pkg/lab/fake_backend.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -178,7 +179,7 @@
 // work takes the service time, half before and half after the calls below; it reports whether all went well.
 func (b *Backend) work(r *http.Request, run *Run, class *Class, n int64) bool {
 	half := b.serviceTime(n) / 2
-	if !pause(r.Context(), half) {
+	if !clock.Sleep(r.Context(), half) {
 		return false
 	}
 	for i, stage := range class.Calls[b.service.Name] {
@@ -186,7 +187,7 @@
 			return false
 		}
 	}
-	return pause(r.Context(), half)
+	return clock.Sleep(r.Context(), half)
 }
 
 func (b *Backend) stage(r *http.Request, run *Run, i int, stage Stage) bool {
@@ -209,15 +210,3 @@
 	}
 	return ok
 }
-
-// pause waits for d, and reports false if the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/lab/fake_caller.go
+++ b/pkg/lab/fake_caller.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -94,17 +95,17 @@
 // runPhase starts the phase's requests at random times that average to its rate.
 func (c *Cluster) runPhase(ctx context.Context, load Load, p Phase, begin time.Time, rnd *rand.Rand, n *int, start func(demandPlan)) {
 	if p.Rate <= 0 {
-		pause(ctx, time.Until(begin.Add(p.For)))
+		clock.Sleep(ctx, time.Until(begin.Add(p.For)))
 		return
 	}
 	at := 0.0
 	for {
 		at += rnd.ExpFloat64() / p.Rate
 		if at >= p.For.Seconds() {
-			pause(ctx, time.Until(begin.Add(p.For)))
+			clock.Sleep(ctx, time.Until(begin.Add(p.For)))
 			return
 		}
-		if !pause(ctx, time.Until(begin.Add(time.Duration(at*float64(time.Second))))) {
+		if !clock.Sleep(ctx, time.Until(begin.Add(time.Duration(at*float64(time.Second))))) {
 			return
 		}
 		*n++
@@ -141,7 +142,7 @@
 	for out.Tries < load.Patience.Tries && !out.Served {
 		if out.Tries > 0 {
 			wait := time.Duration(float64(load.Patience.Backoff) * (0.5 + rnd.Float64()))
-			if time.Since(begin)+wait > load.Patience.Whole || !pause(ctx, wait) {
+			if time.Since(begin)+wait > load.Patience.Whole || !clock.Sleep(ctx, wait) {
 				break
 			}
 			if rnd.Float64() < load.OtherEntry {
--- a/pkg/lab/gate_watch.go
+++ b/pkg/lab/gate_watch.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
 // watchGates writes, step by step, how the gates before a service's backend servers stand.
 func (c *Cluster) watchGates(ctx context.Context, w io.Writer, service string) {
 	begin := time.Now()
-	for pause(ctx, recoveryStep) {
+	for clock.Sleep(ctx, recoveryStep) {
 		fmt.Fprintf(w, "%6.2f", time.Since(begin).Seconds())
 		for _, v := range c.serversOf(service) {
 			if v.Node == nil {
--- a/pkg/lab/lab_serve.go
+++ b/pkg/lab/lab_serve.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.yaml.in/yaml/v3"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/store"
 )
@@ -52,7 +53,7 @@
 		ShortHelp: "serve a backend server that answers every request, until interrupted",
 		Exec: func(ctx context.Context, _ []string) error {
 			h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if pause(r.Context(), *takes) {
+				if clock.Sleep(r.Context(), *takes) {
 					fmt.Fprintf(w, "%s %s done by %s\n", r.Method, r.URL.Path, *listen)
 				}
 			})
--- a/pkg/lab/lab_try.go
+++ b/pkg/lab/lab_try.go
@@ -6,6 +6,8 @@
 	"io"
 	"text/tabwriter"
 	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
 // The times of a try for each system: calm, then demand surges while the deepest service is slow, then calm.
@@ -106,7 +108,7 @@
 	go func() {
 		defer close(done)
 		for _, s := range stages {
-			if !pause(ctx, time.Until(begin.Add(s.after))) {
+			if !clock.Sleep(ctx, time.Until(begin.Add(s.after))) {
 				return
 			}
 			if s.do != nil {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -174,14 +174,5 @@
 // jitter returns a random time from half of d to one and a half of it, so that nodes don't act in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-// sleep waits, and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+// sleep waits for d, and reports false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool { return clock.Sleep(ctx, d) }
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/priority"
@@ -81,19 +82,7 @@
 	if n.clock.Now().Add(d).After(deadline) {
 		return false
 	}
-	return n.wait(ctx, d)
-}
-
-// wait waits for d, and reports false if the context ends first.
-func (n *Node) wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d)
 }
 
 // homeOf returns the server whose node is the home of the key.
--- a/pkg/node/caller_repeat_notes.go
+++ b/pkg/node/caller_repeat_notes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/repeat"
 )
 
@@ -43,7 +44,7 @@
 		case <-n.ctx.Done():
 			return
 		}
-		if !n.wait(n.ctx, noteDelay) {
+		if !clock.Sleep(n.ctx, noteDelay) {
 			return
 		}
 		for more := true; more; {
--- a/pkg/node/config_change.go
+++ b/pkg/node/config_change.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/store"
 )
@@ -136,7 +137,7 @@
 		case !errors.As(last, &refused):
 			doubt = true
 		}
-		if !n.wait(ctx, n.jitter(100*time.Millisecond)) {
+		if !clock.Sleep(ctx, n.jitter(100*time.Millisecond)) {
 			break
 		}
 	}
--- a/pkg/node/control_leaving.go
+++ b/pkg/node/control_leaving.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
 )
 
@@ -54,7 +55,7 @@
 		return
 	}
 	for !n.giveRangesAway(n.ctx) {
-		if !n.wait(n.ctx, waitTime/2) {
+		if !clock.Sleep(n.ctx, waitTime/2) {
 			return
 		}
 	}
@@ -90,21 +91,21 @@
 	n.Leave("stop")
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Backend.StopWait)
 	defer cancel()
-	_ = n.wait(ctx, stopGrace) // cut short by the context only
+	_ = clock.Sleep(ctx, stopGrace) // cut short by the context only
 	for ctx.Err() == nil && n.ownsRanges() {
-		_ = n.wait(ctx, 20*time.Millisecond)
+		_ = clock.Sleep(ctx, 20*time.Millisecond)
 	}
 	n.drain(ctx, n.callers)
 	// The backend server may still make calls for those in progress, so its listener goes last.
 	for ctx.Err() == nil && n.running.Load() > 0 {
-		_ = n.wait(ctx, 10*time.Millisecond)
+		_ = clock.Sleep(ctx, 10*time.Millisecond)
 	}
 	n.drain(ctx, n.outbound)
 	if left := n.running.Load(); left > 0 {
 		n.log.leave.Warn("stop waits no longer for calls in progress", "calls", left)
 	}
 	// The last answers may still be on their way out of the peer socket.
-	_ = n.wait(ctx, lastAnswers)
+	_ = clock.Sleep(ctx, lastAnswers)
 	n.log.leave.Info("daemon stops")
 	return n.Close()
 }
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 	"github.com/rockspoke/rockspoke/pkg/store"
@@ -123,7 +124,7 @@
 	if !moved {
 		return false
 	}
-	if !n.wait(ctx, time.Duration(v.turn)*turnWait) && v.turn > 0 {
+	if !clock.Sleep(ctx, time.Duration(v.turn)*turnWait) && v.turn > 0 {
 		return true
 	}
 	n.changeRow(ctx, row, "moved from VMs that are gone")
@@ -233,7 +234,7 @@
 			n.home.with(func(h *onceonly.Home) { h.Reopen(ranges) })
 			return fmt.Errorf("row of %s: %w", changed.Service, err)
 		}
-		if !n.wait(ctx, waitTime) {
+		if !clock.Sleep(ctx, waitTime) {
 			return ctx.Err()
 		}
 	}
