daemon: one watch of signals for both kinds of daemon

Cause: daemon.go and mesh_daemon.go had the same hook, loop and dump, apart from what is read again. Conclusion: same log lines, same order of hooks; TestSignalsAreTakenUntilTheNodeHasStopped passes.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/fx"
@@ -94,53 +90,15 @@
 // watchSignals dumps the state on SIGUSR1, and reads the keys again on SIGHUP and from time to time.
 func watchSignals(lc fx.Lifecycle, n *node.Node, k *keys.Store, c clock.Clock, f logging.Factory) {
 	log := f.Part("daemon")
-	signals := make(chan os.Signal, 4)
-	done := make(chan struct{})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
-			ticks, stop := c.NewTicker(keyPeriod)
-			go func() {
-				defer stop()
-				serveSignals(n, k, log, signals, ticks, done)
-			}()
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			signal.Stop(signals)
-			close(done)
-			return nil
-		},
-	})
-}
-
-func serveSignals(n *node.Node, k *keys.Store, log *slog.Logger, signals <-chan os.Signal, ticks <-chan time.Time, done <-chan struct{}) {
-	for {
-		select {
-		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
-				dump(n, log)
-				continue
-			}
-			reload(k, log)
-		case <-ticks:
-			reload(k, log)
-		case <-done:
-			return
-		}
-	}
-}
-
-func dump(n *node.Node, log *slog.Logger) {
-	b, err := json.Marshal(n.Dump())
-	if err != nil {
-		log.Error("state can't be dumped", "err", err)
-		return
+	w := &signalWatch{
+		dump:   func() any { return n.Dump() },
+		reload: func() { reloadKeys(k, log) },
+		clock:  c, every: keyPeriod, log: log,
 	}
-	log.Info("state", "dump", string(b))
+	w.follow(lc)
 }
 
-func reload(k *keys.Store, log *slog.Logger) {
+func reloadKeys(k *keys.Store, log *slog.Logger) {
 	if err := k.Reload(); err != nil {
 		log.Error("keys can't be read, the old ones stay in use", "err", err)
 	}
--- a/pkg/daemon/mesh_daemon.go
+++ b/pkg/daemon/mesh_daemon.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/fx"
@@ -75,41 +71,15 @@
 // watchMeshSignals dumps the state on SIGUSR1 and reads the settings again on SIGHUP.
 func watchMeshSignals(lc fx.Lifecycle, file string, n *mesh.Node, f logging.Factory) {
 	log := f.Part("daemon")
-	signals := make(chan os.Signal, 4)
-	done := make(chan struct{})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
-			go func() {
-				for {
-					select {
-					case sig := <-signals:
-						meshSignal(sig, file, n, log)
-					case <-done:
-						return
-					}
-				}
-			}()
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			signal.Stop(signals)
-			close(done)
-			return nil
-		},
-	})
+	w := &signalWatch{
+		dump:   func() any { return n.Dump() },
+		reload: func() { reloadSettings(file, n, log) },
+		log:    log,
+	}
+	w.follow(lc)
 }
 
-func meshSignal(sig os.Signal, file string, n *mesh.Node, log *slog.Logger) {
-	if sig == syscall.SIGUSR1 {
-		b, err := json.Marshal(n.Dump())
-		if err != nil {
-			log.Error("state can't be dumped", "err", err)
-			return
-		}
-		log.Info("state", "dump", string(b))
-		return
-	}
+func reloadSettings(file string, n *mesh.Node, log *slog.Logger) {
 	cfg, err := settings.Load(file)
 	if err != nil {
 		log.Error("settings can't be read, the old ones stay in use", "err", err)
