--- a/pkg/mesh/log_lines_test.go
+++ b/pkg/mesh/log_lines_test.go
@@ -5,7 +5,6 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -13,6 +12,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/docpage"
 )
 
 // logParts are the loggers' fields and the prefixes of their lines.
@@ -37,11 +38,11 @@
 			return true
 		})
 	}
-	page, err := os.ReadFile("../../docs/LOGS.md")
+	rows, err := docpage.Rows("../../docs/LOGS.md")
 	c.Assert(err, qt.IsNil)
 	told := map[string]bool{}
-	for _, line := range strings.Split(string(page), "\n") {
-		if cells := strings.Split(line, " | "); strings.HasPrefix(line, "| `") && len(cells) == 4 {
+	for _, row := range rows {
+		if cells := strings.Split(row, " | "); len(cells) == 4 {
 			told[strings.Join(cells[:3], " | ")] = true
 		}
 	}
--- a/pkg/mesh/node_metrics_test.go
+++ b/pkg/mesh/node_metrics_test.go
@@ -3,24 +3,19 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/docpage"
 )
 
 func TestPageHasEveryMetricAndNoOther(t *testing.T) {
 	c := qt.New(t)
-	page, err := os.ReadFile("../../docs/METRICS-MESH.md")
+	rows, err := docpage.Rows("../../docs/METRICS-MESH.md")
 	c.Assert(err, qt.IsNil)
-	var rows []string
-	for _, line := range strings.Split(string(page), "\n") {
-		if strings.HasPrefix(line, "| `") {
-			rows = append(rows, line)
-		}
-	}
 	var want []string
 	for _, m := range Metrics {
 		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s |", m.Name, m.Kind, m.Labels, m.Help))
