--- /dev/null
+++ b/pkg/mesh/fake_store_test.go
@@ -0,0 +1,101 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/directory"
+)
+
+// fakeStore is a store in memory that can be told to fail.
+type fakeStore struct {
+	mu      sync.Mutex
+	state   []byte
+	version int64
+	changed chan struct{}
+	records map[string]directory.Record
+	down    bool
+	writes  int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{changed: make(chan struct{}), records: map[string]directory.Record{}}
+}
+
+type storeDownError struct{}
+
+func (storeDownError) Error() string { return "store is down" }
+
+func (s *fakeStore) put(st desired.State) {
+	data, _ := json.Marshal(st)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = data
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) seam() Store {
+	return Store{
+		ReadState: func(context.Context) ([]byte, int64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.down {
+				return nil, 0, storeDownError{}
+			}
+			return s.state, s.version, nil
+		},
+		FollowState: func(ctx context.Context, after int64) ([]byte, int64, error) {
+			for {
+				s.mu.Lock()
+				changed, down := s.changed, s.down
+				data, v := s.state, s.version
+				s.mu.Unlock()
+				switch {
+				case down:
+					return nil, 0, storeDownError{}
+				case v > after:
+					return data, v, nil
+				}
+				select {
+				case <-changed:
+				case <-ctx.Done():
+					return nil, 0, ctx.Err()
+				}
+			}
+		},
+		ReadRecords: func(context.Context) ([]directory.Record, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.down {
+				return nil, storeDownError{}
+			}
+			var out []directory.Record
+			for _, r := range s.records {
+				out = append(out, r)
+			}
+			return out, nil
+		},
+		WriteRecord: func(_ context.Context, r directory.Record) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.down {
+				return storeDownError{}
+			}
+			s.records[r.Host] = r
+			s.writes++
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/pkg/mesh/leaving_test.go
@@ -0,0 +1,86 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestADrainingServerGetsNothingFromAnyNode(t *testing.T) {
+	c := qt.New(t)
+	s := three(t)
+	s.beat(1, true)
+	before := len(s.servers[1].ran())
+	for i := range 60 {
+		status, _, _ := s.ask(i%3, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
+		c.Assert(status, qt.Equals, 200)
+	}
+	c.Assert(s.servers[1].ran(), qt.HasLen, before)
+	s.beat(1, false) // a heartbeat that was under way
+	s.ask(1, http.MethodPost, "/pay/x", "late", time.Second)
+	c.Assert(s.servers[1].ran(), qt.HasLen, before)
+}
+
+func TestLeavingIsAcknowledgedWithinASecondWithoutTheStore(t *testing.T) {
+	c := qt.New(t)
+	s := three(t)
+	s.store.setDown(true)
+	begun := time.Now()
+	s.beat(2, true)
+	c.Assert(time.Since(begun) < 900*time.Millisecond, qt.IsTrue)
+	s.store.setDown(false)
+	s.until("the record is stored after the outage", func() bool {
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		return s.store.records[s.servers[2].ip].Phase.String() == "draining"
+	})
+	c.Assert(time.Since(begun) < 3*time.Second, qt.IsTrue)
+}
+
+// A planned stop answers what is in progress and what comes on open connections.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	c := qt.New(t)
+	s := three(t)
+	s.servers[0].work = 400 * time.Millisecond
+	s.servers[1].work = 400 * time.Millisecond
+	s.servers[2].work = 400 * time.Millisecond
+	ends := make(chan int, 1000)
+	stop := make(chan struct{})
+	for w := range 8 {
+		go func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					ends <- -1
+					return
+				default:
+				}
+				status, _, _ := s.ask(0, http.MethodPost, "/pay/x", fmt.Sprintf("w%d.%d", w, i), 5*time.Second)
+				ends <- status
+				if status == http.StatusServiceUnavailable || status == 0 {
+					ends <- -1
+					return
+				}
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- s.nodes[0].Stop(context.Background()) }()
+	finished := 0
+	for finished < 8 {
+		switch st := <-ends; st {
+		case -1:
+			finished++
+		case 200, http.StatusServiceUnavailable:
+		default:
+			t.Fatalf("status %d during a planned stop", st)
+		}
+	}
+	close(stop)
+	c.Assert(<-done, qt.IsNil)
+}
--- /dev/null
+++ b/pkg/mesh/peer_protocol_test.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+func TestPeerHeadersReadBack(t *testing.T) {
+	c := qt.New(t)
+	in := call{Service: "s", Route: "r", Caller: "c", Priority: 2, Inner: true, Once: true, Version: 12}
+	got, err := parseCall(in.encode())
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, in)
+	r := reply{
+		Outcome: wire.NotRun, Reason: wire.ReasonQueue, ByServer: true, Running: 3, Queued: 4, Limit: 5,
+		Hold: 7 * time.Millisecond, Success: 99, Version: 8, Stopping: true,
+	}
+	back, err := parseReply(r.encode())
+	c.Assert(err, qt.IsNil)
+	c.Assert(back, qt.Equals, r)
+}
+
+func FuzzPeerHeaders(f *testing.F) {
+	f.Add("s,r,c,2,3,12")
+	f.Add("ran,,1,2,3,4,5,6,7")
+	f.Fuzz(func(t *testing.T, v string) {
+		if c, err := parseCall(v); err == nil {
+			again, err := parseCall(c.encode())
+			if err != nil || again != c {
+				t.Fatalf("%q: %v, %v", v, again, err)
+			}
+		}
+		_, _ = parseReply(v)
+	})
+}
+
+func FuzzMessages(f *testing.F) {
+	b, _ := encodeMessage(message{From: "127.0.0.1", Version: 3})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if m, err := decodeMessage(data); err == nil {
+			if _, err := encodeMessage(m); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/pkg/mesh/rules_test.go
+++ b/pkg/mesh/rules_test.go
@@ -14,44 +14,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
-	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
-// three is a site of three servers of one service, with a route of each kind.
-func three(t *testing.T) *site {
-	s := newSite(t)
-	for i := range 3 {
-		s.add("a", fmt.Sprint("z", i), 10)
-	}
-	s.store.put(desired.State{Version: 1, Routes: []desired.Route{
-		route("read", desired.Repeatable, "a"), route("pay", desired.Once, "a"),
-	}})
-	s.settled(1)
-	return s
-}
-
-// handleAll gives every server the handler.
-func (s *site) handleAll(h func(f *fakeServer, w http.ResponseWriter, r *http.Request)) {
-	for _, f := range s.servers {
-		f.mu.Lock()
-		f.handle = func(w http.ResponseWriter, r *http.Request) { h(f, w, r) }
-		f.mu.Unlock()
-	}
-}
-
-func (s *site) allRan() []string {
-	var all []string
-	for _, f := range s.servers {
-		all = append(all, f.ran()...)
-	}
-	return all
-}
-
-func cutOff(w http.ResponseWriter) {
-	c, _, _ := w.(http.Hijacker).Hijack()
-	c.Close()
-}
-
 func TestOnceOnlyWorkIsNotSentAgainAfterALostAnswer(t *testing.T) {
 	c := qt.New(t)
 	s := three(t)
@@ -197,37 +161,6 @@
 	c.Assert(body, qt.Equals, "its text")
 }
 
-func TestADrainingServerGetsNothingFromAnyNode(t *testing.T) {
-	c := qt.New(t)
-	s := three(t)
-	s.beat(1, true)
-	before := len(s.servers[1].ran())
-	for i := range 60 {
-		status, _, _ := s.ask(i%3, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
-		c.Assert(status, qt.Equals, 200)
-	}
-	c.Assert(s.servers[1].ran(), qt.HasLen, before)
-	s.beat(1, false) // a heartbeat that was under way
-	s.ask(1, http.MethodPost, "/pay/x", "late", time.Second)
-	c.Assert(s.servers[1].ran(), qt.HasLen, before)
-}
-
-func TestLeavingIsAcknowledgedWithinASecondWithoutTheStore(t *testing.T) {
-	c := qt.New(t)
-	s := three(t)
-	s.store.setDown(true)
-	begun := time.Now()
-	s.beat(2, true)
-	c.Assert(time.Since(begun) < 900*time.Millisecond, qt.IsTrue)
-	s.store.setDown(false)
-	s.until("the record is stored after the outage", func() bool {
-		s.store.mu.Lock()
-		defer s.store.mu.Unlock()
-		return s.store.records[s.servers[2].ip].Phase.String() == "draining"
-	})
-	c.Assert(time.Since(begun) < 3*time.Second, qt.IsTrue)
-}
-
 func TestARoutesTimeoutEndsInAFinalAnswer(t *testing.T) {
 	c := qt.New(t)
 	s := three(t)
@@ -349,88 +282,3 @@
 	s.nodes[1].takeState("test", []byte("{"))
 	c.Assert(s.nodes[1].state.Load().Version, qt.Equals, int64(9))
 }
-
-// A planned stop answers what is in progress and what comes on open connections.
-func TestAPlannedStopCutsNothing(t *testing.T) {
-	c := qt.New(t)
-	s := three(t)
-	s.servers[0].work = 400 * time.Millisecond
-	s.servers[1].work = 400 * time.Millisecond
-	s.servers[2].work = 400 * time.Millisecond
-	ends := make(chan int, 1000)
-	stop := make(chan struct{})
-	for w := range 8 {
-		go func() {
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					ends <- -1
-					return
-				default:
-				}
-				status, _, _ := s.ask(0, http.MethodPost, "/pay/x", fmt.Sprintf("w%d.%d", w, i), 5*time.Second)
-				ends <- status
-				if status == http.StatusServiceUnavailable || status == 0 {
-					ends <- -1
-					return
-				}
-			}
-		}()
-	}
-	time.Sleep(100 * time.Millisecond)
-	done := make(chan error, 1)
-	go func() { done <- s.nodes[0].Stop(context.Background()) }()
-	finished := 0
-	for finished < 8 {
-		switch st := <-ends; st {
-		case -1:
-			finished++
-		case 200, http.StatusServiceUnavailable:
-		default:
-			t.Fatalf("status %d during a planned stop", st)
-		}
-	}
-	close(stop)
-	c.Assert(<-done, qt.IsNil)
-}
-
-func TestPeerHeadersReadBack(t *testing.T) {
-	c := qt.New(t)
-	in := call{Service: "s", Route: "r", Caller: "c", Priority: 2, Inner: true, Once: true, Version: 12}
-	got, err := parseCall(in.encode())
-	c.Assert(err, qt.IsNil)
-	c.Assert(got, qt.Equals, in)
-	r := reply{
-		Outcome: wire.NotRun, Reason: wire.ReasonQueue, ByServer: true, Running: 3, Queued: 4, Limit: 5,
-		Hold: 7 * time.Millisecond, Success: 99, Version: 8, Stopping: true,
-	}
-	back, err := parseReply(r.encode())
-	c.Assert(err, qt.IsNil)
-	c.Assert(back, qt.Equals, r)
-}
-
-func FuzzPeerHeaders(f *testing.F) {
-	f.Add("s,r,c,2,3,12")
-	f.Add("ran,,1,2,3,4,5,6,7")
-	f.Fuzz(func(t *testing.T, v string) {
-		if c, err := parseCall(v); err == nil {
-			again, err := parseCall(c.encode())
-			if err != nil || again != c {
-				t.Fatalf("%q: %v, %v", v, again, err)
-			}
-		}
-		_, _ = parseReply(v)
-	})
-}
-
-func FuzzMessages(f *testing.F) {
-	b, _ := encodeMessage(message{From: "127.0.0.1", Version: 3})
-	f.Add(b)
-	f.Fuzz(func(t *testing.T, data []byte) {
-		if m, err := decodeMessage(data); err == nil {
-			if _, err := encodeMessage(m); err != nil {
-				t.Fatal(err)
-			}
-		}
-	})
-}
--- /dev/null
+++ b/pkg/mesh/test_site_test.go
@@ -0,0 +1,166 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// site is some nodes with their backend servers on loopback addresses.
+type site struct {
+	t       testing.TB
+	store   *fakeStore
+	nodes   []*Node
+	servers []*fakeServer
+	base    string
+	port    int
+	clients *http.Client
+	log     io.Writer
+}
+
+var siteCount atomic.Int64
+
+func newSite(t testing.TB) *site {
+	k := siteCount.Add(1)
+	return &site{
+		t: t, store: newFakeStore(), base: fmt.Sprintf("127.77.%d.", k), port: 21000, log: io.Discard,
+		clients: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}},
+	}
+}
+
+// add starts a node beside a server of the service.
+func (s *site) add(service, zone string, slots int) (*Node, *fakeServer) {
+	c := qt.New(s.t)
+	ip := s.base + strconv.Itoa(len(s.nodes)+1)
+	at := func(p int) string { return net.JoinHostPort(ip, strconv.Itoa(s.port+p)) }
+	f := &fakeServer{ip: ip, service: service, zone: zone, slots: slots, instance: "i-" + ip, work: 2 * time.Millisecond, out: at(1)}
+	f.srv = &http.Server{Addr: at(4), Handler: f}
+	ln, err := net.Listen("tcp", at(4))
+	c.Assert(err, qt.IsNil)
+	go f.srv.Serve(ln)
+	cfg := settings.Settings{
+		VM: ip, Zone: zone, Service: service, Backend: settings.Backend{Address: at(4)},
+		Listen: settings.Listen{Peers: at(0), Outbound: at(1), Control: at(2), Ready: at(2)},
+		Mesh:   &settings.Mesh{Grace: 6 * time.Second},
+	}
+	cfg.Fill()
+	n, err := New(Options{
+		Settings: cfg, Names: testNames, Store: s.store.seam(), Decode: decodeTestState,
+		Control: func(*Node) http.Handler { return http.NotFoundHandler() }, Clock: clock.Real{},
+		Logger: func(part string) *slog.Logger { return slog.New(slog.NewTextHandler(s.log, nil)).With("node", ip) },
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(n.Start(context.Background()), qt.IsNil)
+	s.nodes = append(s.nodes, n)
+	s.servers = append(s.servers, f)
+	s.t.Cleanup(func() {
+		n.halt()
+		f.srv.Close()
+	})
+	s.beat(len(s.nodes)-1, false)
+	return n, f
+}
+
+// beat sends a heartbeat of the server.
+func (s *site) beat(i int, draining bool) {
+	f := s.servers[i]
+	s.nodes[i].Heartbeat(context.Background(), directory.Registration{
+		Instance: f.instance, Service: f.service, Zone: f.zone, Slots: f.slots, Draining: draining, Call: f.seq.Add(1),
+	})
+}
+
+// until waits for a condition.
+func (s *site) until(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// settled waits until all nodes know the state and every server.
+func (s *site) settled(version int64) {
+	s.t.Helper()
+	s.until("all nodes know all", func() bool {
+		for _, n := range s.nodes {
+			total := 0
+			for _, list := range n.view.Load().services {
+				total += len(list)
+			}
+			st := n.state.Load()
+			if st == nil || st.Version < version || total != len(s.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// ask sends a request to a node as a client; the status is 0 if the connection broke.
+func (s *site) ask(i int, method, path, id string, left time.Duration) (int, string, http.Header) {
+	addr := s.nodes[i].cfg.Listen.Outbound
+	req, _ := http.NewRequest(method, "http://"+addr+path, nil)
+	req.Host = "h"
+	req.Header.Set(testNames.AttemptID, id)
+	req.Header.Set(testNames.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+	res, err := s.clients.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error(), res.Header
+	}
+	return res.StatusCode, string(body), res.Header
+}
+
+// three is a site of three servers of one service, with a route of each kind.
+func three(t *testing.T) *site {
+	s := newSite(t)
+	for i := range 3 {
+		s.add("a", fmt.Sprint("z", i), 10)
+	}
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{
+		route("read", desired.Repeatable, "a"), route("pay", desired.Once, "a"),
+	}})
+	s.settled(1)
+	return s
+}
+
+// handleAll gives every server the handler.
+func (s *site) handleAll(h func(f *fakeServer, w http.ResponseWriter, r *http.Request)) {
+	for _, f := range s.servers {
+		f.mu.Lock()
+		f.handle = func(w http.ResponseWriter, r *http.Request) { h(f, w, r) }
+		f.mu.Unlock()
+	}
+}
+
+func (s *site) allRan() []string {
+	var all []string
+	for _, f := range s.servers {
+		all = append(all, f.ran()...)
+	}
+	return all
+}
+
+func cutOff(w http.ResponseWriter) {
+	c, _, _ := w.(http.Hijacker).Hijack()
+	c.Close()
+}
