mesh: exchanges, messages, writing and reading of records in files and steps of their own

Cause: record_writer.go also read, with loops of forty lines; exchange.go held the message's form, and fetchState was tell for one host, written again. Conclusion: same calls, log lines and waits; mesh passes.

--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -8,9 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/ugorji/go/codec"
-
-	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 )
 
@@ -20,6 +17,8 @@
 // The bounds of exchanges.
 const (
 	nearFanout = 2 // peers of the own availability zone that are told at a time
+	// announceFanout is how many peers hear of news at once; they tell others in turn.
+	announceFanout = 3
 	// farTalkEvery is how many times the own availability zone is told for each time that any peer is:
 	// bytes between zones are paid for.
 	farTalkEvery = 2
@@ -33,35 +32,7 @@
 	maxMessage = 8 << 20
 )
 
-// message is what two nodes tell each other.
-type message struct {
-	From     string             `codec:"f"`
-	Version  int64              `codec:"v"` // desired state in force
-	Stopping bool               `codec:"x,omitempty"`
-	Records  []directory.Record `codec:"r,omitempty"`
-	Reports  []loadReport       `codec:"l,omitempty"`
-	State    []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
-}
-
-// wireFormat is msgpack with structs as arrays: exchanges between availability zones are paid by the byte.
-var wireFormat = func() *codec.MsgpackHandle {
-	h := &codec.MsgpackHandle{WriteExt: true}
-	h.StructToArray = true
-	return h
-}()
-
-func encodeMessage(m message) ([]byte, error) {
-	var b []byte
-	err := codec.NewEncoderBytes(&b, wireFormat).Encode(m)
-	return b, err
-}
-
-func decodeMessage(data []byte) (message, error) {
-	var m message
-	err := codec.NewDecoderBytes(data, wireFormat).Decode(&m)
-	return m, err
-}
-
+// talkPeriod is the time between exchanges, by the number of nodes that are known.
 func (n *Node) talkPeriod() time.Duration {
 	nodes := len(n.control.directory.All())
 	return talkLeast * time.Duration(max(nodes, talkNodes)) / talkNodes
@@ -94,9 +65,6 @@
 // announce tells news to some peers at once.
 func (n *Node) announce() { n.tell(context.Background(), n.talkTargets(announceFanout, true)) }
 
-// announceFanout is how many peers hear of news at once; they tell others in turn.
-const announceFanout = 3
-
 // talkTargets returns peers taken at random, and seeds while few others are known.
 func (n *Node) talkTargets(fanout int, far bool) []string {
 	var hosts []string
@@ -106,29 +74,21 @@
 		}
 	}
 	if len(hosts) < fanout {
-		for _, s := range n.cfg.Seeds {
-			if h, _, err := net.SplitHostPort(s); err == nil && h != n.ip {
-				hosts = append(hosts, h)
-			}
-		}
+		hosts = append(hosts, n.seedHosts()...)
 	}
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(fanout, len(hosts))]
 }
 
-// newMessage tells what this node knows, with the desired state if the peer's version is lower.
-func (n *Node) newMessage(peerVersion int64) message {
-	m := message{From: n.ip, Stopping: n.stop.leaving(), Records: n.control.directory.All()}
-	for _, r := range n.control.reports {
-		m.Reports = append(m.Reports, *r)
-	}
-	if s := n.state.Load(); s != nil {
-		m.Version = s.Version
-		if peerVersion >= 0 && peerVersion < s.Version {
-			m.State = s.Source
+// seedHosts returns the seeds of the settings but this node.
+func (n *Node) seedHosts() []string {
+	var hosts []string
+	for _, s := range n.cfg.Seeds {
+		if h, _, err := net.SplitHostPort(s); err == nil && h != n.ip {
+			hosts = append(hosts, h)
 		}
 	}
-	return m
+	return hosts
 }
 
 // exchangeWith sends a message to a peer and takes its answer.
@@ -206,10 +166,5 @@
 
 // fetchState exchanges with a peer that has a newer desired state.
 func (n *Node) fetchState(host string) {
-	body, err := encodeMessage(n.newMessage(-1))
-	if err != nil {
-		n.controlLog.Error("message can't be written", "err", err)
-		return
-	}
-	go n.exchangeWith(context.Background(), host, body)
+	n.tell(context.Background(), []string{host})
 }
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -74,18 +74,13 @@
 	}
 }
 
-// The times of writing to and reading from the store.
+// The times of calls to the store.
 const (
 	// storeCallTime bounds one call.
 	storeCallTime = 1500 * time.Millisecond
 	// storeRetryFirst and storeRetryMost bound the wait before a call is made again.
 	storeRetryFirst = 150 * time.Millisecond
 	storeRetryMost  = 800 * time.Millisecond
-	// recordsPeriod is the time between readings of all records: exchanges carry the news, and this
-	// catches what they missed.
-	recordsPeriod = 20 * time.Second
-	// startSpread spreads the first readings of many nodes that start at once.
-	startSpread = 100 * time.Millisecond
 )
 
 // writeRecords writes the record whenever it has changed, and again until the store has it.
@@ -102,16 +97,9 @@
 				return
 			}
 		}
-		cctx, cancel := context.WithTimeout(ctx, storeCallTime)
-		err := n.store.WriteRecord(cctx, r)
-		cancel()
-		if err == nil {
-			n.records.done(r.Generation)
-			n.records.askRead()
+		if n.writeRecord(ctx, r) {
 			continue
 		}
-		n.metrics.count("store_errors_total")
-		n.controlLog.Warn("record not stored", "generation", r.Generation, "err", err)
 		if !sleep(ctx, jitter(wait)) {
 			return
 		}
@@ -119,6 +107,20 @@
 	}
 }
 
+// writeRecord makes one call, and reports whether the store has the record.
+func (n *Node) writeRecord(ctx context.Context, r directory.Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
+	defer cancel()
+	if err := n.store.WriteRecord(ctx, r); err != nil {
+		n.metrics.count("store_errors_total")
+		n.controlLog.Warn("record not stored", "generation", r.Generation, "err", err)
+		return false
+	}
+	n.records.done(r.Generation)
+	n.records.askRead()
+	return true
+}
+
 // askRead asks for the records of all VMs. A node that has written its own then reads those of all that
 // wrote before it, and tells them of itself: so all know all, though nothing lists the VMs.
 func (w *recordWriter) askRead() {
@@ -127,39 +129,3 @@
 	default:
 	}
 }
-
-// syncRecords reads the records of all VMs at the start, after each own write, and from time to time.
-func (n *Node) syncRecords(ctx context.Context) {
-	wait := storeRetryFirst
-	if !sleep(ctx, jitter(startSpread)) {
-		return
-	}
-	for {
-		cctx, cancel := context.WithTimeout(ctx, storeCallTime)
-		records, err := n.store.ReadRecords(cctx)
-		cancel()
-		pause := jitter(recordsPeriod)
-		if err != nil {
-			n.metrics.count("store_errors_total")
-			n.controlLog.Warn("records not read", "err", err)
-			pause = jitter(wait)
-			wait = min(2*wait, storeRetryMost)
-		} else {
-			wait = storeRetryFirst
-			n.do(func() {
-				n.merge("store", records)
-				n.announce()
-			})
-		}
-		t := time.NewTimer(pause)
-		select {
-		case <-t.C:
-		case <-n.records.read:
-		case <-ctx.Done():
-		}
-		t.Stop()
-		if ctx.Err() != nil {
-			return
-		}
-	}
-}
