httpconn: the parts of an exchange in files of their own

Cause: exchange.go had 266 lines from error kinds to chunked coding; Conn was exported though no exported name returns one, and the header spoke of an Exchange that doesn't exist. Conclusion: moves and renames only; httpconn and mesh pass, no test touched.

--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -25,13 +25,13 @@
 	Idle time.Duration
 
 	mu     sync.Mutex
-	idle   []*Conn // the last one was used last
+	idle   []*conn // the last one was used last
 	open   int
 	closed bool
 }
 
-// Conn is a connection that carries one request at a time.
-type Conn struct {
+// conn is a connection that carries one request at a time.
+type conn struct {
 	pool   *Pool
 	raw    net.Conn
 	br     *bufio.Reader
@@ -41,7 +41,7 @@
 }
 
 // get returns a connection that rested, or a new one; the error is an *Error of kind NotConnected.
-func (p *Pool) get(ctx context.Context) (*Conn, error) {
+func (p *Pool) get(ctx context.Context) (*conn, error) {
 	if c := p.takeIdle(); c != nil {
 		return c, nil
 	}
@@ -50,7 +50,7 @@
 		p.release()
 		return nil, &Error{Kind: NotConnected, Cause: err}
 	}
-	return &Conn{
+	return &conn{
 		pool: p, raw: raw,
 		br: bufio.NewReaderSize(raw, bufferBytes),
 		bw: bufio.NewWriterSize(raw, bufferBytes),
@@ -58,7 +58,7 @@
 }
 
 // takeIdle returns a usable idle connection, or nil when one is to be made, which it counts.
-func (p *Pool) takeIdle() *Conn {
+func (p *Pool) takeIdle() *conn {
 	now := p.Clock.Now()
 	for {
 		p.mu.Lock()
@@ -79,7 +79,7 @@
 }
 
 // restLimit is how long the connection may rest: half of what the server said, to leave time for the way.
-func (c *Conn) restLimit() time.Duration {
+func (c *conn) restLimit() time.Duration {
 	limit := c.pool.Idle
 	if limit == 0 {
 		limit = DefaultIdle
@@ -90,7 +90,7 @@
 	return limit
 }
 
-func (p *Pool) put(c *Conn) {
+func (p *Pool) put(c *conn) {
 	c.rested = p.Clock.Now()
 	p.mu.Lock()
 	if p.closed {
@@ -120,7 +120,7 @@
 	now := p.Clock.Now()
 	p.mu.Lock()
 	kept := p.idle[:0]
-	var old []*Conn
+	var old []*conn
 	for _, c := range p.idle {
 		if now.Sub(c.rested) < c.restLimit() {
 			kept = append(kept, c)
@@ -147,7 +147,7 @@
 }
 
 // Close closes the connection for good; the other side learns by it that an exchange was given up.
-func (c *Conn) Close() {
+func (c *conn) Close() {
 	_ = c.raw.Close() // it is given up either way
 	c.pool.release()
 }
--- a/pkg/httpconn/quiet.go
+++ b/pkg/httpconn/quiet.go
@@ -6,7 +6,7 @@
 )
 
 // quiet tells whether an idle connection is open and no byte waits on it.
-func quiet(c *Conn) bool {
+func quiet(c *conn) bool {
 	if c.br.Buffered() > 0 {
 		return false
 	}
--- /dev/null
+++ b/pkg/httpconn/send_request.go
@@ -0,0 +1,91 @@
+package httpconn
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// send writes the request; a streamed body goes on being sent.
+func (x *exchange) send(req *Request) error {
+	w := x.conn.bw
+	writeRequestLine(w, req)
+	if err := req.Header.Write(w); err != nil {
+		return err
+	}
+	switch {
+	case req.Stream == nil:
+		if len(req.Body) > 0 || hasBody(req.Method) {
+			_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n") // Flush tells the error
+		}
+		_, _ = w.WriteString("\r\n") // as above
+		_, _ = w.Write(req.Body)     // as above
+		return w.Flush()
+	case req.StreamLen >= 0:
+		_, _ = w.WriteString("Content-Length: " + strconv.FormatInt(req.StreamLen, 10) + "\r\n\r\n") // as above
+	default:
+		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n\r\n") // as above
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	x.stream = make(chan error, 1)
+	go x.sendStream(req)
+	return nil
+}
+
+// hasBody tells whether servers expect a length with the method, even that of an empty body.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// writeRequestLine writes the first line and the Host header.
+func writeRequestLine(w io.StringWriter, req *Request) {
+	for _, s := range [...]string{req.Method, " ", req.URI, " HTTP/1.1\r\nHost: ", req.Host, "\r\n"} {
+		_, _ = w.WriteString(s) // a buffered writer keeps its error until Flush
+	}
+}
+
+// sendStream sends a streamed body while the answer may already come.
+func (x *exchange) sendStream(req *Request) {
+	var err error
+	w := x.conn.bw
+	if req.StreamLen >= 0 {
+		_, err = io.CopyN(w, req.Stream, req.StreamLen)
+	} else {
+		err = copyChunks(w, req.Stream)
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	if err != nil {
+		// The client's body broke off, or the server doesn't read on: an answer may still come, but a
+		// server that waits for the rest has to learn that there is none.
+		if tcp, ok := x.conn.raw.(interface{ CloseWrite() error }); ok {
+			_ = tcp.CloseWrite() // the connection isn't used again in any case
+		}
+	}
+	x.stream <- err
+}
+
+// copyChunks copies r to w in chunked coding.
+func copyChunks(w io.Writer, r io.Reader) error {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := r.Read(buf)
+		if n > 0 {
+			if _, werr := fmt.Fprintf(w, "%x\r\n%s\r\n", n, buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, werr := io.WriteString(w, "0\r\n\r\n")
+			return werr
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
