mesh: short New and serveOutbound, listeners in their own file, comments that say what is so

Cause: New and serveOutbound went over forty lines; comments named functions that don't exist (get), work that is done elsewhere (serveRouted admits) and bounds that Reload doesn't take. Change: listeners.go with newServers; callOf and refuseEntry are steps of serveOutbound in the same order. Conclusion: same answers in the same order of checks; mesh and daemon pass.

--- a/pkg/mesh/dump.go
+++ b/pkg/mesh/dump.go
@@ -32,7 +32,7 @@
 	return d
 }
 
-// Reload takes over what may change while the node runs: the seeds and the mesh bounds.
+// Reload takes over what may change while the node runs: the seeds.
 func (n *Node) Reload(cfg settings.Settings) {
 	n.do(func() {
 		n.cfg.Seeds = cfg.Seeds
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -89,18 +89,7 @@
 	n.metrics.init()
 	n.tuneBudget()
 	n.view.Store(&view{})
-	n.servers = []*http.Server{
-		n.newServer(o.Settings.Listen.Peers, n.inboundHandler()),
-		n.newServer(o.Settings.Listen.Outbound, n.outboundHandler()),
-	}
-	control := o.Control(n)
-	n.servers = append(n.servers, n.newServer(o.Settings.Listen.Control, control))
-	if o.Settings.Listen.Ready != o.Settings.Listen.Control {
-		n.servers = append(n.servers, n.newServer(o.Settings.Listen.Ready, control))
-	}
-	if o.Settings.Listen.Metrics != "" {
-		n.servers = append(n.servers, n.newServer(o.Settings.Listen.Metrics, n.metricsHandler()))
-	}
+	n.servers = n.newServers(o.Settings.Listen, o.Control(n))
 	return n, nil
 }
 
@@ -124,6 +113,7 @@
 	return nil
 }
 
+// run starts control work or a listener that halt waits for.
 func (n *Node) run(f func()) {
 	n.running.Add(1)
 	go func() {
@@ -132,42 +122,6 @@
 	}()
 }
 
-// listen binds a server's address and serves it until it is closed.
-func (n *Node) listen(s *http.Server) error {
-	ln, err := net.Listen("tcp", s.Addr)
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Addr)
-	}
-	n.run(func() {
-		if err := s.Serve(ln); err != nil && !isClosed(err) {
-			n.controlLog.Error("listener ended", "address", s.Addr, "err", err)
-		}
-	})
-	return nil
-}
-
-func isClosed(err error) bool {
-	return eris.Is(err, http.ErrServerClosed) || eris.Is(err, net.ErrClosed)
-}
-
-// The bounds of inbound connections, where the desired state doesn't set them.
-const (
-	// headerTime is the longest time for a request's header.
-	headerTime = 5 * time.Second
-	// idleTime is how long a kept connection may rest: clients use theirs again after four fifths of what
-	// the operator allows, so this is well above.
-	idleTime = 90 * time.Second
-	// headerBytes bounds a request's header.
-	headerBytes = 64 << 10
-)
-
-func (n *Node) newServer(addr string, h http.Handler) *http.Server {
-	return &http.Server{
-		Addr: addr, Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(n.callLog.Handler(), slog.LevelDebug),
-	}
-}
-
 // Ready tells whether this node can serve.
 func (n *Node) Ready() bool { return n.state.Load() != nil && !n.stop.leaving() }
 
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -13,6 +13,7 @@
 // outboundHandler serves clients and the backend server on this VM.
 func (n *Node) outboundHandler() http.Handler { return http.HandlerFunc(n.serveOutbound) }
 
+// serveOutbound finds the route of a request.
 func (n *Node) serveOutbound(w http.ResponseWriter, r *http.Request) {
 	done := n.stop.begin()
 	defer done()
@@ -30,30 +31,41 @@
 		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
 		return
 	}
-	inner := n.isInner(route.Name)
-	c := call{
-		Service: pickTarget(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
-		Inner: inner, Once: route.Kind == desired.Once, Version: state.Version,
-	}
-	q, err := n.newRequest(r, c, state.Limits.BodyBytes)
+	q, err := n.newRequest(r, n.callOf(state, route), state.Limits.BodyBytes)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
 	}
-	if n.stop.refuses() && !inner {
-		n.writeFinal(w, q, refused(wire.ReasonLeaving))
+	if a := n.refuseEntry(q); a != nil {
+		n.writeFinal(w, q, a)
 		return
 	}
+	n.serveRouted(w, r, q, route)
+}
+
+// callOf returns what the chosen server's node is told of a request of the route.
+func (n *Node) callOf(state *desired.State, route *desired.Route) call {
+	return call{
+		Service: pickTarget(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
+		Inner: n.isInner(route.Name), Once: route.Kind == desired.Once, Version: state.Version,
+	}
+}
+
+// refuseEntry returns the answer to a request that isn't taken in, or nil: new ones are turned away late in
+// a planned stop, and by admission.
+func (n *Node) refuseEntry(q *request) *answer {
+	if n.stop.refuses() && !q.Inner {
+		return refused(wire.ReasonLeaving)
+	}
 	if !n.admit(q, q.deadline.Sub(n.clock.Now())) {
 		a := refused(wire.ReasonLevel)
 		a.overloaded = true
-		n.writeFinal(w, q, a)
-		return
+		return a
 	}
-	n.serveRouted(w, r, q, route)
+	return nil
 }
 
-// serveRouted admits and sends a request whose route is known.
+// serveRouted sends a request that was taken in.
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request, q *request, route *desired.Route) {
 	if route.Timeout > 0 {
 		if end := n.clock.Now().Add(route.Timeout); end.Before(q.deadline) {
@@ -85,6 +97,7 @@
 	n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusNotFound)
 }
 
+// refuseBody answers a request whose body is too long or broke off.
 func (n *Node) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	var b *bodyError
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -43,7 +43,7 @@
 	loadStale = 2 * time.Second
 )
 
-// get returns the peer of a VM, made if it is new.
+// peer returns the peer of a VM, made if it is new.
 func (n *Node) peer(host string) *peer {
 	n.peersMu.Lock()
 	defer n.peersMu.Unlock()
