--- /dev/null
+++ b/pkg/desired/check_state.go
@@ -0,0 +1,49 @@
+package desired
+
+import (
+	"fmt"
+	"strings"
+)
+
+// InvalidError says which field of a desired state is wrong.
+type InvalidError struct {
+	Field string
+	Value string
+	Msg   string
+}
+
+// Error names the field, its value and the fault.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("desired state: %s %q: %s", e.Field, e.Value, e.Msg)
+}
+
+// check returns the first fault of a route as an *InvalidError.
+func (r *Route) check() error {
+	at := "route " + r.Name
+	switch {
+	case r.Host == "":
+		return &InvalidError{at + " host", r.Host, "must be set"}
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return &InvalidError{at + " prefix", r.Prefix, "must begin and end with '/'"}
+	case r.Kind == 0:
+		return &InvalidError{at + " kind", "", "isn't known"}
+	case len(r.Targets) == 0:
+		return &InvalidError{at + " service", "", "must be set"}
+	}
+	return r.checkSplit(at)
+}
+
+// checkSplit looks at the weights; at names the route.
+func (r *Route) checkSplit(at string) error {
+	total := 0
+	for _, t := range r.Targets {
+		if t.Weight < 0 {
+			return &InvalidError{at + " weight", fmt.Sprint(t.Weight), "must not be negative"}
+		}
+		total += t.Weight
+	}
+	if total == 0 {
+		return &InvalidError{at + " split", "0", "needs a weight above 0"}
+	}
+	return nil
+}
--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -75,18 +75,6 @@
 	byName map[string]*Route
 }
 
-// InvalidError says which field of a desired state is wrong.
-type InvalidError struct {
-	Field string
-	Value string
-	Msg   string
-}
-
-// Error names the field, its value and the fault.
-func (e *InvalidError) Error() string {
-	return fmt.Sprintf("desired state: %s %q: %s", e.Field, e.Value, e.Msg)
-}
-
 // New indexes a state; the error is an *InvalidError.
 func New(s State) (*State, error) {
 	if s.Version <= 0 {
@@ -109,55 +97,6 @@
 	return &s, nil
 }
 
-func (r *Route) check() error {
-	at := "route " + r.Name
-	switch {
-	case r.Host == "":
-		return &InvalidError{at + " host", r.Host, "must be set"}
-	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return &InvalidError{at + " prefix", r.Prefix, "must begin and end with '/'"}
-	case r.Kind == 0:
-		return &InvalidError{at + " kind", "", "isn't known"}
-	case len(r.Targets) == 0:
-		return &InvalidError{at + " service", "", "must be set"}
-	}
-	total := 0
-	for _, t := range r.Targets {
-		if t.Weight < 0 {
-			return &InvalidError{at + " weight", fmt.Sprint(t.Weight), "must not be negative"}
-		}
-		total += t.Weight
-	}
-	if total == 0 {
-		return &InvalidError{at + " split", "0", "needs a weight above 0"}
-	}
-	return nil
-}
-
-// Match returns the route of a request, or nil; path may hold a query.
-func (s *State) Match(host, path string) *Route {
-	if i := strings.IndexByte(path, '?'); i >= 0 {
-		path = path[:i]
-	}
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	routes := s.byHost[strings.ToLower(host)]
-	if routes == nil {
-		return nil
-	}
-	for {
-		i := strings.LastIndexByte(path, '/')
-		if i < 0 {
-			return nil
-		}
-		if r := routes[path[:i+1]]; r != nil {
-			return r
-		}
-		path = path[:i]
-	}
-}
-
 // lowest is the priority of a route that isn't known.
 const lowest = 1 << 10
 
