mesh: table, text form and counting of metrics in files of their own

Cause: node_metrics.go had the table, the counting and the text form in one; answer.write also set headers. Change: metric_table.go and metrics_text.go; quantileLines and answer.setHeader are steps.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -31,8 +31,10 @@
 	return a.outcome == wire.Ran && a.status == http.StatusInternalServerError && a.stream == nil
 }
 
+// refused is the answer to a request that certainly didn't run.
 func refused(reason wire.Reason) *answer { return &answer{outcome: wire.NotRun, reason: reason} }
 
+// lost is the answer to a request that may have run.
 func lost(reason wire.Reason) *answer {
 	return &answer{outcome: wire.Unknown, reason: reason, arrived: true}
 }
@@ -55,18 +57,7 @@
 
 // write passes an answer on; a body that breaks off ends the connection, so that it doesn't look whole.
 func (a *answer) write(w http.ResponseWriter) {
-	h := w.Header()
-	for k, v := range a.header {
-		h[k] = v
-	}
-	if _, typed := h["Content-Type"]; !typed {
-		h["Content-Type"] = nil // the library would guess one
-	}
-	if a.stream == nil {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	} else if a.length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
-	}
+	a.setHeader(w.Header())
 	w.WriteHeader(a.status)
 	_, err := w.Write(a.body)
 	if a.stream == nil {
@@ -81,6 +72,21 @@
 	}
 }
 
+// setHeader puts the answer's headers and length into h.
+func (a *answer) setHeader(h http.Header) {
+	for k, v := range a.header {
+		h[k] = v
+	}
+	if _, typed := h["Content-Type"]; !typed {
+		h["Content-Type"] = nil // the library would guess one
+	}
+	if a.stream == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	} else if a.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+}
+
 // ended tells whether an exchange failed because its caller left or its time was up.
 func ended(err error) bool {
 	var e *httpconn.Error
--- /dev/null
+++ b/pkg/mesh/metric_table.go
@@ -0,0 +1,25 @@
+package mesh
+
+// MetricInfo describes one metric of a mesh node.
+type MetricInfo struct {
+	Name   string
+	Kind   string // counter, gauge or histogram
+	Labels string
+	Help   string
+}
+
+// Metrics is the table of a mesh node's metrics.
+var Metrics = []MetricInfo{
+	{"requests_total", "counter", "route, service, outcome, reason", "Requests that began here, by how they ended."},
+	{"arrivals_total", "counter", "service, outcome, reason", "Requests that other nodes or this one sent to the server on this VM."},
+	{"repeats_total", "counter", "service", "Requests that were sent to one more server."},
+	{"repeats_denied_total", "counter", "service", "Repeats not made for want of budget."},
+	{"peers_aside_total", "counter", "", "Times that a peer was set aside since it failed."},
+	{"store_errors_total", "counter", "", "Calls to the store that failed."},
+	{"state_version", "gauge", "", "Desired state in force."},
+	{"servers_known", "gauge", "", "Backend servers that take work, as known here."},
+	{"gate_running", "gauge", "", "Requests in progress at the server on this VM."},
+	{"gate_queued", "gauge", "", "Requests that wait for it."},
+	{"admitted_share", "gauge", "route", "Share in a thousand of first attempts that is taken in; only while below all."},
+	{"request_seconds", "histogram", "route", "Time from a request's arrival to its answer, of those served."},
+}
--- /dev/null
+++ b/pkg/mesh/metrics_text.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
+)
+
+// writeText writes all metrics in the text form that scrapers read.
+func (m *nodeMetrics) writeText(w io.Writer) {
+	for _, info := range Metrics {
+		kind := strings.Replace(info.Kind, "histogram", "summary", 1)
+		fmt.Fprintf(w, "# HELP rockspoke_%s %s\n# TYPE rockspoke_%s %s\n", info.Name, info.Help, info.Name, kind)
+		m.writeSeries(w, info)
+	}
+}
+
+// writeSeries writes the label sets of one metric in order.
+func (m *nodeMetrics) writeSeries(w io.Writer, info MetricInfo) {
+	var lines []string
+	m.registry.Each(func(key string, v any) {
+		if name, _, _ := strings.Cut(key, "{"); name != info.Name {
+			return
+		}
+		switch v := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("rockspoke_%s %d", key, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("rockspoke_%s %d", key, v.Value()))
+		}
+	})
+	if info.Kind == "histogram" {
+		lines = append(lines, m.timeLines(info.Name)...)
+	}
+	slices.SortFunc(lines, cmp.Compare[string])
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+}
+
+// timeLines returns the quantiles of a histogram's label sets.
+func (m *nodeMetrics) timeLines(name string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var lines []string
+	for key, h := range m.times {
+		if base, labels, _ := strings.Cut(key, "{"); base == name {
+			lines = append(lines, quantileLines(name, strings.TrimSuffix(labels, "}"), h)...)
+		}
+	}
+	return lines
+}
+
+// quantileLines returns the lines of one label set, in seconds.
+func quantileLines(name, labels string, h *hdrhistogram.Histogram) []string {
+	var lines []string
+	for _, q := range []float64{50, 90, 99} {
+		v := time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+		lines = append(lines, fmt.Sprintf("rockspoke_%s{%s,quantile=\"%g\"} %g", name, labels, q/100, v.Seconds()))
+	}
+	return append(lines, fmt.Sprintf("rockspoke_%s_count{%s} %d", name, labels, h.TotalCount()))
+}
