--- a/pkg/cli/query_trace.go
+++ b/pkg/cli/query_trace.go
@@ -22,6 +22,10 @@
   rockspoke trace 9c41d07be2a35f68 node-1.log node-2.log
   rockspoke trace --why node-*.log`
 
+// traceTime is a line's time of day to the millisecond.
+const traceTime = "15:04:05.000"
+
+// traceWork is one run of the command.
 type traceWork struct {
 	env *env
 	why bool
@@ -38,34 +42,50 @@
 }
 
 func (w *traceWork) run(_ context.Context, args []string) error {
-	id, files := "", args
-	if !w.why {
-		if len(args) < 2 {
-			return usagef("trace needs an id and at least one file; see rockspoke trace --help")
-		}
-		id, files = args[0], args[1:]
-	}
-	if len(files) == 0 {
-		return usagef("trace --why needs at least one file")
+	id, files, err := w.parse(args)
+	if err != nil {
+		return err
 	}
 	lines, skipped, err := readLogs(files)
 	if err != nil {
 		return err
 	}
-	if len(skipped) > 0 {
-		s := skipped[0]
-		fmt.Fprintf(w.env.stderr, "%d lines left out, the first at %s:%d (%s)\n", len(skipped), s.Source, s.Number, s.Why)
-	}
+	w.tellSkipped(skipped)
 	if w.why {
 		return w.printCauses(trace.Causes(lines))
 	}
-	story := trace.Story(lines, id)
+	return w.printStory(id, trace.Story(lines, id))
+}
+
+// parse returns the request, which --why has none of, and the files.
+func (w *traceWork) parse(args []string) (id string, files []string, err error) {
+	if w.why {
+		if len(args) == 0 {
+			return "", nil, usagef("trace --why needs at least one file")
+		}
+		return "", args, nil
+	}
+	if len(args) < 2 {
+		return "", nil, usagef("trace needs an id and at least one file; see rockspoke trace --help")
+	}
+	return args[0], args[1:], nil
+}
+
+func (w *traceWork) tellSkipped(skipped []trace.Skipped) {
+	if len(skipped) == 0 {
+		return
+	}
+	s := skipped[0]
+	fmt.Fprintf(w.env.stderr, "%d lines left out, the first at %s:%d (%s)\n", len(skipped), s.Source, s.Number, s.Why)
+}
+
+func (w *traceWork) printStory(id string, story []trace.Line) error {
 	if len(story) == 0 {
 		return usagef("no line speaks of request %s", id)
 	}
 	return w.env.print(story, func(t io.Writer) {
 		for _, l := range story {
-			row(t, l.Time.Format("15:04:05.000"), l.Source, l.Msg, fieldsText(l.Fields))
+			row(t, l.Time.Format(traceTime), l.Source, l.Msg, fieldsText(l.Fields))
 		}
 	})
 }
@@ -79,6 +99,7 @@
 	})
 }
 
+// readLogs reads the files one after the other.
 func readLogs(files []string) ([]trace.Line, []trace.Skipped, error) {
 	var lines []trace.Line
 	var skipped []trace.Skipped
--- a/pkg/trace/doc.go
+++ b/pkg/trace/doc.go
@@ -4,4 +4,7 @@
 // node's name; what stands before it is kept as the line's source. A line
 // without a JSON object, or with one that isn't a log line, is left out and
 // counted.
+//
+// read_lines.go reads logs, request_story.go tells one request, refusal_causes.go
+// groups those that weren't served.
 package trace
--- a/pkg/trace/read_lines.go
+++ b/pkg/trace/read_lines.go
@@ -66,6 +66,7 @@
 	return Line{Time: at, Source: source, Msg: msg, Fields: fields}, ""
 }
 
+// text returns a field's text, or "" if it isn't one.
 func text(v any) string {
 	s, _ := v.(string)
 	return s
