mesh, overload, directory, desired: headers name the parts; bounds have names

Cause: headers left out types of their packages or where a request's steps are; 4 and 6 stood bare in network.go and peer.go; fakeStore.seam was one literal of fifty lines, and nobody read its count of writes. Change: headers, storeConns, asideDoublings, the fake store's calls as methods. Conclusion: same values; the packages' tests pass.

--- a/pkg/desired/doc.go
+++ b/pkg/desired/doc.go
@@ -3,5 +3,6 @@
 //
 // A State is immutable: a node decodes each version once, indexes it and
 // publishes it whole. A request keeps the State that it came in with. Match
-// finds the route of a request by its host and the longest path prefix.
+// finds the route of a request by its host and the longest path prefix; an
+// InvalidError names the field of a state that can't be put in force.
 package desired
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -11,6 +11,12 @@
 // cost. A request that a server was handed is sent again only if it may be
 // repeated, or if the server itself said that it hasn't run.
 //
+// A request's files, in order: outbound_server.go, request.go, admission.go,
+// choose_server.go, forward.go, peer_protocol.go, inbound_server.go, backend.go,
+// answer.go. The others keep what requests need: node.go and listeners.go,
+// follow_state.go, record_writer.go and sync_records.go, exchange.go and
+// exchange_message.go, load_report.go, stop_state.go, node_metrics.go.
+//
 // One goroutine owns the control state (control_loop.go) and publishes a view;
 // requests read the view and never lock control state.
 //
--- a/pkg/mesh/fake_store_test.go
+++ b/pkg/mesh/fake_store_test.go
@@ -17,7 +17,6 @@
 	changed chan struct{}
 	records map[string]directory.Record
 	down    bool
-	writes  int
 }
 
 func newFakeStore() *fakeStore {
@@ -48,54 +47,59 @@
 
 func (s *fakeStore) seam() Store {
 	return Store{
-		ReadState: func(context.Context) ([]byte, int64, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.down {
-				return nil, 0, storeDownError{}
-			}
-			return s.state, s.version, nil
-		},
-		FollowState: func(ctx context.Context, after int64) ([]byte, int64, error) {
-			for {
-				s.mu.Lock()
-				changed, down := s.changed, s.down
-				data, v := s.state, s.version
-				s.mu.Unlock()
-				switch {
-				case down:
-					return nil, 0, storeDownError{}
-				case v > after:
-					return data, v, nil
-				}
-				select {
-				case <-changed:
-				case <-ctx.Done():
-					return nil, 0, ctx.Err()
-				}
-			}
-		},
-		ReadRecords: func(context.Context) ([]directory.Record, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.down {
-				return nil, storeDownError{}
-			}
-			var out []directory.Record
-			for _, r := range s.records {
-				out = append(out, r)
-			}
-			return out, nil
-		},
-		WriteRecord: func(_ context.Context, r directory.Record) error {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.down {
-				return storeDownError{}
-			}
-			s.records[r.Host] = r
-			s.writes++
-			return nil
-		},
+		ReadState: s.readState, FollowState: s.followState,
+		ReadRecords: s.readRecords, WriteRecord: s.writeRecord,
 	}
 }
+
+func (s *fakeStore) readState(context.Context) ([]byte, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, storeDownError{}
+	}
+	return s.state, s.version, nil
+}
+
+func (s *fakeStore) followState(ctx context.Context, after int64) ([]byte, int64, error) {
+	for {
+		s.mu.Lock()
+		changed, down := s.changed, s.down
+		data, v := s.state, s.version
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, storeDownError{}
+		case v > after:
+			return data, v, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) readRecords(context.Context) ([]directory.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, storeDownError{}
+	}
+	var out []directory.Record
+	for _, r := range s.records {
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func (s *fakeStore) writeRecord(_ context.Context, r directory.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return storeDownError{}
+	}
+	s.records[r.Host] = r
+	return nil
+}
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -61,7 +61,7 @@
 	dialTime = 350 * time.Millisecond
 	// backendDialTime bounds the making of a connection on this VM.
 	backendDialTime = time.Second
-	// probeAfter, probeEvery and unackedTime find a dead connection within about a second, so that a cut
+	// probeAfter, probeEvery, probeCount and unackedTime find a dead connection within about a second, so that a cut
 	// isn't waited out.
 	probeAfter  = 400 * time.Millisecond
 	probeEvery  = 300 * time.Millisecond
--- a/pkg/mesh/network.go
+++ b/pkg/mesh/network.go
@@ -38,14 +38,19 @@
 	return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
 
-// storeIdle is how long a connection to the store rests.
-const storeIdle = 30 * time.Second
+// The bounds of connections to the store.
+const (
+	// storeIdle is how long one rests.
+	storeIdle = 30 * time.Second
+	// storeConns are kept: a node makes three kinds of call, one at a time each.
+	storeConns = 4
+)
 
 // NewStoreHTTP returns the HTTP client for the store, from the address of this VM.
 func NewStoreHTTP(ip string) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer(ip, storeCallTime).DialContext,
-		MaxIdleConnsPerHost: 4,
+		MaxIdleConnsPerHost: storeConns,
 		IdleConnTimeout:     storeIdle,
 		DisableCompression:  true,
 	}}
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -35,12 +35,19 @@
 	at      time.Time
 }
 
-// The constants of setting a peer aside.
+// The constants of what is believed of a peer.
 const (
 	asideFirst = 250 * time.Millisecond
 	asideMost  = 4 * time.Second
+	// asideDoublings bounds the shift; asideMost is reached before.
+	asideDoublings = 6
 	// loadStale is how long a told load counts.
 	loadStale = 2 * time.Second
+	// peerIdle is how long a connection between nodes rests; it is far below idleTime, so that no request
+	// crosses the other side's close.
+	peerIdle = 30 * time.Second
+	// leastSuccess bounds how little a failing server counts for, so that it is still tried.
+	leastSuccess = 0.1
 )
 
 // peer returns the peer of a VM, made if it is new.
@@ -59,10 +66,6 @@
 	return p
 }
 
-// peerIdle is how long a connection between nodes rests; it is far below idleTime, so that no request
-// crosses the other side's close.
-const peerIdle = 30 * time.Second
-
 // describe takes over what a record says of the peer's server.
 func (p *peer) describe(r directory.Record, zone string) {
 	p.near.Store(r.Zone == zone)
@@ -94,7 +97,7 @@
 	defer p.mu.Unlock()
 	first := !now.Before(p.asideTil)
 	if first {
-		p.asideTil = now.Add(min(asideFirst<<min(p.failures, 6), asideMost))
+		p.asideTil = now.Add(min(asideFirst<<min(p.failures, asideDoublings), asideMost))
 		p.failures++
 	}
 	return first
@@ -132,6 +135,3 @@
 	e.use = float64(p.inflight.Load()+others+1) / max(capacity, 1)
 	return e
 }
-
-// leastSuccess bounds how little a failing server counts for, so that it is still tried.
-const leastSuccess = 0.1
--- a/pkg/overload/doc.go
+++ b/pkg/overload/doc.go
@@ -7,4 +7,7 @@
 // carry: by priority, first attempts before those that come back. Every node
 // works it out from the same news, so there is no coordinator, and it follows
 // the demand by itself.
+//
+// A DecayingRate measures the demand; a RepeatBudget bounds how much of it the
+// nodes themselves add by sending requests once more.
 package overload
