--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -23,28 +23,25 @@
 	Clock clock.Clock
 	// Idle is how long a connection may rest; 0 means DefaultIdle.
 	Idle time.Duration
-	// MaxOpen bounds the connections, in use and idle; 0: not bounded.
-	MaxOpen int
 
 	mu     sync.Mutex
-	idle   []*Conn // the last one was used last
+	idle   []*conn // the last one was used last
 	open   int
 	closed bool
 }
 
-// Conn is a connection that carries one request at a time.
-type Conn struct {
+// conn is a connection that carries one request at a time.
+type conn struct {
 	pool   *Pool
 	raw    net.Conn
 	br     *bufio.Reader
 	bw     *bufio.Writer
 	rested time.Time     // when it was put back
 	keep   time.Duration // how long the server said that it keeps an idle connection; 0: not said
-	Fresh  bool          // no request was sent on it before
 }
 
 // get returns a connection that rested, or a new one; the error is an *Error of kind NotConnected.
-func (p *Pool) get(ctx context.Context) (*Conn, error) {
+func (p *Pool) get(ctx context.Context) (*conn, error) {
 	if c := p.takeIdle(); c != nil {
 		return c, nil
 	}
@@ -53,15 +50,15 @@
 		p.release()
 		return nil, &Error{Kind: NotConnected, Cause: err}
 	}
-	return &Conn{
-		pool: p, raw: raw, Fresh: true,
+	return &conn{
+		pool: p, raw: raw,
 		br: bufio.NewReaderSize(raw, bufferBytes),
 		bw: bufio.NewWriterSize(raw, bufferBytes),
 	}, nil
 }
 
 // takeIdle returns a usable idle connection, or nil when one is to be made, which it counts.
-func (p *Pool) takeIdle() *Conn {
+func (p *Pool) takeIdle() *conn {
 	now := p.Clock.Now()
 	for {
 		p.mu.Lock()
@@ -75,7 +72,6 @@
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
 		if now.Sub(c.rested) < c.restLimit() && quiet(c) {
-			c.Fresh = false
 			return c
 		}
 		c.Close()
@@ -83,7 +79,7 @@
 }
 
 // restLimit is how long the connection may rest: half of what the server said, to leave time for the way.
-func (c *Conn) restLimit() time.Duration {
+func (c *conn) restLimit() time.Duration {
 	limit := c.pool.Idle
 	if limit == 0 {
 		limit = DefaultIdle
@@ -94,7 +90,7 @@
 	return limit
 }
 
-func (p *Pool) put(c *Conn) {
+func (p *Pool) put(c *conn) {
 	c.rested = p.Clock.Now()
 	p.mu.Lock()
 	if p.closed {
@@ -124,7 +120,7 @@
 	now := p.Clock.Now()
 	p.mu.Lock()
 	kept := p.idle[:0]
-	var old []*Conn
+	var old []*conn
 	for _, c := range p.idle {
 		if now.Sub(c.rested) < c.restLimit() {
 			kept = append(kept, c)
@@ -150,15 +146,8 @@
 	}
 }
 
-// Reopen lets a closed pool be used again.
-func (p *Pool) Reopen() {
-	p.mu.Lock()
-	p.closed = false
-	p.mu.Unlock()
-}
-
 // Close closes the connection for good; the other side learns by it that an exchange was given up.
-func (c *Conn) Close() {
+func (c *conn) Close() {
 	_ = c.raw.Close() // it is given up either way
 	c.pool.release()
 }
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -16,7 +16,6 @@
 type HeaderNames struct {
 	AttemptID string // identity of one attempt of a client
 	TimeLeft  string // milliseconds that the caller will still wait
-	Seal      string // a backend server's proof that the answer is its own
 	Instance  string // the start of the backend server that is meant
 	NotRun    string // set by a backend server that refuses
 	Caller    string // the service beside which the request began
@@ -62,7 +61,7 @@
 	dialTime = 350 * time.Millisecond
 	// backendDialTime bounds the making of a connection on this VM.
 	backendDialTime = time.Second
-	// probeAfter, probeEvery and unackedTime find a dead connection within about a second, so that a cut
+	// probeAfter, probeEvery, probeCount and unackedTime find a dead connection within about a second, so that a cut
 	// isn't waited out.
 	probeAfter  = 400 * time.Millisecond
 	probeEvery  = 300 * time.Millisecond
