A refusal after a lost answer doesn't say that nothing ran

Cause (read over): a repeatable request that one server may have run and the next one refused was answered 503, which promises that it hasn't run; and the reason given was that no server was left, not why they refused. Change: the delivery keeps a lost attempt, which no later refusal overrides, and the last reason. A load report counts for six exchanges in a larger mesh, where exchanges are rarer. Tests: both fail without the change (503 for 502, no-server for leaving).

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -122,8 +122,9 @@
 
 // replan works out the shares from the reports that still count.
 func (n *Node) replan(now time.Time) {
+	life := max(reportLifeLeast, reportLifeTalks*n.talkPeriod())
 	for host, r := range n.control.reports {
-		if now.Sub(r.heard) > reportLife {
+		if now.Sub(r.heard) > life {
 			delete(n.control.reports, host)
 		}
 	}
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -19,38 +19,47 @@
 	tried    []*peer
 	arrivals int     // backend servers that it reached, or may have reached
 	failure  *answer // a server's own failure, which is the answer if no other server does better
+	lost     *answer // an attempt that may have run: from then on no refusal is certain
+	reason   wire.Reason
 }
 
 // run sends the request until it is answered or given up.
 func (d *delivery) run(ctx context.Context) *answer {
-	var last *answer
+	d.reason = wire.ReasonNoServer
 	for {
 		if ctx.Err() != nil {
-			return d.giveUp(last, wire.ReasonDeadline)
+			d.reason = wire.ReasonDeadline
+			return d.giveUp()
 		}
 		p := choose(d.n.clock.Now(), d.n.view.Load().services[d.q.Service], d.tried)
 		if p == nil {
-			return d.giveUp(last, wire.ReasonNoServer)
+			return d.giveUp()
 		}
 		d.tried = append(d.tried, p)
 		a := d.send(ctx, p)
 		if a.arrived {
 			d.arrivals++
 		}
-		if a.failed() {
-			d.failure = a
-		}
+		d.note(a)
 		if a.outcome == wire.Ran && !a.failed() || a.canceled {
 			return a
 		}
 		if !d.again(a) {
-			return d.giveUp(a, a.reason)
+			return d.giveUp()
 		}
 		d.n.callLog.Info("sent again", "request", d.q.id, "route", d.route.Name, "peer", p.host,
 			"outcome", a.outcome, "reason", a.reason, "arrivals", d.arrivals)
-		if a.outcome != wire.Ran && (last == nil || last.outcome != wire.Unknown) {
-			last = a
-		}
+	}
+}
+
+// note keeps what an attempt says of the request as a whole.
+func (d *delivery) note(a *answer) {
+	d.reason = a.reason
+	switch {
+	case a.failed():
+		d.failure = a
+	case a.outcome == wire.Unknown:
+		d.lost = a
 	}
 }
 
@@ -73,14 +82,15 @@
 
 // giveUp returns the final answer of a request that no server answered. It says that the request hasn't
 // run only if that is certain.
-func (d *delivery) giveUp(last *answer, reason wire.Reason) *answer {
-	if d.failure != nil {
+func (d *delivery) giveUp() *answer {
+	switch {
+	case d.failure != nil:
 		return d.failure
+	case d.lost != nil:
+		return d.lost
+	default:
+		return refused(d.reason)
 	}
-	if last != nil && last.outcome == wire.Unknown {
-		return last
-	}
-	return refused(reason)
 }
 
 // send hands the request to one server, through the node beside it.
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -44,8 +44,12 @@
 	return r.Seq > old.Seq
 }
 
-// reportLife is how long a report counts without a newer one: a node that is cut off is forgotten by then.
-const reportLife = 3 * time.Second
+// The time for which a report counts without a newer one: a node that is cut off is forgotten by then.
+const (
+	reportLifeLeast = 3 * time.Second
+	// reportLifeTalks is the same in exchanges, which are rarer in a larger mesh: enough for news to reach all.
+	reportLifeTalks = 6
+)
 
 // trafficStats counts this node's own traffic.
 type trafficStats struct {
