Test: three failures explained by logs and metrics alone

Conclusion: a refusal at the entry, a lost answer of once-only work and leaving servers are told apart by trace and counters.

--- /dev/null
+++ b/pkg/mesh/explain_failure_test.go
@@ -0,0 +1,104 @@
+package mesh
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/logging"
+	"github.com/rockspoke/rockspoke/pkg/overload"
+	"github.com/rockspoke/rockspoke/pkg/trace"
+)
+
+// logBuffer collects the nodes' lines.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// story returns what the logs tell of a request.
+func (l *logBuffer) story(c *qt.C, id string) []trace.Line {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines, skipped, err := trace.Read("log", bytes.NewReader(l.b.Bytes()))
+	c.Assert(err, qt.IsNil)
+	c.Assert(skipped, qt.HasLen, 0)
+	return trace.Story(lines, id)
+}
+
+// said tells whether the story has a line with the message and the field's value.
+func said(story []trace.Line, msg, field, value string) bool {
+	for _, l := range story {
+		if l.Msg == msg && fmt.Sprint(l.Fields[field]) == value {
+			return true
+		}
+	}
+	return false
+}
+
+// Three failures, each explained by its id with nothing but logs and metrics.
+func TestFailuresAreExplainedByLogsAndMetrics(t *testing.T) {
+	c := qt.New(t)
+	log := &logBuffer{}
+	s := newSite(t)
+	for i := range 3 {
+		s.add("a", fmt.Sprint("z", i), 10)
+	}
+	factory := logging.Factory{W: log, Clock: clock.Real{}, JSON: true, PerSecond: 1000}
+	for _, n := range s.nodes {
+		n.callLog = factory.Part("call").With("node", n.ip)
+	}
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{
+		route("read", desired.Repeatable, "a"), route("pay", desired.Once, "a"),
+	}})
+	s.settled(1)
+
+	// Refused at its entry under overload.
+	n := s.nodes[0]
+	held := &admissionPlan{shares: map[string]overload.Share{"read": {}}}
+	s.until("refused by admission", func() bool {
+		n.plan.Store(held) // the next plan, a moment later, lets all in again
+		status, _, _ := s.ask(0, http.MethodGet, "/read/x", "over", time.Second)
+		return status == http.StatusServiceUnavailable
+	})
+	c.Assert(said(log.story(c, "over"), "call: not admitted", "fresh_share", "0"), qt.IsTrue)
+	c.Assert(metricsText(n), qt.Contains, `rockspoke_requests_total{route="read",service="a",outcome="not-run",reason="level"}`)
+
+	// Lost answer of once-only work.
+	s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) { cutOff(w) })
+	s.ask(0, http.MethodPost, "/pay/x", "lost", time.Second)
+	story := log.story(c, "lost")
+	c.Assert(said(story, "call: not served", "outcome", "unknown"), qt.IsTrue)
+	c.Assert(said(story, "call: not served", "arrivals", "1"), qt.IsTrue)
+	c.Assert(metricsText(n), qt.Contains, `rockspoke_requests_total{route="pay",service="a",outcome="unknown",reason="lost"}`)
+
+	// All servers leave: the request is tried at each, and refused there.
+	for i := range s.nodes {
+		s.nodes[i].gateMu.Lock()
+		s.nodes[i].gate.Close()
+		s.nodes[i].gateMu.Unlock()
+	}
+	s.ask(0, http.MethodPost, "/pay/x", "gone", time.Second)
+	story = log.story(c, "gone")
+	c.Assert(said(story, "call: sent again", "reason", "leaving"), qt.IsTrue)
+	c.Assert(said(story, "call: not served", "tried", "3"), qt.IsTrue)
+}
+
+func metricsText(n *Node) string {
+	var b bytes.Buffer
+	n.metrics.writeText(&b)
+	return b.String()
+}
