--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -21,6 +21,7 @@
 	reportSeq   int64
 	learner     callgraph.Learner
 	nextSample  time.Time
+	nextSweep   time.Time
 }
 
 // tickPeriod is the time between looks at what is due.
@@ -51,6 +52,10 @@
 	n.gateMu.Lock()
 	n.gate.Expire(now)
 	n.gateMu.Unlock()
+	if !now.Before(n.control.nextSweep) {
+		n.control.nextSweep = now.Add(sweepPeriod)
+		n.sweep()
+	}
 	if !now.Before(n.control.nextSample) {
 		n.control.nextSample = now.Add(samplePeriod)
 		n.learn(now)
@@ -67,9 +72,21 @@
 	n.talk(ctx)
 }
 
+// sweepPeriod is the time between closings of connections that have rested too long.
+const sweepPeriod = time.Second
+
+func (n *Node) sweep() {
+	n.backend.pool.Sweep()
+	n.peersMu.Lock()
+	defer n.peersMu.Unlock()
+	for _, p := range n.peers {
+		p.pool.Sweep()
+	}
+}
+
 // publish makes the control state visible to requests.
 func (n *Node) publish() {
-	v := &view{services: make(map[string][]*peer), own: n.control.own.Record(), self: n.peer(n.ip)}
+	v := &view{services: make(map[string][]*peer), own: n.control.own.Record()}
 	for _, r := range n.control.directory.All() {
 		if r.Phase != directory.Serving {
 			continue
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 )
 
@@ -26,7 +27,7 @@
 		n.following.Store(false)
 		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("desired state not followed", "err", err)
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, jitter(wait))
 		wait = min(2*wait, storeRetryMost)
 	}
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -64,7 +64,6 @@
 type view struct {
 	services map[string][]*peer // servers that take work, by service
 	own      directory.Record
-	self     *peer
 }
 
 // New returns a node that isn't started.
@@ -127,6 +126,3 @@
 
 // jitter returns a random time from half of d to one and a half of it, so that nodes don't act in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-// sleep waits for d, and reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool { return clock.Sleep(ctx, d) }
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 )
 
@@ -100,7 +101,7 @@
 		if n.writeRecord(ctx, r) {
 			continue
 		}
-		if !sleep(ctx, jitter(wait)) {
+		if !clock.Sleep(ctx, jitter(wait)) {
 			return
 		}
 		wait = min(2*wait, storeRetryMost)
--- a/pkg/mesh/stop_state.go
+++ b/pkg/mesh/stop_state.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
 // stopState is where a planned stop stands, and what is in progress.
@@ -51,7 +53,7 @@
 				break
 			}
 		}
-		sleep(ctx, stopPoll)
+		clock.Sleep(ctx, stopPoll)
 	}
 	n.controlLog.Info("stopped", "in_progress", n.stop.busy.Load())
 	n.halt()
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
 // The times of reading all records.
@@ -17,7 +19,7 @@
 // syncRecords reads the records of all VMs at the start, after each own write, and from time to time.
 func (n *Node) syncRecords(ctx context.Context) {
 	wait := storeRetryFirst
-	if !sleep(ctx, jitter(startSpread)) {
+	if !clock.Sleep(ctx, jitter(startSpread)) {
 		return
 	}
 	for ctx.Err() == nil {
