--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -35,69 +35,6 @@
 	n.control.reports[r.Host] = r
 }
 
-// isInner tells whether only backend servers call the route, as far as it is known.
-func (n *Node) isInner(route string) bool {
-	p := n.plan.Load()
-	return p != nil && p.inner[route]
-}
-
-// The constants of telling calls from root requests.
-const (
-	// innerShare of a route's requests begin beside servers of one service if it is a call of theirs.
-	// Clients come to the VMs of all services alike.
-	innerShare = 0.97
-	// innerRate is the least rate a second from which that is judged.
-	innerRate = 2.0
-	// innerOrigins is the least number of services beside which requests are seen to begin.
-	innerOrigins = 2
-)
-
-// innerRoutes returns the routes that only the servers of one service call.
-func (n *Node) innerRoutes() map[string]bool {
-	from := map[string]map[string]float64{} // by route, by service beside which it began
-	origins := map[string]bool{}
-	for _, r := range n.control.reports {
-		for route, e := range r.Entries {
-			if from[route] == nil {
-				from[route] = map[string]float64{}
-			}
-			from[route][r.Service] += e.Fresh + e.Returning
-			origins[r.Service] = true
-		}
-	}
-	inner := map[string]bool{}
-	if len(origins) < innerOrigins {
-		return inner
-	}
-	for route, by := range from {
-		sum, most := 0.0, 0.0
-		for _, rate := range by {
-			sum += rate
-			most = max(most, rate)
-		}
-		inner[route] = sum >= innerRate && most >= innerShare*sum || sum < innerRate && n.isInner(route)
-	}
-	return inner
-}
-
-// samplePeriod is the time between samples of what runs at the own server: about as long as a run, so that
-// what is in progress varies from one to the next.
-const samplePeriod = 100 * time.Millisecond
-
-// unfairWeight is what a sample counts in which many runs failed: enough to know something after a restart
-// in the middle of an overload, too little to push out what was learned before it.
-const unfairWeight = 0.02
-
-// learn takes a sample of the own server.
-func (n *Node) learn(now time.Time) {
-	s, fair := n.stats.sample(now, n.isInner)
-	weight := 1.0
-	if !fair {
-		weight = unfairWeight
-	}
-	n.control.learner.Observe(s, weight)
-}
-
 // reportOwn takes this node's own counts.
 func (n *Node) reportOwn(now time.Time) {
 	r := n.stats.report(now)
@@ -140,61 +77,6 @@
 	n.plan.Store(plan)
 }
 
-// graph returns the calls that one run makes, averaged over the servers of its service by their runs.
-func (n *Node) graph() callgraph.Graph {
-	g := callgraph.Graph{}
-	rates := map[[2]string]float64{}
-	for _, r := range n.control.reports {
-		for route, run := range r.Runs {
-			rates[[2]string{r.Service, route}] += run.Rate
-		}
-	}
-	for _, r := range n.control.reports {
-		if g[r.Service] == nil {
-			g[r.Service] = map[string]callgraph.Rates{}
-		}
-		for route, run := range r.Runs {
-			if g[r.Service][route] == nil {
-				g[r.Service][route] = callgraph.Rates{}
-			}
-			for called, k := range run.Calls {
-				g[r.Service][route][called] += k * run.Rate / rates[[2]string{r.Service, route}]
-			}
-		}
-	}
-	return g
-}
-
-// places says where each route runs and for how long, by the reports.
-func (n *Node) places() map[string]callgraph.Place {
-	type sums struct {
-		rate, held float64
-		services   map[string]float64
-	}
-	all := map[string]*sums{}
-	for _, r := range n.control.reports {
-		for route, x := range r.Runs {
-			s := all[route]
-			if s == nil {
-				s = &sums{services: map[string]float64{}}
-				all[route] = s
-			}
-			s.rate += x.Rate
-			s.held += x.Rate * x.Hold
-			s.services[r.Service] += x.Rate
-		}
-	}
-	places := make(map[string]callgraph.Place, len(all))
-	for route, s := range all {
-		p := callgraph.Place{Shares: map[string]float64{}, Hold: s.held / s.rate}
-		for service, rate := range s.services {
-			p.Shares[service] = rate / s.rate
-		}
-		places[route] = p
-	}
-	return places
-}
-
 // roots returns the demand for each kind of root request.
 func (n *Node) roots(plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
 	state := n.state.Load()
@@ -296,75 +178,6 @@
 	return ok
 }
 
-// soundShare is the share of good answers of the best server of a service below which its failures are
-// taken for those of something that they share, so that another server would fail as well.
-const soundShare = 0.8
-
-// worthAnother tells whether a request that one server failed has a chance at another one.
-func (n *Node) worthAnother(q *request) bool {
-	p := n.plan.Load()
-	if p == nil || p.runs[q.Route][q.Service] == 0 {
-		return false // what a repeat costs below isn't known
-	}
-	if s, held := p.shares[q.Route]; held && s.Fresh < 1 {
-		return false
-	}
-	return standardOf(n.clock.Now(), n.view.Load().services[q.Service]).success >= soundShare
-}
-
-// mayRepeat tells whether the budget lets a request reach one more server, and pays for it.
-func (n *Node) mayRepeat(q *request) bool {
-	runs := n.runsOf(q)
-	n.budgetMu.Lock()
-	ok := n.budget.Take(runs)
-	n.budgetMu.Unlock()
-	if ok {
-		n.metrics.count("repeats_total", "service", q.Service)
-	} else {
-		n.metrics.count("repeats_denied_total", "service", q.Service)
-	}
-	return ok
-}
-
-// earnRepeats notes a request that a server is about to get for the first time.
-func (n *Node) earnRepeats(q *request) {
-	runs := n.runsOf(q)
-	n.budgetMu.Lock()
-	defer n.budgetMu.Unlock()
-	n.budget.Earn(q.Service, runs)
-}
-
-// runsOf returns the runs by service that a request causes, as far as they are known.
-func (n *Node) runsOf(q *request) map[string]float64 {
-	if p := n.plan.Load(); p != nil {
-		if runs := p.runs[q.Route]; runs[q.Service] > 0 {
-			return runs
-		}
-	}
-	return map[string]float64{q.Service: 1}
-}
-
-// The constants of the repeat budget.
-const (
-	// repeatRatioShare of the operator's ratio is earned at the service itself; a request may be repeated
-	// at several levels above a service, and all of it adds up there.
-	repeatRatioShare = 0.4
-	// repeatBelowShare of the ratio is earned for the services that the request's calls run on.
-	repeatBelowShare = 0.1
-	// repeatBurstShare of the operator's slack is shared out to the nodes.
-	repeatBurstShare = 0.4
-)
-
-// tuneBudget shares the operator's bounds of repeats out to the nodes that are known.
-func (n *Node) tuneBudget() {
-	nodes := max(len(n.control.directory.All()), 1)
-	n.budgetMu.Lock()
-	defer n.budgetMu.Unlock()
-	n.budget.Ratio = n.cfg.Mesh.RetryRatio * repeatRatioShare
-	n.budget.Below = n.cfg.Mesh.RetryRatio * repeatBelowShare
-	n.budget.Burst = max(n.cfg.Mesh.RetrySlack*repeatBurstShare/float64(nodes), 1)
-}
-
 // comeBackShare of the time that a client has left is the longest after which it comes back as told.
 const comeBackShare = 1.0 / 3
 
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -199,8 +199,8 @@
 	return true, returning
 }
 
-// leastReported is the rate below which a route isn't reported: it takes no part worth planning for.
-const leastReported = 1.0
+// leastReported is the rate a second below which a route isn't reported: it takes no part worth planning for.
+const leastReported = 0.3
 
 // report returns the counts as rates.
 func (s *trafficStats) report(now time.Time) loadReport {
--- /dev/null
+++ b/pkg/mesh/repeats.go
@@ -0,0 +1,70 @@
+package mesh
+
+// soundShare is the share of good answers of the best server of a service below which its failures are
+// taken for those of something that they share, so that another server would fail as well.
+const soundShare = 0.8
+
+// worthAnother tells whether a request that one server failed has a chance at another one.
+func (n *Node) worthAnother(q *request) bool {
+	p := n.plan.Load()
+	if p == nil || p.runs[q.Route][q.Service] == 0 {
+		return false // what a repeat costs below isn't known
+	}
+	if s, held := p.shares[q.Route]; held && s.Fresh < 1 {
+		return false
+	}
+	return standardOf(n.clock.Now(), n.view.Load().services[q.Service]).success >= soundShare
+}
+
+// mayRepeat tells whether the budget lets a request reach one more server, and pays for it.
+func (n *Node) mayRepeat(q *request) bool {
+	runs := n.runsOf(q)
+	n.budgetMu.Lock()
+	ok := n.budget.Take(runs)
+	n.budgetMu.Unlock()
+	if ok {
+		n.metrics.count("repeats_total", "service", q.Service)
+	} else {
+		n.metrics.count("repeats_denied_total", "service", q.Service)
+	}
+	return ok
+}
+
+// earnRepeats notes a request that a server is about to get for the first time.
+func (n *Node) earnRepeats(q *request) {
+	runs := n.runsOf(q)
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Earn(q.Service, runs)
+}
+
+// runsOf returns the runs by service that a request causes, as far as they are known.
+func (n *Node) runsOf(q *request) map[string]float64 {
+	if p := n.plan.Load(); p != nil {
+		if runs := p.runs[q.Route]; runs[q.Service] > 0 {
+			return runs
+		}
+	}
+	return map[string]float64{q.Service: 1}
+}
+
+// The constants of the repeat budget.
+const (
+	// repeatRatioShare of the operator's ratio is earned at the service itself; a request may be repeated
+	// at several levels above a service, and all of it adds up there.
+	repeatRatioShare = 0.4
+	// repeatBelowShare of the ratio is earned for the services that the request's calls run on.
+	repeatBelowShare = 0.1
+	// repeatBurstShare of the operator's slack is shared out to the nodes.
+	repeatBurstShare = 0.4
+)
+
+// tuneBudget shares the operator's bounds of repeats out to the nodes that are known.
+func (n *Node) tuneBudget() {
+	nodes := max(len(n.control.directory.All()), 1)
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Ratio = n.cfg.Mesh.RetryRatio * repeatRatioShare
+	n.budget.Below = n.cfg.Mesh.RetryRatio * repeatBelowShare
+	n.budget.Burst = max(n.cfg.Mesh.RetrySlack*repeatBurstShare/float64(nodes), 1)
+}
