A stopping node sends its peers' requests elsewhere

Test: TestAStoppingNodeSendsItsPeersElsewhere fails without the change (20 s without a refusal), passes with it.

--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -29,6 +29,10 @@
 	done := n.stop.begin()
 	defer done()
 	n.noticeVersion(r.RemoteAddr, c.Version)
+	if n.stop.refusesPeers(n.clock.Now()) {
+		n.reply(w, refused(wire.ReasonLeaving))
+		return
+	}
 	q, err := n.newRequest(r, c, 0)
 	var a *answer
 	if err != nil {
--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
 func TestADrainingServerGetsNothingFromAnyNode(t *testing.T) {
@@ -84,3 +87,28 @@
 	close(stop)
 	c.Assert(<-done, qt.IsNil)
 }
+
+// A stopping node once took its peers' requests until its end, and cut those that were in progress then.
+func TestAStoppingNodeSendsItsPeersElsewhere(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.add("a", "z", 10)
+	s.add("b", "z", 10)
+	s.servers[0].work = 3 * time.Second
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("pay", desired.Once, "a")}})
+	s.settled(1)
+	long := make(chan int, 1)
+	go func() {
+		status, _, _ := s.ask(1, http.MethodPost, "/pay/x", "long", 10*time.Second)
+		long <- status
+	}()
+	s.until("the long request runs", func() bool { return len(s.servers[0].ran()) == 1 })
+	done := make(chan error, 1)
+	go func() { done <- s.nodes[0].Stop(context.Background()) }()
+	s.until("peers are refused", func() bool {
+		status, _, h := s.ask(1, http.MethodPost, "/pay/x", "late", 300*time.Millisecond)
+		return status == http.StatusServiceUnavailable && h.Get(wire.HeaderReason) == string(wire.ReasonLeaving)
+	})
+	c.Assert(<-long, qt.Equals, http.StatusOK)
+	c.Assert(<-done, qt.IsNil)
+}
--- a/pkg/mesh/stop_state.go
+++ b/pkg/mesh/stop_state.go
@@ -20,6 +20,13 @@
 // refuses tells whether new requests of clients are turned away.
 func (s *stopState) refuses() bool { return s.refusing.Load() }
 
+// refusesPeers tells whether requests of other nodes are turned away: they know other servers, and what they
+// send late would still be in progress at the end.
+func (s *stopState) refusesPeers(now time.Time) bool {
+	since := s.since.Load()
+	return since != 0 && now.UnixNano()-since >= int64(servingPeers)
+}
+
 // begin counts a request in progress; the returned function ends it.
 func (s *stopState) begin() func() {
 	s.busy.Add(1)
@@ -32,6 +39,9 @@
 	// connections learn only by the answers that they should go, and the platform needs two checks of
 	// readiness, a second apart, to send no new ones.
 	stillServing = 3300 * time.Millisecond
+	// servingPeers is how long requests of other nodes are served after the stop began: they hear of it by
+	// the next answer, and send on what is refused.
+	servingPeers = 1500 * time.Millisecond
 	// stopMargin is kept free before the platform kills the process.
 	stopMargin = 400 * time.Millisecond
 	// stopPoll is the time between looks at whether all requests have ended.
