Peers are refused by the steady clock; one wrapper gone

Change: one loop sets both flags; the assignment stands where it was called. Conclusion: tests of mesh and daemon with the race detector pass; behaviour is the same while the clock is steady.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -27,14 +27,10 @@
 			continue
 		}
 		r.heard = now
-		n.keepReport(r)
+		n.control.reports[r.Host] = r
 	}
 }
 
-func (n *Node) keepReport(r *loadReport) {
-	n.control.reports[r.Host] = r
-}
-
 // reportOwn takes this node's own counts.
 func (n *Node) reportOwn(now time.Time) {
 	r := n.stats.report(now)
@@ -54,7 +50,7 @@
 	n.gateMu.Unlock()
 	r.Limit, r.Excess = round(g.Limit), round(n.excess(now, g))
 	r.heard = now
-	n.keepReport(&r)
+	n.control.reports[r.Host] = &r
 }
 
 // replan works out the shares from the reports that still count.
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -29,7 +29,7 @@
 	done := n.stop.begin()
 	defer done()
 	n.noticeVersion(r.RemoteAddr, c.Version)
-	if n.stop.refusesPeers(n.clock.Now()) {
+	if n.stop.refusesPeers() {
 		n.reply(w, refused(wire.ReasonLeaving))
 		return
 	}
--- a/pkg/mesh/stop_state.go
+++ b/pkg/mesh/stop_state.go
@@ -12,7 +12,9 @@
 type stopState struct {
 	since    atomic.Int64 // when leaving began, in Unix nanoseconds; 0: it hasn't
 	refusing atomic.Bool
-	busy     atomic.Int64
+	// refusingPeers is set after servingPeers by the steady clock; the time of day may jump meanwhile.
+	refusingPeers atomic.Bool
+	busy          atomic.Int64
 }
 
 func (s *stopState) leaving() bool { return s.since.Load() != 0 }
@@ -22,10 +24,7 @@
 
 // refusesPeers tells whether requests of other nodes are turned away: they know other servers, and what they
 // send late would still be in progress at the end.
-func (s *stopState) refusesPeers(now time.Time) bool {
-	since := s.since.Load()
-	return since != 0 && now.UnixNano()-since >= int64(servingPeers)
-}
+func (s *stopState) refusesPeers() bool { return s.refusingPeers.Load() }
 
 // begin counts a request in progress; the returned function ends it.
 func (s *stopState) begin() func() {
@@ -57,6 +56,7 @@
 	end := begun.Add(n.cfg.Mesh.Grace - stopMargin)
 	for ctx.Err() == nil {
 		now := n.clock.Now()
+		n.stop.refusingPeers.Store(now.Sub(begun) >= servingPeers)
 		if now.Sub(begun) >= stillServing {
 			n.stop.refusing.Store(true)
 			if n.stop.busy.Load() == 0 || !now.Before(end) {
