A soak of real processes under seeded faults; a stand-in for the platform's words

Change: cmd/rockspoke-soak and pkg/soak start rockspoked processes on loopback, with a proxy on every link, callers on kept connections, backend servers and a store (platform/standin, in the platform's words). 24 kinds of fault and planned work come by seed; nine checks judge what callers and servers saw. Every third seed has planned work alone, and no proxy between nodes: a proxy takes connections while the process behind it is gone. mesh.peerPort is the port at which others are reached. Not covered: clocks that jump, which can't be done from outside without powers that the soak doesn't use.

--- a/pkg/settings/mesh_settings.go
+++ b/pkg/settings/mesh_settings.go
@@ -10,7 +10,9 @@
 	RetryRatio  float64       `yaml:"retryRatio,omitempty"`  // repeats a service may see, as a share of its requests
 	RetrySlack  float64       `yaml:"retrySlack,omitempty"`  // repeats beyond that share in one window
 	RetryWindow time.Duration `yaml:"retryWindow,omitempty"` // window of both
-	FirstStart  bool          `yaml:"firstStart,omitempty"`  // the whole system starts for the first time
+	// PeerPort is the port at which the other nodes are reached, if it isn't the one that this node binds.
+	PeerPort   int  `yaml:"peerPort,omitempty"`
+	FirstStart bool `yaml:"firstStart,omitempty"` // the whole system starts for the first time
 }
 
 // Defaults of the mesh settings, the users' own bounds of today.
@@ -30,6 +32,9 @@
 	fill(&m.RetryWindow, DefaultRetryWindow)
 }
 
+// maxPort is the highest TCP port.
+const maxPort = 1<<16 - 1
+
 // mesh checks the settings of a mesh daemon.
 func (c *checker) mesh(s *Settings) {
 	c.required("service", s.Service)
@@ -54,6 +59,9 @@
 	if m.RetryRatio < 0 || m.RetryRatio > 1 {
 		c.fail("mesh.retryRatio", "%v must be 0 to 1", m.RetryRatio)
 	}
+	if m.PeerPort < 0 || m.PeerPort > maxPort {
+		c.fail("mesh.peerPort", "%d must be 1 to %d, or left out", m.PeerPort, maxPort)
+	}
 	if m.RetrySlack < 0 {
 		c.fail("mesh.retrySlack", "%v must not be negative", m.RetrySlack)
 	}
--- /dev/null
+++ b/pkg/soak/doc.go
@@ -0,0 +1,15 @@
+// Package soak runs the real daemons as separate processes on loopback, injects
+// faults from outside them in a random, seeded order, and checks from what
+// callers and backend servers see that the promises hold.
+//
+// site.go lays out the VMs: each has an address, a backend server of the soak
+// (backend_server.go), a process of rockspoked (node_process.go) and callers
+// (caller.go). All connections between nodes, to backend servers and to the
+// store go through link_proxy.go, which delays, resets, mutes or cuts them one
+// way. fault_table.go lists the kinds of fault, fault_links.go,
+// fault_processes.go, fault_servers.go, fault_store.go and planned_work.go
+// hold them. history.go keeps what was seen, promise_checks.go judges it.
+//
+// The time of day can't be moved from outside a process without powers that
+// the soak doesn't use, so clocks that jump aren't injected.
+package soak
--- /dev/null
+++ b/pkg/soak/fault_links.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// mostDelay is the largest delay of a link.
+const mostDelay = 150 * time.Millisecond
+
+// isReset tells whether a connection was reset by its other end.
+func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
+// linksOf returns the links between two groups, both ways.
+func linksOf(a, b []*vm) []link {
+	var links []link
+	for _, x := range a {
+		for _, y := range b {
+			if x != y {
+				links = append(links, link{x.ip, y.ip}, link{y.ip, x.ip})
+			}
+		}
+	}
+	return links
+}
+
+// holdLinks gives links a fault for a time.
+func (s *site) holdLinks(kind string, vms []*vm, links []link, f linkFault, d time.Duration) {
+	over := s.history.begin(kind, false, ipsOf(vms...)...)
+	for _, l := range links {
+		s.proxy.set(l, f)
+	}
+	time.Sleep(d)
+	for _, l := range links {
+		s.proxy.set(l, linkFault{})
+	}
+	over()
+}
+
+func delayLinks(s *site, rnd *rand.Rand, d time.Duration) {
+	v := s.some(rnd)
+	f := linkFault{Delay: time.Duration(rnd.Float64() * float64(mostDelay))}
+	s.holdLinks("link delayed", s.vms, linksOf(v, s.vms), f, d)
+}
+
+func resetLinks(s *site, rnd *rand.Rand, _ time.Duration) {
+	over := s.history.begin("link reset", false)
+	for _, l := range linksOf(s.some(rnd), s.vms) {
+		s.proxy.reset(l)
+	}
+	over()
+}
+
+func cutLinks(s *site, rnd *rand.Rand, d time.Duration) {
+	s.holdLinks("link cut", s.vms, linksOf(s.some(rnd), s.vms), linkFault{Mute: true, MuteBack: true}, d)
+}
+
+func cutOneWay(s *site, rnd *rand.Rand, d time.Duration) {
+	v := s.oneOf(rnd)
+	var links []link
+	for _, o := range s.vms {
+		links = append(links, link{v.ip, o.ip})
+	}
+	s.holdLinks("link cut one way", s.vms, links, linkFault{Mute: true}, d)
+}
+
+// cutZone cuts a zone off from the others and from the store.
+func cutZone(s *site, rnd *rand.Rand, d time.Duration) {
+	zone := s.oneOf(rnd).zone
+	var in, out []*vm
+	for _, v := range s.vms {
+		if v.zone == zone {
+			in = append(in, v)
+		} else {
+			out = append(out, v)
+		}
+	}
+	links := linksOf(in, out)
+	for _, v := range in {
+		links = append(links, link{v.ip, s.storeIP})
+	}
+	s.holdLinks("zone cut off", s.vms, links, linkFault{Mute: true, MuteBack: true}, d)
+}
+
+func resetServerLink(s *site, rnd *rand.Rand, _ time.Duration) {
+	v := s.oneOf(rnd)
+	over := s.history.begin("server link reset", false)
+	s.proxy.reset(v.serverLink())
+	over()
+}
+
+func cutStoreLink(s *site, rnd *rand.Rand, d time.Duration) {
+	v := s.some(rnd)
+	var links []link
+	for _, x := range v {
+		links = append(links, link{x.ip, s.storeIP})
+	}
+	s.holdLinks("store link cut", v, links, linkFault{Mute: true, MuteBack: true}, d)
+}
--- /dev/null
+++ b/pkg/soak/fault_store.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/platform/standin"
+)
+
+// slowAnswer is the delay of a slow store.
+const slowAnswer = 400 * time.Millisecond
+
+// holdStore gives the store a fault towards some VMs for a time.
+func (s *site) holdStore(kind string, vms []*vm, f standin.Fault, d time.Duration) {
+	over := s.history.begin(kind, false, ipsOf(vms...)...)
+	for _, v := range vms {
+		s.store.SetFault(v.ip, f)
+	}
+	time.Sleep(d)
+	for _, v := range vms {
+		s.store.SetFault(v.ip, standin.Fault{})
+	}
+	over()
+}
+
+func refuseAtStore(s *site, rnd *rand.Rand, d time.Duration) {
+	status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[rnd.IntN(2)]
+	s.holdStore("store refuses", s.some(rnd), standin.Fault{Status: status}, d)
+}
+
+func silenceStore(s *site, _ *rand.Rand, d time.Duration) {
+	s.holdStore("store silent", s.vms, standin.Fault{Silent: true}, d)
+}
+
+func slowStore(s *site, _ *rand.Rand, d time.Duration) {
+	s.holdStore("store slow", s.vms, standin.Fault{Delay: slowAnswer}, d)
+}
+
+func loseStoreAnswers(s *site, rnd *rand.Rand, d time.Duration) {
+	s.holdStore("store loses answers", s.some(rnd), standin.Fault{LoseAnswer: true}, d)
+}
+
+func forgetStoreHistory(s *site, rnd *rand.Rand, _ time.Duration) {
+	s.holdStore("store forgets", s.some(rnd), standin.Fault{Forget: true}, faultLeast)
+}
--- /dev/null
+++ b/pkg/soak/planned_work.go
@@ -0,0 +1,59 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// stopNode stops a process in order and starts it again.
+func stopNode(s *site, rnd *rand.Rand, _ time.Duration) {
+	v := s.oneOf(rnd)
+	over := s.history.begin("process stopped", true, v.ip)
+	v.restart(syscall.SIGTERM, restartPause)
+	over()
+}
+
+// reloadNode has a process read its settings again, once or twice in a row.
+func reloadNode(s *site, rnd *rand.Rand, _ time.Duration) {
+	v := s.oneOf(rnd)
+	over := s.history.begin("settings read again", true, v.ip)
+	defer over()
+	if !v.node.restarting.TryLock() {
+		return // nothing is there to be told
+	}
+	defer v.node.restarting.Unlock()
+	for range 1 + rnd.IntN(2) {
+		v.signal(syscall.SIGHUP)
+	}
+}
+
+// leaveServer lets a backend server drain, end and come back as a new one.
+func leaveServer(s *site, rnd *rand.Rand, _ time.Duration) {
+	v := s.oneOf(rnd)
+	over := s.history.begin("server leaves", true, v.ip)
+	defer over()
+	v.server.leave()
+	time.Sleep(drainTime + faultLeast)
+	v.server.renew()
+}
+
+// changeRoutes adds a route and drops the one before.
+func changeRoutes(s *site, rnd *rand.Rand, _ time.Duration) {
+	over := s.history.begin("state changed", true)
+	defer over()
+	added := route{path: fmt.Sprintf("/n%d/", rnd.Uint32()), service: serviceBack, probe: true}
+	s.routesMu.Lock()
+	old := s.routes
+	s.routesMu.Unlock()
+	if err := s.changeState([]route{added}); err != nil {
+		s.history.found("soak", err.Error())
+		return
+	}
+	change := stateChange{At: time.Now(), Added: added.path}
+	if len(old) > 0 {
+		change.Dropped = old[0].path
+	}
+	s.history.addVersion(change)
+}
--- /dev/null
+++ b/pkg/soak/soak_test.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// buildDaemon builds rockspoked as it is run.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "rockspoked")
+	out, err := exec.Command("go", "build", "-o", file, "github.com/rockspoke/rockspoke/cmd/rockspoked").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return file
+}
+
+// A short soak of real processes: one seed of all faults, one of planned work.
+func TestShortSoak(t *testing.T) {
+	program := buildDaemon(t)
+	for i, seed := range []uint64{1, 3} {
+		t.Run("", func(t *testing.T) {
+			r, err := Run(context.Background(), Options{
+				Program: program, Dir: t.TempDir(), Seed: seed, VMs: 6, Network: 100 + i,
+				Faulty: 3 * time.Second, Calm: 5 * time.Second, Rate: 8, Log: os.Stderr,
+			})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.Broken, qt.HasLen, 0, qt.Commentf("%s", r.Text()))
+			qt.Assert(t, r.Served > 0, qt.IsTrue)
+		})
+	}
+}
+
+// The same seed gives the same faults, and planned seeds have no others.
+func TestSchedulesAreSeeded(t *testing.T) {
+	c := qt.New(t)
+	names := func(seed uint64) (all []string) {
+		for _, e := range schedule(seed, time.Minute) {
+			all = append(all, e.fault.name+e.at.String())
+		}
+		return all
+	}
+	c.Assert(names(4), qt.DeepEquals, names(4))
+	c.Assert(slices.Equal(names(4), names(5)), qt.IsFalse)
+	for _, e := range schedule(plannedOnly, time.Minute) {
+		c.Assert(e.fault.planned, qt.IsTrue)
+	}
+}
+
+var judged = time.Unix(1_000_000, 0)
+
+// sound is the history of one once-only request that was served.
+func sound() *history {
+	h := &history{}
+	h.addAttempt(attempt{ID: "bill-1-1", Route: routePay.path, Service: serviceBill, Once: true, VM: "a", Begun: judged, Ended: judged.Add(time.Millisecond), Limit: time.Second, Status: http.StatusOK, Own: true})
+	h.addArrival(arrival{ID: "bill-1-1", Service: serviceBill, Instance: "i", At: judged, Ran: true})
+	return h
+}
+
+// Each check finds what it is for, and nothing in a sound history.
+func TestChecksFindBrokenPromises(t *testing.T) {
+	for _, x := range []struct {
+		promise string
+		spoil   func(h *history)
+	}{
+		{"", func(*history) {}},
+		{"once", func(h *history) { h.addArrival(h.arrivals[0]) }},
+		{"refusal", func(h *history) { h.attempts[0].Status = http.StatusServiceUnavailable }},
+		{"answer", func(h *history) { h.attempts[0].Own = false }},
+		{"leaving", func(h *history) { h.addLeave(leaving{Instance: "i", At: judged.Add(-drainTime - time.Second)}) }},
+		{"final answer", func(h *history) { h.attempts[0].Ended = judged.Add(2 * time.Second) }},
+		{"planned work", func(h *history) { h.attempts[0].Status, h.attempts[0].Own = http.StatusBadGateway, false }},
+		{"desired state", func(h *history) {
+			h.addVersion(stateChange{At: judged.Add(-applyTime - time.Second), Dropped: routePay.path})
+		}},
+		{"repeats", func(h *history) {
+			h.attempts[0].Once = false
+			for range repeatSlack + 1 {
+				h.addArrival(h.arrivals[0])
+			}
+		}},
+		{"recovery", func(h *history) {
+			h.attempts[0].Status, h.attempts[0].Own = http.StatusServiceUnavailable, false
+			h.arrivals = nil
+		}},
+	} {
+		t.Run(x.promise, func(t *testing.T) {
+			h := sound()
+			x.spoil(h)
+			var promises []string
+			for _, check := range checks {
+				for _, f := range check(h, judged.Add(-time.Hour)) {
+					promises = append(promises, f.Promise)
+				}
+			}
+			qt.Assert(t, slices.Contains(promises, x.promise), qt.Equals, x.promise != "", qt.Commentf("%v", promises))
+		})
+	}
+}
+
+// A disturbance excuses what it touches, and nothing before or elsewhere.
+func TestDisturbancesExcuseWhatTheyTouch(t *testing.T) {
+	c := qt.New(t)
+	h := sound()
+	h.attempts[0].Status, h.attempts[0].Own = http.StatusBadGateway, false
+	h.disturbances = []*disturbance{{Kind: "x", From: judged.Add(-time.Minute), To: judged.Add(-touchTime - time.Second)}}
+	c.Assert(checkPlannedWork(h, judged), qt.HasLen, 1)
+	h.disturbances[0].To = judged.Add(-time.Second)
+	c.Assert(checkPlannedWork(h, judged), qt.HasLen, 0)
+	h.disturbances[0].Planned = true
+	c.Assert(checkPlannedWork(h, judged), qt.HasLen, 1)
+}
+
+func TestCommandNamesWhatIsWrong(t *testing.T) {
+	c := qt.New(t)
+	var out, errs strings.Builder
+	c.Assert(Main(context.Background(), []string{"x"}, &out, &errs), qt.Equals, 1)
+	c.Assert(errs.String(), qt.Contains, `seed "x" isn't a number`)
+}
