--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -127,3 +127,49 @@
 	c.Assert(b.Take(whole), qt.IsFalse)
 	c.Assert(b.Take(map[string]float64{"top": 1}), qt.IsTrue, qt.Commentf("a refused repeat takes nothing"))
 }
+
+// Once the urgent kind's calls filled the small service, nothing was left of it for the kind whose only service it is.
+func TestNoKindIsShutOut(t *testing.T) {
+	c := qt.New(t)
+	shares := Plan([]Root{
+		{Route: "bill", Priority: 0, Fresh: 100, Slots: map[string]float64{"low": 0.2}},
+		{Route: "look", Priority: 2, Fresh: 200, Slots: map[string]float64{"low": 0.1}},
+		{Route: "assign", Priority: 2, Fresh: 20, Slots: map[string]float64{"low": 0.07}},
+	}, map[string]float64{"low": 18})
+	alike := 18 * Target / (20 + 20 + 1.4)
+	for _, route := range []string{"look", "assign"} {
+		c.Assert(shares[route].Fresh >= leastPart*alike-1e-9, qt.IsTrue, qt.Commentf("%v", shares))
+	}
+	c.Assert(shares["bill"].Fresh > 1.5*shares["look"].Fresh, qt.IsTrue, qt.Commentf("%v", shares))
+}
+
+// Downloads were served in full while bills, whose calls run on the same service, were refused for want of another one.
+func TestALessUrgentKindIsNotServedBeforeAnUrgentOne(t *testing.T) {
+	c := qt.New(t)
+	roots := []Root{
+		{Route: "bill", Priority: 0, Fresh: 100, Served: 0.6, Slots: map[string]float64{"low": 0.2, "files": 0.1}},
+		{Route: "pull", Priority: 2, Fresh: 50, Slots: map[string]float64{"files": 0.1}},
+		{Route: "other", Priority: 2, Fresh: 50, Slots: map[string]float64{"own": 0.1}},
+	}
+	shares := Plan(roots, map[string]float64{"low": 12, "files": 100, "own": 100})
+	c.Assert(math.Abs(shares["pull"].Fresh-0.65) < 1e-9, qt.IsTrue, qt.Commentf("%v", shares))
+	c.Assert(shares["other"].Fresh, qt.Equals, 1.0)
+	roots[0].Served = 0.98
+	c.Assert(Plan(roots, map[string]float64{"low": 50, "files": 100, "own": 100})["pull"].Fresh, qt.Equals, 1.0)
+}
+
+// Of two kinds of one rank the one that takes less of the tight service gets the larger share, by and by.
+func TestKindsThatTakeLessGetMore(t *testing.T) {
+	c := qt.New(t)
+	plan := func(cost float64) map[string]Share {
+		return Plan([]Root{
+			{Route: "look", Priority: 2, Fresh: 200, Slots: map[string]float64{"low": 0.065}},
+			{Route: "assign", Priority: 2, Fresh: 22, Slots: map[string]float64{"low": cost}},
+		}, map[string]float64{"low": 5})
+	}
+	same, less, little := plan(0.065), plan(0.05), plan(0.01)
+	c.Assert(math.Abs(same["assign"].Fresh-same["look"].Fresh) < 1e-3, qt.IsTrue, qt.Commentf("%v", same))
+	c.Assert(less["assign"].Fresh > 1.5*less["look"].Fresh, qt.IsTrue, qt.Commentf("%v", less))
+	c.Assert(less["look"].Fresh > 0.9*same["look"].Fresh, qt.IsTrue, qt.Commentf("%v", less))
+	c.Assert(little["assign"].Fresh > 0.999, qt.IsTrue, qt.Commentf("%v", little))
+}
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 )
 
@@ -12,6 +14,8 @@
 	Fresh     float64 // first attempts a second, in the whole system
 	Returning float64 // attempts a second of clients that were refused before
 	Slots     map[string]float64
+	// Served is the share of the kind that was served of late; 0 says nothing.
+	Served float64
 }
 
 // Share is the part of a kind that is admitted.
@@ -28,7 +32,8 @@
 type flow struct {
 	root      *Root
 	returning bool
-	rate      float64
+	whole     float64 // attempts a second
+	rate      float64 // of those, what isn't granted yet
 }
 
 // Plan returns the share of each kind that fits into the services' capacity, in slots.
@@ -39,6 +44,8 @@
 	}
 	out := make(map[string]Share, len(roots))
 	flows := flowsOf(roots)
+	grantLeast(flows, left, out)
+	keepOrder(flows)
 	for len(flows) > 0 {
 		n := 1
 		for n < len(flows) && sameRank(flows[n], flows[0]) {
@@ -50,12 +57,64 @@
 	return out
 }
 
+// orderMargin is how much more of a less urgent kind may be served than of a more urgent one with which it shares a
+// service: five in a hundred are the users' bound.
+const orderMargin = 0.05
+
+// keepOrder holds first attempts down to what is served of more urgent kinds that share a service with them,
+// also if that one isn't the tight one.
+func keepOrder(flows []flow) {
+	for i := range flows {
+		f := &flows[i]
+		for _, u := range flows {
+			if f.returning || u.returning || u.root.Priority >= f.root.Priority || u.root.Served == 0 || !u.root.sharesWith(f.root) {
+				continue
+			}
+			most := (u.root.Served + orderMargin) * f.whole
+			f.rate = min(f.rate, max(most-(f.whole-f.rate), 0))
+		}
+	}
+}
+
+// sharesWith tells whether requests of both kinds, or their calls, run on one service.
+func (r *Root) sharesWith(o *Root) bool {
+	for s, cost := range r.Slots {
+		if cost > 0 && o.Slots[s] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// leastPart of what every kind would get if all were alike is what even the least urgent one gets: an urgent kind
+// whose calls fill a small service would else shut out all others there, down to those whose only service it is.
+const leastPart = 0.4
+
+// grantLeast gives the first attempts of each kind that much.
+func grantLeast(flows []flow, left map[string]float64, out map[string]Share) {
+	var fresh []flow
+	for _, f := range flows {
+		if !f.returning {
+			fresh = append(fresh, f)
+		}
+	}
+	alike := make(map[string]Share, len(fresh))
+	fillAlike(fresh, maps.Clone(left), alike)
+	for i := range flows {
+		if f := &flows[i]; !f.returning {
+			least := leastPart * alike[f.root.Route].Fresh
+			grant(*f, least, left, out)
+			f.rate -= least * f.whole
+		}
+	}
+}
+
 // flowsOf returns all flows, the first to be admitted first.
 func flowsOf(roots []Root) []flow {
 	var flows []flow
 	for i := range roots {
 		r := &roots[i]
-		flows = append(flows, flow{r, false, r.Fresh}, flow{r, true, r.Returning})
+		flows = append(flows, flow{r, false, r.Fresh, r.Fresh}, flow{r, true, r.Returning, r.Returning})
 	}
 	slices.SortStableFunc(flows, func(a, b flow) int {
 		return cmp.Or(cmp.Compare(a.root.Priority, b.root.Priority), boolOrder(a.returning, b.returning))
@@ -78,48 +137,95 @@
 	}
 }
 
-// cheapShare of what the dearest flow takes of the tightest service is what another flow takes at most to
-// be let through before it: holding it down would free next to nothing there.
-const cheapShare = 0.35
+// costWeight is how much more of a flow is let through the less it takes of the tightest service: a kind that takes
+// three quarters of what another one takes gets more than twice its share. So more requests are served in all,
+// and what is learned of costs may be a little wrong without turning the order round.
+const costWeight = 3.0
 
-// fill gives flows of one rank their shares: each flow gets that of the tightest service below it, and what
-// one flow leaves over, since it is held down elsewhere, goes to the others. Flows that take little of that
-// service go first.
+// fill gives flows of one rank their shares of the tightest service below them, by what they take of it. What one
+// flow leaves over, since it is held down elsewhere, goes to the others.
 func fill(flows []flow, left map[string]float64, out map[string]Share) {
-	open := slices.Clone(flows)
-	for len(open) > 0 {
-		service, share := tightest(open, left)
-		if cheap, dear := splitByCost(open, service); len(cheap) > 0 {
-			fill(cheap, left, out)
-			open = dear
+	for len(flows) > 0 {
+		service, share := tightest(flows, left)
+		flows = grantTightest(flows, service, weighed(flows, service, share, left), left, out)
+	}
+}
+
+// fillAlike gives each flow the share of the tightest service below it.
+func fillAlike(flows []flow, left map[string]float64, out map[string]Share) {
+	for len(flows) > 0 {
+		service, share := tightest(flows, left)
+		flows = grantTightest(flows, service, func(flow) float64 { return share }, left, out)
+	}
+}
+
+// grantTightest gives the flows below which the service lies their share of it, and returns the others.
+func grantTightest(flows []flow, service string, share func(flow) float64, left map[string]float64, out map[string]Share) (rest []flow) {
+	for _, f := range flows {
+		if service != "" && f.root.Slots[service] == 0 {
+			rest = append(rest, f)
 			continue
 		}
-		var rest []flow
-		for _, f := range open {
-			if service != "" && f.root.Slots[service] == 0 {
-				rest = append(rest, f)
-				continue
-			}
-			grant(f, share, left, out)
-		}
-		open = rest
+		grant(f, share(f), left, out)
 	}
+	return rest
 }
 
-// splitByCost returns the flows that take little of the service, though something, and the others.
-func splitByCost(flows []flow, service string) (cheap, dear []flow) {
-	most := 0.0
-	for _, f := range flows {
-		most = max(most, f.root.Slots[service])
+// weighed returns the share of each flow of a service that holds them down to a share if all were alike.
+func weighed(flows []flow, service string, alike float64, left map[string]float64) func(flow) float64 {
+	if service == "" || alike <= 0 {
+		return func(flow) float64 { return alike }
 	}
+	dearest := 0.0
 	for _, f := range flows {
-		if cost := f.root.Slots[service]; cost > 0 && cost < cheapShare*most {
-			cheap = append(cheap, f)
+		dearest = max(dearest, f.root.Slots[service])
+	}
+	share := func(f flow, level float64) float64 {
+		return min(level*math.Pow(dearest/f.root.Slots[service], costWeight), 1)
+	}
+	level := alike // the level at which the service is full, found by halving
+	for low := 0.0; level-low > levelStep*alike; {
+		middle := (level + low) / 2
+		if takes(flows, service, func(f flow) float64 { return share(f, middle) }) > max(left[service], 0) {
+			level = middle
 		} else {
-			dear = append(dear, f)
+			low = middle
 		}
 	}
-	return cheap, dear
+	level *= 1 - levelStep
+	fits := fitElsewhere(flows, service, func(f flow) float64 { return share(f, level) }, left)
+	return func(f flow) float64 { return fits * share(f, level) }
+}
+
+// levelStep is how exactly the level is found.
+const levelStep = 1e-3
+
+// takes returns the slots of a service that flows take with their shares.
+func takes(flows []flow, service string, share func(flow) float64) float64 {
+	sum := 0.0
+	for _, f := range flows {
+		if cost := f.root.Slots[service]; cost > 0 {
+			sum += f.rate * cost * share(f)
+		}
+	}
+	return sum
+}
+
+// fitElsewhere returns the part of the shares with which the flows of the service fit into all other ones.
+func fitElsewhere(flows []flow, service string, share func(flow) float64, left map[string]float64) float64 {
+	fits := 1.0
+	for other, room := range left {
+		sum := 0.0
+		for _, f := range flows {
+			if f.root.Slots[service] > 0 {
+				sum += f.rate * f.root.Slots[other] * share(f)
+			}
+		}
+		if sum > max(room, 0) {
+			fits = min(fits, max(room, 0)/sum)
+		}
+	}
+	return fits
 }
 
 // tightest returns the service that allows the least share of the flows, or "" with 1 if all fit.
@@ -143,12 +249,17 @@
 	return service, least
 }
 
+// grant gives a flow a share of what isn't granted yet.
 func grant(f flow, share float64, left map[string]float64, out map[string]Share) {
 	o := out[f.root.Route]
+	part := share
+	if f.whole > 0 {
+		part = share * f.rate / f.whole
+	}
 	if f.returning {
-		o.Returning = share
+		o.Returning = min(o.Returning+part, 1)
 	} else {
-		o.Fresh = share
+		o.Fresh = min(o.Fresh+part, 1)
 	}
 	out[f.root.Route] = o
 	for s, cost := range f.root.Slots {
