--- a/pkg/callgraph/doc.go
+++ b/pkg/callgraph/doc.go
@@ -1,8 +1,9 @@
 // Package callgraph learns which requests make which calls.
 //
-// Calls carry nothing of the request that makes them. But each node knows how
-// often each route runs on its backend server, and how often that server calls
-// each route. Over many windows and nodes the mix varies, and the calls of one
-// run of each route follow by least squares. Cost then walks down the graph
-// and says how much of each service's slots one root request takes.
+// Calls carry nothing of the request that makes them. But the node beside a
+// backend server sees which runs are in progress there when the server makes
+// a call, and a call ends with its run at the latest. learner.go shares each
+// call out over the runs that may have made it, and counts the calls of whole
+// runs. request_cost.go walks down the graph and says how much of each
+// service's slots one root request takes.
 package callgraph
--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -3,312 +3,431 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
-// Rates are numbers by route: counts a second, or requests in progress.
+// Rates are numbers by route: calls of one run, or counts a second.
 type Rates map[string]float64
 
 // The constants of learning.
 const (
-	// forget is the weight that earlier samples keep at each new one: at ten a second, half a minute counts.
-	forget = 0.9975
-	// pull is how strongly the calls of a route are drawn to the average of its server, as a share of the
-	// evidence; it decides where the mix doesn't vary.
-	pull = 0.0005
-	// pullAll is the same as a share of the evidence of all routes: one that hardly runs tells little.
-	pullAll = 0.00005
-	// mostCalls is how many times the average of its server a route may call at most: one that hardly runs
-	// is else given whatever the others leave unexplained.
-	mostCalls = 4
-	// rounds of the non-negative least squares, each a pass over the routes; the systems have few routes.
-	rounds = 30
+	// halfLife is the time in which half of the evidence is forgotten: long enough to learn rare kinds, short
+	// enough to follow a new version of a service.
+	halfLife = 30 * time.Second
+	// sameEnd is how far the time limit of a call may be from that of its run to be taken for the same: both are
+	// told in milliseconds, and a call takes a moment to come.
+	sameEnd = 2 * time.Millisecond
+	// chanceEnd is the chance that a call has the same time limit as a run that didn't make it.
+	chanceEnd = 0.003
+	// priorEnds is the weight, in calls, of the guess that half of the calls of a route end with their runs.
+	priorEnds = 2.0
+	// window is the time over which the calls a second of the runs of each route are worked out: short, since they
+	// change with the speed of the services below.
+	window = 3 * time.Second
+	// mostRecent bounds the calls that are kept for that, of one route.
+	mostRecent = 3000
+	// firstHalfLife is what halfLife is at the start, and agedHalfLife of the time since then later, so that first
+	// guesses are soon forgotten.
+	firstHalfLife = 500 * time.Millisecond
+	agedHalfLife  = 0.2
+	// priorTime is the time in progress, in seconds, for which the average of all runs counts where little is known.
+	priorTime = 0.05
+	// chanceCalls times the root of the recent calls is what a route may seem to have made by chance, where no
+	// time limits tell.
+	chanceCalls = 0.7
+	// leastRate keeps a route in play whose runs make no calls by what was seen, as a share of the average. It takes
+	// some seconds to grow from there: until then a change of speed below isn't taken for a new caller.
+	leastRate = 1e-6
+	// leastRuns is the count of runs from which those that ended well are believed alone: one that failed
+	// may not have made all of its calls.
+	leastRuns = 5.0
+	// StrayCalls is the count of calls by one run below which they are taken for chance.
+	StrayCalls = 0.02
+	// tracePart of the calls of the route that makes most of them is what another one makes at least to be
+	// believed: less than that can't be told from noise within a day's load.
+	tracePart = 0.2
 )
 
-// Learner learns which calls the runs of each route make at one server, from samples of what was in
-// progress there and which calls it made meanwhile. Its zero value knows nothing; it isn't safe for
-// concurrent use.
+// Learner learns which calls the runs of each route make at one server. Nothing tells which run made a call, so
+// each call is shared out over the runs in progress: one whose time limit is earlier can't have made it, one
+// with the same time limit most likely has, and beyond that it goes by the calls a second of the runs of each route,
+// which are those under which the calls of the last seconds are the most likely (expectation and maximization
+// in turn). What counts in the end is the calls of whole runs that ended well, so that neither slow
+// services below nor failed calls change it. Its zero value knows nothing; it isn't safe for concurrent use.
 type Learner struct {
-	routes []string             // that ran, in the order of the rows below
-	runs   [][]float64          // sums of products of two routes' requests in progress
-	busy   []float64            // sums of requests in progress
-	calls  map[string][]float64 // by called route: sums of products with the requests in progress of each route
-	total  map[string]float64   // sums by called route
-	begun  map[string]float64   // sums of runs begun a second, by route
-	ended  map[string]float64   // sums of runs ended a second, by route
-	sum    float64              // of all requests in progress
-	solved map[string]Rates     // calls a second by route that ran; nil: not worked out since the last sample
+	routes map[string]*routeStats
+	calls  map[string]*callStats
+	seen   []stretch // of the last seconds
+	passed time.Time // until when the time in progress is added up
+	faded  time.Time
+	first  time.Time // look
 }
 
-// Sample is what was seen of a server for a while.
-type Sample struct {
-	Busy  Rates // requests in progress, on average
-	Begun Rates // runs that began, a second
-	Ended Rates // runs that ended, a second
-	Calls Rates // calls made, a second
+// stretch is a short time, with the seconds in progress of each route.
+type stretch struct {
+	end    time.Time
+	inTime map[*routeStats]float64
 }
 
-// Observe takes one sample; its weight is 1 for a usual one, and less for one that is to count and to push
-// out older ones less.
-func (l *Learner) Observe(s Sample, weight float64) {
-	if l.calls == nil {
-		l.calls, l.total = map[string][]float64{}, map[string]float64{}
-		l.begun, l.ended = map[string]float64{}, map[string]float64{}
-	}
-	l.solved = nil
-	l.fade(math.Pow(forget, weight))
-	for route, x := range s.Busy {
-		if x > 0 {
-			l.row(route)
+// Run is one run in progress.
+type Run struct {
+	stats    *routeStats
+	place    int // among those of its route
+	deadline time.Time
+	calls    []callShare
+}
+
+// callShare is the part of a route's calls that is taken to be a run's.
+type callShare struct {
+	route string
+	made  float64
+}
+
+// add counts a share of a call.
+func (r *Run) add(route string, share float64) {
+	for i := range r.calls {
+		if r.calls[i].route == route {
+			r.calls[i].made += share
+			return
 		}
 	}
-	x := make([]float64, len(l.routes))
-	all := 0.0
-	for i, route := range l.routes {
-		x[i] = s.Busy[route]
-		all += x[i]
-		l.begun[route] += weight * s.Begun[route]
-		l.ended[route] += weight * s.Ended[route]
-		l.busy[i] += weight * x[i]
-		l.sum += weight * x[i]
-	}
-	if all == 0 {
-		return // calls without a run are stray ones
-	}
-	// Calls come at random, so their count spreads with its size: samples weigh less the more was in
-	// progress. It also lets rate and duration change together without moving their product.
-	for i := range x {
-		for k := range x {
-			l.runs[i][k] += weight * x[i] * x[k] / all
-		}
+	r.calls = append(r.calls, callShare{route, share})
+}
+
+// routeStats is what is known of the runs of one route.
+type routeStats struct {
+	running []*Run
+	inTime  float64 // seconds in progress of all runs, in this stretch
+	good    runSums
+	all     runSums
+}
+
+// runSums are runs that have ended, and their calls.
+type runSums struct {
+	runs  float64
+	calls Rates
+}
+
+// add counts a run.
+func (s *runSums) add(calls []callShare) {
+	s.runs++
+	if s.calls == nil {
+		s.calls = Rates{}
 	}
-	for c, y := range s.Calls {
-		l.total[c] += weight * y
-		products := l.products(c)
-		for i := range x {
-			products[i] += weight * x[i] * y / all
-		}
+	for _, c := range calls {
+		s.calls[c.route] += c.made
 	}
 }
 
-// row returns the place of a route that runs, made if it is new.
-func (l *Learner) row(route string) int {
-	if i := slices.Index(l.routes, route); i >= 0 {
-		return i
+func (s *runSums) fade(keep float64) {
+	s.runs *= keep
+	for c := range s.calls {
+		s.calls[c] *= keep
+	}
+}
+
+// callStats is what is known of the calls of one route.
+type callStats struct {
+	by     map[*routeStats]*callerStats
+	recent []recentCall
+}
+
+// callerStats are the calls that runs of one route are taken to have made.
+type callerStats struct {
+	rate    float64 // a second of one run in progress
+	sum     float64 // made
+	sameEnd float64 // of those, with the run's time limit
+}
+
+// recentCall is a call with the runs that may have made it, by route.
+type recentCall struct {
+	at   time.Time
+	runs map[*routeStats]likely
+}
+
+// likely is how many runs of a route may have made a call, weighed by their time limits.
+type likely struct {
+	sameEnd float64 // those with the call's time limit
+	other   float64
+}
+
+func (n likely) sum() float64 { return n.sameEnd + n.other }
+
+// Begin notes that a run begins, with the time limit that the server was given.
+func (l *Learner) Begin(now time.Time, route string, deadline time.Time) *Run {
+	if l.routes == nil {
+		l.routes, l.calls = map[string]*routeStats{}, map[string]*callStats{}
 	}
-	l.routes = append(l.routes, route)
-	l.busy = append(l.busy, 0)
-	for i := range l.runs {
-		l.runs[i] = append(l.runs[i], 0)
+	s := l.routes[route]
+	if s == nil {
+		s = &routeStats{}
+		l.routes[route] = s
 	}
-	l.runs = append(l.runs, make([]float64, len(l.routes)))
-	return len(l.routes) - 1
+	l.pass(now)
+	r := &Run{stats: s, place: len(s.running), deadline: deadline}
+	s.running = append(s.running, r)
+	return r
 }
 
-// products returns the sums of a called route, with a place for each route that runs.
-func (l *Learner) products(c string) []float64 {
-	p := l.calls[c]
-	for len(p) < len(l.routes) {
-		p = append(p, 0)
+// End notes that a run has ended; a good one has made all of its calls.
+func (l *Learner) End(now time.Time, r *Run, good bool) {
+	l.leave(now, r)
+	r.stats.all.add(r.calls)
+	if good {
+		r.stats.good.add(r.calls)
 	}
-	l.calls[c] = p
-	return p
 }
 
-// faded is the value below which evidence is dropped.
-const faded = 1e-3
+// leave takes a run out of those in progress.
+func (l *Learner) leave(now time.Time, r *Run) {
+	l.pass(now)
+	all := r.stats.running
+	last := all[len(all)-1]
+	all[r.place], last.place = last, r.place
+	r.stats.running = all[:len(all)-1]
+}
 
-// fade forgets a part of all evidence, and routes of which nothing is left.
-func (l *Learner) fade(keep float64) {
-	l.sum *= keep
-	scale(l.busy, keep)
-	for i := range l.runs {
-		scale(l.runs[i], keep)
-	}
-	for c, p := range l.calls {
-		scale(p, keep)
-		if l.total[c] *= keep; l.total[c] < faded {
-			delete(l.total, c)
-			delete(l.calls, c)
-		}
+// Drop notes that the server refused what was taken for a run.
+func (l *Learner) Drop(now time.Time, r *Run) {
+	l.leave(now, r)
+}
+
+// pass adds up the time in progress.
+func (l *Learner) pass(now time.Time) {
+	d := now.Sub(l.passed).Seconds()
+	if l.passed.IsZero() || d < 0 {
+		d = 0
 	}
-	for route := range l.ended {
-		l.begun[route] *= keep
-		l.ended[route] *= keep
-	}
-	for i := len(l.routes) - 1; i >= 0; i-- {
-		if l.runs[i][i] < faded {
-			l.drop(i)
-		}
+	l.passed = now
+	for _, s := range l.routes {
+		s.inTime += float64(len(s.running)) * d
 	}
 }
 
-func (l *Learner) drop(i int) {
-	delete(l.begun, l.routes[i])
-	delete(l.ended, l.routes[i])
-	l.routes = slices.Delete(l.routes, i, i+1)
-	l.busy = slices.Delete(l.busy, i, i+1)
-	l.runs = slices.Delete(l.runs, i, i+1)
-	for k := range l.runs {
-		l.runs[k] = slices.Delete(l.runs[k], i, i+1)
-	}
-	for c, p := range l.calls {
-		if i < len(p) {
-			l.calls[c] = slices.Delete(p, i, i+1)
+// Call notes that the server makes a call, with its time limit.
+func (l *Learner) Call(now time.Time, route string, deadline time.Time) {
+	c := l.calls[route]
+	if c == nil {
+		c = &callStats{by: map[*routeStats]*callerStats{}}
+		l.calls[route] = c
+	}
+	call := recentCall{at: now, runs: make(map[*routeStats]likely, len(l.routes))}
+	sum := 0.0
+	for _, s := range l.routes {
+		k := c.caller(s)
+		if runs := k.likely(s.running, deadline); runs.sum() > 0 {
+			call.runs[s] = runs
+			sum += runs.sum() * k.rate
 		}
 	}
+	if sum <= 0 {
+		return // a stray one, or no run lasts as long as the call
+	}
+	for s, runs := range call.runs {
+		c.caller(s).take(s.running, route, deadline, runs, sum)
+	}
+	if len(c.recent) < mostRecent {
+		c.recent = append(c.recent, call)
+	}
 }
 
-func scale(v []float64, by float64) {
-	for i := range v {
-		v[i] *= by
+// endOf says how the time limit of a run stands to that of a call.
+type endOf uint8
+
+const (
+	earlier  endOf = iota // a call ends with its run at the latest
+	together              // most likely the run's call
+	later
+)
+
+func (r *Run) ends(deadline time.Time) endOf {
+	switch d := r.deadline.Sub(deadline); {
+	case d < -sameEnd:
+		return earlier
+	case d <= sameEnd:
+		return together
+	default:
+		return later
 	}
 }
 
-// Calls returns how many calls of each route one run of the route makes.
-func (l *Learner) Calls(route string) Rates {
-	if l.solved == nil {
-		l.solveAll()
+// caller returns what is known of the calls of a route's runs.
+func (c *callStats) caller(s *routeStats) *callerStats {
+	k := c.by[s]
+	if k == nil {
+		k = &callerStats{rate: 1}
+		c.by[s] = k
 	}
-	return l.solved[route]
+	return k
 }
 
-func (l *Learner) solveAll() {
-	l.solved = make(map[string]Rates, len(l.routes))
-	for _, route := range l.routes {
-		l.solved[route] = Rates{}
-	}
-	for c := range l.total {
-		n := l.solve(c)
-		most := 0.0
-		for i := range n {
-			n[i] *= l.duration(i)
-			most = max(most, n[i])
-		}
-		for i := range n {
-			if n[i] >= max(StrayCalls, tracePart*most) {
-				l.solved[l.routes[i]][c] = n[i]
-			}
+// weights returns how much more likely it is that a run made a call if their time limits are the same, and if the
+// run's is later, than that another one did.
+func (k *callerStats) weights() (same, other float64) {
+	ends := (k.sameEnd + priorEnds/2) / (k.sum + priorEnds)
+	return ends / chanceEnd, (1 - ends) / (1 - chanceEnd)
+}
+
+// likely returns how many of the runs may have made the call.
+func (k *callerStats) likely(runs []*Run, deadline time.Time) (n likely) {
+	same, other := k.weights()
+	for _, r := range runs {
+		switch r.ends(deadline) {
+		case together:
+			n.sameEnd += same
+		case later:
+			n.other += other
+		case earlier:
 		}
 	}
+	return n
 }
 
-// tracePart of the calls of the route that makes most of them is what another one makes at least to be
-// believed: less than that can't be told from noise within a day's load.
-const tracePart = 0.2
-
-// duration returns how long a run takes, over the same time as the rates of calls: both grow and shrink
-// together when the services below are slow, so their product stays.
-func (l *Learner) duration(i int) float64 {
-	// Both counts are the same in the long run. In the first moments hardly any run has ended, and by those
-	// alone each one would seem to last for ever.
-	runs := max(l.begun[l.routes[i]], l.ended[l.routes[i]])
-	if runs <= 0 {
-		return 0
+// take shares the part of a call that falls to a route's runs out to them; sum is of all routes.
+func (k *callerStats) take(runs []*Run, route string, deadline time.Time, n likely, sum float64) {
+	same, other := k.weights()
+	rate := k.rate / sum
+	for _, r := range runs {
+		switch r.ends(deadline) {
+		case together:
+			r.add(route, same*rate)
+		case later:
+			r.add(route, other*rate)
+		case earlier:
+		}
 	}
-	return l.busy[i] / runs
+	k.sameEnd += n.sameEnd * rate
+	k.sum += n.sum() * rate
 }
 
-// solve returns the calls a second of route c by one run in progress of each route: non-negative least squares, by passes that
-// set one route at a time.
-func (l *Learner) solve(c string) []float64 {
-	n := make([]float64, len(l.routes))
-	if l.sum <= 0 {
-		return n
-	}
-	average := l.total[c] / l.sum
-	for i := range n {
-		n[i] = average
-	}
-	products := l.products(c)
-	all := 0.0
-	for i := range l.runs {
-		all += l.runs[i][i]
-	}
-	for range rounds {
-		for i, row := range l.runs {
-			own := row[i]
-			if own <= 0 {
-				continue
-			}
-			ridge := pull*own + pullAll*all
-			rest := products[i] + ridge*average
-			for k := range row {
-				if k != i {
-					rest -= row[k] * n[k]
-				}
-			}
-			n[i] = min(max(rest/(own+ridge), 0), mostCalls*average)
+// Look works out the calls a second of each route's runs from what was seen since the last look and before, and
+// forgets what is old. It is to be called some times a second.
+func (l *Learner) Look(now time.Time) {
+	l.pass(now)
+	s := stretch{end: now, inTime: map[*routeStats]float64{}}
+	for _, r := range l.routes {
+		s.inTime[r], r.inTime = r.inTime, 0
+	}
+	l.seen = append(l.seen, s)
+	old := now.Add(-window)
+	l.seen = slices.DeleteFunc(l.seen, func(s stretch) bool { return s.end.Before(old) })
+	inTime := map[*routeStats]float64{}
+	for _, s := range l.seen {
+		for r, t := range s.inTime {
+			inTime[r] += t
 		}
 	}
-	return n
+	for _, c := range l.calls {
+		c.recent = slices.DeleteFunc(c.recent, func(r recentCall) bool { return r.at.Before(old) })
+		c.improve(inTime)
+	}
+	l.fade(now)
 }
 
-// Place says which services a route runs on, by share, and how long a run holds a slot there, in seconds.
-type Place struct {
-	Shares map[string]float64
-	Hold   float64
+// improve shares the recent calls out by the present rates, and takes the rates from that.
+func (c *callStats) improve(inTime map[*routeStats]float64) {
+	made := map[*routeStats]likely{}
+	for _, r := range c.recent {
+		sum := 0.0
+		for s, w := range r.runs {
+			sum += w.sum() * c.caller(s).rate
+		}
+		for s, w := range r.runs {
+			m := made[s]
+			m.sameEnd += w.sameEnd * c.caller(s).rate / sum
+			m.other += w.other * c.caller(s).rate / sum
+			made[s] = m
+		}
+	}
+	all := priorTime
+	for s := range c.by {
+		all += inTime[s]
+	}
+	usual := float64(len(c.recent)) / all
+	chance := chanceCalls * math.Sqrt(float64(len(c.recent)))
+	for s, k := range c.by {
+		rate := (made[s].sameEnd + max(made[s].other-chance, 0)) / (inTime[s] + priorTime)
+		k.rate = max(rate, usual*leastRate, math.SmallestNonzeroFloat32)
+	}
 }
 
-// Cost is what one request of a route takes, with all calls below it.
-type Cost struct {
-	Slots map[string]float64 // slot seconds by service
-	Runs  map[string]float64 // runs by service
+// fade forgets a part of all evidence, by the time since it was last called.
+func (l *Learner) fade(now time.Time) {
+	if l.faded.IsZero() {
+		l.faded, l.first = now, now
+	}
+	life := min(max(firstHalfLife.Seconds(), agedHalfLife*now.Sub(l.first).Seconds()), halfLife.Seconds())
+	keep := math.Exp2(-now.Sub(l.faded).Seconds() / life)
+	l.faded = now
+	for route, s := range l.routes {
+		s.good.fade(keep)
+		s.all.fade(keep)
+		if s.all.runs < faded && len(s.running) == 0 {
+			l.forget(route, s)
+		}
+	}
+	for _, c := range l.calls {
+		for _, k := range c.by {
+			k.sameEnd *= keep
+			k.sum *= keep
+		}
+	}
 }
 
-// Graph is the calls that one run makes, by the service that it runs on and its route.
-type Graph map[string]map[string]Rates
+// faded is the count of runs below which a route is forgotten.
+const faded = 1e-3
 
-// Costs returns the cost of one request of every route.
-func Costs(graph Graph, places map[string]Place) map[string]Cost {
-	w := walk{graph: graph, places: places, done: make(map[string]Cost, len(places)), open: map[string]bool{}}
-	for route := range places {
-		w.cost(route)
+func (l *Learner) forget(route string, s *routeStats) {
+	delete(l.routes, route)
+	for _, seen := range l.seen {
+		delete(seen.inTime, s)
+	}
+	for name, c := range l.calls {
+		for _, r := range c.recent {
+			delete(r.runs, s)
+		}
+		if delete(c.by, s); len(c.by) == 0 {
+			delete(l.calls, name)
+		}
 	}
-	return w.done
 }
 
-// walk works out each route once, after those that it calls. A route that is called below itself is left
-// out there: a few stray calls make such cycles look real.
-type walk struct {
-	graph  Graph
-	places map[string]Place
-	done   map[string]Cost
-	open   map[string]bool // on the way down to the present route
+// Calls returns how many calls of each route one run of the route makes.
+func (l *Learner) Calls(route string) Rates {
+	s := l.routes[route]
+	if s == nil {
+		return nil
+	}
+	out := Rates{}
+	for c, n := range s.perRun() {
+		if n >= max(StrayCalls, tracePart*l.mostCalls(c)) {
+			out[c] = n
+		}
+	}
+	return out
 }
 
-// StrayCalls is the count of calls by one run below which they are taken for chance.
-const StrayCalls = 0.02
-
-func (w *walk) cost(route string) Cost {
-	if c, ok := w.done[route]; ok {
-		return c
-	}
-	c := Cost{Slots: map[string]float64{}, Runs: map[string]float64{}}
-	p, known := w.places[route]
-	if !known || w.open[route] {
-		return c
-	}
-	w.open[route] = true
-	for service, share := range p.Shares {
-		c.Slots[service] += share * p.Hold
-		c.Runs[service] += share
-		for called, n := range w.graph[service][route] {
-			if n >= StrayCalls {
-				c.add(w.cost(called), share*n)
-			}
-		}
+// mostCalls returns the calls of the route that makes most of them in a run.
+func (l *Learner) mostCalls(called string) float64 {
+	most := 0.0
+	for _, s := range l.routes {
+		most = max(most, s.perRun()[called])
 	}
-	delete(w.open, route)
-	w.done[route] = c
-	return c
+	return most
 }
 
-// add puts n times another cost on top.
-func (c Cost) add(o Cost, n float64) {
-	for s, v := range o.Slots {
-		c.Slots[s] += n * v
+// perRun returns the calls of one run, of those that ended well if there are enough.
+func (s *routeStats) perRun() Rates {
+	sums := s.good
+	if sums.runs < leastRuns {
+		sums = s.all
+	}
+	if sums.runs <= 0 {
+		return nil
 	}
-	for s, v := range o.Runs {
-		c.Runs[s] += n * v
+	out := make(Rates, len(sums.calls))
+	for c, n := range sums.calls {
+		out[c] = n / sums.runs
 	}
+	return out
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -81,3 +81,18 @@
 		qt.Assert(t, e.All(), qt.DeepEquals, d.All())
 	})
 }
+
+// Two nodes with the same records have the same digest, whatever the order; a change of one differs.
+func TestDigestTellsRecordsApart(t *testing.T) {
+	c := qt.New(t)
+	a, b := Record{Host: "a", Generation: 1, Instance: "i"}, Record{Host: "b", Generation: 4, Instance: "j"}
+	var d, e Directory
+	d.Merge(a, b)
+	e.Merge(b)
+	c.Assert(d.Digest() == e.Digest(), qt.IsFalse)
+	e.Merge(a)
+	c.Assert(d.Digest(), qt.Equals, e.Digest())
+	b.Generation, b.Phase = 5, Draining
+	e.Merge(b)
+	c.Assert(d.Digest() == e.Digest(), qt.IsFalse)
+}
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -36,48 +36,37 @@
 	r := n.stats.report(now)
 	own := n.control.own.Record()
 	r.Host, r.Epoch, r.Service = n.ip, n.epoch, own.Service
-	for route, run := range r.Runs {
-		run.Calls = callgraph.Rates{}
-		for called, k := range n.control.learner.Calls(route) {
-			run.Calls[called] = round(k)
-		}
-		r.Runs[route] = run
-	}
 	n.control.reportSeq++
 	r.Seq = n.control.reportSeq
 	n.gateMu.Lock()
 	g := n.gate.Read()
 	n.gateMu.Unlock()
-	r.Limit, r.Excess = round(g.Limit), round(n.excess(now, g))
+	n.control.room.Observe(now, n.stats.turnedAwayShare(now))
+	r.Room = round(n.control.room.Part() * max(g.Limit-n.excess(now, g), leastCapacity*g.Limit))
 	r.heard = now
 	n.control.reports[r.Host] = &r
 }
 
 // replan works out the shares from the reports that still count.
 func (n *Node) replan(now time.Time) {
-	life := max(reportLifeLeast, reportLifeTalks*n.talkPeriod())
-	for host, r := range n.control.reports {
-		if now.Sub(r.heard) > life {
-			delete(n.control.reports, host)
-		}
-	}
-	places := n.places()
-	plan := &admissionPlan{inner: n.innerRoutes(), runs: make(map[string]map[string]float64)}
-	costs := callgraph.Costs(n.graph(), places)
+	n.forgetLoads(now)
+	loads := n.loads()
+	plan := &admissionPlan{inner: n.innerRoutes(loads), runs: make(map[string]map[string]float64)}
+	costs := callgraph.Costs(graphOf(loads), placesOf(loads))
 	for route, c := range costs {
 		plan.runs[route] = c.Runs
 	}
-	roots, capacity := n.roots(plan, costs), n.capacity()
+	roots, capacity := n.roots(loads, plan, costs), n.capacity(now)
 	plan.shares = overload.Plan(roots, capacity)
 	n.logPlan(now, plan, roots, capacity)
 	n.plan.Store(plan)
 }
 
 // roots returns the demand for each kind of root request.
-func (n *Node) roots(plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
+func (n *Node) roots(loads []*loadReport, plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
 	state := n.state.Load()
-	byRoute := map[string]*overload.Root{}
-	for _, r := range n.control.reports {
+	byRoute, served := map[string]*overload.Root{}, map[string]float64{}
+	for _, r := range loads {
 		for route, e := range r.Entries {
 			if plan.inner[route] {
 				continue
@@ -89,15 +78,33 @@
 			}
 			o.Fresh += e.Fresh
 			o.Returning += e.Returning
+			served[route] += e.Served
 		}
 	}
 	roots := make([]overload.Root, 0, len(byRoute))
-	for _, r := range byRoute {
+	for route, r := range byRoute {
+		r.Served = n.servedShare(route, served[route], r.Fresh)
 		roots = append(roots, *r)
 	}
 	return roots
 }
 
+// servedGain is the weight of the newest share of a kind that was served, at each plan: it counts for some seconds.
+const servedGain = 0.08
+
+// servedShare returns the smoothed share of a kind's first attempts that was served, at that attempt or the next.
+func (n *Node) servedShare(route string, served, asked float64) float64 {
+	if asked < innerRate {
+		return 0
+	}
+	share := min(served/asked, 1)
+	if old, ok := n.control.served[route]; ok {
+		share = old + servedGain*(share-old)
+	}
+	n.control.served[route] = share
+	return share
+}
+
 // The constants of a server to which more comes than it can take.
 const (
 	// backlogTime is the time in which what waits at a gate is to be worked off, beside what comes.
@@ -115,23 +122,6 @@
 	return (waiting + turnedWeight*n.stats.turnedAwayRate(now)) * g.Hold.Seconds()
 }
 
-// capacity returns the slots of each service that its gates fill. Work that a server refuses takes no slot, so
-// a server that refuses a part of it counts in full. One to which more
-// comes than it can take counts for less.
-func (n *Node) capacity() map[string]float64 {
-	c := map[string]float64{}
-	for service, peers := range n.view.Load().services {
-		for _, p := range peers {
-			if r := n.control.reports[p.host]; r != nil && r.Limit > 0 {
-				c[service] += max(r.Limit-r.Excess, leastCapacity*r.Limit)
-			} else if p.usable(n.clock.Now()) {
-				c[service] += float64(p.slots.Load())
-			}
-		}
-	}
-	return c
-}
-
 // planLogPeriod is the time between lines about a plan that holds something down.
 const planLogPeriod = time.Second
 
@@ -144,8 +134,9 @@
 			n.metrics.gauge(int64(s.Fresh*1000), "admitted_share", "route", route)
 		}
 	}
-	demand := map[string]float64{}
+	demand, costs := map[string]float64{}, map[string]map[string]float64{}
 	for _, r := range roots {
+		costs[r.Route] = r.Slots
 		held = held || plan.shares[r.Route].Fresh < 1
 		for s, cost := range r.Slots {
 			demand[s] += cost * r.Fresh
@@ -155,7 +146,7 @@
 		return
 	}
 	n.control.nextPlanLog = now.Add(planLogPeriod)
-	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "capacity", capacity, "reports", len(n.control.reports))
+	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity, "reports", len(n.control.reports), "zones", len(n.control.zones))
 }
 
 // admit decides whether a root request is taken in.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -33,20 +33,19 @@
 	if own.Service != q.Service || own.Instance == "" {
 		return refused(wire.ReasonNoServer)
 	}
-	if reason := b.enter(ctx, q); reason != wire.ReasonNone {
-		if q.Inner && reason == wire.ReasonQueue {
-			b.n.stats.turnedAway(b.n.clock.Now())
-		}
+	reason := b.enter(ctx, q)
+	b.n.stats.atGate(b.n.clock.Now(), q.Inner, reason == wire.ReasonQueue)
+	if reason != wire.ReasonNone {
 		return refused(reason)
 	}
 	begun := b.n.clock.Now()
-	b.n.stats.begin(begun, q.Route)
+	run := b.n.stats.begin(begun, q.Route, q.deadline.Add(-answerMargin))
 	a, outcome := b.send(ctx, q, own.Instance)
 	b.n.gateMu.Lock()
 	now := b.n.clock.Now()
 	b.n.gate.Done(now, now.Sub(begun), outcome)
 	b.n.gateMu.Unlock()
-	b.n.stats.end(now, q.Route, now.Sub(begun), outcome != gate.Shed, outcome == gate.Answered)
+	b.n.stats.end(now, q.Route, run, now.Sub(begun), outcome)
 	return a
 }
 
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -81,6 +81,24 @@
 	return nil
 }
 
+// open tells whether a peer may be sent to. One that has been stopping for a while refuses, and soon closes its
+// connections: a request that crosses the close would count as lost.
+func (p *peer) open(now time.Time, lastResort bool) bool {
+	since, stopping := p.stopsFor(now)
+	if lastResort {
+		return !stopping || since < servingPeers
+	}
+	return !stopping && p.usable(now)
+}
+
+// anyStopping tells whether one of the peers is stopping.
+func anyStopping(now time.Time, list []*peer) bool {
+	return slices.ContainsFunc(list, func(p *peer) bool {
+		_, stopping := p.stopsFor(now)
+		return stopping
+	})
+}
+
 // best returns the best of a few servers taken at random, so that nodes with the same news don't all go to one.
 func (s standard) best(now time.Time, list, tried []*peer, near, lastResort bool) (*peer, float64) {
 	var found *peer
@@ -92,7 +110,7 @@
 		if p.near.Load() != near || slices.Contains(tried, p) {
 			continue
 		}
-		if !lastResort && (p.stopping.Load() || !p.usable(now)) {
+		if !p.open(now, lastResort) {
 			continue
 		}
 		if score := s.score(p.estimate(now)); found == nil || score < least {
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -5,22 +5,26 @@
 	"net"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
 // controlState belongs to the control goroutine.
 type controlState struct {
 	own         directory.OwnServer
 	directory   directory.Directory
+	news        recordNews
 	nextTalk    time.Time
 	nextPlan    time.Time
 	nextPlanLog time.Time
-	reports     map[string]*loadReport // newest of each node, by host
+	reports     map[string]*loadReport // newest of each node of this zone, by host
+	zones       map[string]*zoneLoad   // newest sum of each other zone
+	zoneNodes   int                    // VMs of this zone that are known
 	sharesShown map[string]bool        // routes with a metric of their share
 	reportSeq   int64
-	learner     callgraph.Learner
-	nextSample  time.Time
+	room        overload.RoomControl
+	served      map[string]float64 // smoothed share of each kind that is served
+	nextLook    time.Time
 	nextSweep   time.Time
 }
 
@@ -56,9 +60,9 @@
 		n.control.nextSweep = now.Add(sweepPeriod)
 		n.sweep()
 	}
-	if !now.Before(n.control.nextSample) {
-		n.control.nextSample = now.Add(samplePeriod)
-		n.learn(now)
+	if !now.Before(n.control.nextLook) {
+		n.control.nextLook = now.Add(lookPeriod)
+		n.stats.look(now)
 	}
 	if !now.Before(n.control.nextPlan) {
 		n.control.nextPlan = now.Add(planPeriod)
@@ -87,7 +91,11 @@
 // publish makes the control state visible to requests.
 func (n *Node) publish() {
 	v := &view{services: make(map[string][]*peer), own: n.control.own.Record()}
+	n.control.zoneNodes = 0
 	for _, r := range n.control.directory.All() {
+		if r.Zone == n.cfg.Zone {
+			n.control.zoneNodes++
+		}
 		if r.Phase != directory.Serving {
 			continue
 		}
@@ -96,6 +104,7 @@
 		v.services[r.Service] = append(v.services[r.Service], p)
 	}
 	n.view.Store(v)
+	n.nodes.Store(int64(len(n.control.directory.All())))
 	n.tuneBudget()
 }
 
@@ -109,7 +118,7 @@
 		n.gate.Close()
 	}
 	n.gateMu.Unlock()
-	n.control.directory.Merge(r)
+	n.control.news.add(n.clock.Now(), n.control.directory.Merge(r)...)
 	n.publish()
 	n.controlLog.Info("own server changed", "instance", r.Instance, "service", r.Service, "phase", r.Phase.String(),
 		"generation", r.Generation, "slots", r.Slots)
@@ -128,6 +137,7 @@
 	if len(news) == 0 {
 		return
 	}
+	n.control.news.add(n.clock.Now(), news...)
 	for _, r := range news {
 		n.controlLog.Info("server record", "host", r.Host, "instance", r.Instance, "service", r.Service,
 			"phase", r.Phase.String(), "generation", r.Generation, "from", from)
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -19,65 +19,82 @@
 	nearFanout = 2 // peers of the own availability zone that are told at a time
 	// announceFanout is how many peers hear of news at once; they tell others in turn.
 	announceFanout = 3
-	// farTalkEvery is how many times the own availability zone is told for each time that any peer is:
-	// bytes between zones are paid for.
-	farTalkEvery = 2
-	// talkLeast is the time between exchanges of a small mesh; it grows with the number of nodes, so that
+	// farTalkShare of the exchanges go to any peer as well, and farTalks of all exchanges of a zone in one period
+	// at the most: bytes between zones are paid for, and news of a zone spreads in it by itself.
+	farTalkShare = 0.25
+	farTalks     = 4.0
+	// talkLeast is the time between exchanges of a small zone; it grows with the number of its nodes, so that
 	// the work of a node stays the same.
 	talkLeast = 300 * time.Millisecond
-	talkNodes = 24 // nodes up to which talkLeast holds
+	talkNodes = 24 // nodes of a zone up to which talkLeast holds
 	// talkTime bounds one exchange.
 	talkTime = 800 * time.Millisecond
 	// maxMessage bounds a message in bytes: a desired state of thousands of routes fits.
 	maxMessage = 8 << 20
 )
 
-// talkPeriod is the time between exchanges, by the number of nodes that are known.
+// talkPeriod returns the time between exchanges, by the number of nodes that are known in this zone: a message
+// grows with them, and with the number of other zones.
 func (n *Node) talkPeriod() time.Duration {
-	nodes := len(n.control.directory.All())
-	return talkLeast * time.Duration(max(nodes, talkNodes)) / talkNodes
+	return talkLeast * time.Duration(max(n.control.zoneNodes, talkNodes)) / talkNodes
 }
 
 // talk exchanges with some peers taken at random.
 func (n *Node) talk(ctx context.Context) {
-	hosts := n.talkTargets(nearFanout, false)
-	if rand.IntN(farTalkEvery) == 0 {
-		hosts = append(hosts, n.talkTargets(1, true)...)
+	targets := n.talkTargets(nearFanout, false)
+	if rand.Float64() < min(farTalkShare, farTalks/float64(max(n.control.zoneNodes, 1))) {
+		targets = append(targets, n.talkTargets(1, true)...)
 	}
-	n.tell(ctx, hosts)
+	n.tell(ctx, targets)
 }
 
 // tell exchanges with the given peers.
-func (n *Node) tell(ctx context.Context, hosts []string) {
-	if len(hosts) == 0 {
-		return
+func (n *Node) tell(ctx context.Context, targets []talkTarget) {
+	bodies := map[string][]byte{} // by zone
+	for _, t := range targets {
+		body, ok := bodies[t.zone]
+		if !ok {
+			body = n.encode(n.newMessage(t.zone))
+			bodies[t.zone] = body
+		}
+		go func() {
+			if n.exchangeWith(ctx, t.host, body) {
+				n.do(func() { n.completeRecords(ctx, t.host) })
+			}
+		}()
 	}
-	body, err := encodeMessage(n.newMessage(-1))
+}
+
+// encode writes a message of this node's.
+func (n *Node) encode(m message) []byte {
+	body, err := encodeMessage(m)
 	if err != nil {
 		n.controlLog.Error("message can't be written", "err", err)
-		return
-	}
-	for _, h := range hosts {
-		go n.exchangeWith(ctx, h, body)
 	}
+	return body
 }
 
 // announce tells news to some peers at once.
 func (n *Node) announce() { n.tell(context.Background(), n.talkTargets(announceFanout, true)) }
 
+// talkTarget is a peer to exchange with; the zone of a seed isn't known.
+type talkTarget struct{ host, zone string }
+
 // talkTargets returns peers taken at random, and seeds while few others are known.
-func (n *Node) talkTargets(fanout int, far bool) []string {
-	var hosts []string
+func (n *Node) talkTargets(fanout int, far bool) []talkTarget {
+	var targets []talkTarget
 	for _, r := range n.control.directory.All() {
 		if r.Host != n.ip && (far || r.Zone == n.cfg.Zone) {
-			hosts = append(hosts, r.Host)
+			targets = append(targets, talkTarget{r.Host, r.Zone})
 		}
 	}
-	if len(hosts) < fanout {
-		hosts = append(hosts, n.seedHosts()...)
+	if len(targets) < fanout {
+		for _, h := range n.seedHosts() {
+			targets = append(targets, talkTarget{host: h})
+		}
 	}
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return hosts[:min(fanout, len(hosts))]
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:min(fanout, len(targets))]
 }
 
 // seedHosts returns the seeds of the settings but this node.
@@ -91,8 +108,8 @@
 	return hosts
 }
 
-// exchangeWith sends a message to a peer and takes its answer.
-func (n *Node) exchangeWith(ctx context.Context, host string, body []byte) {
+// exchangeWith sends a message to a peer and takes its answer; it reports whether there was one.
+func (n *Node) exchangeWith(ctx context.Context, host string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, talkTime)
 	defer cancel()
 	p := n.peer(host)
@@ -103,16 +120,15 @@
 		if p.failed(n.clock.Now()) {
 			n.controlLog.Warn("peer doesn't answer", "peer", host, "err", err)
 		}
-		return
+		return false
 	}
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxMessage))
 	_ = res.Body.Close() // it was read, or err says why not
 	if err != nil {
 		n.controlLog.Warn("exchange broke off", "peer", host, "err", err)
-		return
+		return false
 	}
-	p.alive()
-	n.takeMessage(host, data)
+	return n.takeMessage(host, data) != nil
 }
 
 // serveExchange answers a peer's message with what this node knows.
@@ -128,7 +144,7 @@
 		return
 	}
 	answers := make(chan message, 1)
-	n.do(func() { answers <- n.newMessage(m.Version) })
+	n.do(func() { answers <- n.newAnswer(m) })
 	select {
 	case a := <-answers:
 		body, err := encodeMessage(a)
@@ -149,22 +165,32 @@
 		n.controlLog.Warn("message can't be read", "peer", from, "err", err)
 		return nil
 	}
-	p := n.peer(m.From)
-	p.alive()
-	p.stopping.Store(m.Stopping)
+	n.peer(m.From).alive(n.clock.Now(), m.Stopping)
 	if len(m.State) > 0 {
 		n.takeState(m.From, m.State)
 	} else {
 		n.noticeVersion(m.From, m.Version)
 	}
 	n.do(func() {
+		now := n.clock.Now()
 		n.merge(m.From, m.Records)
-		n.takeReports(n.clock.Now(), m.Reports)
+		n.takeReports(now, m.Reports)
+		n.takeZones(now, m.Zones)
+		n.peer(m.From).digest = m.Digest
 	})
 	return &m
 }
 
+// completeRecords tells a peer all records if its answer, with all that it knew, showed that it lacks some.
+func (n *Node) completeRecords(ctx context.Context, host string) {
+	if n.peer(host).digest == n.control.directory.Digest() {
+		return
+	}
+	body := n.encode(n.newRecords())
+	go n.exchangeWith(ctx, host, body)
+}
+
 // fetchState exchanges with a peer that has a newer desired state.
 func (n *Node) fetchState(host string) {
-	n.tell(context.Background(), []string{host})
+	n.tell(context.Background(), []talkTarget{{host: host}})
 }
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -8,12 +8,16 @@
 
 // message is what two nodes tell each other.
 type message struct {
-	From     string             `codec:"f"`
-	Version  int64              `codec:"v"` // desired state in force
-	Stopping bool               `codec:"x,omitempty"`
-	Records  []directory.Record `codec:"r,omitempty"`
-	Reports  []loadReport       `codec:"l,omitempty"`
-	State    []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
+	From     string `codec:"f"`
+	Zone     string `codec:"z"` // the sender's availability zone
+	Version  int64  `codec:"v"` // desired state in force
+	Digest   uint64 `codec:"d"` // of all records that the sender knows
+	Stopping bool   `codec:"x,omitempty"`
+	// Records are those that are news, or all where the digests differ.
+	Records []directory.Record `codec:"r,omitempty"`
+	Reports []loadReport       `codec:"l,omitempty"` // of the zone's nodes, for one of them
+	Zones   []zoneLoad         `codec:"o,omitempty"`
+	State   []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
 }
 
 // wireFormat is msgpack with structs as arrays: exchanges between availability zones are paid by the byte.
@@ -35,17 +39,42 @@
 	return m, err
 }
 
-// newMessage tells what this node knows, with the desired state if the peer's version is lower.
-func (n *Node) newMessage(peerVersion int64) message {
-	m := message{From: n.ip, Stopping: n.stop.leaving(), Records: n.control.directory.All()}
-	for _, r := range n.control.reports {
-		m.Reports = append(m.Reports, *r)
+// newMessage tells a node of the zone what this one knows of the load, and which records are news. Other zones
+// hear only of this one, since bytes between zones are paid for.
+func (n *Node) newMessage(zone string) message {
+	now := n.clock.Now()
+	m := message{
+		From: n.ip, Zone: n.cfg.Zone, Stopping: n.stop.leaving(), Zones: []zoneLoad{*addUp(n.cfg.Zone, now, n.control.reports)},
+		Digest: n.control.directory.Digest(), Records: n.control.news.recent(now),
 	}
 	if s := n.state.Load(); s != nil {
 		m.Version = s.Version
-		if peerVersion >= 0 && peerVersion < s.Version {
-			m.State = s.Source
+	}
+	if zone == n.cfg.Zone {
+		m.Zones = n.otherZones(now) // this one's own reports are beside them
+		for _, r := range n.control.reports {
+			m.Reports = append(m.Reports, *r)
 		}
 	}
 	return m
 }
+
+// newAnswer answers a message with what its sender lacks.
+func (n *Node) newAnswer(to *message) message {
+	m := n.newMessage(to.Zone)
+	if m.Digest != to.Digest {
+		m.Records = n.control.directory.All()
+	}
+	if s := n.state.Load(); s != nil && to.Version < s.Version {
+		m.State = s.Source
+	}
+	return m
+}
+
+// newRecords is a message with all records, for a peer that was found to lack some.
+func (n *Node) newRecords() message {
+	m := n.newMessage("")
+	m.Zones = nil
+	m.Records = n.control.directory.All()
+	return m
+}
--- a/pkg/mesh/fake_store_test.go
+++ b/pkg/mesh/fake_store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
@@ -17,6 +18,7 @@
 	changed chan struct{}
 	records map[string]directory.Record
 	down    bool
+	delay   time.Duration // before each answer
 }
 
 func newFakeStore() *fakeStore {
@@ -45,6 +47,20 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *fakeStore) setDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// pause takes the time of one call.
+func (s *fakeStore) pause() {
+	s.mu.Lock()
+	d := s.delay
+	s.mu.Unlock()
+	time.Sleep(d)
+}
+
 func (s *fakeStore) seam() Store {
 	return Store{
 		ReadState: s.readState, FollowState: s.followState,
@@ -53,6 +69,7 @@
 }
 
 func (s *fakeStore) readState(context.Context) ([]byte, int64, error) {
+	s.pause()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -82,6 +99,7 @@
 }
 
 func (s *fakeStore) readRecords(context.Context) ([]directory.Record, error) {
+	s.pause()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -31,8 +31,15 @@
 			d.reason = wire.ReasonDeadline
 			return d.giveUp()
 		}
-		p := choose(d.n.clock.Now(), d.n.view.Load().services[d.q.Service], d.tried)
+		now, servers := d.n.clock.Now(), d.n.view.Load().services[d.q.Service]
+		p := choose(now, servers, d.tried)
+		if p == nil && len(servers) == 0 && d.n.awaitNews(ctx) {
+			continue
+		}
 		if p == nil {
+			if anyStopping(now, servers) && len(d.tried) == 0 {
+				d.reason = wire.ReasonLeaving
+			}
 			return d.giveUp()
 		}
 		d.tried = append(d.tried, p)
--- a/pkg/mesh/learned_graph.go
+++ b/pkg/mesh/learned_graph.go
@@ -24,10 +24,10 @@
 )
 
 // innerRoutes returns the routes that only the servers of one service call.
-func (n *Node) innerRoutes() map[string]bool {
+func (n *Node) innerRoutes(loads []*loadReport) map[string]bool {
 	from := map[string]map[string]float64{} // by route, by service beside which it began
 	origins := map[string]bool{}
-	for _, r := range n.control.reports {
+	for _, r := range loads {
 		for route, e := range r.Entries {
 			if from[route] == nil {
 				from[route] = map[string]float64{}
@@ -51,34 +51,19 @@
 	return inner
 }
 
-// samplePeriod is the time between samples of what runs at the own server: about as long as a run, so that
-// what is in progress varies from one to the next.
-const samplePeriod = 100 * time.Millisecond
+// lookPeriod is the time between the learner's looks at what was seen.
+const lookPeriod = 100 * time.Millisecond
 
-// unfairWeight is what a sample counts in which many runs failed: enough to know something after a restart
-// in the middle of an overload, too little to push out what was learned before it.
-const unfairWeight = 0.02
-
-// learn takes a sample of the own server.
-func (n *Node) learn(now time.Time) {
-	s, fair := n.stats.sample(now, n.isInner)
-	weight := 1.0
-	if !fair {
-		weight = unfairWeight
-	}
-	n.control.learner.Observe(s, weight)
-}
-
-// graph returns the calls that one run makes, averaged over the servers of its service by their runs.
-func (n *Node) graph() callgraph.Graph {
+// graphOf returns the calls that one run makes, averaged over the servers of its service by their runs.
+func graphOf(loads []*loadReport) callgraph.Graph {
 	g := callgraph.Graph{}
 	rates := map[[2]string]float64{}
-	for _, r := range n.control.reports {
+	for _, r := range loads {
 		for route, run := range r.Runs {
 			rates[[2]string{r.Service, route}] += run.Rate
 		}
 	}
-	for _, r := range n.control.reports {
+	for _, r := range loads {
 		if g[r.Service] == nil {
 			g[r.Service] = map[string]callgraph.Rates{}
 		}
@@ -94,14 +79,14 @@
 	return g
 }
 
-// places says where each route runs and for how long, by the reports.
-func (n *Node) places() map[string]callgraph.Place {
+// placesOf says where each route runs and for how long, by the reports.
+func placesOf(loads []*loadReport) map[string]callgraph.Place {
 	type sums struct {
 		rate, held float64
 		services   map[string]float64
 	}
 	all := map[string]*sums{}
-	for _, r := range n.control.reports {
+	for _, r := range loads {
 		for route, x := range r.Runs {
 			s := all[route]
 			if s == nil {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -72,3 +72,17 @@
 	wg.Wait()
 	b.ReportMetric(float64(served)/float64(b.N), "served/op")
 }
+
+// A node that had just started knew no servers yet, and refused the calls of the backend server beside it,
+// whose runs then failed.
+func TestANodeThatHasJustStartedAsksBeforeItRefuses(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.add("b", "z", 10)
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("rb", desired.Once, "b")}})
+	s.settled(1)
+	s.store.setDelay(150 * time.Millisecond)
+	s.add("a", "z", 10)
+	status, body, _ := s.ask(1, http.MethodPost, "/rb/x", "p", 3*time.Second)
+	c.Assert(status, qt.Equals, 200, qt.Commentf("%s", body))
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -36,6 +36,8 @@
 	// following tells that the store is heard: a change of the desired state would be known at once.
 	following atomic.Bool
 	view      atomic.Pointer[view]
+	started   time.Time
+	nodes     atomic.Int64 // known, this one included
 	stop      stopState
 	backend   *backend
 
@@ -82,6 +84,8 @@
 	n.backend = newBackend(n)
 	n.control.own.Host = host
 	n.control.reports = make(map[string]*loadReport)
+	n.control.zones = make(map[string]*zoneLoad)
+	n.control.served = make(map[string]float64)
 	n.control.sharesShown = make(map[string]bool)
 	n.records.init()
 	n.stats.init()
@@ -98,6 +102,7 @@
 // Start binds the listeners and starts control work.
 func (n *Node) Start(ctx context.Context) error {
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	n.started = n.clock.Now()
 	for _, s := range n.servers {
 		if err := n.listen(s); err != nil {
 			n.cancel()
@@ -124,5 +129,19 @@
 // Ready tells whether this node can serve.
 func (n *Node) Ready() bool { return n.state.Load() != nil && !n.stop.leaving() }
 
+// The wait of requests that come while a node that has just started knows too little to serve them.
+const (
+	// startWait after the start is how long they wait: reading the store takes some hundredths of a second, and
+	// the backend server's calls and its clients don't stop for the restart of its node.
+	startWait = 800 * time.Millisecond
+	// startPoll is the time between looks at what is known by now.
+	startPoll = 5 * time.Millisecond
+)
+
+// awaitNews waits a moment for news if the node has just started; it reports whether it is worth another look.
+func (n *Node) awaitNews(ctx context.Context) bool {
+	return n.clock.Now().Sub(n.started) < startWait && clock.Sleep(ctx, startPoll)
+}
+
 // jitter returns a random time from half of d to one and a half of it, so that nodes don't act in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -18,6 +18,9 @@
 	done := n.stop.begin()
 	defer done()
 	state := n.state.Load()
+	for state == nil && n.awaitNews(r.Context()) {
+		state = n.state.Load()
+	}
 	if state == nil {
 		n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusServiceUnavailable)
 		return
@@ -36,6 +39,9 @@
 		n.refuseBody(w, r, err)
 		return
 	}
+	if q.Inner {
+		n.stats.called(n.clock.Now(), route.Name, q.clientDeadline)
+	}
 	if a := n.refuseEntry(q); a != nil {
 		n.writeFinal(w, q, a)
 		return
@@ -78,6 +84,9 @@
 	begun := n.clock.Now()
 	d := &delivery{n: n, q: q, route: route}
 	a := d.run(ctx)
+	if a.outcome == wire.Ran && a.status < http.StatusInternalServerError {
+		n.stats.served(n.clock.Now(), route.Name)
+	}
 	if a.outcome == wire.Ran {
 		n.metrics.observe(n.clock.Now().Sub(begun), "request_seconds", "route", route.Name)
 	}
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,13 +19,16 @@
 
 	near     atomic.Bool // in this node's availability zone
 	slots    atomic.Int64
-	stopping atomic.Bool
 	inflight atomic.Int64 // sent by this node and not ended
 
+	digest uint64 // of its records, as it last told; the control goroutine's
+
 	mu       sync.Mutex
+	zone     string
 	load     serverLoad
 	failures int
 	asideTil time.Time
+	stopping time.Time // when its planned stop was first heard of; zero: it isn't stopping
 }
 
 // serverLoad is what a server's node last told of it.
@@ -57,6 +62,9 @@
 	p, ok := n.peers[host]
 	if !ok {
 		addr := withPort(host, n.cfg.Listen.Peers)
+		if port := n.cfg.Mesh.PeerPort; port != 0 {
+			addr = net.JoinHostPort(host, strconv.Itoa(port))
+		}
 		p = &peer{
 			host: host, local: host == n.ip,
 			pool: &httpconn.Pool{Dial: dialFunc(n.ip, addr, dialTime), Clock: n.clock, Idle: peerIdle},
@@ -70,6 +78,16 @@
 func (p *peer) describe(r directory.Record, zone string) {
 	p.near.Store(r.Zone == zone)
 	p.slots.Store(int64(r.Slots))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.zone = r.Zone
+}
+
+// inZone returns the availability zone of the peer's server.
+func (p *peer) inZone() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.zone
 }
 
 // heard takes the load that came with an answer, and ends the time aside.
@@ -81,14 +99,32 @@
 		limit:  float64(r.Limit), hold: r.Hold, success: float64(r.Success) / 100, at: now,
 	}
 	p.failures, p.asideTil = 0, time.Time{}
-	p.stopping.Store(r.Stopping)
+	p.noteStop(now, r.Stopping)
+}
+
+// noteStop takes the peer's word on whether it is stopping; p.mu is held.
+func (p *peer) noteStop(now time.Time, stopping bool) {
+	switch {
+	case !stopping:
+		p.stopping = time.Time{}
+	case p.stopping.IsZero():
+		p.stopping = now
+	}
+}
+
+// stopsFor returns for how long the peer is known to be stopping, and whether it is.
+func (p *peer) stopsFor(now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.stopping), !p.stopping.IsZero()
 }
 
-// alive ends the time aside: the node was heard.
-func (p *peer) alive() {
+// alive ends the time aside: the node was heard, and told whether it is stopping.
+func (p *peer) alive(now time.Time, stopping bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failures, p.asideTil = 0, time.Time{}
+	p.noteStop(now, stopping)
 }
 
 // failed sets the peer aside for a growing time; it reports whether it was in use before.
--- a/pkg/mesh/repeats.go
+++ b/pkg/mesh/repeats.go
@@ -61,7 +61,7 @@
 
 // tuneBudget shares the operator's bounds of repeats out to the nodes that are known.
 func (n *Node) tuneBudget() {
-	nodes := max(len(n.control.directory.All()), 1)
+	nodes := max(n.nodes.Load(), 1)
 	n.budgetMu.Lock()
 	defer n.budgetMu.Unlock()
 	n.budget.Ratio = n.cfg.Mesh.RetryRatio * repeatRatioShare
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -9,9 +9,12 @@
 
 // The times of reading all records.
 const (
-	// recordsPeriod is the time between readings of all records: exchanges carry the news, and this
-	// catches what they missed.
+	// recordsPeriod is the time between readings of all records in a small mesh: exchanges carry the news,
+	// and this brings nodes together that don't know of each other.
 	recordsPeriod = 20 * time.Second
+	// recordsNodes is the number of nodes up to which recordsPeriod holds; it grows with more, so that all
+	// of them together read no more often.
+	recordsNodes = 16
 	// startSpread spreads the first readings of many nodes that start at once.
 	startSpread = 100 * time.Millisecond
 )
@@ -19,11 +22,14 @@
 // syncRecords reads the records of all VMs at the start, after each own write, and from time to time.
 func (n *Node) syncRecords(ctx context.Context) {
 	wait := storeRetryFirst
-	if !clock.Sleep(ctx, jitter(startSpread)) {
+	if n.cfg.Mesh.FirstStart {
+		n.awaitRead(ctx, jitter(recordsPeriod)) // nobody has written a record yet
+	} else if !clock.Sleep(ctx, jitter(startSpread)) {
 		return
 	}
 	for ctx.Err() == nil {
-		pause := jitter(recordsPeriod)
+		nodes := max(int(n.nodes.Load()), recordsNodes)
+		pause := jitter(recordsPeriod * time.Duration(nodes) / recordsNodes)
 		if n.readRecords(ctx) {
 			wait = storeRetryFirst
 		} else {
