Learned calls are kept in the store; who is held down by order isn't let in when he comes back

Change: one node of each service stores the calls of a run when they have changed clearly, in the table of the records, so that the read at the start brings them; they count as 30 runs. keepOrder holds returning attempts too and follows within a second; room is given back at 0.25 a second. Tests: recall, one keeper, small changes; the store's stand-in and the client agree.

--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -57,8 +57,9 @@
 type Learner struct {
 	routes map[string]*routeStats
 	calls  map[string]*callStats
-	seen   []stretch // of the last seconds
-	passed time.Time // until when the time in progress is added up
+	recall map[string]Rates // of routes that haven't run yet
+	seen   []stretch        // of the last seconds
+	passed time.Time        // until when the time in progress is added up
 	faded  time.Time
 	first  time.Time // look
 }
@@ -100,6 +101,9 @@
 	inTime  float64 // seconds in progress of all runs, in this stretch
 	good    runSums
 	all     runSums
+	// recalled are the calls of one run by earlier knowledge, which counts as that many runs.
+	recalled     Rates
+	recalledRuns float64
 }
 
 // runSums are runs that have ended, and their calls.
@@ -162,6 +166,8 @@
 	if s == nil {
 		s = &routeStats{}
 		l.routes[route] = s
+		s.remember(l.recall[route])
+		delete(l.recall, route)
 	}
 	l.pass(now)
 	r := &Run{stats: s, place: len(s.running), deadline: deadline}
@@ -187,6 +193,40 @@
 	r.stats.running = all[:len(all)-1]
 }
 
+// recallRuns is how many runs earlier knowledge counts as.
+const recallRuns = 30
+
+// Recall takes what was known before this node started: the calls of one run of each route.
+func (l *Learner) Recall(known map[string]Rates) {
+	if l.recall == nil {
+		l.recall = map[string]Rates{}
+	}
+	for route, calls := range known {
+		if s := l.routes[route]; s == nil {
+			l.recall[route] = calls
+		} else if s.good.runs < recallRuns {
+			s.remember(calls)
+		}
+	}
+}
+
+func (s *routeStats) remember(calls Rates) {
+	if calls != nil {
+		s.recalled, s.recalledRuns = calls, recallRuns
+	}
+}
+
+// Known returns the calls of one run of each route, as far as they were seen in enough runs.
+func (l *Learner) Known() map[string]Rates {
+	known := map[string]Rates{}
+	for route, s := range l.routes {
+		if s.good.runs >= recallRuns {
+			known[route] = l.Calls(route)
+		}
+	}
+	return known
+}
+
 // Drop notes that the server refused what was taken for a run.
 func (l *Learner) Drop(now time.Time, r *Run) {
 	l.leave(now, r)
@@ -358,10 +398,12 @@
 	}
 	life := min(max(firstHalfLife.Seconds(), agedHalfLife*now.Sub(l.first).Seconds()), halfLife.Seconds())
 	keep := math.Exp2(-now.Sub(l.faded).Seconds() / life)
+	slowly := math.Exp2(-now.Sub(l.faded).Seconds() / halfLife.Seconds())
 	l.faded = now
 	for route, s := range l.routes {
 		s.good.fade(keep)
 		s.all.fade(keep)
+		s.recalledRuns *= slowly
 		if s.all.runs < faded && len(s.running) == 0 {
 			l.forget(route, s)
 		}
@@ -416,18 +458,22 @@
 	return most
 }
 
-// perRun returns the calls of one run, of those that ended well if there are enough.
+// perRun returns the calls of one run, of those that ended well if there are enough, and as was known before.
 func (s *routeStats) perRun() Rates {
 	sums := s.good
-	if sums.runs < leastRuns {
+	if sums.runs < leastRuns && s.recalled == nil {
 		sums = s.all
 	}
-	if sums.runs <= 0 {
+	runs := sums.runs + s.recalledRuns
+	if runs <= 0 {
 		return nil
 	}
-	out := make(Rates, len(sums.calls))
+	out := make(Rates, len(sums.calls)+len(s.recalled))
 	for c, n := range sums.calls {
-		out[c] = n / sums.runs
+		out[c] = n / runs
+	}
+	for c, n := range s.recalled {
+		out[c] += n * s.recalledRuns / runs
 	}
 	return out
 }
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -89,8 +89,9 @@
 	return roots
 }
 
-// servedGain is the weight of the newest share of a kind that was served, at each plan: it counts for some seconds.
-const servedGain = 0.08
+// servedGain is the weight of the newest share of a kind that was served, at each plan: it follows within a second,
+// since what is held down for an urgent kind must be let in again once that one is served.
+const servedGain = 0.25
 
 // servedShare returns the smoothed share of a kind's first attempts that was served, at that attempt or the next.
 func (n *Node) servedShare(route string, served, asked float64) float64 {
--- a/pkg/mesh/fake_store_test.go
+++ b/pkg/mesh/fake_store_test.go
@@ -17,12 +17,13 @@
 	version int64
 	changed chan struct{}
 	records map[string]directory.Record
+	learned map[string]Learned
 	down    bool
 	delay   time.Duration // before each answer
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{changed: make(chan struct{}), records: map[string]directory.Record{}}
+	return &fakeStore{changed: make(chan struct{}), records: map[string]directory.Record{}, learned: map[string]Learned{}}
 }
 
 type storeDownError struct{}
@@ -64,7 +65,7 @@
 func (s *fakeStore) seam() Store {
 	return Store{
 		ReadState: s.readState, FollowState: s.followState,
-		ReadRecords: s.readRecords, WriteRecord: s.writeRecord,
+		ReadRecords: s.readRecords, WriteRecord: s.writeRecord, WriteLearned: s.writeLearned,
 	}
 }
 
@@ -98,20 +99,33 @@
 	}
 }
 
-func (s *fakeStore) readRecords(context.Context) ([]directory.Record, error) {
+func (s *fakeStore) readRecords(context.Context) (Stored, error) {
 	s.pause()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, storeDownError{}
+		return Stored{}, storeDownError{}
 	}
-	var out []directory.Record
+	var out Stored
 	for _, r := range s.records {
-		out = append(out, r)
+		out.Records = append(out.Records, r)
+	}
+	for _, l := range s.learned {
+		out.Learned = append(out.Learned, l)
 	}
 	return out, nil
 }
 
+func (s *fakeStore) writeLearned(_ context.Context, l Learned) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return storeDownError{}
+	}
+	s.learned[l.Service] = l
+	return nil
+}
+
 func (s *fakeStore) writeRecord(_ context.Context, r directory.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/pkg/mesh/keep_learned_test.go
@@ -0,0 +1,47 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/gate"
+)
+
+// After a loss of all processes nodes learned the calls anew, in the middle of the overload, and let in too much.
+func TestANodeRecallsWhatWasLearnedBeforeItsStart(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.store.learned["a"] = Learned{Service: "a", Calls: map[string]callgraph.Rates{"r": {"called": 4}}}
+	s.store.learned["b"] = Learned{Service: "b", Calls: map[string]callgraph.Rates{"r": {"called": 9}}}
+	n, _ := s.add("a", "z", 10)
+	s.until("it is recalled", func() bool {
+		n.stats.end(time.Now(), "r", n.stats.begin(time.Now(), "r", time.Now()), 0, gate.Shed)
+		return n.stats.callsOf("r")["called"] == 4
+	})
+	c.Assert(n.keepsLearned(), qt.IsTrue)
+}
+
+func TestOneNodeOfAServiceKeepsWhatWasLearned(t *testing.T) {
+	c := qt.New(t)
+	s := three(t)
+	keepers := 0
+	for _, n := range s.nodes {
+		if n.keepsLearned() {
+			keepers++
+		}
+	}
+	c.Assert(keepers, qt.Equals, 1)
+}
+
+func TestSmallChangesArentWritten(t *testing.T) {
+	c := qt.New(t)
+	calls := func(n float64) map[string]callgraph.Rates { return map[string]callgraph.Rates{"r": {"x": n}} }
+	c.Assert(differ(calls(4), nil), qt.IsTrue)
+	c.Assert(differ(calls(4), calls(3.5)), qt.IsFalse)
+	c.Assert(differ(calls(4), calls(2)), qt.IsTrue)
+	c.Assert(differ(calls(0.1), nil), qt.IsFalse)
+	c.Assert(differ(nil, calls(4)), qt.IsFalse)
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -113,6 +113,7 @@
 	n.run(func() { n.followState(ctx) })
 	n.run(func() { n.syncRecords(ctx) })
 	n.run(func() { n.writeRecords(ctx) })
+	n.run(func() { n.keepLearned(ctx) })
 	n.controlLog.Info("started", "host", n.ip, "zone", n.cfg.Zone, "service", n.cfg.Service, "epoch", n.epoch)
 	return nil
 }
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -44,14 +44,15 @@
 func (n *Node) readRecords(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
 	defer cancel()
-	records, err := n.store.ReadRecords(ctx)
+	stored, err := n.store.ReadRecords(ctx)
 	if err != nil {
 		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("records not read", "err", err)
 		return false
 	}
+	n.recallLearned(stored.Learned)
 	n.do(func() {
-		n.merge("store", records)
+		n.merge("store", stored.Records)
 		n.announce()
 	})
 	return true
--- a/pkg/mesh/traffic_stats.go
+++ b/pkg/mesh/traffic_stats.go
@@ -70,6 +70,20 @@
 	s.learner.Call(now, route, deadline)
 }
 
+// known returns the calls of one run that are known well.
+func (s *trafficStats) known() map[string]callgraph.Rates {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learner.Known()
+}
+
+// recall takes what was known before.
+func (s *trafficStats) recall(known map[string]callgraph.Rates) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learner.Recall(known)
+}
+
 // look has the learner work out what was seen.
 func (s *trafficStats) look(now time.Time) {
 	s.mu.Lock()
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -148,11 +148,12 @@
 	c := qt.New(t)
 	roots := []Root{
 		{Route: "bill", Priority: 0, Fresh: 100, Served: 0.6, Slots: map[string]float64{"low": 0.2, "files": 0.1}},
-		{Route: "pull", Priority: 2, Fresh: 50, Slots: map[string]float64{"files": 0.1}},
+		{Route: "pull", Priority: 2, Fresh: 50, Returning: 10, Slots: map[string]float64{"files": 0.1}},
 		{Route: "other", Priority: 2, Fresh: 50, Slots: map[string]float64{"own": 0.1}},
 	}
 	shares := Plan(roots, map[string]float64{"low": 12, "files": 100, "own": 100})
 	c.Assert(math.Abs(shares["pull"].Fresh-0.65) < 1e-9, qt.IsTrue, qt.Commentf("%v", shares))
+	c.Assert(shares["pull"].Returning, qt.Equals, 0.0, qt.Commentf("who was refused isn't let in after all"))
 	c.Assert(shares["other"].Fresh, qt.Equals, 1.0)
 	roots[0].Served = 0.98
 	c.Assert(Plan(roots, map[string]float64{"low": 50, "files": 100, "own": 100})["pull"].Fresh, qt.Equals, 1.0)
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -61,19 +61,31 @@
 // service: five in a hundred are the users' bound.
 const orderMargin = 0.05
 
-// keepOrder holds first attempts down to what is served of more urgent kinds that share a service with them,
-// also if that one isn't the tight one.
+// keepOrder holds kinds down to what is served of more urgent kinds that share a service with them, also if that
+// one isn't the tight one. Who is refused for that isn't let in when he comes back.
 func keepOrder(flows []flow) {
 	for i := range flows {
 		f := &flows[i]
-		for _, u := range flows {
-			if f.returning || u.returning || u.root.Priority >= f.root.Priority || u.root.Served == 0 || !u.root.sharesWith(f.root) {
-				continue
-			}
-			most := (u.root.Served + orderMargin) * f.whole
-			f.rate = min(f.rate, max(most-(f.whole-f.rate), 0))
+		most := f.root.mostByOrder(flows)
+		switch granted := f.whole - f.rate; {
+		case most >= 1:
+		case f.returning:
+			f.rate = 0
+		default:
+			f.rate = min(f.rate, max(most*f.whole-granted, 0))
+		}
+	}
+}
+
+// mostByOrder returns the largest share of a kind by what is served of more urgent ones.
+func (r *Root) mostByOrder(flows []flow) float64 {
+	most := 1.0
+	for _, f := range flows {
+		if u := f.root; u.Priority < r.Priority && u.Served > 0 && u.sharesWith(r) {
+			most = min(most, u.Served+orderMargin)
 		}
 	}
+	return most
 }
 
 // sharesWith tells whether requests of both kinds, or their calls, run on one service.
@@ -142,13 +154,22 @@
 // and what is learned of costs may be a little wrong without turning the order round.
 const costWeight = 3.0
 
-// fill gives flows of one rank their shares of the tightest service below them, by what they take of it. What one
-// flow leaves over, since it is held down elsewhere, goes to the others.
+// fill gives flows of one rank their shares of the tightest service below them, by what they take of it. What is
+// left over, since some are held down elsewhere, goes to all of them alike, before flows of the next rank.
 func fill(flows []flow, left map[string]float64, out map[string]Share) {
-	for len(flows) > 0 {
-		service, share := tightest(flows, left)
-		flows = grantTightest(flows, service, weighed(flows, service, share, left), left, out)
+	var rest []flow
+	for open := flows; len(open) > 0; {
+		service, alike := tightest(open, left)
+		share := weighed(open, service, alike, left)
+		for _, f := range open {
+			if service == "" || f.root.Slots[service] > 0 {
+				f.rate *= 1 - share(f)
+				rest = append(rest, f)
+			}
+		}
+		open = grantTightest(open, service, share, left, out)
 	}
+	fillAlike(rest, left, out)
 }
 
 // fillAlike gives each flow the share of the tightest service below it.
--- a/pkg/overload/room_control.go
+++ b/pkg/overload/room_control.go
@@ -23,7 +23,7 @@
 	// seen after a second or so: reports spread, and what was let in before has to end.
 	takeRate = 0.8
 	// giveRate is how fast it is given back, as a share of the whole a second.
-	giveRate = 0.1
+	giveRate = 0.25
 	// leastRoom is the part that is always planned for, so that there is something to learn from.
 	leastRoom = 0.08
 	// longestStep bounds the time that one look stands for.
