--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GO ?= go
 BIN = bin
 
-.PHONY: all build check fmt lint test race bench fuzz capacity clean
+.PHONY: all build check fmt lint test race bench fuzz capacity soak clean
 
 all: build
 
@@ -49,5 +49,10 @@
 capacity: build
 	$(BIN)/rockspoke-lab capacity
 
+# soak runs real processes under faults with fresh seeds; SOAK_FLAGS="4711" runs one again.
+SOAK_FLAGS ?= -seeds 10
+soak: build
+	$(BIN)/rockspoke-soak $(SOAK_FLAGS)
+
 clean:
 	rm -rf $(BIN)
--- a/pkg/soak/soak_main.go
+++ b/pkg/soak/soak_main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	_ "embed" // for the list of seeds
 	"errors"
 	"flag"
 	"fmt"
@@ -10,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,14 +50,18 @@
 	fs.DurationVar(&o.Calm, "calm", defaultCalm, "time without faults afterwards")
 	seeds := fs.Int("seeds", defaultSeeds, "how many seeds to run, if none are named")
 	first := fs.Uint64("first", 0, "first seed; 0 draws one")
+	failed := fs.Bool("failed", false, "run the seeds that ever broke a promise")
 	atOnce := fs.Int("at-once", defaultAtOnce, "runs beside each other")
 	cmd := &ffcli.Command{
 		Name: "rockspoke-soak", ShortUsage: "rockspoke-soak [flags] [seed...]", FlagSet: fs,
 		ShortHelp: "run real daemons under random faults and check their promises",
 		LongHelp: "Each seed is a run of processes on loopback with its own order of faults. Every third seed has planned\n" +
 			"work alone, to show requests that it cuts. Logs stay in a folder for each seed.\n\n" +
-			"  rockspoke-soak -seeds 50\n  rockspoke-soak -vms 30 4711",
+			"  rockspoke-soak -seeds 50\n  rockspoke-soak -vms 30 4711\n  rockspoke-soak -failed",
 		Exec: func(ctx context.Context, named []string) error {
+			if *failed {
+				named = append(named, failedSeeds()...)
+			}
 			list, err := seedList(named, *seeds, *first)
 			if err != nil {
 				return err
@@ -73,6 +79,19 @@
 	return 0
 }
 
+//go:embed failed_seeds.txt
+var failedSeedsText string
+
+// failedSeeds returns the seeds that ever broke a promise: the first word of each line that isn't a comment.
+func failedSeeds() (seeds []string) {
+	for line := range strings.Lines(failedSeedsText) {
+		if f := strings.Fields(line); len(f) > 0 && f[0] != "#" {
+			seeds = append(seeds, f[0])
+		}
+	}
+	return seeds
+}
+
 // seedList returns the named seeds, or as many in a row as asked for.
 func seedList(named []string, n int, first uint64) ([]uint64, error) {
 	var list []uint64
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -125,3 +125,10 @@
 	c.Assert(Main(context.Background(), []string{"x"}, &out, &errs), qt.Equals, 1)
 	c.Assert(errs.String(), qt.Contains, `seed "x" isn't a number`)
 }
+
+func TestFailedSeedsAreRead(t *testing.T) {
+	c := qt.New(t)
+	list, err := seedList(failedSeeds(), 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(slices.Contains(list, uint64(6)), qt.IsTrue, qt.Commentf("%v", list))
+}
