A zone that falls silent isn't planned with

Change: a zone's sum counts for 1.5 s (or four exchanges), then its servers count nothing until it is heard again; servers without a report count only if the last exchange with them went well.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -56,7 +56,7 @@
 	for route, c := range costs {
 		plan.runs[route] = c.Runs
 	}
-	roots, capacity := n.roots(loads, plan, costs), n.capacity(now)
+	roots, capacity := n.roots(loads, plan, costs), n.capacity()
 	plan.shares = overload.Plan(roots, capacity)
 	n.logPlan(now, plan, roots, capacity)
 	n.plan.Store(plan)
@@ -128,7 +128,7 @@
 		return
 	}
 	n.control.nextPlanLog = now.Add(planLogPeriod)
-	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity, "reports", len(n.control.reports), "zones", len(n.control.zones))
+	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity, "reports", len(n.control.reports), "zones", len(n.otherZones(now)))
 }
 
 // admit decides whether a root request is taken in.
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -146,6 +146,13 @@
 	return !now.Before(p.asideTil)
 }
 
+// reachable tells whether the last exchange with the peer went well, or there was none yet.
+func (p *peer) reachable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures == 0
+}
+
 // estimate is what is believed of a peer's server.
 type estimate struct {
 	use     float64       // 1 when every slot that counts is taken
--- a/pkg/mesh/zone_loads.go
+++ b/pkg/mesh/zone_loads.go
@@ -75,8 +75,8 @@
 	for i := range zones {
 		z := &zones[i]
 		z.made = now.Add(-max(z.Age, 0))
-		if z.Zone == n.cfg.Zone {
-			continue // the reports themselves are at hand
+		if z.Zone == n.cfg.Zone || len(z.Services) == 0 {
+			continue // the reports themselves are at hand, or there are none yet
 		}
 		if old := n.control.zones[z.Zone]; old == nil || z.made.After(old.made) {
 			n.control.zones[z.Zone] = z
@@ -88,6 +88,9 @@
 func (n *Node) otherZones(now time.Time) []zoneLoad {
 	var all []zoneLoad
 	for _, z := range n.control.zones {
+		if len(z.Services) == 0 {
+			continue
+		}
 		told := *z
 		told.Age = now.Sub(z.made)
 		all = append(all, told)
@@ -103,9 +106,10 @@
 			delete(n.control.reports, host)
 		}
 	}
-	for zone, z := range n.control.zones {
-		if now.Sub(z.made) > life {
-			delete(n.control.zones, zone)
+	zoneLife := max(zoneLifeLeast, zoneLifeTalks*n.talkPeriod())
+	for _, z := range n.control.zones {
+		if now.Sub(z.made) > zoneLife {
+			z.Services = nil // the zone stays known as one that was heard
 		}
 	}
 }
@@ -127,7 +131,7 @@
 // capacity returns the slots of each service that its gates fill. Work that a server refuses takes no slot, so
 // a server that refuses a part of it counts in full. One to which more
 // comes than it can take counts for less.
-func (n *Node) capacity(now time.Time) map[string]float64 {
+func (n *Node) capacity() map[string]float64 {
 	c := map[string]float64{}
 	for service, peers := range n.view.Load().services {
 		far := map[string][]*peer{}
@@ -138,20 +142,23 @@
 			}
 			if r := n.control.reports[p.host]; r != nil && r.Room > 0 {
 				c[service] += r.Room
-			} else if p.usable(now) {
+			} else if p.reachable() {
 				c[service] += float64(p.slots.Load())
 			}
 		}
 		for zone, peers := range far {
-			c[service] += n.control.zones[zone].room(now, service, peers)
+			c[service] += n.control.zones[zone].room(service, peers)
 		}
 	}
 	return c
 }
 
 // room returns the slots of a service's servers in the zone: as many as have reported count by the sum, the
-// others by their slots where they can be reached.
-func (z *zoneLoad) room(now time.Time, service string, peers []*peer) float64 {
+// others by their slots where they can be reached. A zone that was heard once and isn't any more has none.
+func (z *zoneLoad) room(service string, peers []*peer) float64 {
+	if z != nil && len(z.Services) == 0 {
+		return 0
+	}
 	sum := z.service(service)
 	left := len(peers)
 	room := 0.0
@@ -165,7 +172,7 @@
 	}
 	slots := 0.0
 	for _, p := range peers {
-		if p.usable(now) {
+		if p.reachable() {
 			slots += float64(p.slots.Load())
 		}
 	}
