Mesh: reports are passed on as they were written

Change: each report, and each zone's sum, travels as the bytes that its node wrote, and is read only where it is newer; one peer of the zone is told at a time instead of two.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -19,14 +19,18 @@
 // planPeriod is the time between plans.
 const planPeriod = 200 * time.Millisecond
 
-// takeReports takes over reports of other nodes, and learns from them.
-func (n *Node) takeReports(now time.Time, reports []loadReport) {
-	for i := range reports {
-		r := &reports[i]
+// takeReports takes over reports of other nodes that are newer than those held.
+func (n *Node) takeReports(now time.Time, from string, reports []packedReport) {
+	for _, p := range reports {
+		r := &loadReport{Host: p.Host, Epoch: p.Epoch, Seq: p.Seq}
 		if r.Host == n.ip || !r.newer(n.control.reports[r.Host]) {
 			continue
 		}
-		r.heard = now
+		if err := unpack(p.Body, r); err != nil {
+			n.controlLog.Warn("report can't be read", "peer", from, "host", p.Host, "err", err)
+			continue
+		}
+		r.Host, r.Epoch, r.Seq, r.heard, r.packed = p.Host, p.Epoch, p.Seq, now, p.Body
 		n.control.reports[r.Host] = r
 	}
 }
@@ -44,6 +48,12 @@
 	n.control.room.Observe(now, n.stats.turnedAwayShare(now))
 	r.Room = round(n.control.room.Part() * max(g.Limit-n.excess(now, g), leastCapacity*g.Limit))
 	r.heard = now
+	body, err := pack(r)
+	if err != nil {
+		n.controlLog.Error("report can't be written", "err", err)
+		return
+	}
+	r.packed = body
 	n.control.reports[r.Host] = &r
 }
 
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -16,7 +16,7 @@
 
 // The bounds of exchanges.
 const (
-	nearFanout = 2 // peers of the own availability zone that are told at a time
+	nearFanout = 1 // peers of the own availability zone that are told at a time
 	// announceFanout is how many peers hear of news at once; they tell others in turn.
 	announceFanout = 3
 	// farTalkShare of the exchanges go to any peer as well, and farTalks of all exchanges of a zone in one period
@@ -67,7 +67,7 @@
 
 // encode writes a message of this node's.
 func (n *Node) encode(m message) []byte {
-	body, err := encodeMessage(m)
+	body, err := pack(m)
 	if err != nil {
 		n.controlLog.Error("message can't be written", "err", err)
 	}
@@ -147,7 +147,7 @@
 	n.do(func() { answers <- n.newAnswer(m) })
 	select {
 	case a := <-answers:
-		body, err := encodeMessage(a)
+		body, err := pack(a)
 		if err == nil {
 			_, err = w.Write(body)
 		}
@@ -160,8 +160,8 @@
 
 // takeMessage takes over what a peer knows better; it returns nil if the message can't be read.
 func (n *Node) takeMessage(from string, data []byte) *message {
-	m, err := decodeMessage(data)
-	if err != nil {
+	var m message
+	if err := unpack(data, &m); err != nil {
 		n.controlLog.Warn("message can't be read", "peer", from, "err", err)
 		return nil
 	}
@@ -174,8 +174,8 @@
 	n.do(func() {
 		now := n.clock.Now()
 		n.merge(m.From, m.Records)
-		n.takeReports(now, m.Reports)
-		n.takeZones(now, m.Zones)
+		n.takeReports(now, m.From, m.Reports)
+		n.takeZones(now, m.From, m.Zones)
 		n.peer(m.From).digest = m.Digest
 	})
 	return &m
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"time"
+
 	"github.com/ugorji/go/codec"
 
 	"github.com/rockspoke/rockspoke/pkg/directory"
@@ -15,11 +17,27 @@
 	Stopping bool   `codec:"x,omitempty"`
 	// Records are those that are news, or all where the digests differ.
 	Records []directory.Record `codec:"r,omitempty"`
-	Reports []loadReport       `codec:"l,omitempty"` // of the zone's nodes, for one of them
-	Zones   []zoneLoad         `codec:"o,omitempty"`
+	Reports []packedReport     `codec:"l,omitempty"` // of the zone's nodes, for one of them
+	Zones   []packedZone       `codec:"o,omitempty"`
 	State   []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
 }
 
+// packedReport is a loadReport as its node wrote it. It is passed on as it is, and read only where it is news:
+// most that a node hears it has heard before.
+type packedReport struct {
+	Host  string
+	Epoch int64
+	Seq   int64
+	Body  []byte
+}
+
+// packedZone is a zoneLoad as the node wrote it that added it up.
+type packedZone struct {
+	Zone string
+	Age  time.Duration // since it was added up, when the message was written
+	Body []byte        // []serviceLoad
+}
+
 // wireFormat is msgpack with structs as arrays: exchanges between availability zones are paid by the byte.
 var wireFormat = func() *codec.MsgpackHandle {
 	h := &codec.MsgpackHandle{WriteExt: true}
@@ -27,24 +45,22 @@
 	return h
 }()
 
-func encodeMessage(m message) ([]byte, error) {
+// pack writes a message, or a part of one.
+func pack(v any) ([]byte, error) {
 	var b []byte
-	err := codec.NewEncoderBytes(&b, wireFormat).Encode(m)
+	err := codec.NewEncoderBytes(&b, wireFormat).Encode(v)
 	return b, err
 }
 
-func decodeMessage(data []byte) (message, error) {
-	var m message
-	err := codec.NewDecoderBytes(data, wireFormat).Decode(&m)
-	return m, err
-}
+// unpack reads what pack wrote.
+func unpack(data []byte, v any) error { return codec.NewDecoderBytes(data, wireFormat).Decode(v) }
 
 // newMessage tells a node of the zone what this one knows of the load, and which records are news. Other zones
 // hear only of this one, since bytes between zones are paid for.
 func (n *Node) newMessage(zone string) message {
 	now := n.clock.Now()
 	m := message{
-		From: n.ip, Zone: n.cfg.Zone, Stopping: n.stop.leaving(), Zones: []zoneLoad{*addUp(n.cfg.Zone, now, n.control.reports)},
+		From: n.ip, Zone: n.cfg.Zone, Stopping: n.stop.leaving(), Zones: n.ownZone(now),
 		Digest: n.control.directory.Digest(), Records: n.control.news.recent(now),
 	}
 	if s := n.state.Load(); s != nil {
@@ -53,7 +69,7 @@
 	if zone == n.cfg.Zone {
 		m.Zones = n.otherZones(now) // this one's own reports are beside them
 		for _, r := range n.control.reports {
-			m.Reports = append(m.Reports, *r)
+			m.Reports = append(m.Reports, packedReport{Host: r.Host, Epoch: r.Epoch, Seq: r.Seq, Body: r.packed})
 		}
 	}
 	return m
--- a/pkg/mesh/exchange_test.go
+++ b/pkg/mesh/exchange_test.go
@@ -19,15 +19,16 @@
 // every zone has servers of all services.
 func sampleMessage(zoneNodes, zones, services int) message {
 	m := message{From: "10.128.0.9", Zone: "accra-a", Version: 12}
-	sum := zoneLoad{Zone: "accra-b", Age: 300 * time.Millisecond}
 	for i := range zoneNodes {
-		m.Reports = append(m.Reports, sampleReport(fmt.Sprintf("10.%d.0.%d", i/200, i%200)))
+		r := sampleReport(fmt.Sprintf("10.%d.0.%d", i/200, i%200))
+		m.Reports = append(m.Reports, packedReport{Host: r.Host, Epoch: r.Epoch, Seq: r.Seq, Body: r.packed})
 	}
+	var sums []serviceLoad
 	for range services {
-		sum.Services = append(sum.Services, serviceLoad{Nodes: zoneNodes / services, Load: sampleReport("")})
+		sums = append(sums, serviceLoad{Nodes: zoneNodes / services, Load: sampleReport("")})
 	}
 	for range zones {
-		m.Zones = append(m.Zones, sum)
+		m.Zones = append(m.Zones, packedZone{Zone: "accra-b", Age: 300 * time.Millisecond, Body: mustPack(sums)})
 	}
 	return m
 }
@@ -40,9 +41,18 @@
 	for k := range 4 {
 		r.Runs[fmt.Sprintf("r-n2ctnf%d", k)] = runReport{Rate: 45.6789, Hold: 0.1234, Calls: callgraph.Rates{"r-n2ctnf7": 3.9876}}
 	}
+	r.packed = mustPack(r)
 	return r
 }
 
+func mustPack(v any) []byte {
+	b, err := pack(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
 // BenchmarkExchange is the writing and reading of one message inside a zone, and its bytes.
 func BenchmarkExchange(b *testing.B) {
 	for _, size := range []struct{ nodes, zones, services int }{{15, 3, 4}, {83, 4, 4}, {520, 7, 18}} {
@@ -51,12 +61,13 @@
 			b.ReportAllocs()
 			length := 0
 			for b.Loop() {
-				data, err := encodeMessage(m)
+				data, err := pack(m)
 				if err != nil {
 					b.Fatal(err)
 				}
 				length = len(data)
-				if _, err := decodeMessage(data); err != nil {
+				var got message
+				if err := unpack(data, &got); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -75,7 +86,7 @@
 			r := sampleReport(fmt.Sprint("10.0.0.", i))
 			n.control.reports[r.Host] = &r
 		}
-		data, err := encodeMessage(n.newMessage("b"))
+		data, err := pack(n.newMessage("b"))
 		c.Assert(err, qt.IsNil)
 		return len(data)
 	}
@@ -102,9 +113,9 @@
 		for _, x := range reports {
 			single = append(single, x)
 		}
-		sum := addUp("z", time.Unix(0, 0), reports)
-		for i := range sum.Services {
-			summed = append(summed, &sum.Services[i].Load)
+		sums := addUp(reports)
+		for i := range sums {
+			summed = append(summed, &sums[i].Load)
 		}
 		a := callgraph.Costs(graphOf(single), placesOf(single))
 		b := callgraph.Costs(graphOf(summed), placesOf(summed))
@@ -125,7 +136,7 @@
 	for _, p := range peers {
 		p.slots.Store(20)
 	}
-	z := &zoneLoad{Services: []serviceLoad{{Nodes: 2, Load: loadReport{Service: "s", Room: 18}}}}
+	z := &zoneLoad{services: []serviceLoad{{Nodes: 2, Load: loadReport{Service: "s", Room: 18}}}}
 	c.Assert(z.room("s", peers), qt.Equals, 18.0+20)
 	c.Assert(z.room("s", peers[:1]), qt.Equals, 9.0, qt.Commentf("one of the two has left since"))
 	c.Assert((*zoneLoad)(nil).room("s", peers), qt.Equals, 60.0)
@@ -140,17 +151,20 @@
 	now := time.Unix(100, 0)
 	far := &peer{host: "f", zone: "b"}
 	far.slots.Store(20)
+	told := func(room float64) []packedZone {
+		return []packedZone{{Zone: "b", Body: mustPack([]serviceLoad{{Nodes: 1, Load: loadReport{Service: "s", Room: room}}})}}
+	}
 	n := &Node{cfg: settings.Settings{Zone: "a"}}
 	n.control.zones = map[string]*zoneLoad{}
 	n.view.Store(&view{services: map[string][]*peer{"s": {far}}})
 	c.Assert(n.capacity()["s"], qt.Equals, 20.0, qt.Commentf("it wasn't heard yet"))
-	n.takeZones(now, []zoneLoad{{Zone: "b", Services: []serviceLoad{{Nodes: 1, Load: loadReport{Service: "s", Room: 18}}}}})
+	n.takeZones(now, "f", told(18))
 	n.forgetLoads(now.Add(time.Second))
 	c.Assert(n.capacity()["s"], qt.Equals, 18.0)
 	n.forgetLoads(now.Add(zoneLifeLeast + time.Millisecond))
 	c.Assert(n.capacity()["s"], qt.Equals, 0.0)
 	c.Assert(n.loads(), qt.HasLen, 0, qt.Commentf("nor is its demand"))
-	n.takeZones(now.Add(5*time.Second), []zoneLoad{{Zone: "b", Services: []serviceLoad{{Nodes: 1, Load: loadReport{Service: "s", Room: 17}}}}})
+	n.takeZones(now.Add(5*time.Second), "f", told(17))
 	c.Assert(n.capacity()["s"], qt.Equals, 17.0)
 }
 
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -17,7 +17,8 @@
 	Entries map[string]entryReport `json:"n,omitempty"`
 	Runs    map[string]runReport   `json:"r,omitempty"` // started at the server, by route
 
-	heard time.Time // at this node
+	heard  time.Time // at this node
+	packed []byte    // as its node wrote it
 }
 
 // entryReport is how often requests of a route begin beside one server.
--- a/pkg/mesh/peer_protocol_test.go
+++ b/pkg/mesh/peer_protocol_test.go
@@ -39,13 +39,22 @@
 }
 
 func FuzzMessages(f *testing.F) {
-	b, _ := encodeMessage(message{From: "127.0.0.1", Version: 3})
+	b, _ := pack(message{From: "127.0.0.1", Version: 3})
 	f.Add(b)
+	report, _ := pack(sampleReport("10.0.0.1"))
+	f.Add(report)
+	sums, _ := pack([]serviceLoad{{Nodes: 2, Load: sampleReport("")}})
+	f.Add(sums)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if m, err := decodeMessage(data); err == nil {
-			if _, err := encodeMessage(m); err != nil {
+		var m message
+		if unpack(data, &m) == nil {
+			if _, err := pack(m); err != nil {
 				t.Fatal(err)
 			}
 		}
+		var r loadReport
+		_ = unpack(data, &r)
+		var s []serviceLoad
+		_ = unpack(data, &s)
 	})
 }
--- /dev/null
+++ b/pkg/mesh/replan_bench_test.go
@@ -0,0 +1,35 @@
+package mesh
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// BenchmarkReplan is the working out of one plan at a node of a mesh of 83 nodes in 4 zones.
+func BenchmarkReplan(b *testing.B) {
+	n := &Node{ip: "10.0.0.1", clock: clock.Real{}, cfg: settings.Settings{Zone: "a", Mesh: &settings.Mesh{}}}
+	n.controlLog = slog.New(slog.DiscardHandler)
+	n.metrics.init()
+	n.state.Store(&desired.State{})
+	n.view.Store(&view{})
+	n.control.sharesShown = map[string]bool{}
+	n.control.reports, n.control.zones = map[string]*loadReport{}, map[string]*zoneLoad{}
+	for i := range 21 {
+		r := sampleReport(fmt.Sprint("10.0.0.", i))
+		r.Service, r.heard = fmt.Sprint("s", i%4), time.Now().Add(time.Hour)
+		n.control.reports[r.Host] = &r
+	}
+	for _, zone := range []string{"b", "c", "d"} {
+		n.control.zones[zone] = &zoneLoad{services: addUp(n.control.reports), made: time.Now().Add(time.Hour)}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		n.replan(time.Now())
+	}
+}
--- a/pkg/mesh/zone_loads.go
+++ b/pkg/mesh/zone_loads.go
@@ -9,11 +9,9 @@
 // zoneLoad is what the nodes of one availability zone report, added up by service. Any node of that zone
 // may add it up; the newest counts. It keeps messages between zones, and what they grow with, small.
 type zoneLoad struct {
-	Zone     string        `json:"z"`
-	Age      time.Duration `json:"a"` // since it was added up, when the message was written
-	Services []serviceLoad `json:"s"`
-
-	made time.Time // when it was added up, by this node's clock
+	services []serviceLoad
+	made     time.Time // when it was added up, by this node's clock
+	packed   []byte    // as the node wrote it that added it up
 }
 
 // serviceLoad is the sum over the nodes beside one service's servers.
@@ -22,8 +20,8 @@
 	Load  loadReport `json:"l"` // without host, epoch and sequence
 }
 
-// addUp returns the sum of this zone's reports.
-func addUp(zone string, now time.Time, reports map[string]*loadReport) *zoneLoad {
+// addUp returns the sum of a zone's reports by service.
+func addUp(reports map[string]*loadReport) []serviceLoad {
 	by := map[string]*serviceLoad{}
 	for _, r := range reports {
 		s := by[r.Service]
@@ -33,11 +31,11 @@
 		}
 		s.add(r)
 	}
-	z := &zoneLoad{Zone: zone, made: now}
+	all := make([]serviceLoad, 0, len(by))
 	for _, s := range by {
-		z.Services = append(z.Services, *s)
+		all = append(all, *s)
 	}
-	return z
+	return all
 }
 
 // add puts one node's report on top.
@@ -70,30 +68,48 @@
 	return sum
 }
 
+// zoneStep is how much newer the sum of another zone has to be to be taken: each of its nodes adds up its own.
+const zoneStep = 50 * time.Millisecond
+
 // takeZones takes over sums of other availability zones that are newer than those held.
-func (n *Node) takeZones(now time.Time, zones []zoneLoad) {
-	for i := range zones {
-		z := &zones[i]
-		z.made = now.Add(-max(z.Age, 0))
-		if z.Zone == n.cfg.Zone || len(z.Services) == 0 {
-			continue // the reports themselves are at hand, or there are none yet
+func (n *Node) takeZones(now time.Time, from string, zones []packedZone) {
+	for _, p := range zones {
+		made := now.Add(-max(p.Age, 0))
+		old := n.control.zones[p.Zone]
+		if p.Zone == n.cfg.Zone || (old != nil && made.Sub(old.made) < zoneStep) {
+			continue // the reports themselves are at hand, or it is no news
 		}
-		if old := n.control.zones[z.Zone]; old == nil || z.made.After(old.made) {
-			n.control.zones[z.Zone] = z
+		z := &zoneLoad{made: made, packed: p.Body}
+		if err := unpack(p.Body, &z.services); err != nil {
+			n.controlLog.Warn("report can't be read", "peer", from, "host", p.Zone, "err", err)
+			continue
+		}
+		if len(z.services) > 0 {
+			n.control.zones[p.Zone] = z
 		}
 	}
 }
 
+// ownZone returns the sum of this zone, as told to other zones.
+func (n *Node) ownZone(now time.Time) []packedZone {
+	if now.Sub(n.control.ownZone.made) >= zoneStep {
+		body, err := pack(addUp(n.control.reports))
+		if err != nil {
+			n.controlLog.Error("report can't be written", "err", err)
+			return nil
+		}
+		n.control.ownZone = zoneLoad{made: now, packed: body}
+	}
+	return []packedZone{{Zone: n.cfg.Zone, Age: now.Sub(n.control.ownZone.made), Body: n.control.ownZone.packed}}
+}
+
 // otherZones returns the sums of the other availability zones, for the nodes of this one.
-func (n *Node) otherZones(now time.Time) []zoneLoad {
-	var all []zoneLoad
-	for _, z := range n.control.zones {
-		if len(z.Services) == 0 {
-			continue
+func (n *Node) otherZones(now time.Time) []packedZone {
+	var all []packedZone
+	for name, z := range n.control.zones {
+		if len(z.services) > 0 {
+			all = append(all, packedZone{Zone: name, Age: now.Sub(z.made), Body: z.packed})
 		}
-		told := *z
-		told.Age = now.Sub(z.made)
-		all = append(all, told)
 	}
 	return all
 }
@@ -109,7 +125,7 @@
 	zoneLife := max(zoneLifeLeast, zoneLifeTalks*n.talkPeriod())
 	for _, z := range n.control.zones {
 		if now.Sub(z.made) > zoneLife {
-			z.Services = nil // the zone stays known as one that was heard
+			z.services = nil // the zone stays known as one that was heard
 		}
 	}
 }
@@ -121,8 +137,8 @@
 		all = append(all, r)
 	}
 	for _, z := range n.control.zones {
-		for i := range z.Services {
-			all = append(all, &z.Services[i].Load)
+		for i := range z.services {
+			all = append(all, &z.services[i].Load)
 		}
 	}
 	return all
@@ -156,7 +172,7 @@
 // room returns the slots of a service's servers in the zone: as many as have reported count by the sum, the
 // others by their slots where they can be reached. A zone that was heard once and isn't any more has none.
 func (z *zoneLoad) room(service string, peers []*peer) float64 {
-	if z != nil && len(z.Services) == 0 {
+	if z != nil && len(z.services) == 0 {
 		return 0
 	}
 	sum := z.service(service)
@@ -182,7 +198,7 @@
 // service returns the sum of one service; a zone that told nothing has none.
 func (z *zoneLoad) service(name string) serviceLoad {
 	if z != nil {
-		for _, s := range z.Services {
+		for _, s := range z.services {
 			if s.Load.Service == name {
 				return s
 			}
