A restart writes nothing new, and a node that knows others reads no records again

Change: the first write waits for the first reading; a recalled record that says the same is taken with its generation; records are read after a write only while fewer than three nodes are known. Test: TestARestartedNodeWritesNothingNew (two writes before).

--- a/pkg/directory/own_server.go
+++ b/pkg/directory/own_server.go
@@ -69,6 +69,10 @@
 	if r.Host != o.Host || !r.newer(o.record) {
 		return false
 	}
+	if same := o.record.as(r.Generation); o.heard && same == r {
+		o.record = r // others remember just what the server said
+		return true
+	}
 	if o.heard || o.left[r.Instance] {
 		if r.Generation >= o.record.Generation {
 			o.record.Generation = r.Generation + 1
@@ -80,5 +84,11 @@
 	return true
 }
 
+// as returns the record with another generation.
+func (r Record) as(generation int64) Record {
+	r.Generation = generation
+	return r
+}
+
 // Record returns what is known now.
 func (o *OwnServer) Record() Record { return o.record }
--- a/pkg/mesh/fake_store_test.go
+++ b/pkg/mesh/fake_store_test.go
@@ -18,6 +18,7 @@
 	changed chan struct{}
 	records map[string]directory.Record
 	learned map[string]Learned
+	written int
 	down    bool
 	delay   time.Duration // before each answer
 }
@@ -116,6 +117,13 @@
 	return out, nil
 }
 
+// writes returns how often a record was written.
+func (s *fakeStore) writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.written
+}
+
 func (s *fakeStore) writeLearned(_ context.Context, l Learned) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,5 +141,6 @@
 		return storeDownError{}
 	}
 	s.records[r.Host] = r
+	s.written++
 	return nil
 }
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 )
 
@@ -45,3 +46,19 @@
 	c.Assert(differ(calls(0.1), nil), qt.IsFalse)
 	c.Assert(differ(nil, calls(4)), qt.IsFalse)
 }
+
+// Every restart wrote the record twice and read all others three times, though nothing had changed.
+func TestARestartedNodeWritesNothingNew(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	known := directory.Record{Host: s.base + "1", Generation: 7, Instance: "i-" + s.base + "1", Service: "a", Zone: "z", Slots: 10, Phase: directory.Serving}
+	s.store.records[known.Host] = known
+	n, _ := s.add("a", "z", 10) // its heartbeat comes before the store's answer
+	s.until("it is recalled", func() bool { return n.view.Load().own.Generation >= 7 })
+	time.Sleep(50 * time.Millisecond)
+	c.Assert(n.view.Load().own, qt.Equals, known)
+	c.Assert(s.store.writes(), qt.Equals, 0)
+	s.beat(0, true)
+	c.Assert(s.store.writes(), qt.Equals, 1)
+	c.Assert(n.view.Load().own.Generation, qt.Equals, int64(8))
+}
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -17,14 +17,21 @@
 	changed chan struct{}
 	stored  chan struct{} // closed and made anew at each write
 	read    chan struct{} // asks for the records of all VMs
+
+	firstRead sync.Once
+	wasRead   chan struct{} // closed once all records were read, or couldn't be, for the first time
 }
 
 func (w *recordWriter) init() {
 	w.changed = make(chan struct{}, 1)
 	w.stored = make(chan struct{})
 	w.read = make(chan struct{}, 1)
+	w.wasRead = make(chan struct{})
 }
 
+// mayWrite notes that all records were read, or couldn't be.
+func (w *recordWriter) mayWrite() { w.firstRead.Do(func() { close(w.wasRead) }) }
+
 // want asks for a record to be written.
 func (w *recordWriter) want(r directory.Record) {
 	w.mu.Lock()
@@ -86,6 +93,7 @@
 
 // writeRecords writes the record whenever it has changed, and again until the store has it.
 func (n *Node) writeRecords(ctx context.Context) {
+	n.awaitFirstRead(ctx)
 	wait := storeRetryFirst
 	for {
 		r, ok := n.records.pending()
@@ -108,6 +116,18 @@
 	}
 }
 
+// awaitFirstRead returns once the node has recalled what was stored of its own server: after a restart that is most
+// likely what its next heartbeat says, and needs no write.
+func (n *Node) awaitFirstRead(ctx context.Context) {
+	if n.cfg.Mesh.FirstStart {
+		return // nothing is stored yet
+	}
+	select {
+	case <-n.records.wasRead:
+	case <-ctx.Done():
+	}
+}
+
 // writeRecord makes one call, and reports whether the store has the record.
 func (n *Node) writeRecord(ctx context.Context, r directory.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
@@ -118,12 +138,18 @@
 		return false
 	}
 	n.records.done(r.Generation)
-	n.records.askRead()
+	if n.nodes.Load() < knownEnough {
+		n.records.askRead()
+	}
 	return true
 }
 
-// askRead asks for the records of all VMs. A node that has written its own then reads those of all that
-// wrote before it, and tells them of itself: so all know all, though nothing lists the VMs.
+// knownEnough is the number of nodes, this one included, from which news spreads by exchanges alone.
+const knownEnough = 3
+
+// askRead asks for the records of all VMs. A node that knows hardly any other, as at the first start, has written its
+// own record and then reads those of all that wrote before it, and tells them of itself: so all know all, though nothing lists
+// the VMs.
 func (w *recordWriter) askRead() {
 	select {
 	case w.read <- struct{}{}:
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/directory"
 )
 
 // The times of reading all records.
@@ -33,6 +34,7 @@
 		if n.readRecords(ctx) {
 			wait = storeRetryFirst
 		} else {
+			n.records.mayWrite()
 			pause = jitter(wait)
 			wait = min(2*wait, storeRetryMost)
 		}
@@ -52,12 +54,23 @@
 	}
 	n.recallLearned(stored.Learned)
 	n.do(func() {
+		n.noteStored(stored.Records)
 		n.merge("store", stored.Records)
+		n.records.mayWrite()
 		n.announce()
 	})
 	return true
 }
 
+// noteStored notes which generation of this VM's record the store has.
+func (n *Node) noteStored(records []directory.Record) {
+	for _, r := range records {
+		if r.Host == n.ip {
+			n.records.done(r.Generation)
+		}
+	}
+}
+
 // awaitRead returns when a reading is asked for, after the pause, or when ctx ends.
 func (n *Node) awaitRead(ctx context.Context, pause time.Duration) {
 	t := time.NewTimer(pause)
