--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -20,6 +20,8 @@
 	n, _ := s.add("a", "z", 10)
 	s.until("it is recalled", func() bool {
 		n.stats.end(time.Now(), "r", n.stats.begin(time.Now(), "r", time.Now()), 0, gate.Shed)
+		n.stats.mu.Lock()
+		defer n.stats.mu.Unlock()
 		return n.stats.callsOf("r")["called"] == 4
 	})
 	c.Assert(n.keepsLearned(), qt.IsTrue)
