--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -62,7 +62,7 @@
 	n.forgetLoads(now)
 	loads := n.loads()
 	plan := &admissionPlan{inner: n.innerRoutes(loads), runs: make(map[string]map[string]float64)}
-	costs := callgraph.Costs(graphOf(loads), placesOf(loads))
+	costs := callgraph.Costs(graphOf(loads), n.placesNow(now, loads))
 	for route, c := range costs {
 		plan.runs[route] = c.Runs
 	}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -19,6 +19,7 @@
 	nextPlanLog time.Time
 	reports     map[string]*loadReport // newest of each node of this zone, by host
 	zones       map[string]*zoneLoad   // newest sum of each other zone
+	places      map[string]lastPlace   // by route
 	ownZone     zoneLoad               // sum of this zone, as last told to others
 	zoneNodes   int                    // VMs of this zone that are known
 	sharesShown map[string]bool        // routes with a metric of their share
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -85,6 +85,7 @@
 	n.control.own.Host = host
 	n.control.reports = make(map[string]*loadReport)
 	n.control.zones = make(map[string]*zoneLoad)
+	n.control.places = make(map[string]lastPlace)
 	n.control.sharesShown = make(map[string]bool)
 	n.records.init()
 	n.stats.init()
--- a/pkg/mesh/replan_bench_test.go
+++ b/pkg/mesh/replan_bench_test.go
@@ -18,6 +18,7 @@
 	n.metrics.init()
 	n.state.Store(&desired.State{})
 	n.view.Store(&view{})
+	n.control.places = map[string]lastPlace{}
 	n.control.sharesShown = map[string]bool{}
 	n.control.reports, n.control.zones = map[string]*loadReport{}, map[string]*zoneLoad{}
 	for i := range 21 {
