--- /dev/null
+++ b/pkg/callgraph/recalled_calls.go
@@ -0,0 +1,36 @@
+package callgraph
+
+// recallRuns is how many runs earlier knowledge counts as.
+const recallRuns = 30
+
+// Recall takes what was known before this node started: the calls of one run of each route.
+func (l *Learner) Recall(known map[string]Rates) {
+	if l.recall == nil {
+		l.recall = map[string]Rates{}
+	}
+	for route, calls := range known {
+		if s := l.routes[route]; s == nil {
+			l.recall[route] = calls
+		} else if s.good.runs < recallRuns {
+			s.remember(calls)
+		}
+	}
+}
+
+// remember takes the calls of one run as known before, if there are any.
+func (s *routeStats) remember(calls Rates) {
+	if calls != nil {
+		s.recalled, s.recalledRuns = calls, recallRuns
+	}
+}
+
+// Known returns the calls of one run of each route, as far as they were seen in enough runs.
+func (l *Learner) Known() map[string]Rates {
+	known := map[string]Rates{}
+	for route, s := range l.routes {
+		if s.good.runs >= recallRuns {
+			known[route] = l.Calls(route)
+		}
+	}
+	return known
+}
