--- a/pkg/overload/repeat_budget.go
+++ b/pkg/overload/repeat_budget.go
@@ -7,9 +7,9 @@
 
 // RepeatBudget bounds how often this node's requests reach a server once more. Each request earns a share
 // of a token at every service that it and its calls run on; a repeat pays at each of them, since the
-// calls of a run that is a repeat are repeats too. What isn't spent is kept for less than a window, so that a server that
-// begins to refuse can be gone around: in any window no more is spent than was earned in it and the one
-// before. It isn't safe for concurrent use.
+// calls of a run that is a repeat are repeats too. What isn't spent is kept for less than a window, so that a
+// server that begins to refuse can be gone around: in any window no more is spent than was earned in it and the
+// one before. It isn't safe for concurrent use.
 type RepeatBudget struct {
 	Ratio  float64       // tokens that a request earns at its own service
 	Below  float64       // tokens that each run below it earns
@@ -67,11 +67,18 @@
 		t = &tokens{level: b.Burst, last: now}
 		b.tokens[service] = t
 	}
-	if d := now.Sub(t.last); d > 0 {
-		t.last = now
-		if above := t.level - b.Burst; above > 0 && b.Window > 0 {
-			t.level = b.Burst + above*math.Exp(-fadesInWindow*d.Seconds()/b.Window.Seconds())
-		}
-	}
+	b.fade(now, t)
 	return t
 }
+
+// fade takes away what has faded of the tokens above Burst since they were last looked at.
+func (b *RepeatBudget) fade(now time.Time, t *tokens) {
+	d := now.Sub(t.last)
+	if d <= 0 {
+		return
+	}
+	t.last = now
+	if above := t.level - b.Burst; above > 0 && b.Window > 0 {
+		t.level = b.Burst + above*math.Exp(-fadesInWindow*d.Seconds()/b.Window.Seconds())
+	}
+}
--- /dev/null
+++ b/pkg/overload/repeat_budget_test.go
@@ -0,0 +1,86 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// A repeat is paid at every service that its calls reach.
+func TestRepeatsPayForTheirCalls(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	b := RepeatBudget{Ratio: 0.1, Below: 0.1, Burst: 2}
+	whole := map[string]float64{"top": 1, "low": 4}
+	c.Assert(b.Take(now, whole), qt.IsFalse, qt.Commentf("two tokens don't pay four runs"))
+	for range 50 {
+		b.Earn(now, "top", whole)
+	}
+	c.Assert(b.Take(now, whole), qt.IsTrue)
+	c.Assert(b.Take(now, whole), qt.IsFalse)
+	c.Assert(b.Take(now, map[string]float64{"top": 1}), qt.IsTrue, qt.Commentf("a refused repeat takes nothing"))
+}
+
+// A service that began to refuse half of its calls was gone around for a second only: what had been earned before was
+// lost. In no window is more spent than the bound allows.
+func TestRepeatsAreKeptForAWindow(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const window, step = 10 * time.Second, 100 * time.Millisecond
+		b := RepeatBudget{Ratio: 0.08, Burst: 1, Window: window}
+		now := time.Unix(0, 0)
+		var asked, spent []float64 // by step
+		phase, rate, need := 0, 0, 0.0
+		for i := range 400 {
+			if phase--; phase <= 0 {
+				phase = rapid.IntRange(10, 150).Draw(r, "phase")
+				rate = rapid.IntRange(0, 40).Draw(r, "rate")
+				need = rapid.Float64Range(0, 1).Draw(r, "need")
+			}
+			now = now.Add(step)
+			took := 0.0
+			for range rate {
+				b.Earn(now, "s", map[string]float64{"s": 1})
+			}
+			for range int(need * float64(rate)) {
+				if b.Take(now, map[string]float64{"s": 1}) {
+					took++
+				}
+			}
+			asked, spent = append(asked, float64(rate)), append(spent, took)
+			per := int(window / step)
+			if i < 2*per {
+				continue
+			}
+			most := max(sum(asked[i-per:i]), sum(asked[i-2*per:i-per]))
+			if got := sum(spent[i-per : i]); got > 0.2*most+2 {
+				r.Fatalf("%v spent, at most %v asked in a window", got, most)
+			}
+		}
+	})
+}
+
+// What was earned in calm pays for the first seconds of a fault.
+func TestASuddenFaultCanBePaidFor(t *testing.T) {
+	c := qt.New(t)
+	b := RepeatBudget{Ratio: 0.08, Burst: 1, Window: 10 * time.Second}
+	now, one := time.Unix(0, 0), map[string]float64{"s": 1}
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Earn(now, "s", one)
+	}
+	paid := 0
+	for b.Take(now, one) {
+		paid++
+	}
+	c.Assert(paid > 300, qt.IsTrue, qt.Commentf("%d", paid))
+}
+
+func sum(v []float64) float64 {
+	total := 0.0
+	for _, x := range v {
+		total += x
+	}
+	return total
+}
