--- /dev/null
+++ b/pkg/mesh/admission_plan.go
@@ -0,0 +1,58 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/overload"
+)
+
+// admissionPlan is what requests see of what was learned; it is never changed once published.
+type admissionPlan struct {
+	shares map[string]overload.Share     // by root route
+	inner  map[string]bool               // routes that only backend servers call
+	runs   map[string]map[string]float64 // runs by service of one request of a route, its calls included
+}
+
+// planPeriod is the time between plans.
+const planPeriod = 200 * time.Millisecond
+
+// replan works out the shares from the reports that still count.
+func (n *Node) replan(now time.Time) {
+	n.forgetLoads(now)
+	loads := n.loads()
+	plan := &admissionPlan{inner: n.innerRoutes(loads), runs: make(map[string]map[string]float64)}
+	costs := callgraph.Costs(graphOf(loads), n.placesNow(now, loads))
+	for route, c := range costs {
+		plan.runs[route] = c.Runs
+	}
+	roots, capacity := n.roots(loads, plan, costs), n.capacity()
+	plan.shares = overload.Plan(roots, capacity)
+	n.logPlan(now, plan, roots, capacity)
+	n.plan.Store(plan)
+}
+
+// roots returns the demand for each kind of root request.
+func (n *Node) roots(loads []*loadReport, plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
+	state := n.state.Load()
+	byRoute := map[string]*overload.Root{}
+	for _, r := range loads {
+		for route, e := range r.Entries {
+			if plan.inner[route] {
+				continue
+			}
+			o := byRoute[route]
+			if o == nil {
+				o = &overload.Root{Route: route, Priority: state.Priority(route), Slots: costs[route].Slots}
+				byRoute[route] = o
+			}
+			o.Fresh += e.Fresh
+			o.Returning += e.Returning
+		}
+	}
+	roots := make([]overload.Root, 0, len(byRoute))
+	for _, r := range byRoute {
+		roots = append(roots, *r)
+	}
+	return roots
+}
--- /dev/null
+++ b/pkg/mesh/admission_plan_test.go
@@ -0,0 +1,42 @@
+package mesh
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// A zone that was cut off from the only servers of a service went on to take in requests that need it: the reports
+// of their runs had lapsed, so they seemed to cost nothing there, and all of them failed half-way.
+func TestWhatNeedsAServiceOutOfReachIsRefusedAtItsEntry(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	n := &Node{cfg: settings.Settings{Zone: "a"}, ip: "n"}
+	n.controlLog = slog.New(slog.DiscardHandler)
+	n.metrics.init()
+	n.state.Store(&desired.State{})
+	n.control.zones, n.control.places, n.control.sharesShown = map[string]*zoneLoad{}, map[string]lastPlace{}, map[string]bool{}
+	near, far := &peer{host: "n", zone: "a"}, &peer{host: "f", zone: "b"}
+	n.view.Store(&view{services: map[string][]*peer{"top": {near}, "low": {far}}})
+	own := &loadReport{
+		Host: "n", Service: "top", Room: 10, heard: now.Add(time.Hour),
+		Entries: map[string]entryReport{"root": {Fresh: 10}, "local": {Fresh: 10}},
+		Runs:    map[string]runReport{"root": {Rate: 10, Hold: 0.1, Calls: callgraph.Rates{"called": 2}}, "local": {Rate: 10, Hold: 0.1}},
+	}
+	n.control.reports = map[string]*loadReport{"n": own}
+	low := loadReport{Service: "low", Room: 10, Runs: map[string]runReport{"called": {Rate: 20, Hold: 0.1}}}
+	n.takeZones(now, "f", []packedZone{{Zone: "b", Body: mustPack([]serviceLoad{{Nodes: 1, Load: low}})}})
+	n.replan(now)
+	c.Assert(n.plan.Load().shares["root"].Fresh, qt.Equals, 1.0)
+	n.replan(now.Add(zoneLifeLeast + time.Second))
+	c.Assert(n.plan.Load().shares["root"].Fresh, qt.Equals, 0.0)
+	c.Assert(n.plan.Load().shares["local"].Fresh, qt.Equals, 1.0, qt.Commentf("what needs nothing from there is served"))
+	n.replan(now.Add(zoneLifeLeast + placeLife + 2*time.Second))
+	c.Assert(n.plan.Load().shares["root"].Fresh, qt.Equals, 1.0, qt.Commentf("it may have moved"))
+}
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -11,11 +11,26 @@
 // cost. A request that a server was handed is sent again only if it may be
 // repeated, or if the server itself said that it hasn't run.
 //
-// A request's files, in order: outbound_server.go, request.go, admission.go,
-// choose_server.go, forward.go, peer_protocol.go, inbound_server.go, backend.go,
-// answer.go. The others keep what requests need: node.go and listeners.go,
-// follow_state.go, record_writer.go and sync_records.go, exchange.go and
-// exchange_message.go, load_report.go, stop_state.go, node_metrics.go.
+// A request's files, in order: outbound_server.go, request.go, inner_routes.go,
+// admission.go, choose_server.go, forward.go, repeats.go, peer_protocol.go,
+// inbound_server.go, backend.go, answer.go. What requests need is kept by the
+// others:
+//
+//   - The node itself: node.go and mesh_options.go, listeners.go and network.go,
+//     control_loop.go, stop_state.go, dump.go, peer.go; node_metrics.go with
+//     metric_table.go and metrics_text.go.
+//   - The store: follow_state.go follows the desired state; record_writer.go,
+//     write_records.go and sync_records.go keep the records of VMs.
+//   - Exchanges between nodes: exchange.go, exchange_peers.go,
+//     exchange_message.go, exchange_zone_loads.go, record_news.go.
+//   - Load, from what one node counts to what the mesh knows: traffic_stats.go,
+//     traffic_entries.go, traffic_runs.go and traffic_at_gate.go count,
+//     load_report.go and report_own_load.go tell it to the zone, zone_loads.go
+//     adds up a zone for the others, loads_that_count.go forgets what is old.
+//   - The plan of admission: learned_graph.go, places_of_routes.go and
+//     capacity_of_services.go are what admission_plan.go works from,
+//     admission_log.go shows it. keep_learned.go keeps what was learned beyond
+//     the process.
 //
 // One goroutine owns the control state (control_loop.go) and publishes a view;
 // requests read the view and never lock control state.
--- a/pkg/mesh/load_report.go
+++ b/pkg/mesh/load_report.go
@@ -42,14 +42,3 @@
 	}
 	return r.Seq > old.Seq
 }
-
-// The time for which a report counts without a newer one: a node that is cut off is forgotten by then.
-const (
-	reportLifeLeast = 3 * time.Second
-	// reportLifeTalks is the same in exchanges, which are rarer in a larger mesh: enough for news to reach all.
-	reportLifeTalks = 6
-	// zoneLifeLeast and zoneLifeTalks are the same for the sum of another zone, of which something is heard
-	// several times a second: once it is cut off its servers must not be planned with.
-	zoneLifeLeast = 2500 * time.Millisecond
-	zoneLifeTalks = 7
-)
--- /dev/null
+++ b/pkg/mesh/loads_that_count.go
@@ -0,0 +1,60 @@
+package mesh
+
+import "time"
+
+// The time for which a report counts without a newer one: a node that is cut off is forgotten by then.
+const (
+	reportLifeLeast = 3 * time.Second
+	// reportLifeTalks is the same in exchanges, which are rarer in a larger mesh: enough for news to reach all.
+	reportLifeTalks = 6
+	// zoneLifeLeast and zoneLifeTalks are the same for the sum of another zone, of which something is heard
+	// several times a second: once it is cut off its servers must not be planned with.
+	zoneLifeLeast = 2500 * time.Millisecond
+	zoneLifeTalks = 7
+)
+
+// takeReports takes over reports of other nodes that are newer than those held.
+func (n *Node) takeReports(now time.Time, from string, reports []packedReport) {
+	for _, p := range reports {
+		r := &loadReport{Host: p.Host, Epoch: p.Epoch, Seq: p.Seq}
+		if r.Host == n.ip || !r.newer(n.control.reports[r.Host]) {
+			continue
+		}
+		if err := unpack(p.Body, r); err != nil {
+			n.controlLog.Warn("report can't be read", "peer", from, "host", p.Host, "err", err)
+			continue
+		}
+		r.Host, r.Epoch, r.Seq, r.heard, r.packed = p.Host, p.Epoch, p.Seq, now, p.Body
+		n.control.reports[r.Host] = r
+	}
+}
+
+// forgetLoads drops what is too old to count.
+func (n *Node) forgetLoads(now time.Time) {
+	life := max(reportLifeLeast, reportLifeTalks*n.talkPeriod())
+	for host, r := range n.control.reports {
+		if now.Sub(r.heard) > life {
+			delete(n.control.reports, host)
+		}
+	}
+	zoneLife := max(zoneLifeLeast, zoneLifeTalks*n.talkPeriod())
+	for _, z := range n.control.zones {
+		if now.Sub(z.made) > zoneLife {
+			z.services = nil // the zone stays known as one that was heard
+		}
+	}
+}
+
+// loads returns the reports of this zone's nodes and the sums of the others, one for each service and zone.
+func (n *Node) loads() []*loadReport {
+	all := make([]*loadReport, 0, len(n.control.reports)+len(n.control.zones))
+	for _, r := range n.control.reports {
+		all = append(all, r)
+	}
+	for _, z := range n.control.zones {
+		for i := range z.services {
+			all = append(all, &z.services[i].Load)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/pkg/mesh/report_own_load.go
@@ -0,0 +1,46 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/gate"
+)
+
+// The constants of a server to which more comes than it can take.
+const (
+	// backlogTime is the time in which what waits at a gate is to be worked off, beside what comes.
+	backlogTime = 500 * time.Millisecond
+	// turnedWeight of the slots that refused calls would take count: a call may be refused by several servers.
+	turnedWeight = 0.5
+	// leastCapacity is the share of a server's slots that is planned for whatever waits there.
+	leastCapacity = 0.3
+)
+
+// reportOwn takes this node's own counts.
+func (n *Node) reportOwn(now time.Time) {
+	r := n.stats.report(now)
+	own := n.control.own.Record()
+	r.Host, r.Epoch, r.Service = n.ip, n.epoch, own.Service
+	n.control.reportSeq++
+	r.Seq = n.control.reportSeq
+	n.gateMu.Lock()
+	g := n.gate.Read()
+	n.gateMu.Unlock()
+	n.control.room.Observe(now, n.stats.turnedAwayShare(now))
+	r.Room = round(n.control.room.Part() * max(g.Limit-n.excess(now, g), leastCapacity*g.Limit))
+	r.heard = now
+	body, err := pack(r)
+	if err != nil {
+		n.controlLog.Error("report can't be written", "err", err)
+		return
+	}
+	r.packed = body
+	n.control.reports[r.Host] = &r
+}
+
+// excess returns the slots by which more comes to the own server than planned for, whatever the reason:
+// what waits has to be worked off, and calls that the gate refuses belong to roots that were admitted.
+func (n *Node) excess(now time.Time, g gate.Reading) float64 {
+	waiting := float64(g.Queued) / backlogTime.Seconds()
+	return (waiting + turnedWeight*n.stats.turnedAwayRate(now)) * g.Hold.Seconds()
+}
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -34,7 +34,7 @@
 		if n.readRecords(ctx) {
 			wait = storeRetryFirst
 		} else {
-			n.records.mayWrite()
+			n.records.noteFirstRead()
 			pause = jitter(wait)
 			wait = min(2*wait, storeRetryMost)
 		}
@@ -56,7 +56,7 @@
 	n.do(func() {
 		n.noteStored(stored.Records)
 		n.merge("store", stored.Records)
-		n.records.mayWrite()
+		n.records.noteFirstRead()
 		n.announce()
 	})
 	return true
