--- a/pkg/mesh/learned_graph.go
+++ b/pkg/mesh/learned_graph.go
@@ -2,15 +2,13 @@
 
 import "github.com/rockspoke/rockspoke/pkg/callgraph"
 
+// runKey names the runs of one route at the servers of one service.
+type runKey struct{ service, route string }
+
 // graphOf returns the calls that one run makes, averaged over the servers of its service by their runs.
 func graphOf(loads []*loadReport) callgraph.Graph {
 	g := callgraph.Graph{}
-	rates := map[[2]string]float64{}
-	for _, r := range loads {
-		for route, run := range r.Runs {
-			rates[[2]string{r.Service, route}] += run.Rate
-		}
-	}
+	rates := runRates(loads)
 	for _, r := range loads {
 		if g[r.Service] == nil {
 			g[r.Service] = map[string]callgraph.Rates{}
@@ -20,9 +18,20 @@
 				g[r.Service][route] = callgraph.Rates{}
 			}
 			for called, k := range run.Calls {
-				g[r.Service][route][called] += k * run.Rate / rates[[2]string{r.Service, route}]
+				g[r.Service][route][called] += k * run.Rate / rates[runKey{r.Service, route}]
 			}
 		}
 	}
 	return g
 }
+
+// runRates returns the runs a second of all servers of a service.
+func runRates(loads []*loadReport) map[runKey]float64 {
+	rates := map[runKey]float64{}
+	for _, r := range loads {
+		for route, run := range r.Runs {
+			rates[runKey{r.Service, route}] += run.Rate
+		}
+	}
+	return rates
+}
