--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -27,24 +26,6 @@
 	queued  bool
 }
 
-// The gate's constants.
-const (
-	// limitShare of the slots are used: servers slow down when they are nearly full.
-	limitShare = 0.92
-	// holdGain is the weight of one request in the smoothed time for which a slot is held.
-	holdGain = 0.05
-	// rootWaitLeast is the longest wait of a root request where the holding time isn't known.
-	rootWaitLeast = 60 * time.Millisecond
-	// rootWaitHolds is the longest wait of a root request in holding times: longer queues only add delay.
-	rootWaitHolds = 1.5
-	// innerWaitLeast and innerWaitHolds are the same for calls of running requests, which lose more: with
-	// longer waits at each of several calls the whole request is late.
-	innerWaitLeast = 100 * time.Millisecond
-	innerWaitHolds = 4
-	// successGain is the weight of one answer in the smoothed share of good answers.
-	successGain = 0.05
-)
-
 // Reading is a Gate's state.
 type Reading struct {
 	Limit   float64       `json:"limit"`
@@ -55,6 +36,9 @@
 	Shed    float64       `json:"shed"`    // share of requests that the server itself refused
 }
 
+// limitShare of the slots are used: servers slow down when they are nearly full.
+const limitShare = 0.92
+
 // Gate decides for one backend server; it isn't safe for concurrent use.
 type Gate struct {
 	slots   int
@@ -116,97 +100,8 @@
 	return Verdict{Queued: true}
 }
 
-// evict refuses the last ones, whose wait has become too long by those that went before them.
-func (g *Gate) evict(now time.Time) {
-	for n := len(g.queue); n > 1; n = len(g.queue) {
-		last := g.queue[n-1]
-		waited := now.Sub(last.arrived)
-		if g.wait(n-1)+waited <= 2*g.longestWait(last, last.Deadline.Sub(last.arrived)) {
-			return
-		}
-		g.queue = g.queue[:n-1]
-		last.queued = false
-		last.Notify(Verdict{Reason: wire.ReasonQueue})
-	}
-}
-
-// compare orders tickets by when they are due.
-func compare(a, b *Ticket) int {
-	return cmp.Or(a.due().Compare(b.due()), cmp.Compare(a.order, b.order))
-}
-
-// The lead and the lag in the order of tickets. A root was admitted for this server, so it isn't left behind
-// for as long as calls, or more urgent roots, keep coming.
-const (
-	// innerLead is how much earlier a call of a running request counts as come: the work above it waits.
-	innerLead = 40 * time.Millisecond
-	// priorityLag is how much later a root counts as come for each step of urgency that it lacks.
-	priorityLag = 20 * time.Millisecond
-)
-
-// due is the time as of which a ticket counts as come.
-func (t *Ticket) due() time.Time {
-	if t.Inner {
-		return t.arrived.Add(-innerLead)
-	}
-	return t.arrived.Add(time.Duration(t.Priority) * priorityLag)
-}
-
-// wait is the time after which a ticket at the place would start.
-func (g *Gate) wait(place int) time.Duration {
-	return time.Duration(float64(place+1) * float64(g.hold) / max(g.limit, 1))
-}
-
-// longestWait is how long the ticket may wait: a root for a short time, a call longer, and neither so long
-// that it couldn't end in time.
-func (g *Gate) longestWait(t *Ticket, left time.Duration) time.Duration {
-	least, holds := rootWaitLeast, rootWaitHolds
-	if t.Inner {
-		least, holds = innerWaitLeast, innerWaitHolds
-	}
-	return min(left-g.hold, max(least, time.Duration(holds*float64(g.hold))))
-}
-
 func (g *Gate) room() bool { return float64(g.running) < max(g.limit, 1) }
 
-// Outcome is how a started request ended at the server.
-type Outcome uint8
-
-// The outcomes.
-const (
-	Answered Outcome = iota + 1 // with an answer of its work
-	Failed                      // with an error, or without a whole answer
-	Shed                        // the server refused it
-	Left                        // the caller gave up
-)
-
-// Done notes that a started request has ended after it held its slot.
-func (g *Gate) Done(now time.Time, held time.Duration, o Outcome) {
-	g.running--
-	if o != Left {
-		g.shed -= successGain * g.shed
-	}
-	switch o {
-	case Answered:
-		g.observe(held)
-		g.success += successGain * (1 - g.success)
-	case Failed:
-		g.success -= successGain * g.success
-	case Shed:
-		g.shed += successGain
-		// The limit stays: a server that is never filled by us refuses for a fault of its own, whatever its load.
-	case Left:
-	}
-	g.drain(now)
-}
-
-func (g *Gate) observe(held time.Duration) {
-	if g.hold == 0 {
-		g.hold = held
-	}
-	g.hold += time.Duration(holdGain * float64(held-g.hold))
-}
-
 // drain starts queued tickets while there is room.
 func (g *Gate) drain(now time.Time) {
 	for len(g.queue) > 0 && g.room() {
@@ -222,24 +117,6 @@
 	}
 }
 
-// Expire refuses queued tickets that can't end in time any more.
-func (g *Gate) Expire(now time.Time) {
-	kept := g.queue[:0]
-	var late []*Ticket
-	for _, t := range g.queue {
-		if t.Deadline.Sub(now) <= g.hold/2 {
-			late = append(late, t)
-		} else {
-			kept = append(kept, t)
-		}
-	}
-	g.queue = kept
-	for _, t := range late {
-		t.queued = false
-		t.Notify(Verdict{Reason: wire.ReasonDeadline})
-	}
-}
-
 // Cancel withdraws a queued ticket; it reports false if the ticket isn't queued any more.
 func (g *Gate) Cancel(t *Ticket) bool {
 	if !t.queued {
--- /dev/null
+++ b/pkg/gate/run_outcome.go
@@ -0,0 +1,50 @@
+package gate
+
+import "time"
+
+// The weights of one run in what is known of the server.
+const (
+	// holdGain is the weight of one request in the smoothed time for which a slot is held.
+	holdGain = 0.05
+	// successGain is the weight of one answer in the smoothed share of good answers.
+	successGain = 0.05
+)
+
+// Outcome is how a started request ended at the server.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Answered Outcome = iota + 1 // with an answer of its work
+	Failed                      // with an error, or without a whole answer
+	Shed                        // the server refused it
+	Left                        // the caller gave up
+)
+
+// Done notes that a started request has ended after it held its slot.
+func (g *Gate) Done(now time.Time, held time.Duration, o Outcome) {
+	g.running--
+	if o != Left {
+		g.shed -= successGain * g.shed
+	}
+	switch o {
+	case Answered:
+		g.observe(held)
+		g.success += successGain * (1 - g.success)
+	case Failed:
+		g.success -= successGain * g.success
+	case Shed:
+		g.shed += successGain
+		// The limit stays: a server that is never filled by us refuses for a fault of its own, whatever its load.
+	case Left:
+	}
+	g.drain(now)
+}
+
+// observe counts the time for which a run held its slot.
+func (g *Gate) observe(held time.Duration) {
+	if g.hold == 0 {
+		g.hold = held
+	}
+	g.hold += time.Duration(holdGain * float64(held-g.hold))
+}
