--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -33,7 +33,7 @@
 	}}
 }
 
-// run sends requests at the rate until ctx ends, and returns when all have ended.
+// run sends requests at the rate until ctx ends; those in progress then go on.
 func (c *caller) run(ctx context.Context, rate float64) {
 	s := c.vm.site
 	for clock.Sleep(ctx, time.Duration(c.rnd.ExpFloat64()/rate*float64(time.Second))) {
@@ -43,12 +43,12 @@
 			ID: fmt.Sprintf("%s-%d-%d", c.vm.service, c.vm.number, c.count), Route: r.path, Service: r.service,
 			Once: r.once, VM: c.vm.ip, Limit: callerLimit, Probe: r.probe,
 		}
-		s.running.Go(func() {
+		go func() {
 			a.Begun = time.Now()
 			c.send(&a)
 			a.Ended = time.Now()
 			s.history.addAttempt(a)
-		})
+		}()
 	}
 }
 
--- a/pkg/soak/doc.go
+++ b/pkg/soak/doc.go
@@ -2,13 +2,18 @@
 // faults from outside them in a random, seeded order, and checks from what
 // callers and backend servers see that the promises hold.
 //
-// site.go lays out the VMs: each has an address, a backend server of the soak
-// (backend_server.go), a process of rockspoked (node_process.go) and callers
-// (caller.go). All connections between nodes, to backend servers and to the
-// store go through link_proxy.go, which delays, resets, mutes or cuts them one
-// way. fault_table.go lists the kinds of fault, fault_links.go,
-// fault_processes.go, fault_servers.go, fault_store.go and planned_work.go
-// hold them. history.go keeps what was seen, promise_checks.go judges it.
+// soak_main.go reads the command line, seed_list.go and run_seeds.go run its
+// seeds, soak.go runs one of them and run_report.go tells what it showed.
+//
+// site.go lays out the VMs, site_start.go starts what is on them: each has an
+// address, a backend server of the soak (backend_server.go and
+// backend_answers.go), a process of rockspoked (node_process.go) and callers
+// (caller.go). site_routes.go has the services and their routes. All connections
+// between nodes, to backend servers and to the store go through link_proxy.go,
+// which delays, resets, mutes or cuts them one way. fault_table.go lists the
+// kinds of fault, fault_links.go, fault_processes.go, fault_servers.go,
+// fault_store.go and planned_work.go hold them. history.go keeps what was seen,
+// promise_checks.go judges it.
 //
 // The time of day can't be moved from outside a process without powers that
 // the soak doesn't use, so clocks that jump aren't injected.
--- /dev/null
+++ b/pkg/soak/run_seeds.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+)
+
+// runSeeds runs seeds, some beside each other, and prints each report.
+func runSeeds(ctx context.Context, o Options, seeds []uint64, atOnce int, w io.Writer) error {
+	var mu sync.Mutex
+	var failed []uint64
+	var all sync.WaitGroup
+	networks := make(chan int, atOnce)
+	for i := range atOnce {
+		networks <- i + 1
+	}
+	var firstErr error
+	for _, seed := range seeds {
+		network := <-networks
+		all.Go(func() {
+			defer func() { networks <- network }()
+			r, err := runSeed(ctx, o, seed, network)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				firstErr = errors.Join(firstErr, fmt.Errorf("seed %d: %w", seed, err))
+				return
+			}
+			if len(r.Broken) > 0 {
+				failed = append(failed, seed)
+			}
+			fmt.Fprint(w, r.Text())
+		})
+	}
+	all.Wait()
+	fmt.Fprintf(w, "%d seeds run, %d with broken promises %v\n", len(seeds), len(failed), failed)
+	if len(failed) > 0 {
+		return errors.Join(firstErr, &FoundError{failed})
+	}
+	return firstErr
+}
+
+// runSeed runs one seed in a folder of its own.
+func runSeed(ctx context.Context, o Options, seed uint64, network int) (Report, error) {
+	o.Seed, o.Network = seed, network
+	o.Dir = filepath.Join(o.Dir, strconv.FormatUint(seed, 10))
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return Report{}, err
+	}
+	f, err := os.Create(filepath.Join(o.Dir, "faults.log"))
+	if err != nil {
+		return Report{}, err
+	}
+	defer f.Close()
+	o.Log = f
+	return Run(ctx, o)
+}
+
+// FoundError reports that runs broke promises.
+type FoundError struct{ Seeds []uint64 }
+
+// Error names the seeds.
+func (e *FoundError) Error() string {
+	return fmt.Sprintf("promises were broken with seeds %v", e.Seeds)
+}
--- /dev/null
+++ b/pkg/soak/site_routes.go
@@ -0,0 +1,87 @@
+package soak
+
+import (
+	"math/rand/v2"
+
+	"github.com/rockspoke/rockspoke/platform/standin"
+)
+
+// routeHost is the host of all routes.
+const routeHost = "soak.example"
+
+// The services, of which the VMs have one each in turn; front calls back.
+const (
+	serviceFront = "front"
+	serviceBill  = "bill"
+	serviceBack  = "back"
+)
+
+// route is one that callers use.
+type route struct {
+	path, service string
+	once          bool
+	probe         bool // was added or dropped during the run
+}
+
+// The routes that stay.
+var (
+	routeRead = route{path: "/read/", service: serviceFront}
+	routePay  = route{path: "/pay/", service: serviceBill, once: true}
+	routePull = route{path: "/pull/", service: serviceBack}
+	routeCall = route{path: "/call/", service: serviceBack}
+)
+
+// changeState puts a newer desired state in force: with the given routes besides those that stay.
+func (s *site) changeState(routes []route) error {
+	s.routesMu.Lock()
+	defer s.routesMu.Unlock()
+	s.version += 1 + rand.Int64N(5)
+	var all []standin.Route
+	for _, r := range append([]route{routeRead, routePay, routePull, routeCall}, routes...) {
+		all = append(all, standin.Route{
+			Name: "r" + r.path, Host: routeHost, Prefix: r.path, Service: r.service, Once: r.once,
+			Priority: 1, MaxAttempts: 3, Timeout: 3 * callerLimit,
+		})
+	}
+	row, err := standin.StateRow(s.version, all)
+	if err != nil {
+		return err
+	}
+	s.store.Put(row)
+	s.routes = routes
+	return nil
+}
+
+// The share of requests for each route; the rest goes to routes that change.
+const (
+	shareRead = 0.4
+	sharePay  = 0.35
+	sharePull = 0.2
+)
+
+// pick draws the route of a request.
+func (s *site) pick(rnd *rand.Rand) route {
+	x := rnd.Float64()
+	switch {
+	case x < shareRead:
+		return routeRead
+	case x < shareRead+sharePay:
+		return routePay
+	case x < shareRead+sharePay+sharePull:
+		return routePull
+	}
+	s.routesMu.Lock()
+	defer s.routesMu.Unlock()
+	if len(s.routes) == 0 {
+		return routePull
+	}
+	return s.routes[rnd.IntN(len(s.routes))]
+}
+
+// callOf returns the path that a run of the service calls, or "".
+func (s *site) callOf(service string) string {
+	if service == serviceFront {
+		return routeCall.path
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/soak/site_start.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rockspoke/rockspoke/platform/standin"
+)
+
+// start starts everything but the callers.
+func (s *site) start(ctx context.Context) error {
+	storeReal := net.JoinHostPort(s.storeIP, strconv.Itoa(portStoreReal))
+	if err := serveHTTP(ctx, storeReal, &s.store); err != nil {
+		return err
+	}
+	if err := s.proxy.serve(ctx, net.JoinHostPort(s.storeIP, strconv.Itoa(portStore)), storeReal, s.storeIP); err != nil {
+		return err
+	}
+	for _, v := range s.vms {
+		if err := v.start(ctx); err != nil {
+			return err
+		}
+	}
+	return s.changeState(nil)
+}
+
+// start starts a VM's backend server, proxies and process.
+func (v *vm) start(ctx context.Context) error {
+	if err := serveHTTP(ctx, v.at(portBackendReal), v.server); err != nil {
+		return err
+	}
+	if err := v.site.proxy.serve(ctx, v.at(portBackend), v.at(portBackendReal), v.serverLink().to); err != nil {
+		return err
+	}
+	if err := v.site.proxy.serve(ctx, v.at(portPeers), v.at(portPeersReal), v.ip); err != nil {
+		return err
+	}
+	if err := v.node.start(); err != nil {
+		return err
+	}
+	go v.server.keepBeating(ctx)
+	return nil
+}
+
+// serveHTTP serves an address until ctx ends.
+func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: callerLimit, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(ln) }() // it ends when it is closed
+	return nil
+}
+
+// startTime bounds the start of all nodes.
+const startTime = 20 * time.Second
+
+// ready waits until every node serves.
+func (s *site) ready() error {
+	for _, v := range s.vms {
+		client := clientFrom(v.ip, registerTime)
+		for end := time.Now().Add(startTime); ; time.Sleep(mutedPoll) {
+			res, err := client.Get("http://" + v.at(portControl) + standin.ReadyPath)
+			if err == nil {
+				_ = res.Body.Close()
+				if res.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				return fmt.Errorf("%s isn't ready after %v: %w", v.ip, startTime, err)
+			}
+		}
+	}
+	return nil
+}
+
+// end kills the processes that the soak started.
+func (s *site) end() {
+	s.ending.Store(true)
+	for _, v := range s.vms {
+		v.node.end()
+	}
+}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
@@ -24,32 +22,6 @@
 	Log     io.Writer
 }
 
-// Report is what a run showed.
-type Report struct {
-	Seed     uint64
-	Requests int
-	Served   int
-	Faults   map[string]int // by kind
-	Broken   []Finding
-}
-
-// Text is the report in a few lines.
-func (r Report) Text() string {
-	text := fmt.Sprintf("seed %d: %d of %d requests served, faults %v\n", r.Seed, r.Served, r.Requests, r.Faults)
-	shown := map[string]int{}
-	for _, f := range r.Broken {
-		if shown[f.Promise]++; shown[f.Promise] <= mostShown {
-			text += fmt.Sprintf("  broken: %s: %s\n", f.Promise, f.What)
-		}
-	}
-	for promise, n := range shown {
-		if n > mostShown {
-			text += fmt.Sprintf("  broken: %s: %d more\n", promise, n-mostShown)
-		}
-	}
-	return text
-}
-
 // Run runs one seed; the error says why it couldn't be run.
 func Run(ctx context.Context, o Options) (Report, error) {
 	s, err := newSite(o)
@@ -71,7 +43,7 @@
 	defer stop()
 	for i, v := range s.vms {
 		c := &caller{vm: v, client: clientFrom(v.ip, callerLimit+lateTime), rnd: rand.New(rand.NewPCG(o.Seed, uint64(i+2)))}
-		s.running.Go(func() { c.run(callers, o.Rate) })
+		go c.run(callers, o.Rate)
 	}
 	s.play(ctx, schedule(o.Seed, o.Faulty), begun)
 	calmFrom := time.Now()
@@ -99,31 +71,3 @@
 		<-done
 	}
 }
-
-// end kills the processes that the soak started.
-func (s *site) end() {
-	s.ending.Store(true)
-	for _, v := range s.vms {
-		v.node.end()
-	}
-}
-
-// report judges the run.
-func (s *site) report(calmFrom time.Time) Report {
-	h := &s.history
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	r := Report{Seed: s.opts.Seed, Requests: len(h.attempts), Faults: map[string]int{}, Broken: slices.Clone(h.broken)}
-	for _, a := range h.attempts {
-		if a.Own {
-			r.Served++
-		}
-	}
-	for _, d := range h.disturbances {
-		r.Faults[d.Kind]++
-	}
-	for _, c := range checks {
-		r.Broken = append(r.Broken, c(h, calmFrom)...)
-	}
-	return r
-}
