--- a/pkg/soak/fault_links.go
+++ b/pkg/soak/fault_links.go
@@ -39,35 +39,35 @@
 	over()
 }
 
-func delayLinks(s *site, rnd *rand.Rand, d time.Duration) {
+func delayLinks(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	v := s.some(rnd)
 	f := linkFault{Delay: time.Duration(rnd.Float64() * float64(mostDelay))}
-	s.holdLinks("link delayed", s.vms, linksOf(v, s.vms), f, d)
+	s.holdLinks(kind, s.vms, linksOf(v, s.vms), f, d)
 }
 
-func resetLinks(s *site, rnd *rand.Rand, _ time.Duration) {
-	over := s.history.begin("link reset", false)
+func resetLinks(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
+	over := s.history.begin(kind, false)
 	for _, l := range linksOf(s.some(rnd), s.vms) {
 		s.proxy.reset(l)
 	}
 	over()
 }
 
-func cutLinks(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdLinks("link cut", s.vms, linksOf(s.some(rnd), s.vms), linkFault{Mute: true, MuteBack: true}, d)
+func cutLinks(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdLinks(kind, s.vms, linksOf(s.some(rnd), s.vms), linkFault{Mute: true, MuteBack: true}, d)
 }
 
-func cutOneWay(s *site, rnd *rand.Rand, d time.Duration) {
+func cutOneWay(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	v := s.oneOf(rnd)
 	var links []link
 	for _, o := range s.vms {
 		links = append(links, link{v.ip, o.ip})
 	}
-	s.holdLinks("link cut one way", s.vms, links, linkFault{Mute: true}, d)
+	s.holdLinks(kind, s.vms, links, linkFault{Mute: true}, d)
 }
 
 // cutZone cuts a zone off from the others and from the store.
-func cutZone(s *site, rnd *rand.Rand, d time.Duration) {
+func cutZone(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	zone := s.oneOf(rnd).zone
 	var in, out []*vm
 	for _, v := range s.vms {
@@ -81,21 +81,21 @@
 	for _, v := range in {
 		links = append(links, link{v.ip, s.storeIP})
 	}
-	s.holdLinks("zone cut off", s.vms, links, linkFault{Mute: true, MuteBack: true}, d)
+	s.holdLinks(kind, s.vms, links, linkFault{Mute: true, MuteBack: true}, d)
 }
 
-func resetServerLink(s *site, rnd *rand.Rand, _ time.Duration) {
+func resetServerLink(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	v := s.oneOf(rnd)
-	over := s.history.begin("server link reset", false)
+	over := s.history.begin(kind, false)
 	s.proxy.reset(v.serverLink())
 	over()
 }
 
-func cutStoreLink(s *site, rnd *rand.Rand, d time.Duration) {
+func cutStoreLink(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	v := s.some(rnd)
 	var links []link
 	for _, x := range v {
 		links = append(links, link{x.ip, s.storeIP})
 	}
-	s.holdLinks("store link cut", v, links, linkFault{Mute: true, MuteBack: true}, d)
+	s.holdLinks(kind, v, links, linkFault{Mute: true, MuteBack: true}, d)
 }
--- a/pkg/soak/fault_processes.go
+++ b/pkg/soak/fault_processes.go
@@ -11,25 +11,25 @@
 const restartPause = 200 * time.Millisecond
 
 // pauseNode stops a process for a time, as a machine that freezes.
-func pauseNode(s *site, rnd *rand.Rand, d time.Duration) {
+func pauseNode(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	v := s.oneOf(rnd)
-	over := s.history.begin("process paused", false)
+	over := s.history.begin(kind, false)
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	v.signal(syscall.SIGCONT)
 	over()
 }
 
-func killNode(s *site, rnd *rand.Rand, d time.Duration) {
-	s.killAll("process killed", []*vm{s.oneOf(rnd)}, d)
+func killNode(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.killAll(kind, []*vm{s.oneOf(rnd)}, d)
 }
 
-func killMany(s *site, rnd *rand.Rand, d time.Duration) {
+func killMany(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	vms := s.some(rnd)
 	if rnd.IntN(2) == 0 {
 		vms = s.vms
 	}
-	s.killAll("many processes killed", vms, min(d, time.Second))
+	s.killAll(kind, vms, min(d, time.Second))
 }
 
 // killAll kills processes and starts them again after a time.
--- a/pkg/soak/fault_servers.go
+++ b/pkg/soak/fault_servers.go
@@ -14,22 +14,22 @@
 	over()
 }
 
-func slowServer(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdServer("server slow", s.oneOf(rnd), serverFault{Slow: 2 + rnd.IntN(20)}, d)
+func slowServer(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdServer(kind, s.oneOf(rnd), serverFault{Slow: 2 + rnd.IntN(20)}, d)
 }
 
-func failServer(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdServer("server fails", s.oneOf(rnd), serverFault{Fail: rnd.Float64()}, d)
+func failServer(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdServer(kind, s.oneOf(rnd), serverFault{Fail: rnd.Float64()}, d)
 }
 
-func shedServer(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdServer("server refuses", s.oneOf(rnd), serverFault{Shed: rnd.Float64()}, d)
+func shedServer(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdServer(kind, s.oneOf(rnd), serverFault{Shed: rnd.Float64()}, d)
 }
 
-func cutAnswers(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdServer("server loses answers", s.oneOf(rnd), serverFault{Cut: rnd.Float64() / 2}, d)
+func cutAnswers(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdServer(kind, s.oneOf(rnd), serverFault{Cut: rnd.Float64() / 2}, d)
 }
 
-func extraBytes(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdServer("server sends too much", s.oneOf(rnd), serverFault{Extra: rnd.Float64() / 2}, d)
+func extraBytes(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdServer(kind, s.oneOf(rnd), serverFault{Extra: rnd.Float64() / 2}, d)
 }
--- a/pkg/soak/fault_store.go
+++ b/pkg/soak/fault_store.go
@@ -24,23 +24,23 @@
 	over()
 }
 
-func refuseAtStore(s *site, rnd *rand.Rand, d time.Duration) {
+func refuseAtStore(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[rnd.IntN(2)]
-	s.holdStore("store refuses", s.some(rnd), standin.Fault{Status: status}, d)
+	s.holdStore(kind, s.some(rnd), standin.Fault{Status: status}, d)
 }
 
-func silenceStore(s *site, _ *rand.Rand, d time.Duration) {
-	s.holdStore("store silent", s.vms, standin.Fault{Silent: true}, d)
+func silenceStore(s *site, kind string, _ *rand.Rand, d time.Duration) {
+	s.holdStore(kind, s.vms, standin.Fault{Silent: true}, d)
 }
 
-func slowStore(s *site, _ *rand.Rand, d time.Duration) {
-	s.holdStore("store slow", s.vms, standin.Fault{Delay: slowAnswer}, d)
+func slowStore(s *site, kind string, _ *rand.Rand, d time.Duration) {
+	s.holdStore(kind, s.vms, standin.Fault{Delay: slowAnswer}, d)
 }
 
-func loseStoreAnswers(s *site, rnd *rand.Rand, d time.Duration) {
-	s.holdStore("store loses answers", s.some(rnd), standin.Fault{LoseAnswer: true}, d)
+func loseStoreAnswers(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	s.holdStore(kind, s.some(rnd), standin.Fault{LoseAnswer: true}, d)
 }
 
-func forgetStoreHistory(s *site, rnd *rand.Rand, _ time.Duration) {
-	s.holdStore("store forgets", s.some(rnd), standin.Fault{Forget: true}, faultLeast)
+func forgetStoreHistory(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
+	s.holdStore(kind, s.some(rnd), standin.Fault{Forget: true}, faultLeast)
 }
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -10,8 +10,8 @@
 type fault struct {
 	name    string
 	planned bool
-	// run injects it for about the given time and returns when it is over.
-	run func(s *site, rnd *rand.Rand, d time.Duration)
+	// run injects it, which the history knows by its kind, for about the given time and returns when it is over.
+	run func(s *site, kind string, rnd *rand.Rand, d time.Duration)
 }
 
 // faults lists all kinds.
--- a/pkg/soak/planned_work.go
+++ b/pkg/soak/planned_work.go
@@ -8,17 +8,17 @@
 )
 
 // stopNode stops a process in order and starts it again.
-func stopNode(s *site, rnd *rand.Rand, _ time.Duration) {
+func stopNode(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	v := s.oneOf(rnd)
-	over := s.history.begin("process stopped", true, v.ip)
+	over := s.history.begin(kind, true, v.ip)
 	v.restart(syscall.SIGTERM, restartPause)
 	over()
 }
 
 // reloadNode has a process read its settings again, once or twice in a row.
-func reloadNode(s *site, rnd *rand.Rand, _ time.Duration) {
+func reloadNode(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	v := s.oneOf(rnd)
-	over := s.history.begin("settings read again", true, v.ip)
+	over := s.history.begin(kind, true, v.ip)
 	defer over()
 	if !v.node.restarting.TryLock() {
 		return // nothing is there to be told
@@ -30,9 +30,9 @@
 }
 
 // leaveServer lets a backend server drain, end and come back as a new one.
-func leaveServer(s *site, rnd *rand.Rand, _ time.Duration) {
+func leaveServer(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	v := s.oneOf(rnd)
-	over := s.history.begin("server leaves", true, v.ip)
+	over := s.history.begin(kind, true, v.ip)
 	defer over()
 	v.server.leave()
 	time.Sleep(drainTime + faultLeast)
@@ -40,8 +40,8 @@
 }
 
 // changeRoutes adds a route and drops the one before.
-func changeRoutes(s *site, rnd *rand.Rand, _ time.Duration) {
-	over := s.history.begin("state changed", true)
+func changeRoutes(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
+	over := s.history.begin(kind, true)
 	defer over()
 	added := route{path: fmt.Sprintf("/n%d/", rnd.Uint32()), service: serviceBack, probe: true}
 	s.routesMu.Lock()
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -63,7 +63,7 @@
 		clock.Sleep(ctx, time.Until(begun.Add(e.at)))
 		s.log.Info("fault", "kind", e.fault.name, "at", e.at, "lasts", e.lasts)
 		go func() {
-			e.fault.run(s, rand.New(rand.NewPCG(e.seed, 1)), e.lasts)
+			e.fault.run(s, e.fault.name, rand.New(rand.NewPCG(e.seed, 1)), e.lasts)
 			done <- struct{}{}
 		}()
 	}
