--- a/pkg/mesh/traffic_entries.go
+++ b/pkg/mesh/traffic_entries.go
@@ -6,6 +6,7 @@
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
+// entryStats counts the requests of one route that begin on this VM.
 type entryStats struct {
 	fresh, returning overload.DecayingRate
 	longest          time.Duration // most time that a client of this route ever had left
--- a/pkg/mesh/traffic_runs.go
+++ b/pkg/mesh/traffic_runs.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
+// runStats counts the runs of one route at the server on this VM.
 type runStats struct {
 	rate overload.DecayingRate
 	held overload.DecayingRate // seconds held
--- a/pkg/soak/soak_main.go
+++ b/pkg/soak/soak_main.go
@@ -24,37 +24,26 @@
 	mostAtOnce    = 20
 )
 
+// command is what the command line asks for.
+type command struct {
+	opts   Options
+	seeds  int
+	first  uint64
+	failed bool
+	atOnce int
+	stdout io.Writer
+}
+
 // Main runs the command and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	var o Options
-	fs := flag.NewFlagSet("rockspoke-soak", flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	fs.StringVar(&o.Program, "program", "bin/rockspoked", "path of rockspoked")
-	fs.StringVar(&o.Dir, "dir", filepath.Join(os.TempDir(), "rockspoke-soak"), "folder for settings and logs")
-	fs.IntVar(&o.VMs, "vms", defaultVMs, "VMs, with a backend server and a process each")
-	fs.Float64Var(&o.Rate, "rate", defaultRate, "requests a second into each VM")
-	fs.DurationVar(&o.Faulty, "faulty", defaultFaulty, "time in which faults begin")
-	fs.DurationVar(&o.Calm, "calm", defaultCalm, "time without faults afterwards")
-	seeds := fs.Int("seeds", defaultSeeds, "how many seeds to run, if none are named")
-	first := fs.Uint64("first", 0, "first seed; 0 draws one")
-	failed := fs.Bool("failed", false, "run the seeds that ever broke a promise")
-	atOnce := fs.Int("at-once", defaultAtOnce, "runs beside each other")
+	c := &command{stdout: stdout}
 	cmd := &ffcli.Command{
-		Name: "rockspoke-soak", ShortUsage: "rockspoke-soak [flags] [seed...]", FlagSet: fs,
+		Name: "rockspoke-soak", ShortUsage: "rockspoke-soak [flags] [seed...]", FlagSet: c.flags(stderr),
 		ShortHelp: "run real daemons under random faults and check their promises",
 		LongHelp: "Each seed is a run of processes on loopback with its own order of faults. Every third seed has planned\n" +
 			"work alone, to show requests that it cuts. Logs stay in a folder for each seed.\n\n" +
 			"  rockspoke-soak -seeds 50\n  rockspoke-soak -vms 30 4711\n  rockspoke-soak -failed",
-		Exec: func(ctx context.Context, named []string) error {
-			if *failed {
-				named = append(named, failedSeeds()...)
-			}
-			list, err := seedList(named, *seeds, *first)
-			if err != nil {
-				return err
-			}
-			return runSeeds(ctx, o, list, min(max(*atOnce, 1), mostAtOnce), stdout)
-		},
+		Exec: c.exec,
 	}
 	if err := cmd.ParseAndRun(ctx, args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -65,3 +54,32 @@
 	}
 	return 0
 }
+
+// flags returns the flags that fill the command.
+func (c *command) flags(stderr io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet("rockspoke-soak", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	fs.StringVar(&c.opts.Program, "program", "bin/rockspoked", "path of rockspoked")
+	fs.StringVar(&c.opts.Dir, "dir", filepath.Join(os.TempDir(), "rockspoke-soak"), "folder for settings and logs")
+	fs.IntVar(&c.opts.VMs, "vms", defaultVMs, "VMs, with a backend server and a process each")
+	fs.Float64Var(&c.opts.Rate, "rate", defaultRate, "requests a second into each VM")
+	fs.DurationVar(&c.opts.Faulty, "faulty", defaultFaulty, "time in which faults begin")
+	fs.DurationVar(&c.opts.Calm, "calm", defaultCalm, "time without faults afterwards")
+	fs.IntVar(&c.seeds, "seeds", defaultSeeds, "how many seeds to run, if none are named")
+	fs.Uint64Var(&c.first, "first", 0, "first seed; 0 draws one")
+	fs.BoolVar(&c.failed, "failed", false, "run the seeds that ever broke a promise")
+	fs.IntVar(&c.atOnce, "at-once", defaultAtOnce, "runs beside each other")
+	return fs
+}
+
+// exec runs the named seeds, or as many as asked for.
+func (c *command) exec(ctx context.Context, named []string) error {
+	if c.failed {
+		named = append(named, failedSeeds()...)
+	}
+	list, err := seedList(named, c.seeds, c.first)
+	if err != nil {
+		return err
+	}
+	return runSeeds(ctx, c.opts, list, min(max(c.atOnce, 1), mostAtOnce), c.stdout)
+}
