--- a/pkg/soak/link_proxy.go
+++ b/pkg/soak/link_proxy.go
@@ -72,12 +72,12 @@
 }
 
 // serve carries connections from the listening address to the target until ctx ends; to names the place.
-func (p *linkProxy) serve(ctx context.Context, listen, target, to string) error {
+func (p *linkProxy) serve(ctx context.Context, closing *sync.WaitGroup, listen, target, to string) error {
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
-	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	closeAfter(ctx, closing, ln)
 	go func() {
 		for {
 			conn, err := ln.Accept()
--- a/pkg/soak/site.go
+++ b/pkg/soak/site.go
@@ -47,6 +47,7 @@
 	vms     []*vm
 	log     *slog.Logger
 	ending  atomic.Bool
+	closing sync.WaitGroup // listeners that are still open
 
 	routesMu sync.Mutex
 	routes   []route // besides those that stay
--- a/pkg/soak/site_start.go
+++ b/pkg/soak/site_start.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rockspoke/rockspoke/platform/standin"
@@ -15,10 +17,10 @@
 // start starts everything but the callers.
 func (s *site) start(ctx context.Context) error {
 	storeReal := net.JoinHostPort(s.storeIP, strconv.Itoa(portStoreReal))
-	if err := serveHTTP(ctx, storeReal, &s.store); err != nil {
+	if err := serveHTTP(ctx, &s.closing, storeReal, &s.store); err != nil {
 		return err
 	}
-	if err := s.proxy.serve(ctx, net.JoinHostPort(s.storeIP, strconv.Itoa(portStore)), storeReal, s.storeIP); err != nil {
+	if err := s.proxy.serve(ctx, &s.closing, net.JoinHostPort(s.storeIP, strconv.Itoa(portStore)), storeReal, s.storeIP); err != nil {
 		return err
 	}
 	for _, v := range s.vms {
@@ -31,13 +33,13 @@
 
 // start starts a VM's backend server, proxies and process.
 func (v *vm) start(ctx context.Context) error {
-	if err := serveHTTP(ctx, v.at(portBackendReal), v.server); err != nil {
+	if err := serveHTTP(ctx, &v.site.closing, v.at(portBackendReal), v.server); err != nil {
 		return err
 	}
-	if err := v.site.proxy.serve(ctx, v.at(portBackend), v.at(portBackendReal), v.serverLink().to); err != nil {
+	if err := v.site.proxy.serve(ctx, &v.site.closing, v.at(portBackend), v.at(portBackendReal), v.serverLink().to); err != nil {
 		return err
 	}
-	if err := v.site.proxy.serve(ctx, v.at(portPeers), v.at(portPeersReal), v.ip); err != nil {
+	if err := v.site.proxy.serve(ctx, &v.site.closing, v.at(portPeers), v.at(portPeersReal), v.ip); err != nil {
 		return err
 	}
 	if err := v.node.start(); err != nil {
@@ -48,17 +50,26 @@
 }
 
 // serveHTTP serves an address until ctx ends.
-func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+func serveHTTP(ctx context.Context, closing *sync.WaitGroup, addr string, h http.Handler) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: callerLimit, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
-	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	go func() { _ = srv.Serve(ln) }() // it ends when it is closed
+	closeAfter(ctx, closing, srv)
+	closing.Go(func() { _ = srv.Serve(ln) }) // it ends when it is closed, and closes ln
 	return nil
 }
 
+// closeAfter closes a listener when ctx ends. The next run binds the same address, so this one waits for that.
+func closeAfter(ctx context.Context, closing *sync.WaitGroup, c io.Closer) {
+	closing.Add(1)
+	context.AfterFunc(ctx, func() {
+		defer closing.Done()
+		_ = c.Close() // it may have been closed before
+	})
+}
+
 // startTime bounds the start of all nodes.
 const startTime = 20 * time.Second
 
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -29,6 +29,7 @@
 		return Report{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	defer s.closing.Wait()
 	defer cancel()
 	defer s.end()
 	if err := s.start(ctx); err != nil {
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// Runs one after the other on one network couldn't bind their addresses now and then: the last run's listeners were
+// closed by themselves, later.
+func TestListenersAreClosedWhenARunEnds(t *testing.T) {
+	c := qt.New(t)
+	for range 30 {
+		var s site
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, addr := range []string{"127.88.99.1:21015", "127.88.99.1:21014"} {
+			c.Assert(serveHTTP(ctx, &s.closing, addr, http.NotFoundHandler()), qt.IsNil)
+		}
+		c.Assert(s.proxy.serve(ctx, &s.closing, "127.88.99.1:21005", "127.88.99.1:21015", "store"), qt.IsNil)
+		cancel()
+		s.closing.Wait()
+	}
+}
+
 // The same seed gives the same faults, and planned seeds have no others.
 func TestSchedulesAreSeeded(t *testing.T) {
 	c := qt.New(t)
