--- a/pkg/overload/doc.go
+++ b/pkg/overload/doc.go
@@ -9,10 +9,9 @@
 // the demand by itself.
 //
 // plan.go holds the plan's steps. plan_flows.go puts first and returning
-// attempts of all kinds into ranks, plan_least_part.go gives each kind a little
-// before all else, plan_order_of_kinds.go holds less urgent kinds down to more
-// urgent ones, and plan_weighed_shares.go fills the tightest service, which
-// plan_tightest_service.go finds, with the flows of one rank.
+// attempts of all kinds into ranks, plan_least_part.go gives each kind a
+// part before all else, and plan_weighed_shares.go fills the tightest service,
+// which plan_tightest_service.go finds, with the flows of one rank.
 //
 // A RoomControl (room_control.go) says which part of a server's room may be
 // planned for, a DecayingRate (decaying_rate.go) measures the demand, and a
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -31,7 +31,6 @@
 	grantLeast(flows, left, out)
 	for len(flows) > 0 {
 		n := firstRank(flows)
-		keepOrder(flows[:n], roots, out)
 		fill(flows[:n], left, out)
 		flows = flows[n:]
 	}
--- a/pkg/overload/room_control.go
+++ b/pkg/overload/room_control.go
@@ -11,6 +11,7 @@
 // are turned away at the server's gate, and gives it back slowly. Its zero value plans for all.
 type RoomControl struct {
 	taken float64 // part of the room that isn't planned for
+	first time.Time
 	last  time.Time
 }
 
@@ -26,6 +27,9 @@
 	giveRate = 0.25
 	// leastRoom is the part that is always planned for, so that there is something to learn from.
 	leastRoom = 0.08
+	// learnTime after the first look nothing is taken: what is turned away then tells of costs that aren't learned
+	// yet, and soon are.
+	learnTime = 3 * time.Second
 	// longestStep bounds the time that one look stands for.
 	longestStep = time.Second
 )
@@ -35,8 +39,12 @@
 	step := min(max(now.Sub(c.last), 0), longestStep)
 	if c.last.IsZero() {
 		step = 0
+		c.first = now
 	}
 	c.last = now
+	if now.Sub(c.first) < learnTime {
+		return
+	}
 	if turnedAway > turnedFree {
 		left := (1 - c.taken) * math.Exp(-takeRate*turnedAway*step.Seconds())
 		c.taken = min(1-left, 1-leastRoom)
