--- a/pkg/callgraph/runs_in_progress.go
+++ b/pkg/callgraph/runs_in_progress.go
@@ -43,7 +43,7 @@
 // Begin notes that a run begins, with the time limit that the server was given.
 func (l *Learner) Begin(now time.Time, route string, deadline time.Time) *Run {
 	if l.routes == nil {
-		l.routes, l.calls = map[string]*routeStats{}, map[string]*callStats{}
+		l.routes = map[string]*routeStats{}
 	}
 	s := l.routes[route]
 	if s == nil {
--- a/pkg/callgraph/share_out_call.go
+++ b/pkg/callgraph/share_out_call.go
@@ -47,6 +47,9 @@
 	c := l.calls[route]
 	if c == nil {
 		c = &callStats{by: map[*routeStats]*callerStats{}}
+		if l.calls == nil {
+			l.calls = map[string]*callStats{}
+		}
 		l.calls[route] = c
 	}
 	call := recentCall{at: now, runs: make(map[*routeStats]likely, len(l.routes))}
--- a/pkg/mesh/capacity_of_services.go
+++ b/pkg/mesh/capacity_of_services.go
@@ -5,6 +5,7 @@
 func (n *Node) capacity() map[string]float64 {
 	c := map[string]float64{}
 	for service, peers := range n.view.Load().services {
+		c[service] = 0 // one whose servers can't be reached has no room; that isn't the same as not being known
 		near, far := n.nearAndFar(peers)
 		for _, p := range near {
 			if room, known := n.nearRoom(p); known {
--- a/pkg/mesh/capacity_of_services_test.go
+++ b/pkg/mesh/capacity_of_services_test.go
@@ -47,3 +47,16 @@
 	n.takeZones(now.Add(5*time.Second), "f", told(17))
 	c.Assert(n.capacity()["s"], qt.Equals, 17.0)
 }
+
+// A service whose only server stands in this zone, can't be reached and doesn't report seemed not to be known, and
+// what needs it was let in.
+func TestAServiceOutOfReachInThisZoneHasNoRoom(t *testing.T) {
+	c := qt.New(t)
+	p := &peer{host: "n", zone: "a"}
+	p.slots.Store(20)
+	n := &Node{cfg: settings.Settings{Zone: "a"}}
+	n.view.Store(&view{services: map[string][]*peer{"s": {p}}})
+	c.Assert(n.capacity(), qt.DeepEquals, map[string]float64{"s": 20})
+	p.failed(time.Unix(100, 0))
+	c.Assert(n.capacity(), qt.DeepEquals, map[string]float64{"s": 0})
+}
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
@@ -64,11 +66,11 @@
 	}
 }
 
-// differ tells whether a run makes clearly more or fewer calls by a than by b.
-func differ(a, b map[string]callgraph.Rates) bool {
-	for route, calls := range a {
-		for called, n := range calls {
-			if math.Abs(n-b[route][called]) > max(keepLeast, keepChange*n) {
+// differ tells whether a run of a route that is known makes clearly more or fewer calls than by what is stored.
+func differ(known, stored map[string]callgraph.Rates) bool {
+	for route, calls := range known {
+		for _, called := range slices.Concat(slices.Collect(maps.Keys(calls)), slices.Collect(maps.Keys(stored[route]))) {
+			if n := calls[called]; math.Abs(n-stored[route][called]) > max(keepLeast, keepChange*n) {
 				return true
 			}
 		}
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -47,6 +47,7 @@
 	c.Assert(differ(calls(4), calls(2)), qt.IsTrue)
 	c.Assert(differ(calls(0.1), nil), qt.IsFalse)
 	c.Assert(differ(nil, calls(4)), qt.IsFalse)
+	c.Assert(differ(map[string]callgraph.Rates{"r": {}}, calls(4)), qt.IsTrue, qt.Commentf("a call that isn't made any more"))
 }
 
 // Every restart wrote the record twice and read all others three times, though nothing had changed.
--- a/pkg/overload/plan_flows.go
+++ b/pkg/overload/plan_flows.go
@@ -64,6 +64,8 @@
 	}
 	out[f.root.Route] = o
 	for s, cost := range f.root.Slots {
-		left[s] -= f.rate * share * cost
+		if _, known := left[s]; known {
+			left[s] -= f.rate * share * cost
+		}
 	}
 }
--- a/pkg/overload/plan_test.go
+++ b/pkg/overload/plan_test.go
@@ -144,3 +144,11 @@
 	c.Assert(less["look"].Fresh > 0.9*same["look"].Fresh, qt.IsTrue, qt.Commentf("%v", less))
 	c.Assert(little["assign"].Fresh > 0.999, qt.IsTrue, qt.Commentf("%v", little))
 }
+
+// A service of which nothing is known holds nobody down; what the least part took of it made it look full.
+func TestAServiceThatIsNotKnownHoldsNobodyDown(t *testing.T) {
+	c := qt.New(t)
+	roots := []Root{{Route: "a", Fresh: 100, Returning: 5, Slots: map[string]float64{"x": 0.1}}}
+	c.Assert(Plan(roots, map[string]float64{})["a"], qt.Equals, Share{1, 1})
+	c.Assert(Plan(roots, map[string]float64{"x": 0})["a"], qt.Equals, Share{0, 0})
+}
