Soak: planned work leaves a service one server

Traced in its logs: at 17:05:47.75 one server drained, one was about to come back 0.15 s later, the third's node had been stopping for 2.7 s: no server of the service was left, calls were refused truly ('leaving', tried 0 or 1), and the runs that needed them failed. The schedule took them away itself. Change: planned work that would take a service's last server away is left out; no check is changed.

--- a/pkg/soak/planned_work.go
+++ b/pkg/soak/planned_work.go
@@ -7,9 +7,39 @@
 	"time"
 )
 
+// takeAway notes that planned work takes a VM's server away until the returned function is called. It reports false
+// if that would leave its service without any: no operator does that, and all who need it would fail.
+func (s *site) takeAway(v *vm) (back func(), ok bool) {
+	s.awayMu.Lock()
+	defer s.awayMu.Unlock()
+	all := 0
+	for _, o := range s.vms {
+		if o.service == v.service {
+			all++
+		}
+	}
+	if s.away[v.service]+1 >= all {
+		return nil, false
+	}
+	if s.away == nil {
+		s.away = map[string]int{}
+	}
+	s.away[v.service]++
+	return func() {
+		s.awayMu.Lock()
+		defer s.awayMu.Unlock()
+		s.away[v.service]--
+	}, true
+}
+
 // stopNode stops a process in order and starts it again.
 func stopNode(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	v := s.oneOf(rnd)
+	back, ok := s.takeAway(v)
+	if !ok {
+		return
+	}
+	defer back()
 	over := s.history.begin(kind, true, v.ip)
 	v.restart(syscall.SIGTERM, restartPause)
 	over()
@@ -32,6 +62,11 @@
 // leaveServer lets a backend server drain, end and come back as a new one.
 func leaveServer(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	v := s.oneOf(rnd)
+	back, ok := s.takeAway(v)
+	if !ok {
+		return
+	}
+	defer back()
 	over := s.history.begin(kind, true, v.ip)
 	defer over()
 	v.server.leave()
--- a/pkg/soak/site.go
+++ b/pkg/soak/site.go
@@ -51,6 +51,9 @@
 	closing sync.WaitGroup // listeners that are still open
 	asking  sync.WaitGroup // requests of callers in progress
 
+	awayMu sync.Mutex
+	away   map[string]int // servers taken away by planned work, by service
+
 	routesMu sync.Mutex
 	routes   []route // besides those that stay
 	version  int64
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -162,3 +162,20 @@
 	endDelay()
 	c.Assert(o.now(), qt.Equals, linkFault{})
 }
+
+// Planned work that overlapped took all three servers of a service away for 0.15 s, and runs that need it failed.
+func TestPlannedWorkLeavesAServer(t *testing.T) {
+	c := qt.New(t)
+	s := &site{vms: []*vm{{service: "a"}, {service: "a"}, {service: "b"}, {service: "a"}}}
+	_, ok := s.takeAway(s.vms[0])
+	c.Assert(ok, qt.IsTrue)
+	back, ok := s.takeAway(s.vms[1])
+	c.Assert(ok, qt.IsTrue)
+	_, ok = s.takeAway(s.vms[3])
+	c.Assert(ok, qt.IsFalse)
+	back()
+	_, ok = s.takeAway(s.vms[3])
+	c.Assert(ok, qt.IsTrue)
+	_, ok = s.takeAway(s.vms[2])
+	c.Assert(ok, qt.IsFalse, qt.Commentf("its only one"))
+}
