Sight: what was kept and recalled, why a server has less room, kinds without a cost

Change: lines 'learned calls stored', 'learned calls recalled', 'room'; field without_cost of 'admission', which is now written too while costs are missing; metrics room_part, learned_stored_total, slot_ms_total. No change of logic.

--- a/pkg/gate/run_outcome.go
+++ b/pkg/gate/run_outcome.go
@@ -25,6 +25,21 @@
 	Left                        // the caller gave up
 )
 
+// String names the outcome.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case Failed:
+		return "failed"
+	case Shed:
+		return "shed"
+	case Left:
+		return "left"
+	}
+	return "unknown"
+}
+
 // Done notes that a started request has ended after it held its slot; usual is how long requests of its kind hold one
 // at any server of the service, or 0.
 func (g *Gate) Done(now time.Time, held, usual time.Duration, o Outcome) {
--- a/pkg/mesh/admission_log.go
+++ b/pkg/mesh/admission_log.go
@@ -7,19 +7,39 @@
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
-// planLogPeriod is the time between lines about a plan that holds something down.
-const planLogPeriod = time.Second
+// The constants of the line about the plan.
+const (
+	// planLogPeriod is the time between lines about a plan that holds something down, or lacks costs.
+	planLogPeriod = time.Second
+	// missedRate is the rate a second from which a kind without a known cost is written down: a few requests on a
+	// route that nobody else asks for are no loss to the plan.
+	missedRate = 5.0
+)
 
-// logPlan writes down what decided the shares while some kind is held down.
+// logPlan writes down what decided the shares, while some kind is held down or the cost of one isn't known.
 func (n *Node) logPlan(now time.Time, plan *admissionPlan, roots []overload.Root, capacity map[string]float64) {
 	n.showShares(plan)
 	held := slices.ContainsFunc(roots, func(r overload.Root) bool { return plan.shares[r.Route].Fresh < 1 })
-	if !held || now.Before(n.control.nextPlanLog) {
+	missing := withoutCost(roots)
+	if (!held && len(missing) == 0) || now.Before(n.control.nextPlanLog) {
 		return
 	}
 	n.control.nextPlanLog = now.Add(planLogPeriod)
 	demand, costs := demandOf(roots)
-	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity, "reports", len(n.control.reports), "zones", len(n.otherZones(now)))
+	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity,
+		"without_cost", missing, "reports", len(n.control.reports), "zones", len(n.otherZones(now)))
+}
+
+// withoutCost returns the kinds that are asked for and take nothing by what is known.
+func withoutCost(roots []overload.Root) []string {
+	var routes []string
+	for _, r := range roots {
+		if len(r.Slots) == 0 && r.Fresh+r.Returning >= missedRate {
+			routes = append(routes, r.Route)
+		}
+	}
+	slices.Sort(routes)
+	return routes
 }
 
 // logInner writes down each route that is taken for a call from now on, or isn't any more.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -46,6 +46,7 @@
 	b.n.gate.Done(now, now.Sub(begun), b.n.usualHold(q.Route), outcome)
 	b.n.gateMu.Unlock()
 	b.n.stats.end(now, q.Route, run, now.Sub(begun), outcome)
+	b.n.metrics.add(now.Sub(begun).Milliseconds(), "slot_ms_total", "route", q.Route, "outcome", outcome.String())
 	return a
 }
 
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -17,6 +17,7 @@
 	nextTalk    time.Time
 	nextPlan    time.Time
 	nextPlanLog time.Time
+	nextRoomLog time.Time
 	reports     map[string]*heldReport // newest of each node of this zone, by host
 	zones       map[string]*zoneLoad   // newest sum of each other zone
 	places      map[string]lastPlace   // by route
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -41,6 +41,8 @@
 			continue
 		}
 		stored = known
+		n.metrics.count("learned_stored_total")
+		n.controlLog.Info("learned calls stored", "routes", len(known))
 	}
 }
 
@@ -66,6 +68,7 @@
 	for _, l := range all {
 		if l.Service == n.cfg.Service {
 			n.stats.recall(l.Calls)
+			n.controlLog.Info("learned calls recalled", "routes", len(l.Calls))
 		}
 	}
 }
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -20,6 +20,9 @@
 	{"servers_known", "gauge", "", "Backend servers that take work, as known here."},
 	{"gate_running", "gauge", "", "Requests in progress at the server on this VM."},
 	{"gate_queued", "gauge", "", "Requests that wait for it."},
+	{"room_part", "gauge", "", "Part in a thousand of the own server's room that may be planned for; above a thousand where its slots stay free."},
+	{"learned_stored_total", "counter", "", "Times that what was learned of the calls was stored."},
+	{"slot_ms_total", "counter", "route, outcome", "Milliseconds for which requests held the slots of the server on this VM, by how they ended there."},
 	{"admitted_share", "gauge", "route", "Share in a thousand of first attempts that is taken in; only while below all."},
 	{"request_seconds", "histogram", "route", "Time from a request's arrival to its answer, of those served."},
 }
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -54,10 +54,13 @@
 }
 
 // count adds one to a counter.
-func (m *nodeMetrics) count(name string, pairs ...string) {
+func (m *nodeMetrics) count(name string, pairs ...string) { m.add(1, name, pairs...) }
+
+// add adds to a counter.
+func (m *nodeMetrics) add(v int64, name string, pairs ...string) {
 	key := label(name, pairs...)
 	if c, ok := m.registry.Get(key).(metrics.Counter); ok {
-		c.Inc(1)
+		c.Inc(v)
 		return
 	}
 	m.mu.Lock()
@@ -67,7 +70,7 @@
 	if over {
 		key = label(name, "other", "true")
 	}
-	metrics.GetOrRegisterCounter(key, m.registry).Inc(1)
+	metrics.GetOrRegisterCounter(key, m.registry).Inc(v)
 }
 
 // gauge sets a gauge.
--- a/pkg/mesh/report_own_load.go
+++ b/pkg/mesh/report_own_load.go
@@ -18,6 +18,8 @@
 	leastCapacity = 0.3
 	// useGain is the weight of one look, some times a second, in the smoothed use of the gate.
 	useGain = 0.3
+	// roomLogPeriod is the time between lines about a server that is planned with for less than its gate's limit.
+	roomLogPeriod = time.Second
 )
 
 // reportOwn takes this node's own counts.
@@ -31,10 +33,13 @@
 	g := n.gate.Read()
 	n.gateMu.Unlock()
 	n.control.gateUse += useGain * (float64(g.Running+g.Queued)/max(g.Limit, 1) - n.control.gateUse)
-	n.control.room.Observe(now, overload.GateLoad{
+	load := overload.GateLoad{
 		TurnedAway: n.stats.turnedAwayShare(now), Use: n.control.gateUse, Binding: n.isBinding(own.Service),
-	})
-	r.Room = round(n.roomPart() * max(g.Limit-n.excess(now, g), leastCapacity*g.Limit))
+	}
+	n.control.room.Observe(now, load)
+	excess := n.excess(now, g)
+	r.Room = round(n.roomPart() * max(g.Limit-excess, leastCapacity*g.Limit))
+	n.logRoom(now, g, load, excess, r.Room)
 	body, err := pack(r)
 	if err != nil {
 		n.controlLog.Error("report can't be written", "err", err)
@@ -57,3 +62,14 @@
 	waiting := float64(g.Queued) / backlogTime.Seconds()
 	return (waiting + turnedWeight*n.stats.turnedAwayRate(now)) * g.Hold.Seconds()
 }
+
+// logRoom writes down why the own server is planned with for less than its gate lets in.
+func (n *Node) logRoom(now time.Time, g gate.Reading, load overload.GateLoad, excess, room float64) {
+	n.metrics.gauge(int64(n.roomPart()*1000), "room_part")
+	if room >= g.Limit || now.Before(n.control.nextRoomLog) {
+		return
+	}
+	n.control.nextRoomLog = now.Add(roomLogPeriod)
+	n.controlLog.Info("room", "room", room, "limit", g.Limit, "running", g.Running, "queued", g.Queued, "hold", g.Hold,
+		"turned_away", round(load.TurnedAway), "binding", load.Binding, "part", round(n.roomPart()), "excess", round(excess))
+}
