--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -18,7 +18,7 @@
 }
 
 func newBackend(n *Node) *backend {
-	return &backend{n: n, pool: &httpconn.Pool{Dial: dialFunc(n.ip, n.cfg.Backend.Address, backendDialTime), Clock: n.clock}}
+	return &backend{n: n, pool: &httpconn.Pool{Dial: n.network.dialFunc(n.ip, n.cfg.Backend.Address, backendDialTime), Clock: n.clock}}
 }
 
 // serve puts a request through the gate and hands it to the backend server.
--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,11 +31,13 @@
 	seen []string // attempt ids that ran
 	srv  *http.Server
 	seq  atomic.Int64
-	out  string // the node's outbound address
+	out  string       // the node's outbound address
+	ways *http.Client // to the node
 }
 
 func (f *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(testNames.AttemptID)
+	deadline := time.Now().Add(millis(r.Header.Get(testNames.TimeLeft)))
 	f.mu.Lock()
 	f.seen = append(f.seen, id)
 	handle := f.handle
@@ -46,7 +49,7 @@
 	}
 	time.Sleep(f.work)
 	for i, path := range f.calls {
-		if !f.call(id, i, path, r.Header.Get(testNames.TimeLeft)) {
+		if !f.call(id, i, path, deadline) {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
@@ -55,12 +58,13 @@
 	fmt.Fprintf(w, "%s %s", f.service, id)
 }
 
-func (f *fakeServer) call(id string, i int, path, left string) bool {
+// call makes one call, which ends with its run at the latest.
+func (f *fakeServer) call(id string, i int, path string, deadline time.Time) bool {
 	req, _ := http.NewRequest(http.MethodGet, "http://"+f.out+path, nil)
 	req.Host = "h"
 	req.Header.Set(testNames.AttemptID, fmt.Sprintf("%s.%d", id, i))
-	req.Header.Set(testNames.TimeLeft, left)
-	res, err := callClient(f.ip).Do(req)
+	req.Header.Set(testNames.TimeLeft, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	res, err := f.ways.Do(req)
 	if err != nil {
 		return false
 	}
--- a/pkg/mesh/listeners.go
+++ b/pkg/mesh/listeners.go
@@ -29,7 +29,7 @@
 
 // listen binds a server's address and serves it until it is closed.
 func (n *Node) listen(s *http.Server) error {
-	ln, err := net.Listen("tcp", s.Addr)
+	ln, err := n.network.listen(s.Addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Addr)
 	}
--- /dev/null
+++ b/pkg/mesh/memory_network_test.go
@@ -0,0 +1,106 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// memoryNetwork connects nodes, servers and clients within the process, so that whole sites run in made-up time.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+// memoryAddr is an address on it.
+type memoryAddr string
+
+func (memoryAddr) Network() string  { return "memory" }
+func (a memoryAddr) String() string { return string(a) }
+
+// memoryConn is one end of a connection.
+type memoryConn struct {
+	net.Conn
+	local, remote memoryAddr
+}
+
+func (c *memoryConn) LocalAddr() net.Addr  { return c.local }
+func (c *memoryConn) RemoteAddr() net.Addr { return c.remote }
+
+// memoryListener takes connections to one address.
+type memoryListener struct {
+	network *memoryNetwork
+	addr    memoryAddr
+	came    chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *memoryListener) Addr() net.Addr { return l.addr }
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.came:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.addr.String())
+		l.network.mu.Unlock()
+		close(l.closed)
+	})
+	return nil
+}
+
+// listen takes connections to an address.
+func (w *memoryNetwork) listen(addr string) (net.Listener, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.listeners == nil {
+		w.listeners = map[string]*memoryListener{}
+	}
+	if w.listeners[addr] != nil {
+		return nil, syscall.EADDRINUSE
+	}
+	l := &memoryListener{network: w, addr: memoryAddr(addr), came: make(chan net.Conn), closed: make(chan struct{})}
+	w.listeners[addr] = l
+	return l, nil
+}
+
+// dial connects at once; an address on which nobody listens refuses.
+func (w *memoryNetwork) dial(ctx context.Context, ip, addr string, _ time.Duration) (net.Conn, error) {
+	w.mu.Lock()
+	l := w.listeners[addr]
+	w.mu.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	from := memoryAddr(net.JoinHostPort(ip, "1"))
+	a, b := net.Pipe()
+	select {
+	case l.came <- &memoryConn{Conn: b, local: l.addr, remote: from}:
+		return &memoryConn{Conn: a, local: from, remote: l.addr}, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// client returns an HTTP client of a VM.
+func (w *memoryNetwork) client(ip string) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 500,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return w.dial(ctx, ip, addr, 0)
+		},
+	}}
+}
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -67,6 +67,7 @@
 	// Control returns the handler for the backend server's registrations and for the readiness check.
 	Control func(n *Node) http.Handler
 	Clock   clock.Clock
+	Network Network
 	Logger  func(part string) *slog.Logger
 }
 
--- a/pkg/mesh/network.go
+++ b/pkg/mesh/network.go
@@ -32,8 +32,27 @@
 	}
 }
 
+// Network is how a node listens and connects; its zero value is TCP.
+type Network struct {
+	// Listen binds an address of this VM.
+	Listen func(addr string) (net.Listener, error)
+	// Dial connects from the VM with the IP number to an address, within the timeout.
+	Dial func(ctx context.Context, ip, addr string, timeout time.Duration) (net.Conn, error)
+}
+
+// listen binds an address of this VM.
+func (w Network) listen(addr string) (net.Listener, error) {
+	if w.Listen != nil {
+		return w.Listen(addr)
+	}
+	return net.Listen("tcp", addr)
+}
+
 // dialFunc returns a function that connects to one address.
-func dialFunc(ip, addr string, timeout time.Duration) func(context.Context) (net.Conn, error) {
+func (w Network) dialFunc(ip, addr string, timeout time.Duration) func(context.Context) (net.Conn, error) {
+	if w.Dial != nil {
+		return func(ctx context.Context) (net.Conn, error) { return w.Dial(ctx, ip, addr, timeout) }
+	}
 	d := dialer(ip, timeout)
 	return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -22,14 +22,15 @@
 
 // Node is one daemon of the mesh.
 type Node struct {
-	cfg    settings.Settings
-	names  HeaderNames
-	store  Store
-	decode func([]byte) (*desired.State, error)
-	clock  clock.Clock
-	off    map[settings.Mechanism]bool // never changed
-	ip     string
-	epoch  int64 // tells this life of the process from earlier ones
+	cfg     settings.Settings
+	names   HeaderNames
+	store   Store
+	decode  func([]byte) (*desired.State, error)
+	clock   clock.Clock
+	network Network
+	off     map[settings.Mechanism]bool // never changed
+	ip      string
+	epoch   int64 // tells this life of the process from earlier ones
 
 	callLog, controlLog *slog.Logger
 
@@ -76,7 +77,7 @@
 		return nil, eris.Wrap(err, "listen.peers")
 	}
 	n := &Node{
-		cfg: o.Settings, names: o.Names, store: o.Store, decode: o.Decode, clock: o.Clock,
+		cfg: o.Settings, names: o.Names, store: o.Store, decode: o.Decode, clock: o.Clock, network: o.Network,
 		off: o.Settings.Mesh.OffSet(), ip: host, epoch: o.Clock.Now().UnixMilli(),
 		callLog: o.Logger("call"), controlLog: o.Logger("control"),
 		peers:  make(map[string]*peer),
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -69,7 +69,7 @@
 		p = &peer{
 			host: host, local: host == n.ip,
 			pool: &httpconn.Pool{
-				Dial: dialFunc(n.ip, addr, dialTime), Clock: n.clock, Idle: peerIdle,
+				Dial: n.network.dialFunc(n.ip, addr, dialTime), Clock: n.clock, Idle: peerIdle,
 				Once: map[string]bool{n.names.AttemptID: true, n.names.TimeLeft: true},
 			},
 		}
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,8 @@
 	base    string
 	port    int
 	clients *http.Client
+	network *memoryNetwork // nil: loopback
+	seeds   []string
 	log     io.Writer
 }
 
@@ -46,33 +49,60 @@
 func (s *site) add(service, zone string, slots int) (*Node, *fakeServer) {
 	c := qt.New(s.t)
 	ip := s.base + strconv.Itoa(len(s.nodes)+1)
-	at := func(p int) string { return net.JoinHostPort(ip, strconv.Itoa(s.port+p)) }
-	f := &fakeServer{ip: ip, service: service, zone: zone, slots: slots, instance: "i-" + ip, work: 2 * time.Millisecond, out: at(1)}
-	f.srv = &http.Server{Addr: at(4), Handler: f}
-	ln, err := net.Listen("tcp", at(4))
+	f := &fakeServer{ip: ip, service: service, zone: zone, slots: slots, instance: "i-" + ip, work: 2 * time.Millisecond, out: s.at(ip, 1)}
+	f.ways = s.waysFrom(ip)
+	f.srv = &http.Server{Addr: s.at(ip, 4), Handler: f}
+	ln, err := s.wire().listen(f.srv.Addr)
 	c.Assert(err, qt.IsNil)
 	go f.srv.Serve(ln)
+	s.servers = append(s.servers, f)
+	s.nodes = append(s.nodes, nil)
+	s.start(len(s.nodes) - 1)
+	s.t.Cleanup(func() {
+		s.nodes[slices.Index(s.servers, f)].halt()
+		f.srv.Close()
+	})
+	return s.nodes[len(s.nodes)-1], f
+}
+
+// at returns an address of a VM.
+func (s *site) at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(s.port+port)) }
+
+// wire returns what nodes and servers listen on.
+func (s *site) wire() Network {
+	if s.network == nil {
+		return Network{}
+	}
+	return Network{Listen: s.network.listen, Dial: s.network.dial}
+}
+
+// waysFrom returns a client that sends from the address of a VM, as its backend server does.
+func (s *site) waysFrom(ip string) *http.Client {
+	if s.network == nil {
+		return callClient(ip)
+	}
+	return s.network.client(ip)
+}
+
+// start starts the node beside a server, which then sends a heartbeat; one that was halted loses all it knew.
+func (s *site) start(i int) {
+	c := qt.New(s.t)
+	f := s.servers[i]
 	cfg := settings.Settings{
-		VM: ip, Zone: zone, Service: service, Backend: settings.Backend{Address: at(4)},
-		Listen: settings.Listen{Peers: at(0), Outbound: at(1), Control: at(2), Ready: at(2)},
-		Mesh:   &settings.Mesh{Grace: 6 * time.Second},
+		VM: f.ip, Zone: f.zone, Service: f.service, Backend: settings.Backend{Address: s.at(f.ip, 4)},
+		Listen: settings.Listen{Peers: s.at(f.ip, 0), Outbound: s.at(f.ip, 1), Control: s.at(f.ip, 2), Ready: s.at(f.ip, 2)},
+		Mesh:   &settings.Mesh{Grace: 6 * time.Second}, Seeds: s.seeds,
 	}
 	cfg.Fill()
 	n, err := New(Options{
-		Settings: cfg, Names: testNames, Store: s.store.seam(), Decode: decodeTestState,
+		Settings: cfg, Names: testNames, Store: s.store.seam(), Decode: decodeTestState, Network: s.wire(),
 		Control: func(*Node) http.Handler { return http.NotFoundHandler() }, Clock: clock.Real{},
-		Logger: func(part string) *slog.Logger { return slog.New(slog.NewTextHandler(s.log, nil)).With("node", ip) },
+		Logger: func(part string) *slog.Logger { return slog.New(slog.NewTextHandler(s.log, nil)).With("node", f.ip) },
 	})
 	c.Assert(err, qt.IsNil)
 	c.Assert(n.Start(context.Background()), qt.IsNil)
-	s.nodes = append(s.nodes, n)
-	s.servers = append(s.servers, f)
-	s.t.Cleanup(func() {
-		n.halt()
-		f.srv.Close()
-	})
-	s.beat(len(s.nodes)-1, false)
-	return n, f
+	s.nodes[i] = n
+	s.beat(i, false)
 }
 
 // beat sends a heartbeat of the server.
