All that the plan needs outlasts a loss of all nodes, and requests wait for it

Cause: after a return of all nodes the store gave back how many calls a run makes, to the nodes of its own service. Which routes are calls, how long runs hold a slot and how much is asked for had to be learned anew, in the flood that went in meanwhile; calls weren't counted before their routes were judged, so that runs without calls diluted what was recalled. Change: the row of a service holds calls, times, inner routes and demand (loads.Learned); every node takes those of all services, and passes them on to one that knows nothing (store silent). What no report tells of any more is remembered for a minute, calls included (loads.KeptRuns, in place of places alone); a judged route stays judged while nobody asks for it. Demand from before counts until it is counted (loads.KeptDemand). Requests wait up to 300 ms after the first desired state for it, and records are read at once when the store answers again. A kind with ten good runs is kept, not only with thirty.

--- a/pkg/callgraph/recalled_calls.go
+++ b/pkg/callgraph/recalled_calls.go
@@ -1,7 +1,14 @@
 package callgraph
 
-// recallRuns is how many runs earlier knowledge counts as.
-const recallRuns = 30
+// The constants of knowledge that outlasts a node.
+const (
+	// recallRuns is how many runs earlier knowledge counts as.
+	recallRuns = 30
+	// knownRuns is the count of runs that ended well from which their calls are worth keeping. Evidence of the first
+	// half minute is forgotten within seconds, and a kind that is held down by an overload has five runs a second: with
+	// 30 runs such a kind wasn't kept at all.
+	knownRuns = 10
+)
 
 // Recall takes what was known before this node started: the calls of one run of each route.
 func (l *Learner) Recall(known map[string]Rates) {
@@ -28,7 +35,7 @@
 func (l *Learner) Known() map[string]Rates {
 	known := map[string]Rates{}
 	for route, s := range l.routes {
-		if s.good.runs >= recallRuns {
+		if s.good.runs >= knownRuns {
 			known[route] = l.Calls(route)
 		}
 	}
--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -97,6 +97,9 @@
 	return &s, nil
 }
 
+// HasRoute tells whether the state has a route of that name.
+func (s *State) HasRoute(name string) bool { return s.byName[name] != nil }
+
 // lowest is the priority of a route that isn't known.
 const lowest = 1 << 10
 
--- a/pkg/loads/called_routes.go
+++ b/pkg/loads/called_routes.go
@@ -21,6 +21,9 @@
 	// the root of its rate more, for one that all services call: rates are counted over about a second.
 	unlikeShare = 0.2
 	unlikeNoise = 2.0
+	// sureRate is the rate a second from which calls begin clearly elsewhere than clients' requests do, if they are made
+	// by the servers of all services but one of four: below it what was known before holds.
+	sureRate = 4 * missingRate
 )
 
 // Origin is the servers of one service in one availability zone, beside which requests begin.
@@ -56,7 +59,7 @@
 		case alone > callAlone:
 			out[route] = before(route)
 		default:
-			out[route] = clients.calledAt(at)
+			out[route] = clients.calledAt(at) || (before(route) && sum.All() < sureRate)
 		}
 	}
 	return out
--- a/pkg/loads/doc.go
+++ b/pkg/loads/doc.go
@@ -5,5 +5,6 @@
 // each node works out the same: which routes are calls of backend servers (called_routes.go), which calls a run of a
 // route makes (graph_of_calls.go), and where it runs and for how long (places_of_routes.go).
 //
-// The package decides nothing and holds no state; package mesh keeps the reports and forgets them.
+// Package mesh keeps the reports and forgets them. What they told of runs is remembered beyond that (kept_runs.go), and
+// beyond the life of all processes as what was learned of each service (learned.go).
 package loads
--- a/pkg/mesh/admission_log.go
+++ b/pkg/mesh/admission_log.go
@@ -42,15 +42,6 @@
 	return routes
 }
 
-// logInner writes down each route that is taken for a call from now on, or isn't any more.
-func (n *Node) logInner(inner map[string]bool) {
-	for route, is := range inner {
-		if is != n.isInner(route) {
-			n.controlLog.Info("route judged", "route", route, "called_by_servers_only", is)
-		}
-	}
-}
-
 // showShares sets the metric of each kind that is held down, or ever was.
 func (n *Node) showShares(plan *admissionPlan) {
 	for route, s := range plan.shares {
--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
@@ -40,44 +41,70 @@
 func (n *Node) replan(now time.Time) {
 	n.forgetLoads(now)
 	reports := n.loads()
-	places := n.placesNow(now, reports)
+	n.control.kept.Note(now, reports)
+	all := n.control.kept.Complete(reports)
+	places := loads.Places(all)
+	n.judgeInner()
 	plan := &admissionPlan{
-		inner: n.originsNow().Called(n.isInner), runs: make(map[string]map[string]float64), holds: loads.Holds(places),
+		inner: maps.Clone(n.control.inner), runs: make(map[string]map[string]float64), holds: loads.Holds(places),
 	}
-	costs := callgraph.Costs(loads.Graph(reports), places)
+	costs := callgraph.Costs(loads.Graph(all), places)
 	for route, c := range costs {
 		plan.runs[route] = c.Runs
 	}
-	roots, capacity := n.roots(reports, plan, costs), n.capacity()
+	roots, capacity := n.roots(now, reports, plan, costs), n.capacity()
 	options := overload.Options{NoLeastPart: n.off[settings.LeastPart], Alike: n.off[settings.CostWeight]}
 	plan.shares = options.Plan(roots, capacity)
 	plan.binding = overload.Binding(roots, plan.shares, capacity)
-	n.logInner(plan.inner)
 	n.logPlan(now, plan, roots, capacity)
 	n.plan.Store(plan)
 }
 
-// roots returns the demand for each kind of root request.
-func (n *Node) roots(reports []*loads.Report, plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
-	state := n.state.Load()
+// roots returns the demand for each kind of root request: what is counted, and what can't have been counted yet.
+func (n *Node) roots(now time.Time, reports []*loads.Report, plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
+	byRoute := n.countedRoots(reports, plan, costs)
+	n.control.asked = make(map[string]float64, len(byRoute))
+	for route, r := range byRoute {
+		n.control.asked[route] = r.Fresh
+	}
+	if len(byRoute) > 0 {
+		n.control.demand.Reported(now)
+	}
+	for route, missing := range n.control.demand.Missing(now) {
+		if plan.inner[route] {
+			continue
+		}
+		if byRoute[route] == nil {
+			byRoute[route] = n.root(route, costs)
+		}
+		byRoute[route].Fresh += missing
+	}
+	roots := make([]overload.Root, 0, len(byRoute))
+	for _, r := range byRoute {
+		roots = append(roots, *r)
+	}
+	return roots
+}
+
+// root returns a kind of root request for which there is no demand.
+func (n *Node) root(route string, costs map[string]callgraph.Cost) *overload.Root {
+	return &overload.Root{Route: route, Priority: n.state.Load().Priority(route), Slots: costs[route].Slots}
+}
+
+// countedRoots returns the demand that reports tell of.
+func (n *Node) countedRoots(reports []*loads.Report, plan *admissionPlan, costs map[string]callgraph.Cost) map[string]*overload.Root {
 	byRoute := map[string]*overload.Root{}
 	for _, r := range reports {
 		for route, e := range r.Entries {
 			if plan.inner[route] {
 				continue
 			}
-			o := byRoute[route]
-			if o == nil {
-				o = &overload.Root{Route: route, Priority: state.Priority(route), Slots: costs[route].Slots}
-				byRoute[route] = o
+			if byRoute[route] == nil {
+				byRoute[route] = n.root(route, costs)
 			}
-			o.Fresh += e.Fresh
-			o.Returning += e.Returning
+			byRoute[route].Fresh += e.Fresh
+			byRoute[route].Returning += e.Returning
 		}
 	}
-	roots := make([]overload.Root, 0, len(byRoute))
-	for _, r := range byRoute {
-		roots = append(roots, *r)
-	}
-	return roots
+	return byRoute
 }
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -6,6 +6,7 @@
 	"github.com/ugorji/go/codec"
 
 	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/loads"
 )
 
 // message is what two nodes tell each other.
@@ -20,6 +21,9 @@
 	Reports []packedReport     `codec:"l,omitempty"` // of the zone's nodes, for one of them
 	Zones   []packedZone       `codec:"o,omitempty"`
 	State   []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
+	// Unlearned tells that the sender knows of no run yet; Learned is what it is then told of all services.
+	Unlearned bool            `codec:"u,omitempty"`
+	Learned   []loads.Learned `codec:"k,omitempty"`
 }
 
 // packedReport is a report as its node wrote it. It is passed on as it is, and read only where it is news:
@@ -62,6 +66,7 @@
 	m := message{
 		From: n.ip, Zone: n.cfg.Zone, Stopping: n.stop.leaving(), Zones: n.ownZone(now),
 		Digest: n.control.directory.Digest(), Records: n.control.news.recent(now),
+		Unlearned: n.control.kept.Empty(),
 	}
 	if s := n.state.Load(); s != nil {
 		m.Version = s.Version
@@ -84,6 +89,9 @@
 	if s := n.state.Load(); s != nil && to.Version < s.Version {
 		m.State = s.Source
 	}
+	if to.Unlearned {
+		m.Learned = n.allLearned()
+	}
 	return m
 }
 
@@ -92,5 +100,6 @@
 	m := n.newMessage("")
 	m.Zones = nil
 	m.Records = n.control.directory.All()
+	m.Learned = n.allLearned()
 	return m
 }
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -47,7 +47,9 @@
 	if err != nil {
 		return next, err
 	}
-	n.following.Store(true)
+	if !n.following.Swap(true) {
+		n.records.askRead() // what waits for its next try needn't wait: the store answers
+	}
 	if data != nil {
 		n.takeState("store", data)
 	}
@@ -75,9 +77,13 @@
 		if old != nil && old.Version >= s.Version {
 			return false
 		}
-		if n.state.CompareAndSwap(old, s) {
-			return true
+		if !n.state.CompareAndSwap(old, s) {
+			continue
+		}
+		if old == nil {
+			n.knowledge.stateSince.Store(n.clock.Now().UnixNano())
 		}
+		return true
 	}
 }
 
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -9,6 +9,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -19,21 +20,26 @@
 	// keepChange is the change of the calls of a run that is worth a write, as a share and in calls.
 	keepChange = 0.25
 	keepLeast  = 0.2
+	// keepHoldChange is how many times longer or shorter runs hold a slot for it to be worth a write: holds vary with the
+	// load, and the first runs after a start correct them.
+	keepHoldChange = 2.0
+	// keepAskedChange is the same for how often a kind is asked for, which sets what is taken in right after a start.
+	keepAskedChange = 1.5
 )
 
-// keepLearned stores what was learned of the own service's calls, from one of its nodes.
+// keepLearned stores what was learned of the own service's runs, from one of its nodes.
 func (n *Node) keepLearned(ctx context.Context) {
-	var stored map[string]callgraph.Rates
+	var stored loads.Learned
 	for clock.Sleep(ctx, jitter(keepPeriod)) {
 		if !n.keepsLearned() {
 			continue
 		}
-		known := n.stats.known()
+		known := n.learnedNow()
 		if !differ(known, stored) {
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, storeCallTime)
-		err := n.store.WriteLearned(cctx, Learned{Service: n.cfg.Service, Calls: known})
+		err := n.store.WriteLearned(cctx, known)
 		cancel()
 		if err != nil {
 			n.metrics.count("store_errors_total")
@@ -42,10 +48,53 @@
 		}
 		stored = known
 		n.metrics.count("learned_stored_total")
-		n.controlLog.Info("learned calls stored", "routes", len(known))
+		n.controlLog.Info("learned calls stored", "routes", len(known.Calls))
 	}
 }
 
+// learnedNow returns what is known well of the own service's runs.
+func (n *Node) learnedNow() loads.Learned {
+	calls := n.stats.known()
+	answer := make(chan loads.Learned, 1)
+	n.do(func() { answer <- n.learnedOf(n.cfg.Service, calls, n.control.asked) })
+	return <-answer
+}
+
+// learnedOf puts what the control goroutine knows of a service's routes, and how often they are asked for, beside the calls
+// that their runs make.
+func (n *Node) learnedOf(service string, calls map[string]callgraph.Rates, asked map[string]float64) loads.Learned {
+	l := loads.Learned{Service: service, Calls: calls, Times: map[string]loads.RunTimes{}, Asked: map[string]float64{}}
+	runs := n.control.kept.Services()[service]
+	for route := range calls {
+		if run, known := runs[route]; known {
+			l.Times[route] = loads.RunTimes{Rate: run.Rate, Hold: run.Hold}
+		}
+		if n.control.inner[route] {
+			l.Inner = append(l.Inner, route)
+		}
+		if rate := asked[route]; rate > 0 {
+			l.Asked[route] = rate
+		}
+	}
+	slices.Sort(l.Inner)
+	return l
+}
+
+// allLearned returns what is known of all services, for a node that knows nothing yet. What is counted of the demand it
+// hears from the reports.
+func (n *Node) allLearned() []loads.Learned {
+	var all []loads.Learned
+	missing := n.control.demand.Missing(n.clock.Now())
+	for service, runs := range n.control.kept.Services() {
+		calls := make(map[string]callgraph.Rates, len(runs))
+		for route, run := range runs {
+			calls[route] = run.Calls
+		}
+		all = append(all, n.learnedOf(service, calls, missing))
+	}
+	return all
+}
+
 // keepsLearned tells whether this node is the first of those beside its service's servers.
 func (n *Node) keepsLearned() bool {
 	v := n.view.Load()
@@ -60,27 +109,62 @@
 	return true
 }
 
-// recallLearned takes what was learned before this process started.
-func (n *Node) recallLearned(all []Learned) {
-	if n.off[settings.LearnedMemory] {
+// recallLearned takes what was learned before this process started, in the control goroutine: the plan is worked out
+// anew at once, so that it holds for the first request.
+func (n *Node) recallLearned(from string, all []loads.Learned) {
+	if n.off[settings.LearnedMemory] || len(all) == 0 {
 		return
 	}
+	defer n.knowledge.complete.Store(true)
+	now := n.clock.Now()
+	routes := 0
 	for _, l := range all {
 		if l.Service == n.cfg.Service {
 			n.stats.recall(l.Calls)
-			n.controlLog.Info("learned calls recalled", "routes", len(l.Calls))
+		}
+		taken := n.control.kept.Recall(now, l.Service, l.Runs())
+		n.recallInner(l.Inner)
+		if taken > 0 {
+			n.control.demand.Recall(l.Asked)
+		}
+		routes += taken
+	}
+	if routes > 0 {
+		n.controlLog.Info("learned calls recalled", "routes", routes, "from", from)
+		n.replan(now)
+	}
+}
+
+// recallInner takes routes that only backend servers call, unless this node has judged them itself.
+func (n *Node) recallInner(routes []string) {
+	for _, route := range routes {
+		if _, judged := n.control.inner[route]; !judged {
+			n.control.inner[route] = true
 		}
 	}
 }
 
-// differ tells whether a run of a route that is known makes clearly more or fewer calls than by what is stored.
-func differ(known, stored map[string]callgraph.Rates) bool {
-	for route, calls := range known {
-		for _, called := range slices.Concat(slices.Collect(maps.Keys(calls)), slices.Collect(maps.Keys(stored[route]))) {
-			if n := calls[called]; math.Abs(n-stored[route][called]) > max(keepLeast, keepChange*n) {
-				return true
-			}
+// differ tells whether what is known of a route differs clearly from what is stored.
+func differ(known, stored loads.Learned) bool {
+	for route, calls := range known.Calls {
+		if differInCalls(calls, stored.Calls[route]) ||
+			differBy(keepHoldChange, known.Times[route].Hold, stored.Times[route].Hold) ||
+			differBy(keepAskedChange, known.Asked[route], stored.Asked[route]) {
+			return true
+		}
+	}
+	return !slices.Equal(known.Inner, stored.Inner)
+}
+
+// differInCalls tells whether a run makes clearly more or fewer calls.
+func differInCalls(known, stored callgraph.Rates) bool {
+	for _, called := range slices.Concat(slices.Collect(maps.Keys(known)), slices.Collect(maps.Keys(stored))) {
+		if n := known[called]; math.Abs(n-stored[called]) > max(keepLeast, keepChange*n) {
+			return true
 		}
 	}
 	return false
 }
+
+// differBy tells whether one of two values is more than so many times the other.
+func differBy(times, a, b float64) bool { return max(a, b) > times*min(a, b) }
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -30,25 +30,18 @@
 	// FollowState waits for a change after the version; data is nil if there was none in time. The error
 	// is a *HistoryGoneError if the state must be read again.
 	FollowState func(ctx context.Context, after int64) (data []byte, next int64, err error)
-	// ReadRecords returns the records of all VMs, and what was learned of the calls of each service.
+	// ReadRecords returns the records of all VMs, and what was learned of the runs of each service.
 	ReadRecords func(ctx context.Context) (Stored, error)
 	// WriteRecord stores this VM's record. Nobody else writes it, so doing it twice does no harm.
 	WriteRecord func(ctx context.Context, r directory.Record) error
-	// WriteLearned stores what was learned of the calls of one service; any of its nodes may write it.
-	WriteLearned func(ctx context.Context, l Learned) error
+	// WriteLearned stores what was learned of the runs of one service; any of its nodes may write it.
+	WriteLearned func(ctx context.Context, l loads.Learned) error
 }
 
 // Stored is what the store keeps for nodes.
 type Stored struct {
 	Records []directory.Record
-	Learned []Learned
-}
-
-// Learned is how many calls of each route one run of each route makes at the servers of a service. It outlasts
-// the loss of all processes: after one, in the middle of an overload, there is no calm to learn in.
-type Learned struct {
-	Service string                     `json:"service"`
-	Calls   map[string]callgraph.Rates `json:"calls"`
+	Learned []loads.Learned
 }
 
 // HistoryGoneError reports that the store has forgotten what changed since a version.
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -25,6 +25,7 @@
 		n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusServiceUnavailable)
 		return
 	}
+	n.awaitLearned(r.Context())
 	route := state.Match(r.Host, r.RequestURI)
 	if route == nil {
 		n.noRoute(w, r)
--- a/pkg/mesh/report_own_load.go
+++ b/pkg/mesh/report_own_load.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
@@ -20,6 +22,8 @@
 	useGain = 0.3
 	// roomLogPeriod is the time between lines about a server that is planned with for less than its gate's limit.
 	roomLogPeriod = time.Second
+	// callsLogPeriod is the time between lines about the calls that runs are taken to make.
+	callsLogPeriod = time.Second
 )
 
 // reportOwn takes this node's own counts.
@@ -27,6 +31,7 @@
 	r := n.stats.report(now)
 	own := n.control.own.Record()
 	r.Host, r.Epoch, r.Service = n.ip, n.epoch, own.Service
+	n.logCalls(now, r.Runs)
 	n.control.reportSeq++
 	r.Seq = n.control.reportSeq
 	n.gateMu.Lock()
@@ -73,3 +78,22 @@
 	n.controlLog.Info("room", "room", room, "limit", g.Limit, "running", g.Running, "queued", g.Queued, "hold", g.Hold,
 		"turned_away", round(load.TurnedAway), "binding", load.Binding, "part", round(n.roomPart()), "excess", round(excess))
 }
+
+// logCalls writes down the calls that runs at the own server are taken to make, where they differ clearly from what was
+// last written: what is learned wrongly sets what is let in everywhere.
+func (n *Node) logCalls(now time.Time, runs map[string]loads.Run) {
+	if now.Before(n.control.nextCallsLog) {
+		return
+	}
+	n.control.nextCallsLog = now.Add(callsLogPeriod)
+	changed := map[string]callgraph.Rates{}
+	for route, run := range runs {
+		if differInCalls(run.Calls, n.control.callsShown[route]) {
+			changed[route] = run.Calls
+			n.control.callsShown[route] = run.Calls
+		}
+	}
+	if len(changed) > 0 {
+		n.controlLog.Info("calls of a run", "routes", changed)
+	}
+}
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -52,8 +52,9 @@
 		n.controlLog.Warn("records not read", "err", err)
 		return false
 	}
-	n.recallLearned(stored.Learned)
 	n.do(func() {
+		n.recallLearned("store", stored.Learned)
+		n.knowledge.complete.Store(true)
 		n.noteStored(stored.Records)
 		n.merge("store", stored.Records)
 		n.records.noteFirstRead()
