What peers know is taken once, and a rare route doesn't hide the calls of others

Nodes passed what was learned on in every message that completes records, and each remembered it anew as 30 runs: a guess of eight calls by a route that runs once a second and makes none stayed for ever. And a route counts as calling only if a run makes a fifth of the calls that a run of any other seems to make, so that guess alone struck out the one call of each read. Change: a node takes what peers know once, while it asks for it (300 ms after its first desired state); what the store keeps once as well. The fifth is that of the route which makes most of the calls in all. Before and after: TestARareRouteDoesntHideTheCallsOfOthers red before (no calls of 0.9), TestWhatPeersKnowIsTakenOnce new.

--- a/pkg/callgraph/calls_of_whole_runs.go
+++ b/pkg/callgraph/calls_of_whole_runs.go
@@ -7,8 +7,9 @@
 	leastRuns = 5.0
 	// StrayCalls is the count of calls by one run below which they are taken for chance.
 	StrayCalls = 0.02
-	// tracePart of the calls of the route that makes most of them is what another one makes at least to be
-	// believed: less than that can't be told from noise within a day's load.
+	// tracePart of the calls in a run of the route that makes most of them in all is what a run of another one makes at
+	// least to be believed: less than that can't be told from noise within a day's load. By all runs and not by one, since of
+	// a route that hardly ever runs a few stray calls seem to be many for each run.
 	tracePart = 0.2
 )
 
@@ -48,20 +49,23 @@
 	}
 	out := Rates{}
 	for c, n := range s.perRun() {
-		if n >= max(StrayCalls, tracePart*l.mostCalls(c)) {
+		if n >= max(StrayCalls, tracePart*l.mainCalls(c)) {
 			out[c] = n
 		}
 	}
 	return out
 }
 
-// mostCalls returns the calls of the route that makes most of them in a run.
-func (l *Learner) mostCalls(called string) float64 {
-	most := 0.0
+// mainCalls returns the calls in a run of the route whose runs make most of them in all.
+func (l *Learner) mainCalls(called string) float64 {
+	most, main := 0.0, 0.0
 	for _, s := range l.routes {
-		most = max(most, s.perRun()[called])
+		calls := s.perRun()[called]
+		if all := calls * (s.all.runs + s.recalledRuns); all > most {
+			most, main = all, calls
+		}
 	}
-	return most
+	return main
 }
 
 // perRun returns the calls of one run, of those that ended well if there are enough, and as was known before.
--- a/pkg/callgraph/learner_test.go
+++ b/pkg/callgraph/learner_test.go
@@ -139,3 +139,20 @@
 		}
 	}
 }
+
+// A few calls that were seen late were taken for those of a route that hardly ever ran, eight in each of its runs. The one call
+// that each read makes was dropped as a trace beside them: reads seemed to cost the services below nothing.
+func TestARareRouteDoesntHideTheCallsOfOthers(t *testing.T) {
+	c := qt.New(t)
+	var l Learner
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		r := l.Begin(now, "read", now.Add(second))
+		r.add("check", 0.9)
+		l.End(now.Add(10*time.Millisecond), r, true)
+	}
+	rare := l.Begin(start, "rare", start.Add(second))
+	rare.add("check", 8)
+	l.End(start.Add(second), rare, true)
+	c.Assert(near(l.Calls("read")["check"], 0.9, 0.01), qt.IsTrue, qt.Commentf("%v", l.Calls("read")))
+}
--- a/pkg/loads/kept_test.go
+++ b/pkg/loads/kept_test.go
@@ -27,7 +27,7 @@
 	moved := []*Report{reportOf("other", map[string]Run{"called": low})}
 	c.Assert(Places(k.Complete(moved))["called"].Shares, qt.DeepEquals, map[string]float64{"other": 1}, qt.Commentf("it has moved"))
 	k.Note(now.Add(KeptTime+time.Second), nil)
-	c.Assert(k.Empty(), qt.IsTrue)
+	c.Assert(k.Services(), qt.HasLen, 0)
 }
 
 func TestWhatIsToldGoesBeforeWhatIsRecalled(t *testing.T) {
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -27,10 +27,10 @@
 //     traffic_entries.go, traffic_runs.go and traffic_at_gate.go count,
 //     report_own_load.go tells it to the zone as a report of package loads,
 //     held_loads.go and loads_that_count.go keep those of all and forget what is old.
-//   - The plan of admission: package loads reads the reports, places_of_routes.go
+//   - The plan of admission: package loads reads the reports and
 //     remembers what isn't told any more, capacity_of_services.go is the other
 //     side; admission_plan.go works it out and admission_log.go shows it.
-//     keep_learned.go keeps what was learned beyond the process.
+//     keep_learned.go keeps what was learned beyond the process, recall_learned.go takes it after a start.
 //
 // One goroutine owns the control state (control_loop.go) and publishes a view;
 // requests read the view and never lock control state.
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -143,7 +143,7 @@
 	}
 	n.do(func() {
 		now := n.clock.Now()
-		n.recallLearned(m.From, m.Learned)
+		n.recallTold(m.From, m.Learned)
 		n.merge(m.From, m.Records)
 		n.takeReports(now, m.From, m.Reports)
 		n.takeZones(now, m.From, m.Zones)
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -21,7 +21,7 @@
 	Reports []packedReport     `codec:"l,omitempty"` // of the zone's nodes, for one of them
 	Zones   []packedZone       `codec:"o,omitempty"`
 	State   []byte             `codec:"s,omitempty"` // desired state, for a peer that has an older one
-	// Unlearned tells that the sender knows of no run yet; Learned is what it is then told of all services.
+	// Unlearned tells that the sender lacks what was learned before its start; Learned is what it is then told of all services.
 	Unlearned bool            `codec:"u,omitempty"`
 	Learned   []loads.Learned `codec:"k,omitempty"`
 }
@@ -66,7 +66,7 @@
 	m := message{
 		From: n.ip, Zone: n.cfg.Zone, Stopping: n.stop.leaving(), Zones: n.ownZone(now),
 		Digest: n.control.directory.Digest(), Records: n.control.news.recent(now),
-		Unlearned: n.control.kept.Empty(),
+		Unlearned: n.unlearned(now),
 	}
 	if s := n.state.Load(); s != nil {
 		m.Version = s.Version
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -10,7 +10,6 @@
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/loads"
-	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
 // The constants of keeping what was learned.
@@ -109,41 +108,6 @@
 	return true
 }
 
-// recallLearned takes what was learned before this process started, in the control goroutine: the plan is worked out
-// anew at once, so that it holds for the first request.
-func (n *Node) recallLearned(from string, all []loads.Learned) {
-	if n.off[settings.LearnedMemory] || len(all) == 0 {
-		return
-	}
-	defer n.knowledge.complete.Store(true)
-	now := n.clock.Now()
-	routes := 0
-	for _, l := range all {
-		if l.Service == n.cfg.Service {
-			n.stats.recall(l.Calls)
-		}
-		taken := n.control.kept.Recall(now, l.Service, l.Runs())
-		n.recallInner(l.Inner)
-		if taken > 0 {
-			n.control.demand.Recall(l.Asked)
-		}
-		routes += taken
-	}
-	if routes > 0 {
-		n.controlLog.Info("learned calls recalled", "routes", routes, "from", from)
-		n.replan(now)
-	}
-}
-
-// recallInner takes routes that only backend servers call, unless this node has judged them itself.
-func (n *Node) recallInner(routes []string) {
-	for _, route := range routes {
-		if _, judged := n.control.inner[route]; !judged {
-			n.control.inner[route] = true
-		}
-	}
-}
-
 // differ tells whether what is known of a route differs clearly from what is stored.
 func differ(known, stored loads.Learned) bool {
 	for route, calls := range known.Calls {
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -136,3 +136,27 @@
 		c.Assert(n.knowledge.complete.Load(), qt.IsTrue)
 	})
 }
+
+// Nodes that passed on what they had of each other took a guess of one for the knowledge of all, again with each message:
+// for 15 s eight calls were believed of a route that makes none, and served were 15 % of the requests where there was room for 27 %.
+func TestWhatPeersKnowIsTakenOnce(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	n, _ := s.add("a", "z", 10)
+	told := func(calls float64) []loads.Learned {
+		return []loads.Learned{{
+			Service: "a", Calls: map[string]callgraph.Rates{"r": {"x": calls}},
+			Times: map[string]loads.RunTimes{"r": {Rate: 1, Hold: 1}},
+		}}
+	}
+	taken := make(chan float64)
+	n.do(func() {
+		n.recallTold("peer", told(1))
+		n.recallTold("peer", told(8))
+		n.stats.end(time.Now(), "r", n.stats.begin(time.Now(), "r", time.Now()), 0, gate.Shed)
+		n.stats.mu.Lock()
+		defer n.stats.mu.Unlock()
+		taken <- n.stats.callsOf("r")["x"]
+	})
+	c.Assert(<-taken, qt.Equals, 1.0)
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -97,6 +97,7 @@
 	n.stats.learner.CallsAreOnTime = n.off[settings.LateCalls]
 	n.gate.ByArrival = n.off[settings.GateOrder]
 	n.metrics.init()
+	n.knowledge.told = o.Settings.Mesh.FirstStart // nobody knows anything yet
 	n.knowledge.complete.Store(o.Settings.Mesh.FirstStart || n.off[settings.LearnedMemory])
 	n.tuneBudget()
 	n.view.Store(&view{})
@@ -147,29 +148,6 @@
 	startPoll = 5 * time.Millisecond
 )
 
-// knowledge tells when a node that has started may plan what it takes in.
-type knowledge struct {
-	stateSince atomic.Int64 // when the first desired state came, in Unix nanoseconds; 0: it hasn't
-	complete   atomic.Bool  // all that was learned before this process started is at hand, or can't be had
-}
-
-// learnedWait is how long after the first desired state requests wait for what was learned of their costs. Store and
-// peers give it within some hundredths of a second of the state; what is taken in before it comes can't be planned.
-const learnedWait = 300 * time.Millisecond
-
-// awaitLearned waits until what was learned before this process started is at hand.
-func (n *Node) awaitLearned(ctx context.Context) {
-	for !n.knowledge.complete.Load() {
-		if n.clock.Now().UnixNano()-n.knowledge.stateSince.Load() >= learnedWait.Nanoseconds() {
-			n.knowledge.complete.Store(true)
-			return
-		}
-		if !clock.Sleep(ctx, startPoll) {
-			return
-		}
-	}
-}
-
 // awaitNews waits a moment for news if the node has just started; it reports whether it is worth another look.
 func (n *Node) awaitNews(ctx context.Context) bool {
 	return n.clock.Now().Sub(n.started) < startWait && clock.Sleep(ctx, startPoll)
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -53,8 +53,7 @@
 		return false
 	}
 	n.do(func() {
-		n.recallLearned("store", stored.Learned)
-		n.knowledge.complete.Store(true)
+		n.recallStored(stored.Learned)
 		n.noteStored(stored.Records)
 		n.merge("store", stored.Records)
 		n.records.noteFirstRead()
