Calls of the store that hang are made again once it answers another one

Change: the calls of a node share what they find (storeWatch): after a failure the first answer ends calls that hang and waits for the next try. A feed that hangs ends with it too. Conclusion: each loop waited for its own time-out, though another one knew better.

--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 
-	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 )
 
@@ -15,7 +14,8 @@
 	wait := storeRetryFirst
 	for ctx.Err() == nil {
 		var err error
-		next, err = n.followOnce(ctx, next)
+		t := n.storeWatch.try()
+		next, err = n.followOnce(ctx, t, next)
 		if err == nil {
 			wait = storeRetryFirst
 			continue
@@ -27,29 +27,28 @@
 		n.following.Store(false)
 		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("desired state not followed", "err", err)
-		clock.Sleep(ctx, jitter(wait))
+		t.sleep(ctx, jitter(wait))
 		wait = min(2*wait, storeRetryMost)
 	}
 }
 
 // followOnce makes one call and returns the version to go on from.
-func (n *Node) followOnce(ctx context.Context, next int64) (int64, error) {
+func (n *Node) followOnce(ctx context.Context, t storeTry, next int64) (int64, error) {
 	var data []byte
 	var after int64
-	var err error
-	if next < 0 {
-		cctx, cancel := context.WithTimeout(ctx, storeCallTime)
-		defer cancel()
-		data, after, err = n.store.ReadState(cctx)
-	} else {
-		data, after, err = n.store.FollowState(ctx, next)
+	span, read := storeCallTime, n.store.ReadState
+	if next >= 0 {
+		span = followTime
+		read = func(ctx context.Context) ([]byte, int64, error) { return n.store.FollowState(ctx, next) }
 	}
+	err := t.call(ctx, span, func(ctx context.Context) (err error) {
+		data, after, err = read(ctx)
+		return err
+	})
 	if err != nil {
 		return next, err
 	}
-	if !n.following.Swap(true) {
-		n.records.askRead() // what waits for its next try needn't wait: the store answers
-	}
+	n.following.Store(true)
 	if data != nil {
 		n.takeState("store", data)
 	}
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -37,9 +37,9 @@
 		if !differ(known, stored) {
 			continue
 		}
-		cctx, cancel := context.WithTimeout(ctx, storeCallTime)
-		err := n.store.WriteLearned(cctx, known)
-		cancel()
+		err := n.storeWatch.try().call(ctx, storeCallTime, func(ctx context.Context) error {
+			return n.store.WriteLearned(ctx, known)
+		})
 		if err != nil {
 			n.metrics.count("store_errors_total")
 			n.controlLog.Warn("learned calls not stored", "err", err)
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -57,9 +57,10 @@
 	peersMu sync.Mutex
 	peers   map[string]*peer
 
-	events  chan func()
-	control controlState
-	records recordWriter
+	events     chan func()
+	control    controlState
+	records    recordWriter
+	storeWatch storeWatch
 
 	servers []*http.Server
 	cancel  context.CancelFunc
--- /dev/null
+++ b/pkg/mesh/store_watch_test.go
@@ -0,0 +1,57 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A node that started while the store was silent had its records 0.9 s before its desired state, which it was still
+// waiting for on a call that hung.
+func TestACallThatHangsIsMadeAgainOnceTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var w storeWatch
+		hang := func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		answer := func(context.Context) error { return nil }
+		c.Assert(w.try().call(t.Context(), time.Second, hang), qt.Equals, context.DeadlineExceeded)
+		begun := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			c.Check(w.try().call(t.Context(), time.Second, answer), qt.IsNil)
+		}()
+		call := w.try()
+		c.Assert(call.call(t.Context(), time.Minute, hang), qt.Equals, context.Canceled)
+		c.Assert(call.sleep(t.Context(), time.Minute), qt.IsTrue)
+		c.Assert(time.Since(begun), qt.Equals, 300*time.Millisecond)
+	})
+}
+
+// Calls that the store answers don't disturb each other.
+func TestACallIsLeftAloneWhileTheStoreIsWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var w storeWatch
+		slow := func(context.Context) error {
+			time.Sleep(time.Second)
+			return nil
+		}
+		go func() {
+			for range 5 {
+				c.Check(w.try().call(t.Context(), time.Second, func(context.Context) error { return nil }), qt.IsNil)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		c.Assert(w.try().call(t.Context(), time.Minute, func(ctx context.Context) error {
+			err := slow(ctx)
+			c.Check(ctx.Err(), qt.IsNil)
+			return err
+		}), qt.IsNil)
+	})
+}
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -31,22 +31,25 @@
 	for ctx.Err() == nil {
 		nodes := max(int(n.nodes.Load()), recordsNodes)
 		pause := jitter(recordsPeriod * time.Duration(nodes) / recordsNodes)
-		if n.readRecords(ctx) {
+		t := n.storeWatch.try()
+		if n.readRecords(ctx, t) {
 			wait = storeRetryFirst
-		} else {
-			n.records.noteFirstRead()
-			pause = jitter(wait)
-			wait = min(2*wait, storeRetryMost)
+			n.awaitRead(ctx, pause)
+			continue
 		}
-		n.awaitRead(ctx, pause)
+		n.records.noteFirstRead()
+		t.sleep(ctx, jitter(wait))
+		wait = min(2*wait, storeRetryMost)
 	}
 }
 
 // readRecords reads all records once and tells some peers; it reports whether the store answered.
-func (n *Node) readRecords(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
-	defer cancel()
-	stored, err := n.store.ReadRecords(ctx)
+func (n *Node) readRecords(ctx context.Context, t storeTry) bool {
+	var stored Stored
+	err := t.call(ctx, storeCallTime, func(ctx context.Context) (err error) {
+		stored, err = n.store.ReadRecords(ctx)
+		return err
+	})
 	if err != nil {
 		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("records not read", "err", err)
--- a/pkg/mesh/write_records.go
+++ b/pkg/mesh/write_records.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 )
 
@@ -12,6 +11,8 @@
 const (
 	// storeCallTime bounds one call.
 	storeCallTime = 1500 * time.Millisecond
+	// followTime bounds a call that waits for changes: longer than any store holds one.
+	followTime = time.Minute
 	// storeRetryFirst and storeRetryMost bound the wait before a call is made again.
 	storeRetryFirst = 150 * time.Millisecond
 	storeRetryMost  = 800 * time.Millisecond
@@ -35,10 +36,11 @@
 				return
 			}
 		}
-		if n.writeRecord(ctx, r) {
+		t := n.storeWatch.try()
+		if n.writeRecord(ctx, t, r) {
 			continue
 		}
-		if !clock.Sleep(ctx, jitter(wait)) {
+		if !t.sleep(ctx, jitter(wait)) {
 			return
 		}
 		wait = min(2*wait, storeRetryMost)
@@ -58,10 +60,9 @@
 }
 
 // writeRecord makes one call, and reports whether the store has the record.
-func (n *Node) writeRecord(ctx context.Context, r directory.Record) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTime)
-	defer cancel()
-	if err := n.store.WriteRecord(ctx, r); err != nil {
+func (n *Node) writeRecord(ctx context.Context, t storeTry, r directory.Record) bool {
+	err := t.call(ctx, storeCallTime, func(ctx context.Context) error { return n.store.WriteRecord(ctx, r) })
+	if err != nil {
 		n.metrics.count("store_errors_total")
 		n.controlLog.Warn("record not stored", "generation", r.Generation, "err", err)
 		return false
