--- a/pkg/overload/room_control.go
+++ b/pkg/overload/room_control.go
@@ -37,8 +37,9 @@
 	giveRate = 0.25
 	// leastRoom is the part that is always planned for, so that there is something to learn from.
 	leastRoom = 0.08
-	// learnTime after the first look nothing is taken: what is turned away then tells of costs that aren't learned
-	// yet, and soon are.
+	// learnTime after the server is first used nothing is taken: what is turned away then tells of costs that aren't
+	// learned yet, and soon are. Counted from the start of the process, it had passed before the first request where the
+	// desired state came late, and the burst of the first second cost 0.56 of the room.
 	learnTime = 3 * time.Second
 	// longestStep bounds the time that one look stands for.
 	longestStep = time.Second
@@ -61,10 +62,12 @@
 	step := min(max(now.Sub(c.last), 0), longestStep)
 	if c.last.IsZero() {
 		step = 0
-		c.first = now
 	}
 	c.last = now
-	if now.Sub(c.first) < learnTime {
+	if c.first.IsZero() && g.Use > 0 {
+		c.first = now
+	}
+	if c.first.IsZero() || now.Sub(c.first) < learnTime {
 		return
 	}
 	c.add(step, g)
--- a/pkg/overload/room_control_test.go
+++ b/pkg/overload/room_control_test.go
@@ -96,6 +96,22 @@
 	c.Assert(r.Part() < 1, qt.IsTrue)
 }
 
+// A node that got its desired state 13 s after its start had no time to learn any more.
+func TestAnIdleServerLearnsNothing(t *testing.T) {
+	c := qt.New(t)
+	var r RoomControl
+	now := time.Unix(1000, 0)
+	for range 130 {
+		r.Observe(now, GateLoad{})
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 20 {
+		r.Observe(now, GateLoad{TurnedAway: 0.7, Use: 3})
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(r.Part(), qt.Equals, 1.0)
+}
+
 // controlledServer plays a server whose requests take a part of what they cost by the plan; it returns the least and
 // the most use of the last three seconds, and the most that was turned away in them.
 func controlledServer(c *RoomControl, now time.Time, demand, part float64, span time.Duration) (least, most, turned float64) {
