--- a/pkg/loads/called_routes_test.go
+++ b/pkg/loads/called_routes_test.go
@@ -135,3 +135,15 @@
 	c.Check(s.routes.Called(func(route string) bool { return route == "called" })["called"], qt.IsTrue)
 	c.Check(s.routes.Called(never)["called"], qt.IsFalse)
 }
+
+// When hardly anything is asked for, as just before and after a loss of all nodes, calls begin at no clearly other servers than
+// clients' requests do; what was known before holds then.
+func TestWhatWasKnownHoldsWhileLittleIsAskedFor(t *testing.T) {
+	c := qt.New(t)
+	site := newMadeUpSite(1, 3, 2, 1, 1, 1)
+	site.clients("root", 0.5, 0.5)
+	site.calls("called", 0.6, 0)
+	known := func(route string) bool { return route == "called" }
+	c.Assert(site.routes.Called(known), qt.DeepEquals, map[string]bool{"root": false, "called": true})
+	c.Assert(site.routes.Called(func(string) bool { return false }), qt.DeepEquals, map[string]bool{"root": false, "called": false})
+}
--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -44,7 +44,7 @@
 	n.control.kept.Note(now, reports)
 	all := n.control.kept.Complete(reports)
 	places := loads.Places(all)
-	n.judgeInner()
+	n.judgeInner(now)
 	plan := &admissionPlan{
 		inner: maps.Clone(n.control.inner), runs: make(map[string]map[string]float64), holds: loads.Holds(places),
 	}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -26,12 +26,13 @@
 	zones        map[string]*zoneLoad       // newest sum of each other zone
 	kept         loads.KeptRuns
 	demand       loads.KeptDemand
-	asked        map[string]float64 // first attempts a second by kind, as last counted
-	inner        map[string]bool    // routes by whether only backend servers call them, as last judged
-	innerState   int64              // desired state whose routes inner was last held against
-	ownZone      zoneLoad           // sum of this zone, as last told to others
-	zoneNodes    int                // VMs of this zone that are known
-	sharesShown  map[string]bool    // routes with a metric of their share
+	asked        map[string]float64   // first attempts a second by kind, as last counted
+	inner        map[string]bool      // routes by whether only backend servers call them, as last judged
+	innerHeld    map[string]time.Time // until when what was judged before the start holds, by route
+	innerState   int64                // desired state whose routes inner was last held against
+	ownZone      zoneLoad             // sum of this zone, as last told to others
+	zoneNodes    int                  // VMs of this zone that are known
+	sharesShown  map[string]bool      // routes with a metric of their share
 	reportSeq    int64
 	room         overload.RoomControl
 	gateUse      float64 // of the own gate's slots, smoothed
--- a/pkg/mesh/inner_routes.go
+++ b/pkg/mesh/inner_routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/loads"
 )
@@ -14,8 +15,12 @@
 
 // judgeInner works out anew which routes only backend servers call. What was judged of a route holds while nobody asks
 // for it, as long as it is in the desired state.
-func (n *Node) judgeInner() {
+func (n *Node) judgeInner(now time.Time) {
 	for route, is := range n.originsNow().Called(func(route string) bool { return n.control.inner[route] }) {
+		if now.Before(n.control.innerHeld[route]) {
+			continue
+		}
+		delete(n.control.innerHeld, route)
 		if is != n.control.inner[route] {
 			n.controlLog.Info("route judged", "route", route, "called_by_servers_only", is)
 		}
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -160,3 +160,24 @@
 	})
 	c.Assert(<-taken, qt.Equals, 1.0)
 }
+
+// After the loss of all processes backend servers went on with runs that their nodes knew nothing of: the calls of these came
+// alone, as clients' requests do, and were judged so, to and fro for 1.2 s.
+func TestWhatWasJudgedBeforeHoldsAfterAStart(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	n, _ := s.add("a", "z", 10)
+	judged := make(chan [2]bool)
+	n.do(func() {
+		now := time.Now()
+		n.recallInner(now, loads.Learned{Calls: map[string]callgraph.Rates{"called": {}, "root": {}}, Inner: []string{"called"}})
+		n.control.reports = map[string]*heldReport{"x": {heard: now, Report: loads.Report{
+			Host: "x", Service: "a", Entries: map[string]loads.Entry{"called": {Fresh: 100, Alone: 90}, "root": {Fresh: 100, Alone: 90}},
+		}}}
+		n.judgeInner(now)
+		soon := n.control.inner["called"] && !n.control.inner["root"]
+		n.judgeInner(now.Add(judgedBefore))
+		judged <- [2]bool{soon, n.control.inner["called"]}
+	})
+	c.Assert(<-judged, qt.Equals, [2]bool{true, false})
+}
--- a/pkg/mesh/network.go
+++ b/pkg/mesh/network.go
@@ -61,8 +61,9 @@
 const (
 	// storeIdle is how long one rests.
 	storeIdle = 30 * time.Second
-	// storeConns are kept: a node makes three kinds of call, one at a time each.
-	storeConns = 4
+	// storeConns are kept: a node makes three kinds of call, one at a time each, but for records, which it reads in four
+	// parts at once.
+	storeConns = 6
 )
 
 // NewStoreHTTP returns the HTTP client for the store, from the address of this VM.
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -51,9 +51,20 @@
 		}
 		flows = flows[n:]
 	}
+	refuseUncounted(roots, out)
 	return out
 }
 
+// refuseUncounted refuses those who come back of kinds whose first attempts don't all fit, where none were counted: after
+// a loss of all nodes clients that were refused meanwhile come back before anybody knows how many they are.
+func refuseUncounted(roots []Root, out map[string]Share) {
+	for _, r := range roots {
+		if s := out[r.Route]; s.Fresh < 1 && r.Returning == 0 {
+			out[r.Route] = Share{Fresh: s.Fresh}
+		}
+	}
+}
+
 // bindingShare of what may be filled of a service is filled if the plan holds requests down for it: it stops a little
 // before that.
 const bindingShare = 0.97
--- a/pkg/overload/plan_test.go
+++ b/pkg/overload/plan_test.go
@@ -152,3 +152,13 @@
 	c.Assert(Plan(roots, map[string]float64{})["a"], qt.Equals, Share{1, 1})
 	c.Assert(Plan(roots, map[string]float64{"x": 0})["a"], qt.Equals, Share{0, 0})
 }
+
+func TestThoseWhoComeBackUncountedGoAfterFirstAttempts(t *testing.T) {
+	c := qt.New(t)
+	shares := Plan([]Root{
+		{Route: "look", Priority: 2, Fresh: 200, Slots: map[string]float64{"low": 0.1}},
+		{Route: "pull", Priority: 2, Fresh: 50, Slots: map[string]float64{"files": 0.1}},
+	}, map[string]float64{"low": 5, "files": 100})
+	c.Assert(shares["look"].Returning, qt.Equals, 0.0)
+	c.Assert(shares["pull"].Returning, qt.Equals, 1.0)
+}
