--- a/pkg/mesh/admission_log.go
+++ b/pkg/mesh/admission_log.go
@@ -21,10 +21,10 @@
 	n.showShares(plan)
 	held := slices.ContainsFunc(roots, func(r overload.Root) bool { return plan.shares[r.Route].Fresh < 1 })
 	missing := withoutCost(roots)
-	if (!held && len(missing) == 0) || now.Before(n.control.nextPlanLog) {
+	if (!held && len(missing) == 0) || now.Before(n.control.shown.nextPlan) {
 		return
 	}
-	n.control.nextPlanLog = now.Add(planLogPeriod)
+	n.control.shown.nextPlan = now.Add(planLogPeriod)
 	demand, costs := demandOf(roots)
 	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity,
 		"without_cost", missing, "reports", len(n.control.reports), "zones", len(n.otherZones(now)))
@@ -45,8 +45,8 @@
 // showShares sets the metric of each kind that is held down, or ever was.
 func (n *Node) showShares(plan *admissionPlan) {
 	for route, s := range plan.shares {
-		if s.Fresh < 1 || n.control.sharesShown[route] {
-			n.control.sharesShown[route] = true
+		if s.Fresh < 1 || n.control.shown.shares[route] {
+			n.control.shown.shares[route] = true
 			n.metrics.gauge(int64(s.Fresh*1000), "admitted_share", "route", route)
 		}
 	}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -13,31 +13,34 @@
 
 // controlState belongs to the control goroutine.
 type controlState struct {
-	own          directory.OwnServer
-	directory    directory.Directory
-	news         recordNews
-	nextTalk     time.Time
-	nextPlan     time.Time
-	nextPlanLog  time.Time
-	nextRoomLog  time.Time
-	nextCallsLog time.Time
-	callsShown   map[string]callgraph.Rates // by route
-	reports      map[string]*heldReport     // newest of each node of this zone, by host
-	zones        map[string]*zoneLoad       // newest sum of each other zone
-	kept         loads.KeptRuns
-	demand       loads.KeptDemand
-	asked        map[string]float64   // first attempts a second by kind, as last counted
-	inner        map[string]bool      // routes by whether only backend servers call them, as last judged
-	innerHeld    map[string]time.Time // until when what was judged before the start holds, by route
-	innerState   int64                // desired state whose routes inner was last held against
-	ownZone      zoneLoad             // sum of this zone, as last told to others
-	zoneNodes    int                  // VMs of this zone that are known
-	sharesShown  map[string]bool      // routes with a metric of their share
-	reportSeq    int64
-	room         overload.RoomControl
-	gateUse      float64 // of the own gate's slots, smoothed
-	nextLook     time.Time
-	nextSweep    time.Time
+	own       directory.OwnServer
+	directory directory.Directory
+	news      recordNews
+	nextTalk  time.Time
+	nextPlan  time.Time
+	shown     shownLines
+	reports   map[string]*heldReport // newest of each node of this zone, by host
+	zones     map[string]*zoneLoad   // newest sum of each other zone
+	kept      loads.KeptRuns
+	demand    loads.KeptDemand
+	asked     map[string]float64 // first attempts a second by kind, as last counted
+	judged    judgedRoutes
+	ownZone   zoneLoad // sum of this zone, as last told to others
+	zoneNodes int      // VMs of this zone that are known
+	reportSeq int64
+	room      overload.RoomControl
+	gateUse   float64 // of the own gate's slots, smoothed
+	nextLook  time.Time
+	nextSweep time.Time
+}
+
+// shownLines is what was written of the plan and the own server, so that not everything is written all the time.
+type shownLines struct {
+	nextPlan  time.Time
+	nextRoom  time.Time
+	nextCalls time.Time
+	calls     map[string]callgraph.Rates // of a run, by route
+	shares    map[string]bool            // routes with a metric of their share
 }
 
 // tickPeriod is the time between looks at what is due.
--- a/pkg/mesh/inner_routes.go
+++ b/pkg/mesh/inner_routes.go
@@ -2,8 +2,10 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 )
 
@@ -13,30 +15,71 @@
 	return p != nil && p.inner[route]
 }
 
-// judgeInner works out anew which routes only backend servers call. What was judged of a route holds while nobody asks
-// for it, as long as it is in the desired state.
-func (n *Node) judgeInner(now time.Time) {
-	for route, is := range n.originsNow().Called(func(route string) bool { return n.control.inner[route] }) {
-		if now.Before(n.control.innerHeld[route]) {
+// judgedRoutes is which routes only backend servers call, as last judged; its zero value has judged none.
+type judgedRoutes struct {
+	called  map[string]bool
+	held    map[string]time.Time // until when what was judged before the start holds
+	version int64                // desired state against which the routes were last held
+}
+
+// judgedBefore is how long what was judged of a route before the start holds: runs that began before it, of which this
+// node knows nothing, go on making calls, and the first rates are those of a few requests. Longer than most runs last.
+const judgedBefore = 3 * time.Second
+
+// recall takes what was judged of a service's routes before the start, but for those that this node has judged itself.
+func (j *judgedRoutes) recall(now time.Time, l loads.Learned) {
+	for route := range l.Calls {
+		if _, judged := j.called[route]; judged {
 			continue
 		}
-		delete(n.control.innerHeld, route)
-		if is != n.control.inner[route] {
-			n.controlLog.Info("route judged", "route", route, "called_by_servers_only", is)
+		j.set(route, slices.Contains(l.Inner, route))
+		if j.held == nil {
+			j.held = map[string]time.Time{}
 		}
-		n.control.inner[route] = is
+		j.held[route] = now.Add(judgedBefore)
+	}
+}
+
+func (j *judgedRoutes) set(route string, called bool) {
+	if j.called == nil {
+		j.called = map[string]bool{}
 	}
-	n.forgetInner()
+	j.called[route] = called
 }
 
-// forgetInner forgets routes that a new desired state lacks.
-func (n *Node) forgetInner() {
-	state := n.state.Load()
-	if state == nil || state.Version == n.control.innerState {
+// judge works it out anew, and returns the routes that are judged otherwise than before. What was judged of a route holds
+// while nobody asks for it.
+func (j *judgedRoutes) judge(now time.Time, origins loads.Origins) []string {
+	var changed []string
+	for route, is := range origins.Called(func(route string) bool { return j.called[route] }) {
+		if now.Before(j.held[route]) {
+			continue
+		}
+		delete(j.held, route)
+		if is != j.called[route] {
+			changed = append(changed, route)
+		}
+		j.set(route, is)
+	}
+	return changed
+}
+
+// forget drops the routes that a new desired state lacks.
+func (j *judgedRoutes) forget(state *desired.State) {
+	if state == nil || state.Version == j.version {
 		return
 	}
-	n.control.innerState = state.Version
-	maps.DeleteFunc(n.control.inner, func(route string, _ bool) bool { return !state.HasRoute(route) })
+	j.version = state.Version
+	maps.DeleteFunc(j.called, func(route string, _ bool) bool { return !state.HasRoute(route) })
+}
+
+// judgeRoutes works out anew which routes only backend servers call.
+func (n *Node) judgeRoutes(now time.Time) {
+	j := &n.control.judged
+	for _, route := range j.judge(now, n.originsNow()) {
+		n.controlLog.Info("route judged", "route", route, "called_by_servers_only", j.called[route])
+	}
+	j.forget(n.state.Load())
 }
 
 // originsNow returns what the reports tell of where requests begin.
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -170,14 +170,14 @@
 	judged := make(chan [2]bool)
 	n.do(func() {
 		now := time.Now()
-		n.recallInner(now, loads.Learned{Calls: map[string]callgraph.Rates{"called": {}, "root": {}}, Inner: []string{"called"}})
+		n.control.judged.recall(now, loads.Learned{Calls: map[string]callgraph.Rates{"called": {}, "root": {}}, Inner: []string{"called"}})
 		n.control.reports = map[string]*heldReport{"x": {heard: now, Report: loads.Report{
 			Host: "x", Service: "a", Entries: map[string]loads.Entry{"called": {Fresh: 100, Alone: 90}, "root": {Fresh: 100, Alone: 90}},
 		}}}
-		n.judgeInner(now)
-		soon := n.control.inner["called"] && !n.control.inner["root"]
-		n.judgeInner(now.Add(judgedBefore))
-		judged <- [2]bool{soon, n.control.inner["called"]}
+		n.judgeRoutes(now)
+		soon := n.control.judged.called["called"] && !n.control.judged.called["root"]
+		n.judgeRoutes(now.Add(judgedBefore))
+		judged <- [2]bool{soon, n.control.judged.called["called"]}
 	})
 	c.Assert(<-judged, qt.Equals, [2]bool{true, false})
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -90,10 +90,7 @@
 	n.control.own.Host = host
 	n.control.reports = make(map[string]*heldReport)
 	n.control.zones = make(map[string]*zoneLoad)
-	n.control.inner = make(map[string]bool)
-	n.control.innerHeld = make(map[string]time.Time)
-	n.control.callsShown = make(map[string]callgraph.Rates)
-	n.control.sharesShown = make(map[string]bool)
+	n.control.shown = shownLines{calls: make(map[string]callgraph.Rates), shares: make(map[string]bool)}
 	n.records.init()
 	n.stats.init()
 	n.stats.learner.CallsAreOnTime = n.off[settings.LateCalls]
--- a/pkg/mesh/recall_learned.go
+++ b/pkg/mesh/recall_learned.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -79,7 +78,7 @@
 			n.stats.recall(l.Calls)
 		}
 		taken := n.control.kept.Recall(now, l.Service, l.Runs())
-		n.recallInner(now, l)
+		n.control.judged.recall(now, l)
 		if taken > 0 {
 			n.control.demand.Recall(l.Asked)
 		}
@@ -90,17 +89,3 @@
 		n.replan(now)
 	}
 }
-
-// judgedBefore is how long what was judged of a route before the start holds: runs that began before it, of which this
-// node knows nothing, go on making calls, and the first rates are those of a few requests. Longer than most runs last.
-const judgedBefore = 3 * time.Second
-
-// recallInner takes which routes only backend servers call, and which they don't, unless this node has judged them itself.
-func (n *Node) recallInner(now time.Time, l loads.Learned) {
-	for route := range l.Calls {
-		if _, judged := n.control.inner[route]; !judged {
-			n.control.inner[route] = slices.Contains(l.Inner, route)
-			n.control.innerHeld[route] = now.Add(judgedBefore)
-		}
-	}
-}
--- a/pkg/mesh/replan_bench_test.go
+++ b/pkg/mesh/replan_bench_test.go
@@ -19,8 +19,7 @@
 	n.metrics.init()
 	n.state.Store(&desired.State{})
 	n.view.Store(&view{})
-	n.control.inner = map[string]bool{}
-	n.control.sharesShown = map[string]bool{}
+	n.control.shown.shares = map[string]bool{}
 	n.control.reports, n.control.zones = map[string]*heldReport{}, map[string]*zoneLoad{}
 	for i := range 21 {
 		r := sampleReport(fmt.Sprint("10.0.0.", i))
--- a/pkg/mesh/report_own_load.go
+++ b/pkg/mesh/report_own_load.go
@@ -71,10 +71,10 @@
 // logRoom writes down why the own server is planned with for less than its gate lets in.
 func (n *Node) logRoom(now time.Time, g gate.Reading, load overload.GateLoad, excess, room float64) {
 	n.metrics.gauge(int64(n.roomPart()*1000), "room_part")
-	if room >= g.Limit || now.Before(n.control.nextRoomLog) {
+	if room >= g.Limit || now.Before(n.control.shown.nextRoom) {
 		return
 	}
-	n.control.nextRoomLog = now.Add(roomLogPeriod)
+	n.control.shown.nextRoom = now.Add(roomLogPeriod)
 	n.controlLog.Info("room", "room", room, "limit", g.Limit, "running", g.Running, "queued", g.Queued, "hold", g.Hold,
 		"turned_away", round(load.TurnedAway), "binding", load.Binding, "part", round(n.roomPart()), "excess", round(excess))
 }
@@ -82,15 +82,15 @@
 // logCalls writes down the calls that runs at the own server are taken to make, where they differ clearly from what was
 // last written: what is learned wrongly sets what is let in everywhere.
 func (n *Node) logCalls(now time.Time, runs map[string]loads.Run) {
-	if now.Before(n.control.nextCallsLog) {
+	if now.Before(n.control.shown.nextCalls) {
 		return
 	}
-	n.control.nextCallsLog = now.Add(callsLogPeriod)
+	n.control.shown.nextCalls = now.Add(callsLogPeriod)
 	changed := map[string]callgraph.Rates{}
 	for route, run := range runs {
-		if differInCalls(run.Calls, n.control.callsShown[route]) {
+		if differInCalls(run.Calls, n.control.shown.calls[route]) {
 			changed[route] = run.Calls
-			n.control.callsShown[route] = run.Calls
+			n.control.shown.calls[route] = run.Calls
 		}
 	}
 	if len(changed) > 0 {
