What was learned goes only to nodes that lack it

Cause: every message that completes records carried it, some kilobytes between zones at each change of records, and was ignored by all that have it. Change: the answer of a peer says whether it lacks it.

--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -147,17 +147,19 @@
 		n.merge(m.From, m.Records)
 		n.takeReports(now, m.From, m.Reports)
 		n.takeZones(now, m.From, m.Zones)
-		n.peer(m.From).digest = m.Digest
+		p := n.peer(m.From)
+		p.digest, p.unlearned = m.Digest, m.Unlearned
 	})
 	return &m
 }
 
-// completeRecords tells a peer all records if its answer, with all that it knew, showed that it lacks some.
+// completeRecords tells a peer all records, and what was learned, if its answer showed that it lacks some of it.
 func (n *Node) completeRecords(ctx context.Context, host string) {
-	if n.peer(host).digest == n.control.directory.Digest() {
+	p := n.peer(host)
+	if p.digest == n.control.directory.Digest() && !p.unlearned {
 		return
 	}
-	body := n.encode(n.newRecords())
+	body := n.encode(n.newRecords(p.unlearned))
 	go n.exchangeWith(ctx, host, body)
 }
 
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -95,11 +95,14 @@
 	return m
 }
 
-// newRecords is a message with all records, for a peer that was found to lack some.
-func (n *Node) newRecords() message {
+// newRecords is a message with all records, for a peer that was found to lack some, and with what was learned for one
+// that lacks that.
+func (n *Node) newRecords(unlearned bool) message {
 	m := n.newMessage("")
 	m.Zones = nil
 	m.Records = n.control.directory.All()
-	m.Learned = n.allLearned()
+	if unlearned {
+		m.Learned = n.allLearned()
+	}
 	return m
 }
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -21,7 +21,9 @@
 	slots    atomic.Int64
 	inflight atomic.Int64 // sent by this node and not ended
 
-	digest uint64 // of its records, as it last told; the control goroutine's
+	// digest of its records, and whether it lacks what was learned, as it last told; the control goroutine's.
+	digest    uint64
+	unlearned bool
 
 	mu       sync.Mutex
 	zone     string
