A halt doesn't wait for what is to be stored; the wait for what was learned goes by the steady clock

Cause: found on reading the change. keepLearned asked the control goroutine and waited for its answer, also once that had ended: a halt would never have returned. And while the store is silent, nodes that all lack what was learned sent each other all records with every exchange. Change: both waits end with the context; a pointer to a time keeps its steady reading; records go to a node that lacks what was learned only from one that has some. Before and after: TestAHaltedNodeStoresNothing (hangs without the change); no figures.

--- a/pkg/loads/kept_runs.go
+++ b/pkg/loads/kept_runs.go
@@ -76,6 +76,9 @@
 	return reports
 }
 
+// Empty tells whether nothing is remembered.
+func (k *KeptRuns) Empty() bool { return len(k.runs) == 0 }
+
 // Services returns what is remembered, by service.
 func (k *KeptRuns) Services() map[string]map[string]Run {
 	all := map[string]map[string]Run{}
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -156,10 +156,11 @@
 // completeRecords tells a peer all records, and what was learned, if its answer showed that it lacks some of it.
 func (n *Node) completeRecords(ctx context.Context, host string) {
 	p := n.peer(host)
-	if p.digest == n.control.directory.Digest() && !p.unlearned {
+	lacksLearned := p.unlearned && !n.control.kept.Empty()
+	if p.digest == n.control.directory.Digest() && !lacksLearned {
 		return
 	}
-	body := n.encode(n.newRecords(p.unlearned))
+	body := n.encode(n.newRecords(lacksLearned))
 	go n.exchangeWith(ctx, host, body)
 }
 
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -80,7 +80,8 @@
 			continue
 		}
 		if old == nil {
-			n.knowledge.stateSince.Store(n.clock.Now().UnixNano())
+			now := n.clock.Now()
+			n.knowledge.stateSince.Store(&now)
 		}
 		return true
 	}
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -33,8 +33,8 @@
 		if !n.keepsLearned() {
 			continue
 		}
-		known := n.learnedNow()
-		if !differ(known, stored) {
+		known, ok := n.learnedNow(ctx)
+		if !ok || !differ(known, stored) {
 			continue
 		}
 		err := n.storeWatch.try().call(ctx, storeCallTime, func(ctx context.Context) error {
@@ -51,12 +51,22 @@
 	}
 }
 
-// learnedNow returns what is known well of the own service's runs.
-func (n *Node) learnedNow() loads.Learned {
+// learnedNow returns what is known well of the own service's runs; it reports false if ctx ends first, since the control
+// goroutine ends with it.
+func (n *Node) learnedNow(ctx context.Context) (loads.Learned, bool) {
 	calls := n.stats.known()
 	answer := make(chan loads.Learned, 1)
-	n.do(func() { answer <- n.learnedOf(n.cfg.Service, calls, n.control.asked) })
-	return <-answer
+	select {
+	case n.events <- func() { answer <- n.learnedOf(n.cfg.Service, calls, n.control.asked) }:
+	case <-ctx.Done():
+		return loads.Learned{}, false
+	}
+	select {
+	case l := <-answer:
+		return l, true
+	case <-ctx.Done():
+		return loads.Learned{}, false
+	}
 }
 
 // learnedOf puts what the control goroutine knows of a service's routes, and how often they are asked for, beside the calls
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,8 +121,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		n := &Node{clock: clock.Real{}}
-		n.knowledge.stateSince.Store(time.Now().UnixNano())
 		begun := time.Now()
+		n.knowledge.stateSince.Store(&begun)
 		go func() {
 			time.Sleep(learnedWait / 2)
 			n.knowledge.complete.Store(true)
@@ -129,8 +130,8 @@
 		n.awaitLearned(t.Context())
 		c.Assert(time.Since(begun) < learnedWait/2+2*startPoll, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
 		n = &Node{clock: clock.Real{}}
-		n.knowledge.stateSince.Store(time.Now().UnixNano())
 		begun = time.Now()
+		n.knowledge.stateSince.Store(&begun)
 		n.awaitLearned(t.Context())
 		c.Assert(time.Since(begun) < learnedWait+2*startPoll, qt.IsTrue, qt.Commentf("nobody has it: %v", time.Since(begun)))
 		c.Assert(n.knowledge.complete.Load(), qt.IsTrue)
@@ -181,3 +182,22 @@
 	})
 	c.Assert(<-judged, qt.Equals, [2]bool{true, false})
 }
+
+// A node that was halted while it put together what to store waited for its control goroutine, which had ended.
+func TestAHaltedNodeStoresNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	n, _ := s.add("a", "z", 10)
+	ctx, cancel := context.WithCancel(t.Context())
+	_, ok := n.learnedNow(ctx)
+	c.Assert(ok, qt.IsTrue)
+	cancel()
+	for range eventQueue {
+		select {
+		case n.events <- func() { time.Sleep(time.Millisecond) }:
+		default:
+		}
+	}
+	_, ok = n.learnedNow(ctx)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/pkg/mesh/recall_learned.go
+++ b/pkg/mesh/recall_learned.go
@@ -12,8 +12,8 @@
 
 // knowledge tells whether a node that has started has what was learned before.
 type knowledge struct {
-	stateSince atomic.Int64 // when the first desired state came, in Unix nanoseconds; 0: it hasn't
-	complete   atomic.Bool  // what was learned is at hand, or isn't waited for any longer
+	stateSince atomic.Pointer[time.Time] // when the first desired state came; nil: it hasn't
+	complete   atomic.Bool               // what was learned is at hand, or isn't waited for any longer
 
 	stored, told bool // taken from the store, or from a peer; the control goroutine's
 }
@@ -26,7 +26,7 @@
 // waits tells whether it is worth waiting for what was learned.
 func (k *knowledge) waits(now time.Time) bool {
 	since := k.stateSince.Load()
-	return since == 0 || now.UnixNano()-since < learnedWait.Nanoseconds()
+	return since == nil || now.Sub(*since) < learnedWait
 }
 
 // awaitLearned waits until what was learned before this process started is at hand.
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -40,7 +40,7 @@
 	{CostWeight, "kinds of one rank get the same share, whatever they take of the tightest service"},
 	{RoomControl, "a gate that turns requests away is planned with in full"},
 	{LateCalls, "a call that is seen after its run's time limit is taken for another run's"},
-	{LearnedMemory, "a node that starts knows nothing of which requests make which calls"},
+	{LearnedMemory, "a node that starts knows nothing of which requests make which calls, what they cost and how many come"},
 	{Repeats, "no request is sent to a second server once one has got it"},
 	{NearFirst, "servers of all availability zones are compared alike"},
 	{Pace, "servers are compared by use alone, not by how fast they are"},
