Runs are remembered once a second

Cause: remembering them with each plan added up all reports five times a second. Change: at most once a second.

--- a/pkg/loads/kept_runs.go
+++ b/pkg/loads/kept_runs.go
@@ -12,9 +12,14 @@
 // KeptRuns remembers what was told of the runs of each route at each service, for when nobody tells of them: a zone was
 // cut off, or all nodes were lost and nothing has run yet. Its zero value remembers nothing.
 type KeptRuns struct {
-	runs map[runKey]keptRun
+	runs  map[runKey]keptRun
+	noted time.Time
 }
 
+// noteEvery is the least time between what is remembered: with each plan, five times a second, adding up the reports of
+// 83 nodes took 0.13 ms of the 0.39 ms of a plan.
+const noteEvery = time.Second
+
 // keptRun is the sum over a service's servers, as it was last seen.
 type keptRun struct {
 	Run
@@ -23,6 +28,10 @@
 
 // Note takes what reports tell now, and forgets what was last told of too long ago.
 func (k *KeptRuns) Note(now time.Time, reports []*Report) {
+	if d := now.Sub(k.noted); d >= 0 && d < noteEvery {
+		return
+	}
+	k.noted = now
 	for _, s := range AddUp(reports) {
 		for route, run := range s.Load.Runs {
 			k.keep(runKey{s.Load.Service, route}, keptRun{run, now})
--- a/pkg/mesh/replan_bench_test.go
+++ b/pkg/mesh/replan_bench_test.go
@@ -12,7 +12,8 @@
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
-// BenchmarkReplan is the working out of one plan at a node of a mesh of 83 nodes in 4 zones.
+// BenchmarkReplan is the working out of one plan at a node of a mesh of 83 nodes in 4 zones: 0.25 ms before runs and demand
+// were remembered, 0.29 ms since; 0.39 ms if they are remembered with each plan (three runs each).
 func BenchmarkReplan(b *testing.B) {
 	n := &Node{ip: "10.0.0.1", clock: clock.Real{}, cfg: settings.Settings{Zone: "a", Mesh: &settings.Mesh{}}}
 	n.controlLog = slog.New(slog.DiscardHandler)
