The site in made-up time stands apart; its clients don't read a node that is started anew

Cause: the race detector found clients of the test reading a node's settings while the test replaced the node; the test is red with it. Change: they ask at the server's side of the address. The site has a file of its own.

--- /dev/null
+++ b/pkg/mesh/deep_site_test.go
@@ -0,0 +1,151 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+)
+
+// The site of these tests has four services in three availability zones. Reads go down through all of them, charges
+// through the last three; both end in five calls of the last service, which is left with one server.
+const (
+	floorSlots = 10
+	// floorRoom is how many reads or charges a second it has room for: each takes five times 30 ms.
+	floorRoom = floorSlots * limitOfSlots / (5 * 0.030)
+	// asked is how many requests a second come in all, four times as many.
+	asked = 4 * floorRoom
+	// limitOfSlots is the part of its slots that a gate uses.
+	limitOfSlots = 0.92
+)
+
+// deepRoute is a kind of request of the site.
+type deepRoute struct {
+	name, service string
+	work, limit   time.Duration
+	calls         []string
+	weight        float64 // share of all requests; 0: only servers call it
+}
+
+var deepRoutes = []deepRoute{
+	{"read", "desk", 120 * time.Millisecond, 800 * time.Millisecond, []string{"check"}, 0.62},
+	{"charge", "ledger", 160 * time.Millisecond, time.Second, []string{"index"}, 0.25},
+	{"pull", "files", 96 * time.Millisecond, 1500 * time.Millisecond, nil, 0.06},
+	{"order", "floor", 96 * time.Millisecond, 1200 * time.Millisecond, nil, 0.07},
+	{"check", "ledger", 15 * time.Millisecond, 3 * time.Second, []string{"index"}, 0},
+	{"index", "files", 15 * time.Millisecond, 2500 * time.Millisecond, []string{"slot", "slot", "slot", "slot", "slot"}, 0},
+	{"slot", "floor", 30 * time.Millisecond, 700 * time.Millisecond, nil, 0},
+}
+
+// deepSite is that site in made-up time.
+func deepSite(t *testing.T) *site {
+	s := newSite(t)
+	s.network = &memoryNetwork{}
+	s.clients = s.network.client("127.0.0.1")
+	s.t.Cleanup(s.clients.CloseIdleConnections)
+	s.seeds = []string{s.at(s.base+"1", 2), s.at(s.base+"4", 2), s.at(s.base+"8", 2)}
+	for i := range 3 {
+		s.addDeep("desk", fmt.Sprint("z", i), 60)
+	}
+	for i := range 2 {
+		s.addDeep("ledger", fmt.Sprint("z", i), 100)
+		s.addDeep("files", fmt.Sprint("z", i+1), 100)
+	}
+	s.addDeep("floor", "z2", floorSlots)
+	var st desired.State
+	st.Version = 1
+	for _, r := range deepRoutes {
+		x := route(r.name, desired.Repeatable, r.service)
+		x.Timeout, x.MaxAttempts, x.Priority = r.limit, 2, 2
+		if r.name == "charge" {
+			x.Kind, x.Priority = desired.Once, 0
+		}
+		st.Routes = append(st.Routes, x)
+	}
+	s.store.put(st)
+	s.settled(1)
+	return s
+}
+
+// addDeep adds a node beside a server that runs the site's routes.
+func (s *site) addDeep(service, zone string, slots int) {
+	_, f := s.add(service, zone, slots)
+	s.t.Cleanup(f.ways.CloseIdleConnections)
+	f.handle = func(w http.ResponseWriter, r *http.Request) {
+		deadline := time.Now().Add(millis(r.Header.Get(testNames.TimeLeft)))
+		for _, x := range deepRoutes {
+			if r.URL.Path != "/"+x.name+"/x" {
+				continue
+			}
+			time.Sleep(around(x.work))
+			for i, called := range x.calls {
+				if !f.call(r.Header.Get(testNames.AttemptID), i, "/"+called+"/x", deadline) {
+					w.WriteHeader(http.StatusInternalServerError)
+					return
+				}
+			}
+			_, _ = io.WriteString(w, x.name)
+		}
+	}
+}
+
+func around(d time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(d))
+}
+
+// callers are clients that send each request once.
+type callers struct {
+	mu     sync.Mutex
+	served []time.Time // when each request that was served was sent
+	asking sync.WaitGroup
+	ids    atomic.Int64
+}
+
+// ask begins to send requests to all nodes until ctx ends.
+func (k *callers) ask(ctx context.Context, s *site) {
+	for i := range s.nodes {
+		k.asking.Go(func() {
+			for ctx.Err() == nil {
+				k.asking.Go(func() { k.once(s, i) })
+				time.Sleep(time.Duration(rand.ExpFloat64() * float64(len(s.nodes)) / asked * float64(time.Second)))
+			}
+		})
+	}
+}
+
+// once sends one request to a node.
+func (k *callers) once(s *site, i int) {
+	sent, x := time.Now(), rand.Float64()
+	for _, r := range deepRoutes {
+		if x -= r.weight; x >= 0 {
+			continue
+		}
+		status, _, _ := s.ask(i, http.MethodGet, "/"+r.name+"/x", fmt.Sprintf("c%d", k.ids.Add(1)), 6*time.Second)
+		if status == http.StatusOK {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.served = append(k.served, sent)
+		}
+		return
+	}
+}
+
+// servedOf counts the requests that were sent from a time on, for a time, and served.
+func (k *callers) servedOf(from time.Time, span time.Duration) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, at := range k.served {
+		if !at.Before(from) && at.Before(from.Add(span)) {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -143,7 +143,7 @@
 
 // ask sends a request to a node as a client; the status is 0 if the connection broke.
 func (s *site) ask(i int, method, path, id string, left time.Duration) (int, string, http.Header) {
-	addr := s.nodes[i].cfg.Listen.Outbound
+	addr := s.servers[i].out // the node itself may be started anew meanwhile
 	req, _ := http.NewRequest(method, "http://"+addr+path, nil)
 	req.Host = "h"
 	req.Header.Set(testNames.AttemptID, id)
