--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -20,7 +20,8 @@
 //     control_loop.go, stop_state.go, dump.go, peer.go, peer_silence.go; node_metrics.go with
 //     metric_table.go and metrics_text.go.
 //   - The store: follow_state.go follows the desired state; record_writer.go,
-//     write_records.go and sync_records.go keep the records of VMs.
+//     write_records.go and sync_records.go keep the records of VMs;
+//     store_watch.go joins what their calls find.
 //   - Exchanges between nodes: exchange.go, exchange_peers.go,
 //     exchange_message.go, exchange_zone_loads.go, record_news.go.
 //   - Load, from what one node counts to what the mesh knows: traffic_stats.go,
