Sight: a node tells that the backend server beside it has ended, and what each request asks for that ran there

Cause of the change: the logs of the incident can't tell a server that ended from broken connections, nor that two attempts ask for the same. Now: after a run broke off the node looks for the server; `server ended` lists the runs with the fingerprint of what each asks for (service, method, host, path, caller, body), metric `server_ends_total`. Nothing is decided by it yet. Test: of two ends in made-up time exactly one fingerprint stands in both.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -17,6 +17,7 @@
 	reason   wire.Reason
 	arrived  bool // the request reached, or may have reached, a backend server
 	canceled bool // the caller has gone, or its time is up
+	broken   bool // the connection to the backend server broke before its answer was whole
 	// overloaded tells that admission refused the request, which may take a while to pass.
 	overloaded bool
 	status     int
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -15,6 +15,7 @@
 type backend struct {
 	n    *Node
 	pool *httpconn.Pool
+	runs serverRuns
 }
 
 func newBackend(n *Node) *backend {
@@ -42,7 +43,14 @@
 	}
 	begun := b.n.clock.Now()
 	run := b.n.stats.begin(begun, q.Route, q.deadline.Add(-answerMargin))
+	at := &serverRun{q: q, instance: own.Instance, begun: begun}
+	b.runs.begin(at)
 	a, outcome := b.send(ctx, q, own.Instance)
+	if a.broken {
+		b.brokeOff(at)
+	} else {
+		b.runs.end(at)
+	}
 	b.n.gateMu.Lock()
 	now := b.n.clock.Now()
 	b.n.gate.Done(now, now.Sub(begun), b.n.usualHold(q.Route), outcome)
@@ -169,6 +177,8 @@
 		a.canceled = true
 		return a, gate.Left
 	default:
-		return lost(wire.ReasonLost), gate.Failed
+		a := lost(wire.ReasonLost)
+		a.broken = true
+		return a, gate.Failed
 	}
 }
--- a/pkg/mesh/explain_failure_test.go
+++ b/pkg/mesh/explain_failure_test.go
@@ -31,12 +31,25 @@
 
 // story returns what the logs tell of a request.
 func (l *logBuffer) story(c *qt.C, id string) []trace.Line {
+	return trace.Story(l.lines(c), id)
+}
+
+// lines returns all that the logs tell.
+func (l *logBuffer) lines(c *qt.C) []trace.Line {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lines, skipped, err := trace.Read("log", bytes.NewReader(l.b.Bytes()))
 	c.Assert(err, qt.IsNil)
 	c.Assert(skipped, qt.HasLen, 0)
-	return trace.Story(lines, id)
+	return lines
+}
+
+// logTo has all nodes write what they tell of requests as they do in production.
+func (s *site) logTo(log *logBuffer) {
+	factory := logging.Factory{W: log, Clock: clock.Real{}, JSON: true, PerSecond: 1000}
+	for _, n := range s.nodes {
+		n.callLog = factory.Part("call").With("node", n.ip)
+	}
 }
 
 // said tells whether the story has a line with the message and the field's value.
@@ -57,10 +70,7 @@
 	for i := range 3 {
 		s.add("a", fmt.Sprint("z", i), 10)
 	}
-	factory := logging.Factory{W: log, Clock: clock.Real{}, JSON: true, PerSecond: 1000}
-	for _, n := range s.nodes {
-		n.callLog = factory.Part("call").With("node", n.ip)
-	}
+	s.logTo(log)
 	s.store.put(desired.State{Version: 1, Routes: []desired.Route{
 		route("read", desired.Repeatable, "a"), route("pay", desired.Once, "a"),
 	}})
--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -31,6 +31,7 @@
 	seen []string // attempt ids that ran
 	srv  *http.Server
 	seq  atomic.Int64
+	life atomic.Int64 // which of its lives this is
 	out  string       // the node's outbound address
 	ways *http.Client // to the node
 }
--- /dev/null
+++ b/pkg/mesh/poison_site_test.go
@@ -0,0 +1,255 @@
+package mesh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+)
+
+// The site of these tests has servers of one service in three availability zones, and in each zone a node beside a server of
+// another service where requests come in. Reads take 60 ms, of which 200 come in a second, each for something else.
+const (
+	poisonSlots   = 40
+	poisonEntries = 3
+	readWork      = 60 * time.Millisecond
+	readsPerS     = 200
+	// firstLife is how long a server that ended is away, at least; some take up to a second more.
+	firstLife = 2 * time.Second
+	// poisonPath is the request that ends the servers that run it, popularPath one that many callers send.
+	poisonPath  = "/read/poison"
+	popularPath = "/read/popular"
+)
+
+// poisonSite is that site, with what became of its servers.
+type poisonSite struct {
+	*site
+	fuse time.Duration // from the begin of a run of the poison request to the end of its server
+
+	mu    sync.Mutex
+	ended []time.Time // when servers ended under it
+	sent  []time.Time // when it reached a server
+	reads map[int]*readCount
+	from  time.Time
+	work  sync.WaitGroup
+}
+
+// readCount is what became of the reads that were sent in one second.
+type readCount struct{ sent, served, refused int }
+
+// newPoisonSite starts the site with some servers of the service.
+func newPoisonSite(t *testing.T, servers int, fuse time.Duration) *poisonSite {
+	p := &poisonSite{site: newMemorySite(t), fuse: fuse, reads: map[int]*readCount{}, from: time.Now()}
+	p.seeds = []string{p.at(p.base+"1", 2), p.at(p.base+"2", 2), p.at(p.base+"3", 2)}
+	for i := range poisonEntries {
+		p.addFor("e", i, nil)
+	}
+	for i := range servers {
+		p.addFor("a", i, p.serve)
+	}
+	r := route("read", desired.Repeatable, "a")
+	r.MaxAttempts, r.Timeout = 2, 2*time.Second
+	p.store.put(desired.State{Version: 1, Routes: []desired.Route{r}})
+	p.settled(1)
+	return p
+}
+
+// addFor adds a node beside a server of the service in one of three zones.
+func (p *poisonSite) addFor(service string, i int, serve func(*fakeServer, http.ResponseWriter, *http.Request)) {
+	_, f := p.add(service, fmt.Sprint("z", i%3), poisonSlots)
+	p.t.Cleanup(f.ways.CloseIdleConnections)
+	if serve != nil {
+		f.handle = func(w http.ResponseWriter, r *http.Request) { serve(f, w, r) }
+	}
+}
+
+// serve runs one request; the poison request ends the server after a while, answered or not.
+func (p *poisonSite) serve(f *fakeServer, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == poisonPath {
+		p.mu.Lock()
+		p.sent = append(p.sent, time.Now())
+		p.mu.Unlock()
+		life := f.life.Load()
+		time.Sleep(p.fuse)
+		if p.endServer(f, life) {
+			p.mu.Lock()
+			p.ended = append(p.ended, time.Now())
+			p.mu.Unlock()
+		}
+		return
+	}
+	time.Sleep(around(readWork))
+	fmt.Fprint(w, "ok")
+}
+
+// endServer ends one life of a server, which starts anew under another id after some seconds; it reports whether that life went on
+// until now.
+func (p *poisonSite) endServer(f *fakeServer, life int64) bool {
+	if !f.life.CompareAndSwap(life, life+1) {
+		return false
+	}
+	f.srv.Close()
+	p.work.Go(func() {
+		time.Sleep(firstLife + rand.N(time.Second))
+		f.instance = fmt.Sprintf("i-%s-%d", f.ip, life+1)
+		f.srv = &http.Server{Addr: f.srv.Addr, Handler: f}
+		ln, err := p.wire().listen(f.srv.Addr)
+		if err != nil {
+			p.t.Error(err)
+			return
+		}
+		go f.srv.Serve(ln)
+		p.beat(slices.Index(p.servers, f), false)
+	})
+	return true
+}
+
+// askReads sends reads to the entry nodes for a time; path gives what each asks for.
+func (p *poisonSite) askReads(span time.Duration, path func(i int) string) {
+	for i := range int(span.Seconds() * readsPerS) {
+		p.work.Go(func() {
+			second := int(time.Since(p.from) / time.Second)
+			status, _, _ := p.ask(i%poisonEntries, http.MethodGet, path(i), fmt.Sprint("r", i, "-", second), 2*time.Second)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			c := p.reads[second]
+			if c == nil {
+				c = &readCount{}
+				p.reads[second] = c
+			}
+			c.sent++
+			switch status {
+			case http.StatusOK:
+				c.served++
+			case http.StatusServiceUnavailable:
+				c.refused++
+			}
+		})
+		time.Sleep(time.Second / readsPerS)
+	}
+}
+
+// askPoison sends the poison request so many times a second to the entry nodes that are named, for a time.
+func (p *poisonSite) askPoison(span time.Duration, perS int, entries ...int) {
+	for i := range int(span.Seconds() * float64(perS)) {
+		for k, e := range entries {
+			if len(entries) > 1 && perS*len(entries) > 20 && i%len(entries) != k {
+				continue
+			}
+			p.work.Go(func() { p.ask(e, http.MethodGet, poisonPath, fmt.Sprint("p", i, "-", e), 2*time.Second) })
+		}
+		time.Sleep(time.Second / time.Duration(perS))
+	}
+}
+
+// finish waits for all that was asked and tells what became of it by second.
+func (p *poisonSite) finish() {
+	p.work.Wait()
+	var line strings.Builder
+	for s := range int(time.Since(p.from)/time.Second) + 1 {
+		if c := p.reads[s]; c != nil {
+			fmt.Fprintf(&line, " %d/%d", c.served, c.sent)
+		}
+	}
+	p.t.Logf("%d servers ended, %d sends; reads served by second:%s", len(p.ended), len(p.sent), line.String())
+}
+
+// sharesServed returns what part of the reads of some seconds was served.
+func (p *poisonSite) shareServed(from, to int) float64 {
+	var all readCount
+	for s := from; s < to; s++ {
+		if c := p.reads[s]; c != nil {
+			all.sent += c.sent
+			all.served += c.served
+		}
+	}
+	return float64(all.served) / float64(max(all.sent, 1))
+}
+
+// sendsAfterThirdEnd counts the times that the request reached a server later than some time after its third end.
+func (p *poisonSite) sendsAfterThirdEnd(late time.Duration) int {
+	if len(p.ended) < 3 {
+		return 0
+	}
+	n := 0
+	for _, at := range p.sent {
+		if at.After(p.ended[2].Add(late)) {
+			n++
+		}
+	}
+	return n
+}
+
+// The log of a site whose servers end tells which request ran in all of them.
+func TestTheLogTellsWhichRequestRanInEachServerThatEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPoisonSite(t, 9, 70*time.Millisecond)
+		var log logBuffer
+		p.logTo(&log)
+		p.from = time.Now()
+		p.work.Go(func() { p.askReads(2*time.Second, func(i int) string { return fmt.Sprint("/read/", i) }) })
+		time.Sleep(time.Second)
+		p.askPoison(time.Second, 1, 0)
+		p.finish()
+		ends := 0
+		within := map[string]int{}
+		for _, l := range log.lines(c) {
+			if l.Msg != "call: server ended" {
+				continue
+			}
+			ends++
+			for _, r := range l.Fields["under"].([]any) {
+				within[r.(map[string]any)["fingerprint"].(string)]++
+			}
+		}
+		c.Assert(ends, qt.Equals, len(p.ended))
+		c.Assert(ends >= 2, qt.IsTrue)
+		inAll := 0
+		for _, n := range within {
+			if n == ends {
+				inAll++
+			}
+		}
+		c.Assert(inAll, qt.Equals, 1, qt.Commentf("requests that ran in all %d servers that ended", ends))
+	})
+}
+
+// Servers that end for another reason, under a read that many callers send, are no reason to hold it back: five of nine end
+// at once, twice, and nearly all reads are served, whether all ask for the same or a half.
+func TestAPopularRequestIsServedWhileServersEnd(t *testing.T) {
+	for name, popular := range map[string]int{"all ask for it": 1, "every second one asks for it": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p := newPoisonSite(t, 9, 0)
+				p.from = time.Now()
+				p.work.Go(func() {
+					p.askReads(10*time.Second, func(i int) string {
+						if i%popular == 0 {
+							return popularPath
+						}
+						return fmt.Sprint("/read/", i)
+					})
+				})
+				for range 2 {
+					time.Sleep(3500 * time.Millisecond)
+					for _, f := range p.servers[poisonEntries : poisonEntries+5] {
+						p.endServer(f, f.life.Load())
+					}
+				}
+				p.finish()
+				c.Check(p.shareServed(0, 10) > 0.99, qt.IsTrue, qt.Commentf("%.4f of the reads served", p.shareServed(0, 10)))
+			})
+		})
+	}
+}
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -19,6 +19,7 @@
 	header   http.Header // end-to-end headers
 	body     []byte
 	stream   io.Reader // a body too long to be held; it can be sent once
+	head     []byte    // the first part of stream
 	length   int64     // of stream; -1 if it isn't known
 	deadline time.Time // when the answer is due at the latest
 	// clientDeadline is when the client gives up; the route may set an earlier deadline.
@@ -53,6 +54,7 @@
 		q.body = head
 		return nil
 	}
+	q.head = head
 	q.length = r.ContentLength
 	q.stream = io.MultiReader(bytes.NewReader(head), r.Body)
 	return nil
--- /dev/null
+++ b/pkg/mesh/server_end.go
@@ -0,0 +1,191 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/poison"
+)
+
+// The constants by which it is told whether a backend server has ended.
+const (
+	// endLooks is how often a server is looked for after a run broke off, endWait apart: a process that ends loses its listener and
+	// its connections one after the other, within some milliseconds.
+	endLooks = 4
+	endWait  = 10 * time.Millisecond
+	// listensLooks is how often it has to be found listening to be taken for well while no run shows that.
+	listensLooks = 2
+	// shownRuns bounds the runs that a line about the end of a server lists.
+	shownRuns = 64
+)
+
+// serverRun is one run of a request at the backend server on this VM.
+type serverRun struct {
+	q        *request
+	instance string
+	begun    time.Time
+}
+
+// serverEnd is a run that broke off, or several at once, and what it came from.
+type serverEnd struct {
+	judged chan struct{} // closed when ended is known
+	ended  bool
+}
+
+// serverRuns are the runs at the backend server on this VM; its zero value has none.
+type serverRuns struct {
+	mu      sync.Mutex
+	running map[*serverRun]struct{}
+	broken  []*serverRun
+	judging *serverEnd // nil: no run has just broken off
+	ended   string     // the last instance that ended
+}
+
+// begin notes a run that is about to be sent.
+func (s *serverRuns) begin(r *serverRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		s.running = make(map[*serverRun]struct{})
+	}
+	s.running[r] = struct{}{}
+}
+
+// end forgets a run that was answered or whose caller has gone.
+func (s *serverRuns) end(r *serverRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r)
+}
+
+// hasEnded tells whether it is known that an instance has ended: what is sent to it on a connection that it left meets nobody.
+func (s *serverRuns) hasEnded(instance string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended == instance
+}
+
+// breakOff notes a run whose connection broke; it reports whether nobody looks for the server yet.
+func (s *serverRuns) breakOff(r *serverRun) (e *serverEnd, first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r)
+	s.broken = append(s.broken, r)
+	if s.judging != nil {
+		return s.judging, false
+	}
+	s.judging = &serverEnd{judged: make(chan struct{})}
+	return s.judging, true
+}
+
+// goesOn tells whether a run that began before the time is still in progress.
+func (s *serverRuns) goesOn(before time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.running {
+		if r.begun.Before(before) {
+			return true
+		}
+	}
+	return false
+}
+
+// judge ends the judgement; it returns the runs that broke off meanwhile.
+func (s *serverRuns) judge(instance string, ended bool) []*serverRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.judging.ended = ended
+	if ended {
+		s.ended = instance
+	}
+	close(s.judging.judged)
+	broken := s.broken
+	s.judging, s.broken = nil, nil
+	return broken
+}
+
+// brokeOff tells whether the backend server has ended under a run whose connection broke, and waits until that is known.
+func (b *backend) brokeOff(r *serverRun) bool {
+	if b.runs.hasEnded(r.instance) {
+		b.runs.end(r)
+		return true
+	}
+	e, first := b.runs.breakOff(r)
+	if first {
+		ended := b.hasEnded()
+		b.noteEnd(r.instance, ended, b.runs.judge(r.instance, ended))
+		return ended
+	}
+	<-e.judged
+	return e.ended
+}
+
+// hasEnded looks for the server. It has ended if nobody listens at its address any more and no run goes on: a server that
+// resets a connection, or all, takes a new one, and one that takes no more connections goes on with its runs. Who ends for
+// another reason than its server's end (a link, the client, this node) doesn't come here, or meets a server that listens.
+func (b *backend) hasEnded() bool {
+	broke := b.n.clock.Now()
+	listens := 0
+	for range endLooks {
+		refused, goesOn := b.refusesConnections(), b.runs.goesOn(broke)
+		if refused && !goesOn {
+			return true
+		}
+		if !refused {
+			listens++
+		}
+		if listens == listensLooks || listens > 0 && goesOn {
+			return false
+		}
+		clock.Sleep(context.Background(), endWait)
+	}
+	return false
+}
+
+// refusesConnections tells whether nobody listens at the server's address.
+func (b *backend) refusesConnections() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), backendDialTime)
+	defer cancel()
+	conn, err := b.pool.Dial(ctx)
+	if err == nil {
+		_ = conn.Close() // it has shown what it was made for
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// noteEnd writes down that the server has ended, and under which runs.
+func (b *backend) noteEnd(instance string, ended bool, broken []*serverRun) {
+	if !ended {
+		b.n.callLog.Debug("server goes on", "instance", instance, "broken", len(broken))
+		return
+	}
+	now := b.n.clock.Now()
+	b.n.metrics.count("server_ends_total")
+	shown := make([]shownRun, 0, min(len(broken), shownRuns))
+	for _, r := range broken[:min(len(broken), shownRuns)] {
+		shown = append(shown, shownRun{r.q.id, r.q.fingerprint().String(), now.Sub(r.begun).Milliseconds()})
+	}
+	b.n.callLog.Warn("server ended", "instance", instance, "runs", len(broken), "under", shown)
+}
+
+// shownRun is a run as the log shows it.
+type shownRun struct {
+	Request     string `json:"request"`
+	Fingerprint string `json:"fingerprint"`
+	RanMS       int64  `json:"ran_ms"`
+}
+
+// fingerprint tells what the request asks for, whatever attempt it is.
+func (q *request) fingerprint() poison.Fingerprint {
+	a := poison.Asked{
+		Service: q.Service, Method: q.method, Host: q.host, URI: q.uri, Caller: q.Caller, Body: q.body,
+	}
+	if q.stream != nil {
+		a.Body, a.Length = q.head, q.length
+	}
+	return a.Fingerprint()
+}
