A poison request is known by its path as well, whatever its query and its caller

Read since: three in ten requests of the site have a query, and the rule's words leave it out (same path, caller and body); a request that comes in anywhere may have other callers; a run that failed for another reason cleared the request. Which of the three it was isn't known.

--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -57,9 +57,7 @@
 	} else {
 		b.runs.end(at)
 	}
-	if a.outcome == wire.Ran {
-		b.noteSurvived(q)
-	}
+	b.noteSurvived(q, a)
 	b.n.gateMu.Lock()
 	now := b.n.clock.Now()
 	b.n.gate.Done(now, now.Sub(begun), b.n.usualHold(q.Route), outcome)
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -147,6 +147,7 @@
 func (n *Node) publish() {
 	v := &view{services: make(map[string][]*peer), own: n.control.own.Record()}
 	all := n.control.directory.All()
+	now := n.clock.Now()
 	n.control.zoneHosts = nil
 	for _, r := range all {
 		if r.Zone == n.cfg.Zone {
@@ -156,7 +157,7 @@
 			continue
 		}
 		p := n.peer(r.Host)
-		p.describe(r, n.cfg.Zone)
+		p.describe(now, r, n.cfg.Zone)
 		v.services[r.Service] = append(v.services[r.Service], p)
 	}
 	n.view.Store(v)
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -32,6 +32,7 @@
 	failures int
 	asideTil time.Time
 	instance string    // of the server, as its record says
+	known    time.Time // since when that is known
 	ended    string    // the instance that ended
 	endedTil time.Time // until when that counts
 	stopping time.Time // when its planned stop was first heard of; zero: it isn't stopping
@@ -60,6 +61,8 @@
 	// endedTime is how long requests pass by a server that has ended: the next one is known by its first heartbeat, and should the server
 	// be there all the same it is found out by one request then, which its node refuses at no cost.
 	endedTime = 5 * time.Second
+	// settleTime is how long news of a server takes to be everywhere: some rounds of exchanges.
+	settleTime = time.Second
 	// leastSuccess bounds how little a failing server counts for, so that it is still tried.
 	leastSuccess = 0.1
 )
@@ -87,12 +90,22 @@
 }
 
 // describe takes over what a record says of the peer's server.
-func (p *peer) describe(r directory.Record, zone string) {
+func (p *peer) describe(now time.Time, r directory.Record, zone string) {
 	p.near.Store(r.Zone == zone)
 	p.slots.Store(int64(r.Slots))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.zone, p.instance = r.Zone, r.Instance
+	p.zone = r.Zone
+	if p.instance != r.Instance {
+		p.instance, p.known = r.Instance, now
+	}
+}
+
+// settled tells whether the server has been known for long enough that all nodes know it.
+func (p *peer) settled(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.known) >= settleTime
 }
 
 // serverEnded notes that an instance of the peer's server has ended.
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -21,7 +22,7 @@
 	callFields  = 6
 	replyFields = 9
 	// suspectFields are how many each has more where a request is under suspicion.
-	suspectCallFields, suspectReplyFields = 1, 2
+	suspectCallFields, suspectReplyFields = poison.Likenesses, 2
 )
 
 // call is what a node tells the node beside the chosen server.
@@ -32,9 +33,9 @@
 	Priority   int
 	Inner      bool
 	Once       bool
-	TurnedAway bool  // by another gate, for want of room
-	Version    int64 // desired state that the request came in with
-	Stage      int   // of suspicion that it ends servers, as the sender knows; 0: none
+	TurnedAway bool          // by another gate, for want of room
+	Version    int64         // desired state that the request came in with
+	Stages     poison.Stages // of its cases, as the sender knows
 }
 
 // reply is what that node tells beside an answer or refusal.
@@ -64,8 +65,10 @@
 
 func (c call) encode() string {
 	s := fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, flags(c.Inner, c.Once, c.TurnedAway), c.Version)
-	if c.Stage > 0 {
-		s += "," + strconv.Itoa(c.Stage)
+	if c.Stages.Any() {
+		for _, stage := range c.Stages {
+			s += "," + strconv.Itoa(stage)
+		}
 	}
 	return s
 }
@@ -86,10 +89,10 @@
 	if len(f) != callFields && len(f) != callFields+suspectCallFields {
 		return call{}, &ProtocolError{headerCall, v}
 	}
-	stage := 0
-	if len(f) > callFields {
+	var stages poison.Stages
+	for i, text := range f[callFields:] {
 		var err error
-		if stage, err = strconv.Atoi(f[callFields]); err != nil {
+		if stages[i], err = strconv.Atoi(text); err != nil {
 			return call{}, &ProtocolError{headerCall, v}
 		}
 	}
@@ -101,7 +104,7 @@
 	}
 	return call{
 		Service: f[0], Route: f[1], Caller: f[2], Priority: prio,
-		Inner: bits&1 != 0, Once: bits&2 != 0, TurnedAway: bits&4 != 0, Version: version, Stage: stage,
+		Inner: bits&1 != 0, Once: bits&2 != 0, TurnedAway: bits&4 != 0, Version: version, Stages: stages,
 	}, nil
 }
 
--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -36,7 +36,8 @@
 // poisonSite is that site, with what became of its servers.
 type poisonSite struct {
 	*site
-	fuse time.Duration // from the begin of a run of the poison request to the end of its server
+	queries bool          // every second poison request has a query, another one each time
+	fuse    time.Duration // from the begin of a run of the poison request to the end of its server
 
 	mu     sync.Mutex
 	poison map[string]*poisonRuns // by path
@@ -188,7 +189,11 @@
 func (p *poisonSite) askFor(path string, span time.Duration, perS int, entries ...int) {
 	for i := range int(span.Seconds() * float64(perS)) {
 		p.work.Go(func() {
-			p.ask(entries[i%len(entries)], http.MethodGet, path, fmt.Sprint(path, i), 2*time.Second)
+			uri := path
+			if p.queries && i%2 == 1 {
+				uri += fmt.Sprint("?page=", i)
+			}
+			p.ask(entries[i%len(entries)], http.MethodGet, uri, fmt.Sprint(path, i), 2*time.Second)
 		})
 		time.Sleep(time.Second / time.Duration(perS))
 	}
--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -192,10 +192,10 @@
 	e := poison.End{Lifetime: poison.Lifetime{Host: b.n.ip, Instance: instance}, Service: broken[0].q.Service}
 	shown := make([]shownRun, 0, min(len(broken), shownRuns))
 	for _, r := range broken {
-		f := r.q.fingerprint()
-		e.Runs = append(e.Runs, poison.Run{Fingerprint: f, Stage: r.q.Stage, Route: r.q.Route, Request: r.q.id})
+		id := r.q.identity()
+		e.Runs = append(e.Runs, poison.Run{Identity: id, Stages: r.q.Stages, Route: r.q.Route, Request: r.q.id})
 		if len(shown) < shownRuns {
-			shown = append(shown, shownRun{r.q.id, f.String(), now.Sub(r.begun).Milliseconds()})
+			shown = append(shown, shownRun{r.q.id, id.Widest().String(), now.Sub(r.begun).Milliseconds()})
 		}
 	}
 	b.n.callLog.Warn("server ended", "instance", instance, "runs", len(broken), "under", shown)
@@ -211,13 +211,13 @@
 	RanMS       int64  `json:"ran_ms"`
 }
 
-// fingerprint tells what the request asks for, whatever attempt it is.
-func (q *request) fingerprint() poison.Fingerprint {
+// identity tells what the request asks for, whatever attempt it is.
+func (q *request) identity() poison.Identity {
 	a := poison.Asked{
 		Service: q.Service, Method: q.method, Host: q.host, URI: q.uri, Caller: q.Caller, Body: q.body,
 	}
 	if q.stream != nil {
 		a.Body, a.Length = q.head, q.length
 	}
-	return a.Fingerprint()
+	return a.Identity()
 }
--- a/pkg/mesh/suspect_trial.go
+++ b/pkg/mesh/suspect_trial.go
@@ -51,7 +51,7 @@
 	defer wait.Stop()
 	for {
 		j := b.n.judge(q)
-		q.Stage = max(q.Stage, j.Stage)
+		q.Stages = q.Stages.Max(j.Stages)
 		switch j.Treatment {
 		case poison.HeldBack:
 			return func() {}, b.n.heldBack(q, j)
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"slices"
 	"time"
 
@@ -15,14 +16,14 @@
 	if !n.poison.Any() || n.off[settings.HeldBack] {
 		return poison.Judgement{}
 	}
-	return n.poison.Judge(n.clock.Now(), q.fingerprint())
+	return n.poison.Judge(n.clock.Now(), q.identity())
 }
 
 // heldBack answers a request that is held back, at once: this attempt hasn't run, and it may come back when it is tried again.
 func (n *Node) heldBack(q *request, j poison.Judgement) *answer {
 	n.metrics.count("held_back_total", "route", q.Route)
-	n.callLog.Info("held back", "request", q.id, "route", q.Route, "service", q.Service, "fingerprint", q.fingerprint(),
-		"stage", j.Stage, "for", j.For, "ended", lifetimes(j.Ends))
+	n.callLog.Info("held back", "request", q.id, "route", q.Route, "service", q.Service, "fingerprint", q.identity().Widest(),
+		"stages", j.Stages, "for", j.For, "ended", lifetimes(j.Ends))
 	a := refused(wire.ReasonHeldBack)
 	a.comeBack = j.For
 	return a
@@ -44,7 +45,7 @@
 // server only, the same for all its copies at whatever node: it may end that one too.
 func (d *delivery) next(now time.Time, servers []*peer) (*peer, *answer) {
 	j := d.n.judge(d.q)
-	d.q.Stage = j.Stage
+	d.q.Stages = j.Stages
 	switch j.Treatment {
 	case poison.Free:
 		return choose(now, servers, d.tried, d.n.compared()), nil
@@ -63,10 +64,12 @@
 	now := d.n.clock.Now()
 	at := poison.Lifetime{Host: p.host, Instance: r.Ended}
 	p.serverEnded(now, r.Ended)
-	d.n.poison.TakeCase(now, poison.Case{
-		Fingerprint: d.q.fingerprint(), Service: d.q.Service, Route: d.q.Route, Request: d.q.id,
-		Stage: d.q.Stage + 1, Ends: []poison.Lifetime{at},
-	})
+	for i, f := range d.q.identity() {
+		d.n.poison.TakeCase(now, poison.Case{
+			Fingerprint: f, Service: d.q.Service, Route: d.q.Route, Request: d.q.id,
+			Stage: d.q.Stages[i] + 1, Ends: []poison.Lifetime{at},
+		})
+	}
 }
 
 // placeSuspect returns the server that a suspect goes to. The last one that is there is spared for a moment, for the sake of all other requests.
@@ -82,18 +85,36 @@
 		a.comeBack = j.For
 		return nil, a
 	}
+	if j.Treatment == poison.Alone {
+		there = settled(now, there)
+	}
 	there = untried(there, d.tried)
 	hosts := make([]string, 0, len(there))
 	for _, p := range there {
 		hosts = append(hosts, p.host)
 	}
-	i := poison.Place(d.q.fingerprint(), hosts)
+	i := poison.Place(d.q.identity().Widest(), hosts)
 	if i < 0 {
 		return nil, nil
 	}
 	return there[i], nil
 }
 
+// settled returns the peers whose servers all nodes know, or all if there are none. While news of a server spreads nodes would choose differently, and two
+// copies that are tried at once may end two servers: of three, a fourth one ended in one of some ten plays in made-up time.
+func settled(now time.Time, list []*peer) []*peer {
+	var old []*peer
+	for _, p := range list {
+		if p.settled(now) {
+			old = append(old, p)
+		}
+	}
+	if len(old) == 0 {
+		return list
+	}
+	return old
+}
+
 // untried returns the peers that aren't among those that were tried.
 func untried(list, tried []*peer) []*peer {
 	var left []*peer
@@ -105,12 +126,18 @@
 	return left
 }
 
-// noteSurvived clears a request whose run ended while its server goes on, whatever it answered.
-func (b *backend) noteSurvived(q *request) {
-	if !b.n.poison.Any() {
+// noteSurvived clears a request whose run ended well. A server's own failure says too little: the run may have been cut short before it could do harm.
+func (b *backend) noteSurvived(q *request, a *answer) {
+	if !b.n.poison.Any() || a.outcome != wire.Ran || a.status >= http.StatusInternalServerError {
 		return
 	}
-	if c, ok := b.n.poison.Clear(b.n.clock.Now(), q.fingerprint()); ok {
-		b.n.do(func() { b.n.control.suspects.addCase(b.n.clock.Now(), c) })
+	cleared := b.n.poison.Clear(b.n.clock.Now(), q.identity())
+	if len(cleared) == 0 {
+		return
 	}
+	b.n.do(func() {
+		for _, c := range cleared {
+			b.n.control.suspects.addCase(b.n.clock.Now(), c)
+		}
+	})
 }
--- a/pkg/poison/fingerprint.go
+++ b/pkg/poison/fingerprint.go
@@ -14,7 +14,7 @@
 // of 2^64 tries, and one that somebody else sends can't be met at all.
 const fingerprintBytes = 16
 
-// Fingerprint tells what a request asks for: requests with the same one make a server do the same.
+// Fingerprint tells what a request asks for, by one likeness: requests with the same one make a server do the same.
 type Fingerprint [fingerprintBytes]byte
 
 // Asked is what a request asks for. Of a body that isn't held whole the first part counts, and its length.
@@ -28,10 +28,41 @@
 	Length  int64 // of a body that isn't held whole, in bytes; -1: not known, 0: it is held whole
 }
 
-// Fingerprint returns the fingerprint. It is a cryptographic hash, so that no caller can have another one's requests held back.
-func (a Asked) Fingerprint() Fingerprint {
+// Likenesses of requests, from the narrowest.
+const (
+	// Exact is that of all that is asked for, query and caller included.
+	Exact = iota
+	// SamePath leaves the query out: a client that asks again may well give another page or a time, and a request that ends
+	// servers does so whatever these are.
+	SamePath
+	// AnyCaller leaves the service as well beside which the request began: it may come in anywhere.
+	AnyCaller
+	// Likenesses is how many there are.
+	Likenesses
+)
+
+// Identity has a request's fingerprint by each likeness. What ends servers by its path is found by the wider ones; what does so by its query, or for one
+// caller only, by the narrower ones, since the sound requests for the same path clear them of the wider ones.
+type Identity [Likenesses]Fingerprint
+
+// Identity returns the fingerprints. They are cryptographic hashes, so that no caller can have another one's requests held back.
+func (a Asked) Identity() Identity {
+	path, _, _ := strings.Cut(a.URI, "?")
+	return Identity{
+		Exact:     a.fingerprint(a.URI, a.Caller, Exact),
+		SamePath:  a.fingerprint(path, a.Caller, SamePath),
+		AnyCaller: a.fingerprint(path, "", AnyCaller),
+	}
+}
+
+// Widest returns the fingerprint that the most requests share.
+func (id Identity) Widest() Fingerprint { return id[AnyCaller] }
+
+// fingerprint returns that of the request for a URI from a caller by one likeness.
+func (a Asked) fingerprint(uri, caller string, likeness int64) Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{a.Service, a.Method, strings.ToLower(a.Host), a.URI, a.Caller} {
+	addLength(h, likeness)
+	for _, part := range []string{a.Service, a.Method, strings.ToLower(a.Host), uri, caller} {
 		addLength(h, int64(len(part)))
 		_, _ = io.WriteString(h, part) // a hash takes all bytes
 	}
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -41,18 +41,27 @@
 // Any tells whether any request is under suspicion; while none is, nothing else needs to be asked.
 func (t *Table) Any() bool { return t.live.Load() > 0 }
 
-// Judge returns what is to be done with a request.
-func (t *Table) Judge(now time.Time, f Fingerprint) Judgement {
+// Judge returns what is to be done with a request: the heaviest of what its cases say.
+func (t *Table) Judge(now time.Time, id Identity) Judgement {
 	if !t.Any() {
 		return Judgement{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	k := t.cases[f]
-	if k == nil || !k.live() {
-		return Judgement{}
+	var worst Judgement
+	var stages Stages
+	for i, f := range id {
+		k := t.cases[f]
+		if k == nil || !k.live() {
+			continue
+		}
+		stages[i] = k.Stage
+		if j := t.rules().judge(&k.Case, now.Sub(k.last)); j.Treatment > worst.Treatment {
+			worst = j
+		}
 	}
-	return t.rules().judge(&k.Case, now.Sub(k.last))
+	worst.Stages = stages
+	return worst
 }
 
 func (t *Table) rules() Rules {
@@ -72,15 +81,17 @@
 		t.seen = slices.Delete(t.seen, 0, 1)
 	}
 	for _, r := range e.Runs[:min(len(e.Runs), maxRuns)] {
-		t.takeRun(now.Add(-e.Age), e, r)
+		for likeness := range Likenesses {
+			t.takeRun(now.Add(-e.Age), e, r, likeness)
+		}
 	}
 	t.bound()
 	return true
 }
 
 // takeRun notes that a server ended under a run; t.mu is held.
-func (t *Table) takeRun(at time.Time, e End, r Run) {
-	k := t.of(r.Fingerprint, e.Service)
+func (t *Table) takeRun(at time.Time, e End, r Run, likeness int) {
+	k := t.of(r.Identity[likeness], e.Service)
 	if slices.Contains(k.Cleared, e.Lifetime) {
 		return
 	}
@@ -89,7 +100,7 @@
 		k.Stage = 0
 	}
 	add(&k.Ends, []Lifetime{e.Lifetime})
-	k.Stage = stageOf(&k.Case, r.Stage)
+	k.Stage = stageOf(&k.Case, r.Stages[likeness])
 	k.Route, k.Request = r.Route, r.Request
 	if at.After(k.last) {
 		k.last = at
@@ -120,19 +131,21 @@
 	}
 }
 
-// Clear notes that a run of a request has ended with its server going on; it reports whether that cleared it, and then returns the case to be told.
-func (t *Table) Clear(now time.Time, f Fingerprint) (Case, bool) {
+// Clear notes that a run of a request has ended well, with its server going on; it returns the cases that this cleared, to be told.
+func (t *Table) Clear(now time.Time, id Identity) []Case {
 	if !t.Any() {
-		return Case{}, false
+		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	k := t.cases[f]
-	if k == nil || !k.live() {
-		return Case{}, false
+	var cleared []Case
+	for _, f := range id {
+		if k := t.cases[f]; k != nil && k.live() {
+			t.clear(now, k, k.Ends)
+			cleared = append(cleared, k.told(now))
+		}
 	}
-	t.clear(now, k, k.Ends)
-	return k.told(now), true
+	return cleared
 }
 
 // clear notes that some ends say nothing against the request; t.mu is held.
--- a/pkg/poison/table_test.go
+++ b/pkg/poison/table_test.go
@@ -15,14 +15,14 @@
 // start is when the tests begin.
 var start = time.Unix(1000, 0)
 
-// print returns the fingerprint of a request for a path.
-func printOf(path string) Fingerprint { return Asked{Service: "s", Method: "GET", URI: path}.Fingerprint() }
+// idOf returns the identity of a request for a path.
+func idOf(path string) Identity { return Asked{Service: "s", Method: "GET", URI: path}.Identity() }
 
 // endOf is the end of a server's life, under runs of requests that began in a stage.
 func endOf(host string, life, stage int, paths ...string) End {
 	e := End{Lifetime: Lifetime{host, fmt.Sprint("i", life)}, Service: "s"}
 	for _, p := range paths {
-		e.Runs = append(e.Runs, Run{Fingerprint: printOf(p), Stage: stage, Route: "r", Request: "id-" + p})
+		e.Runs = append(e.Runs, Run{Identity: idOf(p), Stages: Stages{stage, stage, stage}, Route: "r", Request: "id-" + p})
 	}
 	return e
 }
@@ -32,17 +32,16 @@
 	c := qt.New(t)
 	var x Table
 	c.Assert(x.Any(), qt.IsFalse)
-	c.Assert(x.Judge(start, printOf("/bad")).Treatment, qt.Equals, Free)
+	c.Assert(x.Judge(start, idOf("/bad")).Treatment, qt.Equals, Free)
 	c.Assert(x.TakeEnd(start, endOf("a", 1, 0, "/bad", "/good")), qt.IsTrue)
-	c.Assert(x.Judge(start, printOf("/bad")).Treatment, qt.Equals, Confined)
-	c.Assert(x.Judge(start, printOf("/other")).Treatment, qt.Equals, Free)
-	_, cleared := x.Clear(start, printOf("/good"))
-	c.Assert(cleared, qt.IsTrue)
-	c.Assert(x.Judge(start, printOf("/good")).Treatment, qt.Equals, Free)
+	c.Assert(x.Judge(start, idOf("/bad")).Treatment, qt.Equals, Confined)
+	c.Assert(x.Judge(start, idOf("/other")).Treatment, qt.Equals, Free)
+	c.Assert(x.Clear(start, idOf("/good")), qt.HasLen, Likenesses)
+	c.Assert(x.Judge(start, idOf("/good")).Treatment, qt.Equals, Free)
 	x.TakeEnd(start, endOf("b", 1, 1, "/bad"))
-	c.Assert(x.Judge(start, printOf("/bad")).Treatment, qt.Equals, Alone)
+	c.Assert(x.Judge(start, idOf("/bad")).Treatment, qt.Equals, Alone)
 	x.TakeEnd(start, endOf("c", 1, 2, "/bad"))
-	j := x.Judge(start.Add(time.Second), printOf("/bad"))
+	j := x.Judge(start.Add(time.Second), idOf("/bad"))
 	c.Assert(j.Treatment, qt.Equals, HeldBack)
 	c.Assert(j.For, qt.Equals, defaultHoldFirst-time.Second)
 	c.Assert(j.Ends, qt.HasLen, 3)
@@ -55,10 +54,10 @@
 	for i := range 5 {
 		x.TakeEnd(start, endOf(fmt.Sprint("h", i), 1, 0, "/popular"))
 	}
-	c.Assert(x.Judge(start, printOf("/popular")).Treatment, qt.Equals, Alone)
-	c.Assert(x.Judge(start, printOf("/popular")).Stage, qt.Equals, 1)
+	c.Assert(x.Judge(start, idOf("/popular")).Treatment, qt.Equals, Alone)
+	c.Assert(x.Judge(start, idOf("/popular")).Stages, qt.Equals, Stages{1, 1, 1})
 	x.TakeEnd(start, endOf("h9", 1, 1, "/popular"))
-	c.Assert(x.Judge(start, printOf("/popular")).Treatment, qt.Equals, HeldBack)
+	c.Assert(x.Judge(start, idOf("/popular")).Treatment, qt.Equals, HeldBack)
 }
 
 // A request that is held back is tried again by itself, alone, and held for longer each time that ends one more server.
@@ -69,13 +68,12 @@
 		x.TakeEnd(start, endOf("a", i, i, "/bad"))
 	}
 	later := start.Add(defaultHoldFirst)
-	c.Assert(x.Judge(later, printOf("/bad")).Treatment, qt.Equals, Alone)
+	c.Assert(x.Judge(later, idOf("/bad")).Treatment, qt.Equals, Alone)
 	x.TakeEnd(later, endOf("a", 9, heldStage, "/bad"))
-	c.Assert(x.Judge(later, printOf("/bad")).For, qt.Equals, defaultHoldTimes*defaultHoldFirst)
+	c.Assert(x.Judge(later, idOf("/bad")).For, qt.Equals, defaultHoldTimes*defaultHoldFirst)
 	x.Sweep(later.Add(defaultHoldTimes * defaultHoldFirst))
-	c.Assert(x.Judge(later.Add(defaultHoldTimes*defaultHoldFirst), printOf("/bad")).Treatment, qt.Equals, Alone)
-	_, cleared := x.Clear(later, printOf("/bad"))
-	c.Assert(cleared, qt.IsTrue, qt.Commentf("the next release of the server is sound"))
+	c.Assert(x.Judge(later.Add(defaultHoldTimes*defaultHoldFirst), idOf("/bad")).Treatment, qt.Equals, Alone)
+	c.Assert(x.Clear(later, idOf("/bad")), qt.HasLen, Likenesses, qt.Commentf("the next release of the server is sound"))
 	c.Assert(x.Any(), qt.IsFalse)
 }
 
@@ -85,11 +83,12 @@
 	var near, far Table
 	e := endOf("a", 1, 0, "/good")
 	near.TakeEnd(start, e)
-	told, _ := near.Clear(start, printOf("/good"))
-	c.Assert(far.TakeCase(start, told), qt.IsTrue)
+	told := near.Clear(start, idOf("/good"))
+	c.Assert(told, qt.HasLen, Likenesses)
+	takeAll(&far, told)
 	far.TakeEnd(start, e)
-	c.Assert(far.Judge(start, printOf("/good")).Treatment, qt.Equals, Free)
-	c.Assert(far.TakeCase(start, told), qt.IsFalse, qt.Commentf("it is no news any more"))
+	c.Assert(far.Judge(start, idOf("/good")).Treatment, qt.Equals, Free)
+	c.Assert(far.TakeCase(start, told[0]), qt.IsFalse, qt.Commentf("it is no news any more"))
 }
 
 // Suspicion ends by itself, and what is kept is bounded: what is held back goes last.
@@ -107,9 +106,9 @@
 		x.TakeEnd(start, endOf("b", i, 0, paths...))
 		c.Assert(len(x.cases) <= maxCases, qt.IsTrue, qt.Commentf("%d", len(x.cases)))
 	}
-	c.Assert(x.Judge(start, printOf("/bad")).Treatment, qt.Equals, HeldBack)
+	c.Assert(x.Judge(start, idOf("/bad")).Treatment, qt.Equals, HeldBack)
 	x.Sweep(start.Add(defaultSuspect))
-	c.Assert(x.All(start), qt.HasLen, 1)
+	c.Assert(x.All(start), qt.HasLen, Likenesses)
 	x.Sweep(start.Add(defaultHoldFirst + heldMemory))
 	c.Assert(x.Any(), qt.IsFalse)
 	c.Assert(x.cases, qt.HasLen, 0)
@@ -128,9 +127,7 @@
 		for _, e := range ends {
 			first.TakeEnd(start, e)
 			if rapid.Bool().Draw(r, "clears") {
-				if k, ok := first.Clear(start, printOf("/a")); ok {
-					told = append(told, k)
-				}
+				told = append(told, first.Clear(start, idOf("/a"))...)
 			}
 		}
 		order := rapid.Permutation(ends).Draw(r, "order")
@@ -146,7 +143,7 @@
 		takeAll(&second, first.All(start))
 		takeAll(&first, second.All(start))
 		for _, p := range []string{"/a", "/b", "/c"} {
-			one, other := first.Judge(start, printOf(p)), second.Judge(start, printOf(p))
+			one, other := first.Judge(start, idOf(p)), second.Judge(start, idOf(p))
 			if one.Treatment != other.Treatment || len(one.Ends) != len(other.Ends) {
 				r.Fatalf("%s: %+v and %+v", p, one, other)
 			}
@@ -173,19 +170,23 @@
 	others[5].Body = []byte("b2")
 	others[6].Length = 1 << 20
 	others[7].Host, others[7].URI = "h/", "a?x=1"
-	seen := map[Fingerprint]bool{whole.Fingerprint(): true}
+	seen := map[Fingerprint]bool{whole.Identity()[Exact]: true}
 	for _, o := range others {
-		c.Check(seen[o.Fingerprint()], qt.IsFalse, qt.Commentf("%+v", o))
-		seen[o.Fingerprint()] = true
+		c.Check(seen[o.Identity()[Exact]], qt.IsFalse, qt.Commentf("%+v", o))
+		seen[o.Identity()[Exact]] = true
 	}
 	same := whole
 	same.Host = "H"
-	c.Assert(same.Fingerprint(), qt.Equals, whole.Fingerprint())
-	text, err := json.Marshal(whole.Fingerprint())
+	c.Assert(same.Identity(), qt.Equals, whole.Identity())
+	c.Assert(others[3].Identity()[SamePath], qt.Equals, whole.Identity()[SamePath])
+	c.Assert(others[4].Identity()[SamePath], qt.Not(qt.Equals), whole.Identity()[SamePath])
+	c.Assert(others[4].Identity().Widest(), qt.Equals, whole.Identity().Widest())
+	c.Assert(others[5].Identity()[SamePath], qt.Not(qt.Equals), whole.Identity()[SamePath])
+	text, err := json.Marshal(whole.Identity()[Exact])
 	c.Assert(err, qt.IsNil)
 	var back Fingerprint
 	c.Assert(json.Unmarshal(text, &back), qt.IsNil)
-	c.Assert(back, qt.Equals, whole.Fingerprint())
+	c.Assert(back, qt.Equals, whole.Identity()[Exact])
 	var wrong *FingerprintError
 	c.Assert(errors.As(back.UnmarshalText([]byte("xy")), &wrong), qt.IsTrue)
 }
@@ -196,7 +197,7 @@
 	hosts := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"}
 	count := map[string]int{}
 	for i := range 400 {
-		f := printOf(fmt.Sprint("/", i))
+		f := idOf(fmt.Sprint("/", i)).Widest()
 		at := hosts[Place(f, hosts)]
 		count[at]++
 		turned := slices.Clone(hosts)
@@ -209,13 +210,32 @@
 	for _, n := range count {
 		c.Check(n > 60 && n < 140, qt.IsTrue, qt.Commentf("%v", count))
 	}
-	c.Assert(Place(printOf("/"), nil), qt.Equals, -1)
+	c.Assert(Place(idOf("/").Widest(), nil), qt.Equals, -1)
+}
+
+// A request whose query is another one each time is found by its path; where only some queries are guilty, the others clear the path, and only the guilty
+// one is held back.
+func TestAQueryMayVaryOrBeGuilty(t *testing.T) {
+	c := qt.New(t)
+	var varies, guilty Table
+	for i := range heldStage {
+		varies.TakeEnd(start, End{Lifetime: Lifetime{"a", fmt.Sprint(i)}, Service: "s", Runs: []Run{{
+			Identity: idOf(fmt.Sprint("/bad?at=", i)), Stages: varies.Judge(start, idOf(fmt.Sprint("/bad?at=", i))).Stages,
+		}}})
+		guilty.TakeEnd(start, End{Lifetime: Lifetime{"a", fmt.Sprint(i)}, Service: "s", Runs: []Run{{
+			Identity: idOf("/find?q=bad"), Stages: guilty.Judge(start, idOf("/find?q=bad")).Stages,
+		}}})
+		guilty.Clear(start, idOf("/find?q=good"))
+	}
+	c.Assert(varies.Judge(start, idOf("/bad?at=9")).Treatment, qt.Equals, HeldBack)
+	c.Assert(guilty.Judge(start, idOf("/find?q=bad")).Treatment, qt.Equals, HeldBack)
+	c.Assert(guilty.Judge(start, idOf("/find?q=other")).Treatment, qt.Equals, Free)
 }
 
 // While nothing is under suspicion, a request costs one look at a number.
 func BenchmarkJudgeWithoutSuspects(b *testing.B) {
 	var x Table
-	f := printOf("/a")
+	f := idOf("/a")
 	for b.Loop() {
 		x.Judge(start, f)
 	}
@@ -228,6 +248,6 @@
 	a := Asked{Service: "s", Method: "GET", Host: "h", URI: "/a", Caller: "c"}
 	b.ReportAllocs()
 	for b.Loop() {
-		x.Judge(start, a.Fingerprint())
+		x.Judge(start, a.Identity())
 	}
 }
--- a/pkg/poison/treatment.go
+++ b/pkg/poison/treatment.go
@@ -101,7 +101,7 @@
 // Judgement is what is to be done with a request now.
 type Judgement struct {
 	Treatment Treatment
-	Stage     int
+	Stages    Stages
 	// For is how long the treatment lasts, of one that is held back, or how long the last server of the service is to be spared.
 	For time.Duration
 	// Ends are the servers that ended under it.
@@ -110,7 +110,7 @@
 
 // judge returns what is to be done with a request some time after the last end under it.
 func (r Rules) judge(c *Case, since time.Duration) Judgement {
-	j := Judgement{Stage: c.Stage, Ends: c.Ends}
+	j := Judgement{Ends: c.Ends}
 	switch {
 	case since < r.hold(c.Stage):
 		j.Treatment, j.For = HeldBack, r.hold(c.Stage)-since
