Runs under a server that ended go on only when the suspects are noted

Cause (trace of one play of six that ended a fourth server, nodes of both services): the runs that wait for the judgement were let go before the end was taken into the table, so one beside the server was sent on as if nothing were known. Ten runs of the tests of poison requests: green (1 of 6 red before).

--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -108,7 +108,6 @@
 	if ended {
 		s.ended, s.endedAt = instance, s.judging.at
 	}
-	close(s.judging.judged)
 	at, broken := s.judging.at, s.broken
 	s.judging, s.broken = nil, nil
 	return slices.DeleteFunc(broken, func(r *serverRun) bool { return !r.begun.Before(at) })
@@ -125,6 +124,7 @@
 	if first {
 		ended := b.hasEnded()
 		b.noteEnd(r.instance, ended, b.runs.judge(r.instance, ended))
+		close(e.judged) // now that a copy of the guilty request that is sent on is known for one
 	} else {
 		<-e.judged
 	}
