A server's life is told by its id and its birth; what another writer says names no server

Cause: a server that starts again under its id was taken for a late heartbeat until its calls had passed the old count, and for ever once it was draining or had left; a row that can't be read stopped the reading of all rows; a heartbeat without slots, service or calls named a server. With runs that are 'not run' when their server had ended, a life that is told by the id alone would also have been a false 'not run' in the next life. Change: `born` is read; a record names the generation with which its life began, and its name goes to peers, gates, suspects; late words of older lives change nothing, in any order (rapid); a life that seems older is taken once it goes on speaking for 2 s (a clock that stepped back; no birth said); the memory of lives that left drops the oldest, not all.

--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -110,3 +110,21 @@
 	}
 	return s.byName[route].Priority
 }
+
+// Names tells whether the state has a service, or a route that leads to it.
+func (s *State) Names(service string) bool {
+	if s == nil {
+		return false
+	}
+	if _, ok := s.Services[service]; ok {
+		return true
+	}
+	for i := range s.Routes {
+		for _, t := range s.Routes[i].Targets {
+			if t.Service == service {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -17,8 +17,8 @@
 	}
 	var news []Record
 	for _, r := range heard {
-		if r.Host == "" || r.Phase > Gone {
-			continue
+		if r.Check() != nil {
+			continue // it names no server
 		}
 		if old, ok := d.records[r.Host]; ok && !r.newer(old) {
 			continue
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -3,11 +3,15 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
+// start is when the tests begin.
+var start = time.Unix(1000, 0)
+
 func beat(id string, call int64, draining bool) Registration {
 	return Registration{Instance: id, Service: "s", Zone: "z", Slots: 5, Call: call, Draining: draining}
 }
@@ -15,29 +19,29 @@
 func TestALateHeartbeatDoesNotReviveAServer(t *testing.T) {
 	c := qt.New(t)
 	o := OwnServer{Host: "h"}
-	c.Assert(o.Heartbeat(beat("a", 1, false)), qt.IsTrue)
-	c.Assert(o.Leave("a"), qt.IsTrue)
-	c.Assert(o.Heartbeat(beat("a", 2, false)), qt.IsFalse)
+	c.Assert(o.Heartbeat(start, beat("a", 1, false)), qt.IsTrue)
+	c.Assert(o.Leave(Lifetime{Instance: "a"}), qt.IsTrue)
+	c.Assert(o.Heartbeat(start, beat("a", 2, false)), qt.IsFalse)
 	c.Assert(o.Record().Phase, qt.Equals, Gone)
 }
 
 func TestAnEarlierCallDoesNotTakeDrainingBack(t *testing.T) {
 	c := qt.New(t)
 	o := OwnServer{Host: "h"}
-	o.Heartbeat(beat("a", 5, true))
-	c.Assert(o.Heartbeat(beat("a", 4, false)), qt.IsFalse)
-	c.Assert(o.Heartbeat(beat("a", 6, false)), qt.IsFalse)
+	o.Heartbeat(start, beat("a", 5, true))
+	c.Assert(o.Heartbeat(start, beat("a", 4, false)), qt.IsFalse)
+	c.Assert(o.Heartbeat(start, beat("a", 6, false)), qt.IsFalse)
 	c.Assert(o.Record().Phase, qt.Equals, Draining)
 }
 
 func TestTheNextServerAtTheAddressServes(t *testing.T) {
 	c := qt.New(t)
 	o := OwnServer{Host: "h"}
-	o.Heartbeat(beat("a", 9, false))
-	o.Leave("a")
-	c.Assert(o.Heartbeat(beat("b", 1, false)), qt.IsTrue)
+	o.Heartbeat(start, beat("a", 9, false))
+	o.Leave(Lifetime{Instance: "a"})
+	c.Assert(o.Heartbeat(start, beat("b", 1, false)), qt.IsTrue)
 	c.Assert(o.Record().Phase, qt.Equals, Serving)
-	c.Assert(o.Leave("a"), qt.IsFalse)
+	c.Assert(o.Leave(Lifetime{Instance: "a"}), qt.IsFalse)
 	c.Assert(o.Record().Instance, qt.Equals, "b")
 }
 
@@ -48,15 +52,15 @@
 	o := OwnServer{Host: "h"}
 	early := Registration{Instance: "i1", Service: "s", Zone: "z", Slots: 4, Call: 7}
 	next := Registration{Instance: "i2", Service: "s", Zone: "z", Slots: 4, Call: 1}
-	c.Assert(o.Heartbeat(early), qt.IsTrue)
-	c.Assert(o.Heartbeat(next), qt.IsTrue)
+	c.Assert(o.Heartbeat(start, early), qt.IsTrue)
+	c.Assert(o.Heartbeat(start, next), qt.IsTrue)
 	before := o.Record()
 	early.Call++
-	c.Assert(o.Heartbeat(early), qt.IsFalse)
+	c.Assert(o.Heartbeat(start, early), qt.IsFalse)
 	c.Assert(o.Record(), qt.Equals, before)
 	next.Call++
-	c.Assert(o.Heartbeat(next), qt.IsFalse)
-	c.Assert(o.Leave("i1"), qt.IsFalse, qt.Commentf("nor does a late word that it ends"))
+	c.Assert(o.Heartbeat(start, next), qt.IsFalse)
+	c.Assert(o.Leave(Lifetime{Instance: "i1"}), qt.IsFalse, qt.Commentf("nor does a late word that it ends"))
 	c.Assert(o.Record(), qt.Equals, before)
 }
 
@@ -66,7 +70,7 @@
 	old := Record{Host: "h", Generation: 7, Instance: "a", Service: "s", Slots: 5, Phase: Draining}
 	c.Assert(o.Recall(old), qt.IsTrue)
 	c.Assert(o.Record(), qt.Equals, old)
-	c.Assert(o.Heartbeat(beat("a", 3, false)), qt.IsTrue, qt.Commentf("zone is news"))
+	c.Assert(o.Heartbeat(start, beat("a", 3, false)), qt.IsTrue, qt.Commentf("zone is news"))
 	c.Assert(o.Record().Phase, qt.Equals, Draining, qt.Commentf("leaving isn't taken back"))
 	c.Assert(o.Record().Generation > 7, qt.IsTrue)
 }
@@ -74,7 +78,7 @@
 func TestAServerThatSpokeGoesAboveWhatOthersRemember(t *testing.T) {
 	c := qt.New(t)
 	o := OwnServer{Host: "h"}
-	o.Heartbeat(beat("b", 1, false))
+	o.Heartbeat(start, beat("b", 1, false))
 	c.Assert(o.Recall(Record{Host: "h", Generation: 40, Instance: "a", Service: "s", Phase: Gone}), qt.IsTrue)
 	c.Assert(o.Record().Instance, qt.Equals, "b")
 	c.Assert(o.Record().Generation, qt.Equals, int64(41))
@@ -88,7 +92,7 @@
 			g := rapid.Int64Range(1, 4).Draw(r, "generation")
 			heard = append(heard, Record{
 				Host: rapid.SampledFrom([]string{"a", "b"}).Draw(r, "host"), Generation: g,
-				Instance: "i", Phase: Phase(rapid.IntRange(0, 3).Draw(r, "phase")),
+				Instance: "i", Service: "s", Phase: Phase(rapid.IntRange(0, 3).Draw(r, "phase")),
 			})
 		}
 		var d, e Directory
--- a/pkg/directory/own_server.go
+++ b/pkg/directory/own_server.go
@@ -1,74 +1,171 @@
 package directory
 
+import (
+	"slices"
+	"time"
+)
+
+// The bounds by which lives of the backend server are told apart.
+const (
+	// maxLeft bounds the memory of lives that have left; the oldest are forgotten.
+	maxLeft = 64
+	// oddTime is for how long a life that seems to be older than the one in force has to go on speaking, without a word of that one, to be taken
+	// for the next one: a clock has stepped back, or the server doesn't say when it began. Two heartbeats and more fit in; what a cut held back
+	// comes at once.
+	oddTime = 2 * time.Second
+)
+
 // OwnServer is the backend server beside a node, as its own heartbeats tell. It decides when the Record
-// changes, and that a late heartbeat doesn't revive a server that has left.
+// changes, and that what an older life of the server says, which may come late and in any order, changes nothing.
 type OwnServer struct {
 	Host string
 
 	record   Record
 	lastCall int64
-	heard    bool            // a heartbeat has come in this life of the node
-	left     map[string]bool // instances that have left
+	heard    bool       // a heartbeat has come in this life of the node
+	left     []Lifetime // that have left, the oldest first
+	odd      oddLife
+}
+
+// oddLife is a life that seems to be older than the one in force, and speaks.
+type oddLife struct {
+	life  Lifetime
+	call  int64
+	since time.Time // when it was first heard, with no word of the one in force since
 }
 
-// maxLeft bounds the memory of instances that have left.
-const maxLeft = 64
+// relation is how a heartbeat stands to the life that is in force.
+type relation uint8
+
+const (
+	late  relation = iota // of an older life, or an earlier call of the same
+	same                  // the next call of the same life
+	next                  // of the next life
+	doubt                 // of one or the other; only time tells
+)
 
 // Heartbeat takes a heartbeat, and reports whether the Record changed.
-func (o *OwnServer) Heartbeat(r Registration) bool {
-	if o.left[r.Instance] {
-		return false
+func (o *OwnServer) Heartbeat(now time.Time, r Registration) bool {
+	rel := o.relate(r)
+	if rel == doubt && o.goesOn(now, r) {
+		rel = next
 	}
-	same := r.Instance == o.record.Instance
-	if same && r.Call < o.lastCall {
+	if rel == late || rel == doubt {
 		return false
 	}
-	if !same && o.record.Instance != "" {
-		o.hasLeft(o.record.Instance) // its heartbeats that are still on the way come too late
-	}
+	o.odd = oddLife{}
 	o.lastCall = r.Call
 	o.heard = true
-	phase := Serving
-	if r.Draining {
-		phase = Draining
+	if rel == next {
+		return o.begin(r)
 	}
-	if same && o.record.Phase > phase {
-		phase = o.record.Phase // leaving isn't taken back
+	return o.change(r, max(o.record.Phase, r.phase()), o.record.Since) // leaving isn't taken back
+}
+
+// relate compares a heartbeat with the life that is in force.
+func (o *OwnServer) relate(r Registration) relation {
+	at, now := r.Lifetime(), o.record.Lifetime()
+	known := at.Born > 0 && now.Born > 0
+	switch {
+	case slices.Contains(o.left, at):
+		return late
+	case o.record.Instance == "":
+		return next
+	case at.Instance == now.Instance && (!known || at.Born == now.Born):
+		return o.relateCalls(r, known)
+	case known && at.Born < now.Born:
+		return doubt
+	default:
+		return next
+	}
+}
+
+// relateCalls compares a heartbeat that names the life in force, or doesn't say when it began.
+func (o *OwnServer) relateCalls(r Registration, known bool) relation {
+	switch {
+	case r.Call >= o.lastCall:
+		return same
+	case known || o.record.Phase > Serving:
+		return late
+	default:
+		return doubt
 	}
-	next := Record{
+}
+
+// goesOn tells whether a life that seems to be older has gone on speaking.
+func (o *OwnServer) goesOn(now time.Time, r Registration) bool {
+	if o.odd.life != r.Lifetime() || r.Call <= o.odd.call {
+		o.odd = oddLife{life: r.Lifetime(), call: r.Call, since: now}
+		return false
+	}
+	o.odd.call = r.Call
+	return now.Sub(o.odd.since) >= oddTime
+}
+
+// begin begins the next life: it knows nothing of the one before, which has ended.
+func (o *OwnServer) begin(r Registration) bool {
+	if o.record.Instance != "" {
+		o.hasLeft(o.record.Lifetime()) // its heartbeats that are still on the way come too late
+	}
+	return o.change(r, r.phase(), o.record.Generation+1)
+}
+
+// change writes the Record as a heartbeat tells it, and reports whether it changed.
+func (o *OwnServer) change(r Registration, phase Phase, since int64) bool {
+	to := Record{
 		Host: o.Host, Generation: o.record.Generation, Instance: r.Instance, Service: r.Service,
-		Zone: r.Zone, Release: r.Release, Slots: r.Slots, Phase: phase,
+		Zone: r.Zone, Release: r.Release, Slots: r.Slots, Phase: phase, Born: max(r.Born, o.bornOf(since)), Since: since,
 	}
-	if next == o.record {
+	if to == o.record {
 		return false
 	}
-	next.Generation++
-	o.record = next
+	to.Generation++
+	o.record = to
 	return true
 }
 
-// Leave notes that the instance has left, and reports whether the Record changed.
-func (o *OwnServer) Leave(instance string) bool {
-	o.hasLeft(instance)
-	if instance != o.record.Instance && o.heard {
-		return false // an older server that stood here
+// bornOf returns when the life that began with a generation did, if it has said so before.
+func (o *OwnServer) bornOf(since int64) int64 {
+	if since == o.record.Since {
+		return o.record.Born
 	}
-	if o.record.Phase == Gone && instance == o.record.Instance {
-		return false
+	return 0
+}
+
+// Leave notes that a life has left, and reports whether the Record changed. Who leaves may not say when it was born: then the life of that instance is
+// meant that is in force.
+func (o *OwnServer) Leave(at Lifetime) bool {
+	now := o.record.Lifetime()
+	if at.Instance == now.Instance && (at.Born == 0 || now.Born == 0) {
+		at.Born = now.Born
+	}
+	o.hasLeft(at)
+	switch {
+	case at == now:
+		if o.record.Phase == Gone {
+			return false
+		}
+	case o.heard, at.Born > 0 && at.Born < now.Born:
+		return false // an older server that stood here
+	default:
+		o.record.Since = o.record.Generation + 1
 	}
 	o.record.Host = o.Host
-	o.record.Instance = instance
+	o.record.Instance, o.record.Born = at.Instance, at.Born
 	o.record.Phase = Gone
 	o.record.Generation++
 	return true
 }
 
-// hasLeft remembers that an instance has left; an instance never comes back.
-func (o *OwnServer) hasLeft(instance string) {
-	if o.left == nil || len(o.left) >= maxLeft {
-		o.left = make(map[string]bool)
+// hasLeft remembers that a life has left; it never comes back.
+func (o *OwnServer) hasLeft(at Lifetime) {
+	if slices.Contains(o.left, at) {
+		return
+	}
+	if len(o.left) >= maxLeft {
+		o.left = slices.Delete(o.left, 0, 1)
 	}
-	o.left[instance] = true
+	o.left = append(o.left, at)
 }
 
 // Recall takes what others remember of this server, after a restart of the node; it reports whether the
@@ -77,11 +174,11 @@
 	if r.Host != o.Host || !r.newer(o.record) {
 		return false
 	}
-	if same := o.record.as(r.Generation); o.heard && same == r {
+	if o.heard && o.record.as(r) == r {
 		o.record = r // others remember just what the server said
 		return true
 	}
-	if o.heard || o.left[r.Instance] {
+	if o.heard || slices.Contains(o.left, r.Lifetime()) {
 		if r.Generation >= o.record.Generation {
 			o.record.Generation = r.Generation + 1
 			return true
@@ -92,9 +189,9 @@
 	return true
 }
 
-// as returns the record with another generation.
-func (r Record) as(generation int64) Record {
-	r.Generation = generation
+// as returns the record with the generations of another.
+func (r Record) as(o Record) Record {
+	r.Generation, r.Since = o.Generation, o.Since
 	return r
 }
 
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
 
 // Phase is where a backend server stands in its life.
 type Phase uint8
@@ -26,6 +30,36 @@
 	Release    string `json:"r,omitempty"` // version of the server's software
 	Slots      int    `json:"n,omitempty"` // requests that it works on at once
 	Phase      Phase  `json:"p,omitempty"`
+	Born       int64  `json:"b,omitempty"` // when this life of the server began, as it says, in Unix milliseconds; 0: it doesn't
+	Since      int64  `json:"f,omitempty"` // the generation with which this life began
+}
+
+// Lifetime is one life of a backend server. It may start again under the same instance, and is another one then.
+type Lifetime struct {
+	Instance string
+	Born     int64 // Unix milliseconds; 0: not said
+}
+
+// Lifetime returns which life of its server the record speaks of.
+func (r Record) Lifetime() Lifetime { return Lifetime{r.Instance, r.Born} }
+
+// Lifetime returns which life of the server speaks.
+func (r Registration) Lifetime() Lifetime { return Lifetime{r.Instance, r.Born} }
+
+// phase returns where the server says that it stands.
+func (r Registration) phase() Phase {
+	if r.Draining {
+		return Draining
+	}
+	return Serving
+}
+
+// LifeName names the life for other nodes, and differs from that of any other life at this host, whatever the server says of its birth.
+func (r Record) LifeName() string {
+	if r.Instance == "" {
+		return ""
+	}
+	return r.Instance + "/" + strconv.FormatInt(r.Since, 10)
 }
 
 // Registration is a heartbeat of a backend server, as its node heard it.
@@ -38,6 +72,7 @@
 	Slots    int
 	Draining bool
 	Call     int64         // grows with every call of the server, so that a late one can be told
+	Born     int64         // Unix milliseconds of its start; 0: not said
 	ColdLeft time.Duration // how much longer the server is slow after its start
 }
 
@@ -46,5 +81,32 @@
 	if r.Generation != old.Generation {
 		return r.Generation > old.Generation
 	}
-	return r.Instance == old.Instance && r.Phase > old.Phase
+	return r.Lifetime() == old.Lifetime() && r.Phase > old.Phase
+}
+
+// RecordError reports a record that no node writes.
+type RecordError struct {
+	Field string
+	Value string
+}
+
+// Error names the field and its value.
+func (e *RecordError) Error() string { return fmt.Sprintf("record: %s is %q", e.Field, e.Value) }
+
+// Check tells whether a node may have written the record; the error is a *RecordError.
+func (r Record) Check() error {
+	switch {
+	case r.Host == "":
+		return &RecordError{"host", ""}
+	case r.Phase > Gone:
+		return &RecordError{"phase", strconv.Itoa(int(r.Phase))}
+	case r.Generation < 0:
+		return &RecordError{"generation", strconv.FormatInt(r.Generation, 10)}
+	case r.Phase != Absent && r.Instance == "":
+		return &RecordError{"instance", ""}
+	case r.Phase == Serving && (r.Service == "" || r.Slots < 0):
+		return &RecordError{"service or slots", fmt.Sprintf("%s, %d", r.Service, r.Slots)}
+	default:
+		return nil
+	}
 }
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -49,7 +49,7 @@
 	}
 	begun := b.n.clock.Now()
 	run := b.n.stats.begin(begun, q.Route, q.deadline.Add(-answerMargin))
-	at := &serverRun{q: q, instance: own.Instance, begun: begun}
+	at := &serverRun{q: q, life: own.LifeName(), begun: begun}
 	b.runs.begin(at)
 	a, outcome := b.send(ctx, q, own.Instance)
 	if a.broken {
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -209,14 +209,25 @@
 	n.electFollowers(n.clock.Now())
 }
 
+// NamesService tells whether a service is that of this VM, or one that the desired state names.
+func (n *Node) NamesService(service string) bool {
+	return service == n.cfg.Service || n.state.Load().Names(service)
+}
+
+// RefusedHeartbeat notes a call on the control listener that names no server.
+func (n *Node) RefusedHeartbeat(path string, err error) {
+	n.metrics.count("heartbeats_refused_total")
+	n.controlLog.Warn("heartbeat refused", "path", path, "err", err)
+}
+
 // Heartbeat takes a heartbeat of the backend server on this VM. For one that drains it returns when that
 // is recorded beyond this process, or can't be for now; this node itself sends it nothing from then on.
 func (n *Node) Heartbeat(ctx context.Context, r directory.Registration) {
 	var generation int64
 	done := n.ask(ctx, func() {
 		before := n.control.own.Record()
-		if n.control.own.Heartbeat(r) {
-			n.ownChanged(before.Instance != r.Instance)
+		if n.control.own.Heartbeat(n.clock.Now(), r) {
+			n.ownChanged(before.Since != n.control.own.Record().Since)
 		}
 		generation = n.control.own.Record().Generation
 	})
@@ -226,10 +237,10 @@
 }
 
 // Leave takes the word of the backend server that it ends.
-func (n *Node) Leave(ctx context.Context, instance string) {
+func (n *Node) Leave(ctx context.Context, at directory.Lifetime) {
 	var generation int64
 	done := n.ask(ctx, func() {
-		if n.control.own.Leave(instance) {
+		if n.control.own.Leave(at) {
 			n.ownChanged(false)
 		}
 		generation = n.control.own.Record().Generation
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -48,6 +48,8 @@
 	Records []directory.Record
 	Learned []loads.Learned
 	Held    []HeldBack
+	// Unread tells which rows aren't a node's, or can't be read; the others hold.
+	Unread []error
 }
 
 // HistoryGoneError reports that the store has forgotten what changed since a version.
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -31,9 +31,9 @@
 	silence  silence
 	failures int
 	asideTil time.Time
-	instance string    // of the server, as its record says
+	life     string    // of the server, as its record says
 	known    time.Time // since when that is known
-	ended    string    // the instance that ended
+	ended    string    // the life that ended
 	endedTil time.Time // until when that counts
 	stopping time.Time // when its planned stop was first heard of; zero: it isn't stopping
 }
@@ -96,8 +96,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.zone = r.Zone
-	if p.instance != r.Instance {
-		p.instance, p.known = r.Instance, now
+	if life := r.LifeName(); p.life != life {
+		p.life, p.known = life, now
+		p.load = serverLoad{} // the next life knows nothing of what the one before did
 	}
 }
 
@@ -108,18 +109,18 @@
 	return now.Sub(p.known) >= settleTime
 }
 
-// serverEnded notes that an instance of the peer's server has ended.
-func (p *peer) serverEnded(now time.Time, instance string) {
+// serverEnded notes that a life of the peer's server has ended.
+func (p *peer) serverEnded(now time.Time, life string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ended, p.endedTil = instance, now.Add(endedTime)
+	p.ended, p.endedTil = life, now.Add(endedTime)
 }
 
 // serverGone tells whether the peer's server has ended and the next one isn't known yet.
 func (p *peer) serverGone(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ended != "" && p.ended == p.instance && now.Before(p.endedTil)
+	return p.ended != "" && p.ended == p.life && now.Before(p.endedTil)
 }
 
 // inZone returns the availability zone of the peer's server.
--- a/pkg/mesh/poison_request_test.go
+++ b/pkg/mesh/poison_request_test.go
@@ -28,20 +28,22 @@
 		perS    int
 		entries []int
 		queries bool
+		sameID  bool
 	}{
-		{"soon, at one entry", 9, 70 * time.Millisecond, 12, []int{0}, false},
-		{"soon, at any entry", 9, 20 * time.Millisecond, 12, []int{0, 1, 2}, false},
-		{"after a while, at any entry", 9, 500 * time.Millisecond, 12, []int{0, 1, 2}, false},
-		{"seldom", 9, 70 * time.Millisecond, 1, []int{1}, false},
-		{"another query each time, at any entry", 9, 70 * time.Millisecond, 12, []int{0, 1, 2}, true},
-		{"another query each time, at nodes of both services", 9, 70 * time.Millisecond, 12, []int{0, 3, 7}, true},
-		{"three servers", 3, 70 * time.Millisecond, 12, []int{0, 1, 2}, false},
+		{"soon, at one entry", 9, 70 * time.Millisecond, 12, []int{0}, false, false},
+		{"soon, at any entry", 9, 20 * time.Millisecond, 12, []int{0, 1, 2}, false, false},
+		{"after a while, at any entry", 9, 500 * time.Millisecond, 12, []int{0, 1, 2}, false, false},
+		{"seldom", 9, 70 * time.Millisecond, 1, []int{1}, false, false},
+		{"another query each time, at any entry", 9, 70 * time.Millisecond, 12, []int{0, 1, 2}, true, false},
+		{"another query each time, at nodes of both services", 9, 70 * time.Millisecond, 12, []int{0, 3, 7}, true, false},
+		{"servers back under their ids", 9, 20 * time.Millisecond, 12, []int{0, 1, 2}, false, true},
+		{"three servers", 3, 70 * time.Millisecond, 12, []int{0, 1, 2}, false, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				p := newPoisonSite(t, x.servers, x.fuse)
-				p.queries = x.queries
+				p.queries, p.sameID = x.queries, x.sameID
 				p.from = time.Now()
 				p.work.Go(func() { p.askReads(14*time.Second, func(i int) string { return fmt.Sprint("/read/", i) }) })
 				time.Sleep(3 * time.Second)
--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -36,6 +36,7 @@
 // poisonSite is that site, with what became of its servers.
 type poisonSite struct {
 	*site
+	sameID  bool          // servers come back under the instance that they had
 	queries bool          // every second poison request has a query, another one each time
 	fuse    time.Duration // from the begin of a run of the poison request to the end of its server
 
@@ -142,7 +143,13 @@
 		time.Sleep(firstLife + rand.N(time.Second))
 		next := &http.Server{Addr: srv.Addr, Handler: f}
 		f.mu.Lock()
-		f.instance, f.srv = fmt.Sprintf("i-%s-%d", f.ip, life+1), next
+		f.srv = next
+		if p.sameID {
+			f.born.Store(time.Now().UnixMilli())
+			f.seq.Store(0)
+		} else {
+			f.instance = fmt.Sprintf("i-%s-%d", f.ip, life+1)
+		}
 		f.mu.Unlock()
 		ln, err := p.wire().listen(next.Addr)
 		if err != nil {
--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -28,9 +28,9 @@
 
 // serverRun is one run of a request at the backend server on this VM.
 type serverRun struct {
-	q        *request
-	instance string
-	begun    time.Time
+	q     *request
+	life  string // of the server, by its name
+	begun time.Time
 }
 
 // serverEnd is a run that broke off, or several at once, and what it came from.
@@ -46,7 +46,7 @@
 	running map[*serverRun]struct{}
 	broken  []*serverRun
 	judging *serverEnd // nil: no run has just broken off
-	ended   string     // the last instance that ended
+	ended   string     // the last life that ended
 	endedAt time.Time  // when the first run broke off there
 }
 
@@ -67,11 +67,11 @@
 	delete(s.running, r)
 }
 
-// endOf returns when an instance had ended at the latest, and whether it has.
-func (s *serverRuns) endOf(instance string) (time.Time, bool) {
+// endOf returns when a life had ended at the latest, and whether it has.
+func (s *serverRuns) endOf(life string) (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endedAt, s.ended == instance
+	return s.endedAt, s.ended == life
 }
 
 // breakOff notes a run whose connection broke; it reports whether nobody looks for the server yet.
@@ -101,12 +101,12 @@
 
 // judge ends the judgement; it returns the runs that broke off meanwhile, but for those that began when the first one had broken off: of five servers that
 // ended together, under a popular request, some were found out 10 ms later, and took those who came on from the others.
-func (s *serverRuns) judge(instance string, ended bool) []*serverRun {
+func (s *serverRuns) judge(life string, ended bool) []*serverRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.judging.ended = ended
 	if ended {
-		s.ended, s.endedAt = instance, s.judging.at
+		s.ended, s.endedAt = life, s.judging.at
 	}
 	at, broken := s.judging.at, s.broken
 	s.judging, s.broken = nil, nil
@@ -116,14 +116,14 @@
 // brokeOff judges a run whose connection broke, once it is known whether the backend server has ended. What was sent when that was known
 // already met nobody: it hasn't run.
 func (b *backend) brokeOff(r *serverRun, a *answer) *answer {
-	if _, known := b.runs.endOf(r.instance); known {
+	if _, known := b.runs.endOf(r.life); known {
 		b.runs.end(r)
 		return b.endedUnder(r, a)
 	}
 	e, first := b.runs.breakOff(b.n.clock.Now(), r)
 	if first {
 		ended := b.hasEnded()
-		b.noteEnd(r.instance, ended, b.runs.judge(r.instance, ended))
+		b.noteEnd(r.life, ended, b.runs.judge(r.life, ended))
 		close(e.judged) // now that a copy of the guilty request that is sent on is known for one
 	} else {
 		<-e.judged
@@ -133,14 +133,14 @@
 
 // endedUnder returns the answer to a run that broke off: with the server that ended under it, or that it hasn't run if that had ended before.
 func (b *backend) endedUnder(r *serverRun, a *answer) *answer {
-	at, ended := b.runs.endOf(r.instance)
+	at, ended := b.runs.endOf(r.life)
 	switch {
 	case !ended:
 		return a
 	case !r.begun.Before(at):
 		return refused(wire.ReasonNoServer)
 	case !b.announced():
-		a.ended = r.instance
+		a.ended = r.life
 	}
 	return a
 }
@@ -182,14 +182,14 @@
 }
 
 // noteEnd takes note that the server has ended, and under which runs, and has it told to all nodes.
-func (b *backend) noteEnd(instance string, ended bool, broken []*serverRun) {
+func (b *backend) noteEnd(life string, ended bool, broken []*serverRun) {
 	if !ended || b.announced() || len(broken) == 0 {
-		b.n.callLog.Debug("server goes on, or had said that it leaves", "instance", instance, "broken", len(broken))
+		b.n.callLog.Debug("server goes on, or had said that it leaves", "instance", life, "broken", len(broken))
 		return
 	}
 	now := b.n.clock.Now()
 	b.n.metrics.count("server_ends_total")
-	e := poison.End{Lifetime: poison.Lifetime{Host: b.n.ip, Instance: instance}, Service: broken[0].q.Service}
+	e := poison.End{Lifetime: poison.Lifetime{Host: b.n.ip, Instance: life}, Service: broken[0].q.Service}
 	shown := make([]shownRun, 0, min(len(broken), shownRuns))
 	for _, r := range broken {
 		id := r.q.identity()
@@ -198,7 +198,7 @@
 			shown = append(shown, shownRun{r.q.id, id.Widest().String(), now.Sub(r.begun).Milliseconds()})
 		}
 	}
-	b.n.callLog.Warn("server ended", "instance", instance, "runs", len(broken), "under", shown)
+	b.n.callLog.Warn("server ended", "instance", life, "runs", len(broken), "under", shown)
 	if b.n.poison.TakeEnd(now, e) {
 		b.n.do(func() { b.n.serverEnded(e) })
 	}
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -82,6 +82,9 @@
 		n.controlLog.Warn("records not read", "err", err)
 		return false
 	}
+	if len(stored.Unread) > 0 {
+		n.controlLog.Warn("rows of the store passed over", "rows", len(stored.Unread), "err", stored.Unread[0])
+	}
 	n.ask(ctx, func() {
 		whole := len(parts) == 0 // a part may lack the own record, and has some of what was learned
 		if whole {
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -124,7 +124,7 @@
 func (s *site) beat(i int, draining bool) {
 	f := s.servers[i]
 	s.nodes[i].Heartbeat(context.Background(), directory.Registration{
-		Instance: f.instance, Service: f.service, Zone: f.zone, Slots: f.slots, Draining: draining, Call: f.seq.Add(1),
+		Instance: f.instance, Service: f.service, Zone: f.zone, Slots: f.slots, Draining: draining, Call: f.seq.Add(1), Born: f.born.Load(),
 	})
 }
 
--- a/pkg/poison/end.go
+++ b/pkg/poison/end.go
@@ -4,8 +4,8 @@
 
 // Lifetime is one life of a backend server, from its start to its end.
 type Lifetime struct {
-	Host     string `json:"host"` // IP number of its VM
-	Instance string `json:"instance"`
+	Host     string `json:"host"`     // IP number of its VM
+	Instance string `json:"instance"` // and what tells this life from others under the same one
 }
 
 // Stages are those of a request's cases, by likeness.
