--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -13,11 +13,12 @@
 	NewTicker(d time.Duration) (<-chan time.Time, func())
 }
 
-// Real is the machine's clock.
+// Real is the machine's clock. Spans between its times count suspensions of the machine that were noticed (NoteSuspension); its time of day is ahead by
+// as much then, so it is for spans, not for dates.
 type Real struct{}
 
 // Now returns the current time with its monotonic reading.
-func (Real) Now() time.Time { return time.Now() }
+func (Real) Now() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
 
 // NewTicker returns the channel and the stop function of a time.Ticker.
 func (Real) NewTicker(d time.Duration) (<-chan time.Time, func()) {
--- /dev/null
+++ b/pkg/clock/suspended_test.go
@@ -0,0 +1,56 @@
+package clock
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What should have ended by the clock is ended, and nothing else; what is over isn't kept.
+func TestLimitsLapse(t *testing.T) {
+	c := qt.New(t)
+	k := NewManual(time.Unix(1000, 0))
+	var l Limits
+	first, endFirst := l.Context(context.Background(), k, k.Now().Add(time.Minute))
+	second, endSecond := l.Context(context.Background(), k, k.Now().Add(time.Hour))
+	defer endSecond()
+	k.Advance(2 * time.Minute)
+	c.Assert(l.Lapse(k.Now()), qt.Equals, 1)
+	c.Assert(first.Err(), qt.IsNotNil)
+	c.Assert(second.Err(), qt.IsNil)
+	endFirst()
+	c.Assert(l.ends, qt.HasLen, 1)
+}
+
+// The machine's clocks show no suspension while it runs.
+func TestARunningMachineIsNotSuspended(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(NoteSuspension(Real{}), qt.Equals, time.Duration(0))
+	c.Assert(NoteSuspension(NewManual(time.Time{})), qt.Equals, time.Duration(0))
+	c.Assert(readClock(-1000) == 0, qt.IsTrue)
+	before := Real{}.Now()
+	c.Assert(Real{}.Now().Sub(before) < time.Second, qt.IsTrue)
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Real{}.Now()
+	}
+}
+
+func BenchmarkLimit(b *testing.B) {
+	var l Limits
+	for b.Loop() {
+		_, cancel := l.Context(context.Background(), Real{}, Real{}.Now().Add(time.Minute))
+		cancel()
+	}
+}
+
+func BenchmarkDeadline(b *testing.B) {
+	for b.Loop() {
+		_, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Minute))
+		cancel()
+	}
+}
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -142,17 +142,25 @@
 	}
 }
 
-// Close closes the idle connections; those in use are closed when they come back.
-func (p *Pool) Close() {
+// DropIdle closes the idle connections, whose other sides may be gone.
+func (p *Pool) DropIdle() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.Close()
 	}
 }
 
+// Close closes the idle connections; those in use are closed when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.DropIdle()
+}
+
 // Close closes the connection for good; the other side learns by it that an exchange was given up.
 func (c *conn) Close() {
 	_ = c.raw.Close() // it is given up either way
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
@@ -102,6 +103,9 @@
 }
 
 func (n *Node) tick(ctx context.Context) {
+	if d := clock.NoteSuspension(n.clock); d > 0 {
+		n.resumed(d)
+	}
 	now := n.clock.Now()
 	n.gateMu.Lock()
 	n.gate.Expire(now)
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -38,7 +37,7 @@
 	if err != nil {
 		a = refused(wire.ReasonBadRequest)
 	} else {
-		ctx, cancel := context.WithDeadline(r.Context(), q.deadline.Add(inboundGrace))
+		ctx, cancel := n.limits.Context(r.Context(), n.clock, q.deadline.Add(inboundGrace))
 		defer cancel()
 		a = n.backend.serve(ctx, q)
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -54,6 +54,7 @@
 	budgetMu sync.Mutex
 	budget   overload.RepeatBudget
 	poison   poison.Table
+	limits   clock.Limits // of requests in progress
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -84,7 +83,7 @@
 			q.deadline = end
 		}
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := n.limits.Context(r.Context(), n.clock, q.deadline)
 	defer cancel()
 	n.earnRepeats(q)
 	begun := n.clock.Now()
--- /dev/null
+++ b/pkg/mesh/resumed_test.go
@@ -0,0 +1,111 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/desired"
+)
+
+// suspendedClock is the clock of a VM that can be suspended: its steady part stands still meanwhile, and so do its timers; it learns of it
+// by the boot clock.
+type suspendedClock struct {
+	clock.Real
+	stood, counted atomic.Int64 // nanoseconds
+}
+
+// Now returns the steady time and what is counted of the suspensions.
+func (k *suspendedClock) Now() time.Time { return time.Now().Add(time.Duration(k.counted.Load())) }
+
+// NoteSuspension counts what isn't counted yet.
+func (k *suspendedClock) NoteSuspension() time.Duration {
+	total := k.stood.Load()
+	return time.Duration(total - k.counted.Swap(total))
+}
+
+// clockOf returns the clock of a VM.
+func (s *site) clockOf(ip string) clock.Clock {
+	if k := s.clocks[ip]; k != nil {
+		return k
+	}
+	return clock.Real{}
+}
+
+// A VM was suspended while the desired state changed: by its steady clock the state in force was known to be the newest a moment ago, and requests by the
+// old one were served for as long as it had been suspended and more.
+func TestAfterASuspensionTheStateIsNotTakenForTheNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newMemorySite(t)
+		s.clocks = map[string]*suspendedClock{s.base + "2": {}}
+		for i := range 3 {
+			s.add("a", fmt.Sprint("z", i), 10)
+		}
+		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
+		s.settled(1)
+		n := s.nodes[1]
+		c.Assert(n.sureOfState(), qt.IsTrue)
+		s.store.setDown(true)
+		for i := range s.nodes {
+			if i != 1 {
+				s.nodes[i].halt() // nobody tells it anything
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.clocks[s.base+"2"].stood.Add(int64(20 * time.Second))
+		time.Sleep(2 * tickPeriod)
+		c.Assert(n.sureOfState(), qt.IsFalse)
+	})
+}
+
+// What was in progress is ended by the time that its client had, not later by as long as the VM was suspended.
+func TestRequestsLapseWhileAVMIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newMemorySite(t)
+		s.clocks = map[string]*suspendedClock{s.base + "1": {}}
+		s.add("a", "z0", 10)
+		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
+		s.settled(1)
+		s.handleAll(func(_ *fakeServer, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		answered := make(chan time.Duration)
+		begun := time.Now()
+		go func() {
+			status, _, _ := s.ask(0, http.MethodGet, "/read/x", "q", 3*time.Second)
+			c.Check(status, qt.Equals, http.StatusGatewayTimeout)
+			answered <- time.Since(begun)
+		}()
+		time.Sleep(time.Second)
+		s.clocks[s.base+"1"].stood.Add(int64(10 * time.Second))
+		took := <-answered
+		c.Assert(took < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v by the steady clock", took))
+		status, _, _ := s.ask(0, http.MethodGet, "/read/x", "r", time.Second)
+		c.Assert(status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("the next one has all of its time"))
+		c.Assert(time.Since(begun)-took > 900*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// Connections that rested while the VM was suspended aren't used again: the other sides have given them up, and a request that may run once would be lost on them.
+func TestConnectionsAreLeftAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newMemorySite(t)
+		s.clocks = map[string]*suspendedClock{s.base + "1": {}}
+		s.add("a", "z0", 10)
+		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
+		s.settled(1)
+		status, _, _ := s.ask(0, http.MethodGet, "/read/x", "q", time.Second)
+		c.Assert(status, qt.Equals, http.StatusOK)
+		c.Assert(s.nodes[0].backend.pool.Open(), qt.Equals, 1)
+		s.clocks[s.base+"1"].stood.Add(int64(2 * time.Second))
+		time.Sleep(2 * tickPeriod)
+		c.Assert(s.nodes[0].backend.pool.Open(), qt.Equals, 0)
+	})
+}
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -15,7 +15,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/settings"
@@ -32,7 +31,8 @@
 	clients *http.Client
 	network *memoryNetwork // nil: loopback
 	seeds   []string
-	first   bool // the whole system starts for the first time
+	first   bool                       // the whole system starts for the first time
+	clocks  map[string]*suspendedClock // of the VMs that have one of their own
 	log     io.Writer
 }
 
@@ -113,7 +113,7 @@
 	cfg.Fill()
 	n, err := New(Options{
 		Settings: cfg, Names: testNames, Store: s.store.seam(f.ip), Decode: decodeTestState, Network: s.wire(),
-		Control: func(*Node) http.Handler { return http.NotFoundHandler() }, Clock: clock.Real{},
+		Control: func(*Node) http.Handler { return http.NotFoundHandler() }, Clock: s.clockOf(f.ip),
 		Logger: func(part string) *slog.Logger { return slog.New(slog.NewTextHandler(s.log, nil)).With("node", f.ip) },
 	})
 	qt.New(s.t).Assert(err, qt.IsNil)
--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -132,7 +132,7 @@
 // for the caller's repeat; only its deadline ends it.
 func (n *Node) runOnce(ctx context.Context, in *inbound, q *request, key onceonly.Hash) *answer {
 	n.metrics.Inc("once_runs")
-	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), in.deadline)
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), in.deadline.Sub(n.clock.Now()))
 	in.ctx = runCtx
 	result := make(chan *answer, 1)
 	n.running.Add(1)
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -196,7 +196,7 @@
 	if call.RemainMS <= 0 {
 		return refusal(wire.ReasonDeadline, 0)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	srv.Begin()
 	a := n.peers.call(ctx, srv, call, q)
 	srv.End()
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -138,7 +138,7 @@
 			Priority: priority.New(t.Tier, root, now),
 		},
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(n.clock.Now()))
 	a := n.sendRoot(ctx, s, key)
 	if a.rest != nil {
 		a.rest = &cancelReader{ReadCloser: a.rest, cancel: cancel}
--- a/pkg/node/peer_server.go
+++ b/pkg/node/peer_server.go
@@ -119,7 +119,7 @@
 	n.running.Add(1)
 	defer n.running.Add(-1)
 	deadline := arrived.Add(call.Remain())
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), deadline.Sub(n.clock.Now()))
 	defer cancel()
 	in := n.newInbound(ctx, call, deadline)
 	var a *answer
