A run that a suspension fell into isn't taken for one that long; the way at the server in two pieces

Cause: a test of suspended VMs was red in one of some 300 runs: the run counted eleven seconds, so the next request of its kind was refused as too late where it came after that count. Change: a run holds a slot for no longer than its time limit. The test's second request had one second where three are usual: it has four now, and the same count is checked; without the change it is red.

--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -30,15 +31,16 @@
 	return a
 }
 
+// run lets a request pass, or tells why it may not.
 func (b *backend) run(ctx context.Context, q *request) *answer {
 	own := b.n.view.Load().own
 	if own.Service != q.Service || own.Instance == "" {
 		return refused(wire.ReasonNoServer)
 	}
-	done, held := b.tryAtServer(ctx, q)
+	done, refusal := b.tryAtServer(ctx, q)
 	defer done()
-	if held != nil {
-		return held
+	if refusal != nil {
+		return refusal
 	}
 	reason := b.enter(ctx, q)
 	if !q.TurnedAway {
@@ -47,6 +49,13 @@
 	if reason != wire.ReasonNone {
 		return refused(reason)
 	}
+	a := b.runHere(ctx, q, own)
+	b.noteSurvived(q, a)
+	return a
+}
+
+// runHere hands a request that holds a slot to the server, and counts what became of it.
+func (b *backend) runHere(ctx context.Context, q *request, own directory.Record) *answer {
 	begun := b.n.clock.Now()
 	run := b.n.stats.begin(begun, q.Route, q.deadline.Add(-answerMargin))
 	at := &serverRun{q: q, life: own.LifeName(), begun: begun}
@@ -57,13 +66,13 @@
 	} else {
 		b.runs.end(at)
 	}
-	b.noteSurvived(q, a)
-	b.n.gateMu.Lock()
 	now := b.n.clock.Now()
-	b.n.gate.Done(now, now.Sub(begun), b.n.usualHold(q.Route), outcome)
+	held := min(now.Sub(begun), max(q.deadline.Sub(begun), 0)) // while the VM was suspended the run held nothing
+	b.n.gateMu.Lock()
+	b.n.gate.Done(now, held, b.n.usualHold(q.Route), outcome)
 	b.n.gateMu.Unlock()
-	b.n.stats.end(now, q.Route, run, now.Sub(begun), outcome)
-	b.n.metrics.add(now.Sub(begun).Milliseconds(), "slot_ms_total", "route", q.Route, "outcome", outcome.String())
+	b.n.stats.end(now, q.Route, run, held, outcome)
+	b.n.metrics.add(held.Milliseconds(), "slot_ms_total", "route", q.Route, "outcome", outcome.String())
 	return a
 }
 
--- a/pkg/mesh/resumed_test.go
+++ b/pkg/mesh/resumed_test.go
@@ -86,9 +86,10 @@
 		s.clocks[s.base+"1"].stood.Add(int64(10 * time.Second))
 		took := <-answered
 		c.Assert(took < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v by the steady clock", took))
-		status, _, _ := s.ask(0, http.MethodGet, "/read/x", "r", time.Second)
+		// The run counts as one of three seconds, not of eleven: one that has four isn't refused as too late.
+		status, _, _ := s.ask(0, http.MethodGet, "/read/x", "r", 4*time.Second)
 		c.Assert(status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("the next one has all of its time"))
-		c.Assert(time.Since(begun)-took > 900*time.Millisecond, qt.IsTrue)
+		c.Assert(time.Since(begun)-took > 3900*time.Millisecond, qt.IsTrue)
 	})
 }
 
