--- a/pkg/cli/cli_main.go
+++ b/pkg/cli/cli_main.go
@@ -14,14 +14,14 @@
 // commands is the table of all commands: those that change something first, then queries.
 var commands = []func(*env) *ffcli.Command{
 	applyCommand, labelCommand, leaveCommand, keyRangeCommand,
-	getCommand, statusCommand, historyCommand, diffCommand, explainCommand, dumpCommand, topCommand, traceCommand,
+	getCommand, statusCommand, historyCommand, diffCommand, explainCommand, dumpCommand, topCommand, traceCommand, heldBackCommand,
 	completionCommand,
 }
 
 const rootHelp = `rockspoke changes and shows the configuration of a call graph, and shows its daemons.
 
 Commands change something: apply, label, leave, key-range.
-Queries change nothing:    get, status, history, diff, explain, dump, top, trace, completion.
+Queries change nothing:    get, status, history, diff, explain, dump, top, trace, held-back, completion.
 
 Every flag can be set by an environment variable: --daemon is ROCKSPOKE_DAEMON.
 
--- a/pkg/cli/query_completion.go
+++ b/pkg/cli/query_completion.go
@@ -40,5 +40,5 @@
 // commandNames are the words that completion offers first.
 var commandNames = []string{
 	"apply", "label", "leave", "key-range",
-	"get", "status", "history", "diff", "explain", "dump", "top", "trace", "completion",
+	"get", "status", "history", "diff", "explain", "dump", "top", "trace", "held-back", "completion",
 }
--- /dev/null
+++ b/pkg/cli/query_held_back.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/rockspoke/rockspoke/pkg/mesh"
+)
+
+const heldBackHelp = `Held-back lists the requests under which backend servers ended, as one node of a mesh knows them, and what is done with each:
+confined (one server, the same for all its copies), alone (there, one at a time) or held back (not sent on).
+
+--lift has one go anywhere again, at all nodes: by the id of an attempt or the fingerprint that the list shows. It is taken
+only on the VM of the node.
+
+Example:
+  rockspoke held-back --node 10.1.0.8:9464
+  rockspoke held-back --node 10.1.0.8:9464 --lift 680674fc7cfe4b36`
+
+// nodeTime bounds a call of a node's metrics listener.
+const nodeTime = 5 * time.Second
+
+// maxNodeAnswer bounds its answer in bytes.
+const maxNodeAnswer = 4 << 20
+
+type heldBackWork struct {
+	env        *env
+	node, lift string
+}
+
+func heldBackCommand(e *env) *ffcli.Command {
+	w := &heldBackWork{env: e}
+	fs := e.flags("rockspoke held-back")
+	fs.StringVar(&w.node, "node", "", "metrics listener of a node, IP:PORT")
+	fs.StringVar(&w.lift, "lift", "", "id of an attempt, or fingerprint, of the request that may go anywhere again")
+	return &ffcli.Command{
+		Name: "held-back", ShortUsage: "rockspoke held-back --node IP:PORT [--lift NAME]", ShortHelp: "show or lift requests that end servers",
+		LongHelp: heldBackHelp, FlagSet: fs, Exec: w.run,
+	}
+}
+
+func (w *heldBackWork) run(ctx context.Context, _ []string) error {
+	if w.node == "" {
+		return usagef("--node must name a node's metrics listener; see rockspoke held-back --help")
+	}
+	method := http.MethodGet
+	if w.lift != "" {
+		method = http.MethodDelete
+	}
+	list, err := w.call(ctx, method)
+	if err != nil {
+		return err
+	}
+	if w.lift != "" {
+		fmt.Fprintln(w.env.stdout, "lifted", w.lift)
+		return nil
+	}
+	return w.env.print(list, func(t io.Writer) { suspectsTable(t, list) })
+}
+
+// call asks the node.
+func (w *heldBackWork) call(ctx context.Context, method string) ([]mesh.Suspect, error) {
+	ctx, cancel := context.WithTimeout(ctx, nodeTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.node+mesh.HeldBackPath+url.PathEscape(w.lift), nil)
+	if err != nil {
+		return nil, usagef("--node %q: %v", w.node, err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxNodeAnswer))
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", w.node, strings.TrimSpace(string(data)))
+	}
+	var list []mesh.Suspect
+	return list, json.Unmarshal(data, &list)
+}
+
+func suspectsTable(t io.Writer, list []mesh.Suspect) {
+	row(t, "REQUEST", "SERVICE", "ROUTE", "TREATMENT", "FOR", "ENDED", "FINGERPRINT")
+	for _, s := range list {
+		ended := make([]string, 0, len(s.Ends))
+		for _, l := range s.Ends {
+			ended = append(ended, l.Host+" "+l.Instance)
+		}
+		row(t, s.Request, s.Service, s.Route, s.Treatment, s.For.Round(time.Second), strings.Join(ended, ", "), s.Fingerprint)
+	}
+}
--- a/pkg/mesh/dump.go
+++ b/pkg/mesh/dump.go
@@ -5,7 +5,6 @@
 
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
-	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -19,7 +18,7 @@
 	Gate     gate.Reading         `json:"gate"`
 	Off      []settings.Mechanism `json:"off,omitempty"` // mechanisms that are switched off
 	Records  []directory.Record   `json:"records"`
-	Suspects []poison.Case        `json:"suspects,omitempty"` // requests under which servers ended
+	Suspects []Suspect            `json:"suspects,omitempty"` // requests under which servers ended
 }
 
 // Dump returns the state of the node.
@@ -28,7 +27,7 @@
 	n.gateMu.Lock()
 	d.Gate = n.gate.Read()
 	n.gateMu.Unlock()
-	d.Suspects = n.poison.All(n.clock.Now())
+	d.Suspects = n.suspects()
 	var records []directory.Record
 	if n.ask(context.Background(), func() { records = n.control.directory.All() }) {
 		d.Records = records
--- a/pkg/mesh/listeners.go
+++ b/pkg/mesh/listeners.go
@@ -22,7 +22,7 @@
 		servers = append(servers, n.newServer(l.Ready, control))
 	}
 	if l.Metrics != "" {
-		servers = append(servers, n.newServer(l.Metrics, n.metricsHandler()))
+		servers = append(servers, n.newServer(l.Metrics, n.operatorsHandler()))
 	}
 	return servers
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -101,6 +101,7 @@
 	n.stats.learner.CallsAreOnTime = n.off[settings.LateCalls]
 	n.gate.ByArrival = n.off[settings.GateOrder]
 	n.metrics.init()
+	n.poison.Rules = o.Settings.Mesh.HeldBack.Rules()
 	n.watch.mayBegin = make(chan struct{})
 	n.watch.Within = o.Settings.Mesh.Apply
 	n.knowledge.told = o.Settings.Mesh.FirstStart // nobody knows anything yet
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -94,6 +94,14 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), longestTime)) // always within the bounds
 }
 
+// operatorsHandler serves those who look after the system: the metrics, at any path but that of what is held back.
+func (n *Node) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(HeldBackPath, n.heldBackHandler())
+	mux.Handle("/", n.metricsHandler())
+	return mux
+}
+
 // metricsHandler serves the metrics as text.
 func (n *Node) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/mesh/poison_request_test.go
+++ b/pkg/mesh/poison_request_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,3 +162,42 @@
 		p.poison[poisonPath].check(c)
 	})
 }
+
+// Who looks after the system sees what is held back and why, by any node, and can have it tried again; not so a caller from another VM.
+func TestWhatIsHeldBackIsShownAndLifted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPoisonSite(t, 5, 70*time.Millisecond)
+		p.askPoison(4*time.Second, 10, 0, 1, 2)
+		ended := p.ends()
+		time.Sleep(4 * time.Second)
+		n := p.nodes[1]
+		list := n.suspects()
+		c.Assert(list, qt.Not(qt.HasLen), 0)
+		c.Assert(list[0].Treatment, qt.Equals, "held back")
+		c.Assert(len(list[0].Ends) >= 3, qt.IsTrue)
+		c.Assert(n.Dump().Suspects, qt.HasLen, len(list))
+		call := func(method, path, from string) int {
+			r := httptest.NewRequest(method, path, nil)
+			r.RemoteAddr = from + ":1"
+			w := httptest.NewRecorder()
+			n.heldBackHandler().ServeHTTP(w, r)
+			return w.Code
+		}
+		name := HeldBackPath + list[0].Request
+		c.Assert(call("DELETE", name, "10.9.9.9"), qt.Equals, http.StatusForbidden)
+		c.Assert(call("DELETE", HeldBackPath+"other", "127.0.0.1"), qt.Equals, http.StatusNotFound)
+		c.Assert(call("POST", name, "127.0.0.1"), qt.Equals, http.StatusMethodNotAllowed)
+		c.Assert(call("GET", HeldBackPath, "10.9.9.9"), qt.Equals, http.StatusOK)
+		for _, s := range list {
+			call("DELETE", HeldBackPath+s.Fingerprint.String(), n.ip)
+		}
+		time.Sleep(time.Second)
+		for _, other := range p.nodes {
+			c.Check(other.poison.Any(), qt.IsFalse, qt.Commentf("%s", other.ip))
+		}
+		p.askPoison(time.Second, 10, 0)
+		p.finish()
+		c.Assert(p.ends() > ended, qt.IsTrue, qt.Commentf("it is tried again"))
+	})
+}
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -64,6 +64,9 @@
 	return worst
 }
 
+// JudgeCase returns what is to be done with a request by one case, as All told it.
+func (t *Table) JudgeCase(c Case) Judgement { return t.rules().judge(&c, c.Age) }
+
 func (t *Table) rules() Rules {
 	r := t.Rules
 	r.Fill()
@@ -148,6 +151,20 @@
 	return cleared
 }
 
+// Lift clears the cases of a request by hand: those that name the attempt, or have the fingerprint. It returns what it cleared.
+func (t *Table) Lift(now time.Time, name string) []Case {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var lifted []Case
+	for f, k := range t.cases {
+		if k.live() && (k.Request == name || f.String() == name) {
+			t.clear(now, k, k.Ends)
+			lifted = append(lifted, k.told(now))
+		}
+	}
+	return lifted
+}
+
 // clear notes that some ends say nothing against the request; t.mu is held.
 func (t *Table) clear(now time.Time, k *kept, ends []Lifetime) bool {
 	news := add(&k.Cleared, slices.Clone(ends))
--- a/pkg/settings/mechanism_test.go
+++ b/pkg/settings/mechanism_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -47,3 +48,17 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(strings.Contains(string(page), "mesh.off"), qt.IsTrue)
 }
+
+func TestHoldTimesAreChecked(t *testing.T) {
+	c := qt.New(t)
+	text := strings.Replace(meshSettings, "off: [%s]", "heldBack: {suspect: -1s, first: 30m, times: 1000, most: 10m}", 1)
+	_, err := Parse("d.yaml", []byte(text))
+	c.Assert(err, qt.IsNotNil)
+	for _, field := range []string{"mesh.heldBack.suspect", "mesh.heldBack.times", "mesh.heldBack.most"} {
+		c.Check(err.Error(), qt.Contains, field)
+	}
+	rules := HoldTimes{First: time.Minute}.Rules()
+	rules.Fill()
+	c.Assert(rules.HoldFirst, qt.Equals, time.Minute)
+	c.Assert(rules.HoldTimes > 1, qt.IsTrue)
+}
--- a/pkg/settings/mesh_settings.go
+++ b/pkg/settings/mesh_settings.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/poison"
+)
 
 // Mesh is set where the daemon finds the others by itself, and every request begins beside a backend
 // server. Keys, labels and a list of VMs aren't used then.
@@ -11,12 +15,54 @@
 	RetrySlack  float64       `yaml:"retrySlack,omitempty"`  // repeats beyond that share in one window
 	RetryWindow time.Duration `yaml:"retryWindow,omitempty"` // window of both
 	// PeerPort is the port at which the other nodes are reached, if it isn't the one that this node binds.
-	PeerPort   int  `yaml:"peerPort,omitempty"`
-	FirstStart bool `yaml:"firstStart,omitempty"` // the whole system starts for the first time
+	PeerPort   int       `yaml:"peerPort,omitempty"`
+	FirstStart bool      `yaml:"firstStart,omitempty"` // the whole system starts for the first time
+	HeldBack   HoldTimes `yaml:"heldBack,omitempty"`
 	// Off lists the mechanisms that are switched off.
 	Off []Mechanism `yaml:"off,omitempty"`
 }
 
+// HoldTimes says for how long requests are remembered under which backend servers ended; what is left out has the defaults of package poison.
+type HoldTimes struct {
+	Suspect time.Duration `yaml:"suspect,omitempty"` // a request under which one or two ended
+	First   time.Duration `yaml:"first,omitempty"`   // one that ended three is held back at first
+	Times   int           `yaml:"times,omitempty"`   // by how many times longer after each further end
+	Most    time.Duration `yaml:"most,omitempty"`    // at the longest
+}
+
+// Rules returns them as package poison goes by them.
+func (h HoldTimes) Rules() poison.Rules {
+	return poison.Rules{Suspect: h.Suspect, HoldFirst: h.First, HoldTimes: h.Times, HoldMost: h.Most}
+}
+
+// maxHeld is the longest time that a request may be held back.
+const maxHeld = 24 * time.Hour
+
+// heldBack checks them.
+func (c *checker) heldBack(h HoldTimes) {
+	for _, d := range []struct {
+		field string
+		v     time.Duration
+	}{
+		{"mesh.heldBack.suspect", h.Suspect},
+		{"mesh.heldBack.first", h.First},
+		{"mesh.heldBack.most", h.Most},
+	} {
+		if d.v < 0 || d.v > maxHeld {
+			c.fail(d.field, "%v must be above 0 and at most %v, with a unit", d.v, maxHeld)
+		}
+	}
+	if h.Times < 0 || h.Times > maxHeldTimes {
+		c.fail("mesh.heldBack.times", "%d must be 1 to %d, or left out", h.Times, maxHeldTimes)
+	}
+	if h.Most > 0 && h.Most < h.First {
+		c.fail("mesh.heldBack.most", "%v is below mesh.heldBack.first, %v", h.Most, h.First)
+	}
+}
+
+// maxHeldTimes bounds by how many times longer a request is held back after each further end.
+const maxHeldTimes = 100
+
 // Defaults of the mesh settings, the users' own bounds of today.
 const (
 	DefaultGrace       = 6 * time.Second
@@ -65,6 +111,7 @@
 		c.fail("mesh.peerPort", "%d must be 1 to %d, or left out", m.PeerPort, maxPort)
 	}
 	c.mechanisms(m.Off)
+	c.heldBack(m.HeldBack)
 	if m.RetrySlack < 0 {
 		c.fail("mesh.retrySlack", "%v must not be negative", m.RetrySlack)
 	}
