Connections of clients that rest make room for new ones

Cause: nothing bounds the connections of clients, which rest for up to 90 s: a flood of them takes all descriptors, and a node that says it is ready takes no new connection. Change: above half of the process's descriptors those that rested longest are closed. Test: of 60 clients that keep theirs open, with a bound of 20, all are answered and 20 stay.

--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -19,7 +19,7 @@
 //   - Requests that end servers (package poison): server_end.go tells that the server on this VM has ended,
 //     suspects.go and suspect_trial.go say where a suspect goes and when it runs, suspect_news.go tells all nodes,
 //     keep_held.go keeps what is held back in the store, held_back_handler.go shows and lifts it.
-//   - The node itself: node.go and mesh_options.go, listeners.go and network.go,
+//   - The node itself: node.go and mesh_options.go, listeners.go, client_connections.go and network.go,
 //     control_loop.go, resumed.go, stop_state.go, dump.go, peer.go, peer_silence.go; node_metrics.go with
 //     metric_table.go and metrics_text.go.
 //   - The store: follow_state.go follows the desired state where package follow says so, and newer_state.go
--- a/pkg/mesh/listeners.go
+++ b/pkg/mesh/listeners.go
@@ -15,7 +15,7 @@
 func (n *Node) newServers(l settings.Listen, control http.Handler) []*http.Server {
 	servers := []*http.Server{
 		n.peerServer(l.Peers),
-		n.newServer(l.Outbound, n.outboundHandler()),
+		n.clientServer(l.Outbound),
 		n.newServer(l.Control, control),
 	}
 	if l.Ready != l.Control {
@@ -27,6 +27,15 @@
 	return servers
 }
 
+// clientServer returns the server for clients and the backend server on this VM.
+func (n *Node) clientServer(addr string) *http.Server {
+	s := n.newServer(addr, n.outboundHandler())
+	n.clients.most = int(clientShare * float64(maxDescriptors()))
+	n.clients.closed = func(closed int) { n.metrics.add(int64(closed), "client_connections_closed_total") }
+	s.ConnState = n.clients.follow
+	return s
+}
+
 // listen binds a server's address and serves it until it is closed.
 func (n *Node) listen(s *http.Server) error {
 	ln, err := n.network.listen(s.Addr)
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -14,6 +14,7 @@
 	{"arrivals_total", "counter", "service, outcome, reason", "Requests that other nodes or this one sent to the server on this VM."},
 	{"server_ends_total", "counter", "", "Ends of the server on this VM with runs in progress that weren't announced."},
 	{"heartbeats_refused_total", "counter", "", "Heartbeats that name no server: another writer's, or ones that can't be read."},
+	{"client_connections_closed_total", "counter", "", "Connections of clients that rested and were closed to make room for others."},
 	{"suspensions_total", "counter", "", "Suspensions of this VM."},
 	{"held_back_total", "counter", "route", "Requests that were held back since servers had ended under the same request."},
 	{"suspects", "gauge", "", "Requests under which servers ended, that are tried apart or held back."},
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -55,6 +55,7 @@
 	budget   overload.RepeatBudget
 	poison   poison.Table
 	limits   clock.Limits // of requests in progress
+	clients  clientConnections
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
