--- a/pkg/soak/backend_server.go
+++ b/pkg/soak/backend_server.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex
 	instance string
+	born     int64 // Unix milliseconds
 	life     int
 	seq      int64
 	draining bool
@@ -53,9 +54,31 @@
 	defer b.mu.Unlock()
 	b.life++
 	b.instance = fmt.Sprintf("i-%s-%d", b.vm.ip, b.life)
+	b.born = time.Now().UnixMilli()
 	b.seq, b.draining = 0, false
 }
 
+// startAgain begins a new life under the instance that the server has. It returns a heartbeat of the life before, which may still come.
+func (b *backendServer) startAgain() directory.Registration {
+	late := b.registration()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.born = max(time.Now().UnixMilli(), b.born+1)
+	b.seq, b.draining = 0, false
+	return late
+}
+
+// registration returns the next heartbeat.
+func (b *backendServer) registration() directory.Registration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seq++
+	return directory.Registration{
+		Instance: b.instance, Born: b.born, Address: b.vm.at(portBackend), Service: b.vm.service, Zone: b.vm.zone,
+		Release: "v1", Slots: serverSlots, Draining: b.draining, Call: b.seq,
+	}
+}
+
 // state returns what requests need.
 func (b *backendServer) state() (instance string, f serverFault) {
 	b.mu.Lock()
@@ -65,14 +88,7 @@
 
 // beat sends one heartbeat; it reports whether it was acknowledged.
 func (b *backendServer) beat() bool {
-	b.mu.Lock()
-	b.seq++
-	r := directory.Registration{
-		Instance: b.instance, Address: b.vm.at(portBackend), Service: b.vm.service, Zone: b.vm.zone,
-		Release: "v1", Slots: serverSlots, Draining: b.draining, Call: b.seq,
-	}
-	b.mu.Unlock()
-	return standin.Register(b.register, b.vm.at(portControl), r) == nil
+	return standin.Register(b.register, b.vm.at(portControl), b.registration()) == nil
 }
 
 // keepBeating sends heartbeats until ctx ends.
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -42,6 +43,15 @@
 	{"state changed", true, changeRoutes},
 }
 
+// laterFaults came after seeds had been kept as tests: they are drawn by themselves, so that what a seed drew before stays as it was.
+var laterFaults = []fault{
+	{"server starts again under its id", false, restartServer},
+	{"foreign heartbeats", false, foreignHeartbeats},
+}
+
+// laterPerSecond of them come on average.
+const laterPerSecond = 0.4
+
 // event is one fault of a schedule.
 type event struct {
 	at, lasts time.Duration
@@ -65,14 +75,21 @@
 
 // schedule draws the faults of a run.
 func schedule(seed uint64, span time.Duration) []event {
-	rnd := rand.New(rand.NewPCG(seed, 1))
-	kinds := faults
 	if isPlannedOnly(seed) {
-		kinds = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !f.planned })
+		planned := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !f.planned })
+		return draw(rand.New(rand.NewPCG(seed, 1)), planned, faultsPerSecond, span)
 	}
+	events := draw(rand.New(rand.NewPCG(seed, 1)), faults, faultsPerSecond, span)
+	events = append(events, draw(rand.New(rand.NewPCG(seed, 2)), laterFaults, laterPerSecond, span)...)
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return events
+}
+
+// draw draws faults of some kinds, so many a second on average.
+func draw(rnd *rand.Rand, kinds []fault, perSecond float64, span time.Duration) []event {
 	var events []event
 	for at := time.Duration(0); ; {
-		at += time.Duration(rnd.ExpFloat64() / faultsPerSecond * float64(time.Second))
+		at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
 		if at >= span {
 			return events
 		}
