'Not run' is said only of what was sent while nobody was there

Cause: reading. A run whose connection broke was taken for not run when it began after its server's end, for as long as the node knew that life; the next life may come under the same id, take a request before its first heartbeat and lose the answer: a false 'not run'. Change: only for what began before it was seen that nobody listens yet. A request that nothing is suspected of makes no timer at the gate (read, not measured). A second end of the same life isn't counted.

--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -35,9 +35,8 @@
 
 // serverEnd is a run that broke off, or several at once, and what it came from.
 type serverEnd struct {
-	at     time.Time     // when the first run broke off: what began later met nobody, if the server has ended
-	judged chan struct{} // closed when ended is known
-	ended  bool
+	from   time.Time     // when the first run broke off
+	judged chan struct{} // closed when it is known whether the server has ended
 }
 
 // serverRuns are the runs at the backend server on this VM; its zero value has none.
@@ -46,10 +45,37 @@
 	running map[*serverRun]struct{}
 	broken  []*serverRun
 	judging *serverEnd // nil: no run has just broken off
-	ended   string     // the last life that ended
-	endedAt time.Time  // when the first run broke off there
+	last    endedLife  // the last one that ended
 }
 
+// endedLife is a life of the server that has ended; its zero value is none.
+type endedLife struct {
+	life   string
+	from   time.Time // when the first run broke off there: it had ended by then
+	judged time.Time // when nobody listened yet: by then the next life hadn't begun
+}
+
+// under tells how a run that broke off stands to the end.
+func (e endedLife) under(r *serverRun) endRelation {
+	switch {
+	case e.life == "" || e.life != r.life || r.begun.After(e.judged):
+		return noEnd
+	case r.begun.Before(e.from):
+		return beforeEnd
+	default:
+		return afterEnd
+	}
+}
+
+// endRelation is when a run began that broke off.
+type endRelation uint8
+
+const (
+	noEnd     endRelation = iota // the server goes on, or the next life may have taken it: it may have run
+	beforeEnd                    // the server ended under it
+	afterEnd                     // the server had ended and the next life hadn't begun: nobody took it
+)
+
 // begin notes a run that is about to be sent.
 func (s *serverRuns) begin(r *serverRun) {
 	s.mu.Lock()
@@ -67,11 +93,11 @@
 	delete(s.running, r)
 }
 
-// endOf returns when a life had ended at the latest, and whether it has.
-func (s *serverRuns) endOf(life string) (time.Time, bool) {
+// lastEnded returns the last life that ended.
+func (s *serverRuns) lastEnded() endedLife {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endedAt, s.ended == life
+	return s.last
 }
 
 // breakOff notes a run whose connection broke; it reports whether nobody looks for the server yet.
@@ -83,7 +109,7 @@
 	if s.judging != nil {
 		return s.judging, false
 	}
-	s.judging = &serverEnd{at: now, judged: make(chan struct{})}
+	s.judging = &serverEnd{from: now, judged: make(chan struct{})}
 	return s.judging, true
 }
 
@@ -101,29 +127,27 @@
 
 // judge ends the judgement; it returns the runs that broke off meanwhile, but for those that began when the first one had broken off: of five servers that
 // ended together, under a popular request, some were found out 10 ms later, and took those who came on from the others.
-func (s *serverRuns) judge(life string, ended bool) []*serverRun {
+func (s *serverRuns) judge(now time.Time, life string, ended bool) []*serverRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.judging.ended = ended
+	from, broken := s.judging.from, s.broken
+	s.judging, s.broken = nil, nil
 	if ended {
-		s.ended, s.endedAt = life, s.judging.at
+		s.last = endedLife{life: life, from: from, judged: now}
 	}
-	at, broken := s.judging.at, s.broken
-	s.judging, s.broken = nil, nil
-	return slices.DeleteFunc(broken, func(r *serverRun) bool { return !r.begun.Before(at) })
+	return slices.DeleteFunc(broken, func(r *serverRun) bool { return !r.begun.Before(from) })
 }
 
-// brokeOff judges a run whose connection broke, once it is known whether the backend server has ended. What was sent when that was known
-// already met nobody: it hasn't run.
+// brokeOff judges a run whose connection broke, once it is known whether the backend server has ended.
 func (b *backend) brokeOff(r *serverRun, a *answer) *answer {
-	if _, known := b.runs.endOf(r.life); known {
+	if b.runs.lastEnded().under(r) != noEnd {
 		b.runs.end(r)
 		return b.endedUnder(r, a)
 	}
 	e, first := b.runs.breakOff(b.n.clock.Now(), r)
 	if first {
 		ended := b.hasEnded()
-		b.noteEnd(r.life, ended, b.runs.judge(r.life, ended))
+		b.noteEnd(r.life, ended, b.runs.judge(b.n.clock.Now(), r.life, ended))
 		close(e.judged) // now that a copy of the guilty request that is sent on is known for one
 	} else {
 		<-e.judged
@@ -131,16 +155,16 @@
 	return b.endedUnder(r, a)
 }
 
-// endedUnder returns the answer to a run that broke off: with the server that ended under it, or that it hasn't run if that had ended before.
+// endedUnder returns the answer to a run that broke off: with the server that ended under it, or that it hasn't run. That is said only of what was sent while
+// nobody was there: the next life may come under the same name, and what it lost may have run.
 func (b *backend) endedUnder(r *serverRun, a *answer) *answer {
-	at, ended := b.runs.endOf(r.life)
-	switch {
-	case !ended:
-		return a
-	case !r.begun.Before(at):
+	switch b.runs.lastEnded().under(r) {
+	case afterEnd:
 		return refused(wire.ReasonNoServer)
-	case !b.announced():
-		a.ended = r.life
+	case beforeEnd:
+		if !b.announced() {
+			a.ended = r.life
+		}
 	}
 	return a
 }
@@ -188,20 +212,25 @@
 		return
 	}
 	now := b.n.clock.Now()
-	b.n.metrics.count("server_ends_total")
 	e := poison.End{Lifetime: poison.Lifetime{Host: b.n.ip, Instance: life}, Service: broken[0].q.Service}
-	shown := make([]shownRun, 0, min(len(broken), shownRuns))
 	for _, r := range broken {
-		id := r.q.identity()
-		e.Runs = append(e.Runs, poison.Run{Identity: id, Stages: r.q.Stages, Route: r.q.Route, Request: r.q.id})
-		if len(shown) < shownRuns {
-			shown = append(shown, shownRun{r.q.id, id.Widest().String(), now.Sub(r.begun).Milliseconds()})
-		}
+		e.Runs = append(e.Runs, poison.Run{Identity: r.q.identity(), Stages: r.q.Stages, Route: r.q.Route, Request: r.q.id})
 	}
-	b.n.callLog.Warn("server ended", "instance", life, "runs", len(broken), "under", shown)
-	if b.n.poison.TakeEnd(now, e) {
-		b.n.do(func() { b.n.serverEnded(e) })
+	if !b.n.poison.TakeEnd(now, e) {
+		return // a run that was sent to the same life after its end
+	}
+	b.n.metrics.count("server_ends_total")
+	b.n.callLog.Warn("server ended", "instance", life, "runs", len(broken), "under", shownRunsOf(now, broken, e))
+	b.n.do(func() { b.n.serverEnded(e) })
+}
+
+// shownRunsOf returns the runs as the log shows them.
+func shownRunsOf(now time.Time, broken []*serverRun, e poison.End) []shownRun {
+	shown := make([]shownRun, 0, min(len(broken), shownRuns))
+	for i, r := range broken[:min(len(broken), shownRuns)] {
+		shown = append(shown, shownRun{r.q.id, e.Runs[i].Identity.Widest().String(), now.Sub(r.begun).Milliseconds()})
 	}
+	return shown
 }
 
 // shownRun is a run as the log shows it.
--- a/pkg/mesh/suspect_trial.go
+++ b/pkg/mesh/suspect_trial.go
@@ -47,6 +47,9 @@
 // tryAtServer lets a request pass to the server on this VM: not one that is held back, and of suspects that are tried alone one at a time. It
 // returns the answer to one that may not pass; done must be called when the run has ended.
 func (b *backend) tryAtServer(ctx context.Context, q *request) (done func(), a *answer) {
+	if !b.n.poison.Any() {
+		return func() {}, nil
+	}
 	wait := time.NewTimer(trialWait)
 	defer wait.Stop()
 	for {
