--- a/pkg/soak/backend_server.go
+++ b/pkg/soak/backend_server.go
@@ -58,14 +58,18 @@
 	b.seq, b.draining = 0, false
 }
 
-// startAgain begins a new life under the instance that the server has. It returns a heartbeat of the life before, which may still come.
-func (b *backendServer) startAgain() directory.Registration {
-	late := b.registration()
+// startAgain begins a new life under the instance that the server has. It returns a heartbeat of the life before, which may still come. It reports false for
+// a server that is leaving: what arrives after that is told by its instance, which goes on then.
+func (b *backendServer) startAgain() (late directory.Registration, ok bool) {
+	late = b.registration()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.draining {
+		return late, false
+	}
 	b.born = max(time.Now().UnixMilli(), b.born+1)
-	b.seq, b.draining = 0, false
-	return late
+	b.seq = 0
+	return late, true
 }
 
 // registration returns the next heartbeat.
--- a/pkg/soak/fault_servers.go
+++ b/pkg/soak/fault_servers.go
@@ -43,7 +43,10 @@
 	v := s.oneOf(rnd)
 	over := s.history.begin(kind, false, v.ip)
 	defer over()
-	late := v.server.startAgain()
+	late, ok := v.server.startAgain()
+	if !ok {
+		return
+	}
 	s.proxy.reset(v.serverLink())
 	v.server.beat()
 	time.Sleep(d / 2)
