--- /dev/null
+++ b/pkg/mesh/suspect_news_test.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/poison"
+)
+
+// endOfMany is the end of a server with so many runs, with names as long as usual.
+func endOfMany(runs int) poison.End {
+	e := poison.End{Lifetime: poison.Lifetime{Host: "10.1.0.13", Instance: "i-5256e9e962/17"}, Service: "xati36a"}
+	for i := range runs {
+		a := poison.Asked{Service: e.Service, Method: "GET", Host: "rano73.example", URI: fmt.Sprintf("/boda430/%06x", i), Caller: "wuno24d"}
+		e.Runs = append(e.Runs, poison.Run{Identity: a.Identity(), Route: "r-brp9d3m", Request: "680674fc7cfe4b36"})
+	}
+	return e
+}
+
+// The news of the end of a server is as large as what ran there: 46 runs, the most of eight ends in one played day.
+func TestNewsOfAnEndIsSmall(t *testing.T) {
+	c := qt.New(t)
+	body, err := pack(message{Brief: true, Ends: []poison.End{endOfMany(46)}})
+	c.Assert(err, qt.IsNil)
+	t.Logf("%d bytes", len(body))
+	c.Assert(len(body) < 5<<10, qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+	var back message
+	c.Assert(unpack(body, &back), qt.IsNil)
+	c.Assert(back.Ends, qt.DeepEquals, []poison.End{endOfMany(46)})
+}
+
+// News ages while it is kept, is told for two seconds, and never more than a message holds.
+func TestNewsOfSuspectsIsBounded(t *testing.T) {
+	c := qt.New(t)
+	var s suspectNews
+	now := time.Unix(1000, 0)
+	for range maxSuspectNews + 10 {
+		s.addEnd(now, endOfMany(1))
+		s.addCase(now, poison.Case{Age: time.Second})
+	}
+	ends, cases := s.recent(now.Add(time.Second))
+	c.Assert(ends, qt.HasLen, maxSuspectNews)
+	c.Assert(cases, qt.HasLen, maxSuspectNews)
+	c.Assert(ends[0].Age, qt.Equals, time.Second)
+	c.Assert(cases[0].Age, qt.Equals, 2*time.Second)
+	ends, cases = s.recent(now.Add(suspectNewsTime))
+	c.Assert(len(ends)+len(cases), qt.Equals, 0)
+}
