--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
@@ -115,7 +116,7 @@
 	n.tellCleared(now)
 	if !now.Before(n.control.nextSweep) {
 		n.control.nextSweep = now.Add(sweepPeriod)
-		n.sweep()
+		n.eachPool((*httpconn.Pool).Sweep)
 		n.poison.Sweep(now)
 	}
 	if !now.Before(n.control.nextLook) {
@@ -138,12 +139,13 @@
 // sweepPeriod is the time between closings of connections that have rested too long.
 const sweepPeriod = time.Second
 
-func (n *Node) sweep() {
-	n.backend.pool.Sweep()
+// eachPool does something with all connections to other nodes and to the backend server.
+func (n *Node) eachPool(f func(p *httpconn.Pool)) {
+	f(n.backend.pool)
 	n.peersMu.Lock()
 	defer n.peersMu.Unlock()
 	for _, p := range n.peers {
-		p.pool.Sweep()
+		f(p.pool)
 	}
 }
 
--- a/pkg/mesh/resumed.go
+++ b/pkg/mesh/resumed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/follow"
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
 )
 
 // deadConnections is how long a suspension has to be for the other sides to have given up its connections: they look for a dead one after probeAfter and
@@ -17,18 +18,8 @@
 	n.watch.with(func(w *follow.Watch) { w.Look(now) })
 	ended := n.limits.Lapse(now)
 	if d >= deadConnections {
-		n.dropIdleConnections()
+		n.eachPool((*httpconn.Pool).DropIdle)
 	}
 	n.metrics.count("suspensions_total")
 	n.controlLog.Warn("this VM was suspended", "for", d, "requests_lapsed", ended)
 }
-
-// dropIdleConnections closes the connections that carry nothing.
-func (n *Node) dropIdleConnections() {
-	n.backend.pool.DropIdle()
-	n.peersMu.Lock()
-	defer n.peersMu.Unlock()
-	for _, p := range n.peers {
-		p.pool.DropIdle()
-	}
-}
