--- a/pkg/mesh/client_connections_test.go
+++ b/pkg/mesh/client_connections_test.go
@@ -50,7 +50,9 @@
 	c := qt.New(t)
 	s := three(t)
 	n := s.nodes[0]
+	n.clients.mu.Lock()
 	n.clients.most = 20
+	n.clients.mu.Unlock()
 	for range 60 {
 		kept := &http.Client{Transport: &http.Transport{}}
 		defer kept.CloseIdleConnections()
