--- a/pkg/clock/suspended.go
+++ b/pkg/clock/suspended.go
@@ -101,3 +101,20 @@
 	}
 	return n
 }
+
+// Boot returns the time since the machine was started, its suspensions included, noticed or not.
+func (Real) Boot() time.Time { return time.Time{}.Add(readClock(unix.CLOCK_BOOTTIME)) }
+
+// Booter is a Clock that knows the time since the machine was started.
+type Booter interface {
+	// Boot returns it as a time, for spans only.
+	Boot() time.Time
+}
+
+// Boot returns a time for spans that go on while the machine is suspended, also before anybody has noticed that it was.
+func Boot(c Clock) time.Time {
+	if b, ok := c.(Booter); ok {
+		return b.Boot()
+	}
+	return c.Now()
+}
--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -46,6 +46,7 @@
 	Goal        time.Duration // an answer within it earns its full worth
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // most backend servers that one attempt of a client is sent to
+	Public      bool          // needs no key
 	Targets     []Target
 }
 
@@ -69,8 +70,11 @@
 	Source   []byte // as it was read, to be handed on to other nodes
 	Routes   []Route
 	Services map[string]Service
+	Teams    []Team // none: requests need no key
 	Limits   Limits
 
+	byKey  map[keyDigest]*Team
+	byTeam map[string]*Team
 	byHost map[string]map[string]*Route
 	byName map[string]*Route
 }
@@ -94,6 +98,9 @@
 		s.byHost[host][r.Prefix] = r
 		s.byName[r.Name] = r
 	}
+	if err := s.indexTeams(); err != nil {
+		return nil, err
+	}
 	return &s, nil
 }
 
--- a/pkg/desired/doc.go
+++ b/pkg/desired/doc.go
@@ -1,5 +1,5 @@
 // Package desired holds the desired state that the operator has put in force:
-// routes, services and limits.
+// routes, services, teams with their keys, and limits.
 //
 // A State is immutable: a node decodes each version once, indexes it and
 // publishes it whole. A request keeps the State that it came in with. Match
--- /dev/null
+++ b/pkg/freshness/freshness_test.go
@@ -0,0 +1,222 @@
+package freshness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const bound = 5 * time.Second
+
+// start is when the made-up time begins.
+var start = time.Unix(1000, 0)
+
+// madeUpNode is a node with a clock that runs a little fast or slow.
+type madeUpNode struct {
+	keeper   Keeper
+	schedule Schedule
+	own      int64
+	rate     float64 // of its clock
+	ahead    time.Duration
+	silent   bool      // cut off from the store and the other nodes
+	frozen   time.Time // until when it does nothing
+}
+
+// clock returns what the node's clock shows at a true time.
+func (n *madeUpNode) clock(now time.Time) time.Time {
+	return start.Add(n.ahead + time.Duration(float64(now.Sub(start))*n.rate))
+}
+
+// onTheWay is a message between two nodes, or from the store, with what it was made of.
+type onTheWay struct {
+	at   time.Time // when it arrives
+	to   *madeUpNode
+	sent time.Time // when its question was sent, by the clock of the one who asked
+	age  time.Duration
+	ver  int64
+	own  int64 // in force there when the question was sent
+}
+
+// world is nodes and a store in made-up time.
+type world struct {
+	now       time.Time
+	nodes     []*madeUpNode
+	confirmed []time.Time // of version i+1
+	way       []onTheWay
+	down      bool // the store answers nobody
+	hosts     []string
+}
+
+func newWorld(n int, rate func(i int) float64) *world {
+	w := &world{now: start, confirmed: []time.Time{start}}
+	for i := range n {
+		node := &madeUpNode{rate: rate(i), ahead: time.Duration(i) * time.Hour, own: 1}
+		node.keeper.Bound, node.schedule.Bound = bound, bound
+		w.nodes = append(w.nodes, node)
+		w.hosts = append(w.hosts, fmt.Sprintf("10.0.0.%d", i))
+	}
+	return w
+}
+
+// step lets a little time pass; delay returns how long a message is on its way, back and forth alike.
+func (w *world) step(delay func() time.Duration, pick func(n int) int) {
+	w.now = w.now.Add(20 * time.Millisecond)
+	w.arrive()
+	roles := Choose(w.hosts)
+	for i, n := range w.nodes {
+		if n.frozen.After(w.now) {
+			continue
+		}
+		now := n.clock(w.now)
+		age, known := n.keeper.Age(now, n.own)
+		switch n.schedule.Next(now, age, known, roles.Reads(w.hosts[i])) {
+		case Read:
+			if !w.down && !n.silent {
+				there := delay()
+				w.way = append(w.way, onTheWay{at: w.now.Add(there + delay()), to: n, sent: now, ver: w.newestAt(w.now.Add(there)), own: n.own})
+			}
+		case Ask, AskWider:
+			if o := w.nodes[pick(len(w.nodes))]; !n.silent && !o.silent && o != n && !o.frozen.After(w.now) {
+				// What the other one knows now is older than what it will know when the question arrives, and no less true.
+				if oage, known := o.keeper.Age(o.clock(w.now), o.own); known {
+					w.way = append(w.way, onTheWay{at: w.now.Add(delay() + delay()), to: n, sent: now, age: oage, ver: o.keeper.Held(o.own).Version, own: n.own})
+				}
+			}
+		case Wait:
+		}
+	}
+}
+
+// newestAt returns the version in force in the store at a time.
+func (w *world) newestAt(at time.Time) int64 {
+	v := int64(0)
+	for _, c := range w.confirmed {
+		if !c.After(at) {
+			v++
+		}
+	}
+	return v
+}
+
+// arrive hands over what has come by now, to those who aren't frozen.
+func (w *world) arrive() {
+	rest := w.way[:0]
+	for _, m := range w.way {
+		if m.at.After(w.now) || m.to.frozen.After(w.now) {
+			rest = append(rest, m)
+			continue
+		}
+		m.to.keeper.Take(Proof{Version: m.ver, Sent: m.sent.Add(-m.age)}, m.to.own)
+	}
+	w.way = rest
+}
+
+// check tells whether a node lets a key pass that a version took away longer ago than the bound.
+func (w *world) check(fail func(format string, args ...any)) {
+	must := w.newestAt(w.now.Add(-bound))
+	for i, n := range w.nodes {
+		if n.keeper.Holds(n.clock(w.now), n.own) && n.own < must {
+			fail("node %d serves by version %d; version %d was confirmed longer ago than the bound", i, n.own, must)
+		}
+	}
+}
+
+// No node serves by a version for longer than the bound after the next one was confirmed: whoever is cut off, frozen or slow, with
+// clocks that differ and messages that wait for as long as they like.
+func TestNoKeyPassesAfterTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 7).Draw(t, "nodes"), func(i int) float64 {
+			return 1 + float64(rapid.IntRange(-4, 4).Draw(t, "permille"))/1000
+		})
+		slow := rapid.IntRange(1, 3000).Draw(t, "slowest message ms")
+		delay := func() time.Duration { return time.Duration(rapid.IntRange(0, slow).Draw(t, "ms")) * time.Millisecond }
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "whom") }
+		for range rapid.IntRange(10, 60).Draw(t, "events") {
+			n := w.nodes[pick(len(w.nodes))]
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				w.confirmed = append(w.confirmed, w.now)
+			case 1:
+				n.silent = !n.silent
+			case 2:
+				w.down = !w.down
+			case 3:
+				n.frozen = w.now.Add(time.Duration(rapid.IntRange(1, 7000).Draw(t, "frozen ms")) * time.Millisecond)
+			case 4: // it started anew, and reads the state later
+				n.keeper, n.schedule = Keeper{Bound: bound}, Schedule{Bound: bound}
+				n.own = 1
+			default: // it hears of a newer state, from whomever
+				n.own = max(n.own, w.newestAt(w.now.Add(-delay())))
+				n.keeper.Raised(n.own)
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				w.step(delay, pick)
+				w.check(t.Fatalf)
+			}
+		}
+	})
+}
+
+// Where nothing is wrong every node's proof is young enough that it still serves for some seconds once its way to the store is lost.
+func TestProofsStayYoung(t *testing.T) {
+	c := qt.New(t)
+	for _, nodes := range []int{1, 3, 24, 48} {
+		w := newWorld(nodes, func(int) float64 { return 1 })
+		var oldest time.Duration
+		k := 0
+		for step := range 1500 {
+			roles := Choose(w.hosts)
+			k++
+			asked := roles.Asked("nobody")
+			w.step(func() time.Duration { return 2 * time.Millisecond }, func(int) int {
+				for i, h := range w.hosts {
+					if h == asked[k%len(asked)] {
+						return i
+					}
+				}
+				return 0
+			})
+			for _, n := range w.nodes {
+				if age, known := n.keeper.Age(n.clock(w.now), n.own); step > 100 {
+					c.Assert(known, qt.IsTrue)
+					oldest = max(oldest, age)
+				}
+			}
+		}
+		c.Check(oldest < 2*time.Second, qt.IsTrue, qt.Commentf("%d nodes: %v", nodes, oldest))
+	}
+}
+
+func TestALargeZoneAsksInTwoSteps(t *testing.T) {
+	c := qt.New(t)
+	var hosts []string
+	for i := range 3121 {
+		hosts = append(hosts, fmt.Sprintf("10.%d.%d.1", i/250, i%250))
+	}
+	r := Choose(hosts)
+	c.Check(r.Readers, qt.HasLen, readers)
+	c.Check(r.Relays, qt.HasLen, 56)
+	c.Check(r.Asked(r.Relays[0]), qt.DeepEquals, r.Readers)
+	c.Check(r.Asked("else"), qt.DeepEquals, r.Relays)
+	c.Check(Choose(nil).Asked("a"), qt.HasLen, 0)
+}
+
+func TestAProofForALaterVersionWaitsForIt(t *testing.T) {
+	c := qt.New(t)
+	k := Keeper{Bound: bound}
+	k.Take(Proof{Version: 1, Sent: start}, 1)
+	k.Take(Proof{Version: 2, Sent: start.Add(time.Second)}, 1)
+	age, known := k.Age(start.Add(2*time.Second), 1)
+	c.Check(known, qt.IsTrue)
+	c.Check(age, qt.Equals, 2*time.Second)
+	k.Raised(2)
+	age, _ = k.Age(start.Add(2*time.Second), 2)
+	c.Check(age, qt.Equals, time.Second)
+	c.Check(k.Holds(start.Add(2*time.Second), 1), qt.IsFalse) // a request that came in with the state before
+	k.Take(Proof{}, 2)
+	age, _ = k.Age(start.Add(2*time.Second), 2)
+	c.Check(age, qt.Equals, time.Second)
+}
--- /dev/null
+++ b/pkg/mesh/ask_node.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
+)
+
+// maxShortAnswer bounds the answer to a short question in bytes.
+const maxShortAnswer = 4 << 10
+
+// NodeAnswerError reports an answer of another node that isn't one.
+type NodeAnswerError struct {
+	Host   string
+	Path   string
+	Status int
+}
+
+// Error names the node, what it was asked and its status.
+func (e *NodeAnswerError) Error() string {
+	return fmt.Sprintf("node %s: %s answered %d", e.Host, e.Path, e.Status)
+}
+
+// askNode asks another node a short question and reads its answer.
+func (n *Node) askNode(ctx context.Context, host, path string, span time.Duration, question, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, span)
+	defer cancel()
+	body, err := pack(question)
+	if err != nil {
+		return err
+	}
+	p := n.peer(host)
+	res, err := p.pool.Do(ctx, &httpconn.Request{Method: http.MethodPost, URI: path, Host: host, Header: http.Header{}, Body: body})
+	if err != nil {
+		// Only what can't be reached at all is set aside: a node that is busy for a moment can serve requests all the same.
+		if unsent(err) && ctx.Err() == nil && p.failed(n.clock.Now()) {
+			n.controlLog.Warn("peer doesn't answer", "peer", host, "path", path, "err", err)
+		}
+		return err
+	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxShortAnswer))
+	_ = res.Body.Close() // it was read, or err says why not
+	if err != nil {
+		return err
+	}
+	if res.Status != http.StatusOK {
+		return &NodeAnswerError{host, path, res.Status}
+	}
+	p.answered()
+	return unpack(data, answer)
+}
+
+// answerNode answers such a question.
+func (n *Node) answerNode(w http.ResponseWriter, answer any) {
+	body, err := pack(answer)
+	if err == nil {
+		w.Header()["Content-Type"] = nil
+		w.Header()["Date"] = nil
+		_, err = w.Write(body)
+	}
+	if err != nil {
+		n.controlLog.Debug("answer to a node broke off", "err", err)
+	}
+}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -38,6 +38,7 @@
 	suspects    suspectNews
 	gateUse     float64 // of the own gate's slots, smoothed
 	nextLook    time.Time
+	members     zoneMembers
 	nextSweep   time.Time
 }
 
@@ -127,6 +128,7 @@
 		n.control.nextPlan = now.Add(planPeriod)
 		n.reportOwn(now)
 		n.electFollowers(now)
+		n.chooseTeamRoles(now)
 		n.replan(now)
 	}
 	if now.Before(n.control.nextTalk) {
--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -13,7 +13,7 @@
 // testNames are headers of the tests' own.
 var testNames = HeaderNames{
 	AttemptID: "X-Attempt", TimeLeft: "X-Time-Left", Instance: "X-Instance",
-	NotRun: "X-Not-Run", Caller: "X-Caller",
+	NotRun: "X-Not-Run", Caller: "X-Caller", Key: "Authorization", KeyScheme: "Token", Team: "X-Team",
 }
 
 // sealHeader is one that backend servers set and nodes pass on like any other.
--- a/pkg/mesh/fake_store_test.go
+++ b/pkg/mesh/fake_store_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// turnAway has the VM get no answer about the desired state, or answers again.
+func (s *fakeStore) turnAway(vm string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away == nil {
+		s.away = map[string]bool{}
+	}
+	s.away[vm] = away
+}
+
 // turnsAway tells whether the VM gets no answer about the desired state.
 func (s *fakeStore) turnsAway(vm string) bool {
 	s.mu.Lock()
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/follow"
+	"github.com/rockspoke/rockspoke/pkg/freshness"
 )
 
 // stateWatch is a follow.Watch that all goroutines of a node use.
@@ -128,6 +129,7 @@
 		kind, span = followStateCall, followTime
 		read = func(ctx context.Context) ([]byte, int64, error) { return n.store.FollowState(ctx, next) }
 	}
+	sent, own := clock.Boot(n.clock), n.version()
 	err := n.callStore(ctx, t, kind, span, func(ctx context.Context) (err error) {
 		data, after, err = read(ctx)
 		return err
@@ -139,6 +141,9 @@
 		n.takeState("store", data)
 	}
 	n.watch.with(func(w *follow.Watch) { w.Fed(n.clock.Now()) })
+	if kind == readStateCall {
+		n.proven(sent, own, data)
+	}
 	return after, nil
 }
 
@@ -166,6 +171,7 @@
 		if !n.state.CompareAndSwap(old, s) {
 			continue
 		}
+		n.proofs.with(func(k *freshness.Keeper) { k.Raised(s.Version) })
 		if old == nil {
 			now := n.clock.Now()
 			n.knowledge.stateSince.Store(&now)
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -203,6 +203,9 @@
 	}
 	status := http.StatusBadGateway
 	switch {
+	case a.reason == wire.ReasonQuota:
+		status = http.StatusTooManyRequests
+		w.Header().Set("Retry-After", retryAfter(n.comeBack(q, a)))
 	case a.outcome == wire.NotRun:
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", retryAfter(n.comeBack(q, a)))
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -10,11 +10,20 @@
 // inboundHandler serves other nodes: their requests to this VM's backend server, and exchanges.
 func (n *Node) inboundHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == exchangePath && r.Header.Get(headerCall) == "" {
-			n.serveExchange(w, r)
+		if r.Header.Get(headerCall) != "" {
+			n.serveInbound(w, r)
 			return
 		}
-		n.serveInbound(w, r)
+		switch r.URL.Path {
+		case exchangePath:
+			n.serveExchange(w, r)
+		case proofPath:
+			n.serveProof(w, r)
+		case quotaPath:
+			n.serveQuota(w, r)
+		default:
+			n.serveInbound(w, r)
+		}
 	})
 }
 
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -20,6 +20,9 @@
 	Instance  string // the start of the backend server that is meant
 	NotRun    string // set by a backend server that refuses
 	Caller    string // the service beside which the request began
+	Key       string // a client's key, behind the word KeyScheme and a blank
+	KeyScheme string
+	Team      string // the team that the key belongs to, for the backend server
 }
 
 // Store is what a node needs of the platform's store. Each call has its deadline from the context.
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -18,6 +18,7 @@
 	{"suspensions_total", "counter", "", "Suspensions of this VM."},
 	{"held_back_total", "counter", "route", "Requests that were held back since servers had ended under the same request."},
 	{"suspects", "gauge", "", "Requests under which servers ended, that are tried apart or held back."},
+	{"quota_questions_total", "counter", "near", "Questions to owners of quotas, of this availability zone or another."},
 	{"repeats_total", "counter", "service", "Requests that were sent to one more server."},
 	{"repeats_denied_total", "counter", "service", "Repeats not made for want of budget."},
 	{"peers_aside_total", "counter", "", "Times that a peer was set aside since it failed."},
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -38,6 +38,9 @@
 
 	state     atomic.Pointer[desired.State]
 	watch     stateWatch
+	proofs    stateProofs
+	quotas    teamQuotas
+	roles     atomic.Pointer[teamRoles]
 	knowledge knowledge
 	view      atomic.Pointer[view]
 	started   time.Time
@@ -106,6 +109,9 @@
 	n.poison.Rules = o.Settings.Mesh.HeldBack.Rules()
 	n.watch.mayBegin = make(chan struct{})
 	n.watch.Within = o.Settings.Mesh.Apply
+	n.proofs.Bound, n.proofs.schedule.Bound = o.Settings.Mesh.Revoke, o.Settings.Mesh.Revoke
+	n.quotas.owner.Rules = quotaRules(o.Settings.Mesh)
+	n.roles.Store(&teamRoles{})
 	n.knowledge.told = o.Settings.Mesh.FirstStart // nobody knows anything yet
 	n.knowledge.complete.Store(o.Settings.Mesh.FirstStart || n.off[settings.LearnedMemory])
 	n.tuneBudget()
@@ -134,6 +140,7 @@
 	n.run(func() { n.writeRecords(ctx) })
 	n.run(func() { n.keepLearned(ctx) })
 	n.run(func() { n.keepHeld(ctx) })
+	n.run(func() { n.proveState(ctx) })
 	n.controlLog.Info("started", "host", n.ip, "zone", n.cfg.Zone, "service", n.cfg.Service, "epoch", n.epoch, "off", n.cfg.Mesh.Off)
 	return nil
 }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/poison"
@@ -35,16 +36,27 @@
 		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
 		return
 	}
+	team, refusal := n.identify(r, state, route)
+	if refusal != nil {
+		n.refuseKey(w, r, route, refusal)
+		return
+	}
 	q, err := n.newRequest(r, n.callOf(state, route), state.Limits.BodyBytes)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
 	}
+	n.nameTeam(q, team)
+	if a := n.checkQuota(r.Context(), q); a != nil {
+		n.writeFinal(w, q, a)
+		return
+	}
 	n.stats.begins(n.clock.Now(), route.Name, q.clientDeadline)
 	if q.Inner {
 		n.stats.called(n.clock.Now(), route.Name, q.clientDeadline)
 	}
 	if a := n.refuseEntry(q); a != nil {
+		n.giveBackQuota(q)
 		n.writeFinal(w, q, a)
 		return
 	}
@@ -118,6 +130,18 @@
 	n.refuseUnrouted(w, r, wire.ReasonBadRequest, status)
 }
 
+// oldStateRetry is when those should come back, on average, whose key can't be judged: the store is away, which takes longer to pass
+// than an overload.
+const oldStateRetry = time.Second
+
+// retryAfterOf returns when to come back after a refusal, on average.
+func retryAfterOf(reason wire.Reason) time.Duration {
+	if reason == wire.ReasonOldState {
+		return oldStateRetry
+	}
+	return retryBase
+}
+
 // refuseUnrouted answers a request that can't be sent anywhere.
 func (n *Node) refuseUnrouted(w http.ResponseWriter, r *http.Request, reason wire.Reason, status int) {
 	id := r.Header.Get(n.names.AttemptID)
@@ -127,7 +151,7 @@
 		h.Set(n.names.AttemptID, id)
 	}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", retryAfter(jitter(retryBase)))
+		h.Set("Retry-After", retryAfter(jitter(retryAfterOf(reason))))
 	}
 	if n.stop.leaving() {
 		h.Set("Connection", "close")
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -160,6 +160,13 @@
 	p.noteStop(now, stopping)
 }
 
+// answered ends the time aside: the node has answered a question.
+func (p *peer) answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures, p.asideTil, p.silence = 0, time.Time{}, silence{}
+}
+
 // failed sets the peer aside for a growing time; it reports whether it was in use before.
 func (p *peer) failed(now time.Time) bool {
 	p.mu.Lock()
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
 )
 
 // request is one attempt of a client, or a call of a backend server, on its way through this node.
@@ -23,6 +25,7 @@
 	length   int64     // of stream; -1 if it isn't known
 	deadline time.Time // when the answer is due at the latest
 	ident    identity
+	team     *desired.Team // whose request it is; nil: nobody's
 	// clientDeadline is when the client gives up; the route may set an earlier deadline.
 	clientDeadline time.Time
 }
--- a/pkg/mesh/store_calls.go
+++ b/pkg/mesh/store_calls.go
@@ -16,6 +16,7 @@
 	writeRecordCall  storeCall = "write-record"
 	writeLearnedCall storeCall = "write-learned"
 	writeHeldCall    storeCall = "write-held"
+	proveStateCall   storeCall = "prove-state"
 )
 
 // backoff is the wait before a call that failed is made again; its zero value is that after a success.
--- /dev/null
+++ b/pkg/mesh/team_roles.go
@@ -0,0 +1,95 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/freshness"
+	"github.com/rockspoke/rockspoke/pkg/quota"
+)
+
+// teamRoles says which nodes do what for keys and quotas; it is never changed once published.
+type teamRoles struct {
+	proofs freshness.Roles
+	rings  map[string]*quota.Ring // owners of quotas, by availability zone
+}
+
+// zoneMembers is the nodes of each availability zone as the roles were last chosen; the control goroutine's.
+type zoneMembers struct {
+	byZone map[string][]string
+	known  int // of the own zone, whether they are heard or not
+}
+
+// chooseTeamRoles chooses anew where nodes have come or gone.
+func (n *Node) chooseTeamRoles(now time.Time) {
+	if !n.needsKeys(n.state.Load()) {
+		return
+	}
+	members := n.teamMembers(now)
+	old := &n.control.members
+	own := members.byZone[n.cfg.Zone]
+	if members.known != old.known || !slices.Equal(own, old.byZone[n.cfg.Zone]) {
+		n.quotas.elect(now, n.ip, quota.Owners(own), float64(len(own))/float64(max(members.known, 1)), n.quotaWait())
+	}
+	roles := &teamRoles{rings: make(map[string]*quota.Ring, len(members.byZone)), proofs: n.roles.Load().proofs}
+	for zone, hosts := range members.byZone {
+		roles.rings[zone] = n.roles.Load().rings[zone]
+		if roles.rings[zone] == nil || !slices.Equal(hosts, old.byZone[zone]) {
+			roles.rings[zone] = quota.Owners(hosts)
+		}
+	}
+	if !slices.Equal(own, old.byZone[n.cfg.Zone]) {
+		roles.proofs = freshness.Choose(own)
+	}
+	n.roles.Store(roles)
+	*old = members
+}
+
+// youngZone is by how much older than this process another one of its zone is that wasn't started together with it.
+const youngZone = 3 * time.Second
+
+// quotaWait returns how long this node waits before it gives out what it comes to own. Where all nodes of the zone were started
+// together nobody owned it before.
+func (n *Node) quotaWait() time.Duration {
+	for _, r := range n.control.reports {
+		if r.Epoch < n.epoch-youngZone.Milliseconds() {
+			return quota.Settle
+		}
+	}
+	if n.clock.Now().Sub(n.started) > youngZone {
+		return quota.Settle
+	}
+	return 0
+}
+
+// teamMembers returns the nodes of each zone that may have a role: of the own zone those that are heard, of the others
+// all that are known.
+func (n *Node) teamMembers(now time.Time) zoneMembers {
+	m := zoneMembers{byZone: make(map[string][]string)}
+	fresh := now.Sub(n.started) < reportLifeLeast
+	for _, r := range n.control.directory.All() {
+		near := r.Zone == n.cfg.Zone || r.Host == n.ip
+		heard := !near || r.Host == n.ip || n.control.reports[r.Host] != nil || fresh
+		if near && (r.Phase != directory.Gone || heard) {
+			m.known++
+		}
+		if heard && !n.stopsNow(now, r.Host) && (near || r.Phase != directory.Gone) {
+			zone := r.Zone
+			if near {
+				zone = n.cfg.Zone
+			}
+			m.byZone[zone] = append(m.byZone[zone], r.Host)
+		}
+	}
+	return m
+}
+
+// stopsNow tells whether a node is known to be stopping.
+func (n *Node) stopsNow(now time.Time, host string) bool {
+	if host == n.ip {
+		return n.stop.leaving()
+	}
+	_, stops := n.peer(host).stopsFor(now)
+	return stops
+}
--- /dev/null
+++ b/pkg/mesh/teams_test.go
@@ -0,0 +1,370 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/settings"
+)
+
+// teamSite is some nodes in zones, with a store of their own each, that serve teams.
+func teamSite(t testing.TB, zones int, perZone int, revoke time.Duration) *site {
+	s := newMemorySite(t)
+	s.first = true
+	var names []string
+	for z := range zones {
+		names = append(names, fmt.Sprint("z", z))
+	}
+	s.tune = func(m *settings.Mesh) {
+		m.StrictRevoke, m.Revoke = true, revoke
+		m.QuotaWindow, m.QuotaExcess, m.QuotaSlack, m.Zones = 5*time.Second, 0.1, 20, names
+	}
+	for z := range zones {
+		for range perZone {
+			s.add("a", names[z], 50)
+		}
+	}
+	return s
+}
+
+func public(r desired.Route) desired.Route {
+	r.Public = true
+	return r
+}
+
+// teamState is a state with two teams and a public route.
+func teamState(version int64, change func(s *desired.State)) desired.State {
+	s := desired.State{
+		Version: version,
+		Routes:  []desired.Route{route("read", desired.Repeatable, "a"), public(route("open", desired.Repeatable, "a"))},
+		Teams: []desired.Team{
+			{Name: "blue", Keys: []desired.Key{"kb1", "kb2"}, Priority: 1},
+			{Name: "red", Keys: []desired.Key{"kr1"}},
+		},
+	}
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+// send sends a request with headers to a node, and returns its status.
+func (s *site) send(i int, path, id string, header http.Header) (int, http.Header) {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+s.servers[i].out+path, nil)
+	req.Host = "h"
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set(testNames.AttemptID, id)
+	req.Header.Set(testNames.TimeLeft, strconv.Itoa(5000))
+	res, err := s.clients.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	return res.StatusCode, res.Header
+}
+
+func withKey(keys ...string) http.Header {
+	h := http.Header{}
+	for _, k := range keys {
+		h.Add(testNames.Key, testNames.KeyScheme+" "+k)
+	}
+	return h
+}
+
+// awaitKeys waits until every node lets a key pass.
+func (s *site) awaitKeys(key string) {
+	s.t.Helper()
+	s.until("all nodes let the key pass", func() bool {
+		for i := range s.nodes {
+			if status, _ := s.send(i, "/read/x", fmt.Sprint("first", i), withKey(key)); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// seenHeaders notes the headers that servers get.
+type seenHeaders struct {
+	mu  sync.Mutex
+	all []http.Header
+}
+
+func (s *seenHeaders) note(f *fakeServer, w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, r.Header.Clone())
+	fmt.Fprint(w, "ok")
+}
+
+func (s *seenHeaders) last() http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all[len(s.all)-1]
+}
+
+func TestServersSeeTheTeamAndNeverTheKey(t *testing.T) {
+	c := qt.New(t)
+	s := teamSite(t, 2, 1, 5*time.Second)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	var seen seenHeaders
+	s.handleAll(seen.note)
+	forged := func(h http.Header) http.Header {
+		h["X-Team"] = []string{"red"}
+		h["x-team"] = []string{"red"}
+		h["X-TEAM"] = []string{"red"}
+		h["X_Team"] = []string{"red"}
+		return h
+	}
+	for i := range 4 { // at each node, and at the server of the other one
+		status, _ := s.send(i%2, "/read/x", fmt.Sprint("t", i), forged(withKey("kb2")))
+		c.Assert(status, qt.Equals, http.StatusOK)
+		h := seen.last()
+		c.Check(h[testNames.Team], qt.DeepEquals, []string{"blue"})
+		c.Check(h["X_team"], qt.IsNil)
+		c.Check(fmt.Sprint(h), qt.Not(qt.Contains), "kb")
+		status, _ = s.send(i%2, "/open/x", fmt.Sprint("p", i), forged(withKey("kb2")))
+		c.Assert(status, qt.Equals, http.StatusOK)
+		h = seen.last()
+		c.Check(h[testNames.Team], qt.IsNil)
+		c.Check(fmt.Sprint(h), qt.Not(qt.Contains), "kb")
+	}
+}
+
+func TestRequestsWithoutAGoodKeyRunNowhere(t *testing.T) {
+	c := qt.New(t)
+	s := teamSite(t, 1, 2, 5*time.Second)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kr1")
+	for name, h := range map[string]http.Header{
+		"none": {}, "unknown": withKey("nobody"), "empty": withKey(""), "twice": withKey("kr1", "kr1"),
+		"other scheme": {testNames.Key: {"Bearer kr1"}}, "no scheme": {testNames.Key: {"kr1"}},
+		"long": withKey(strings.Repeat("k", 9000)), "blank behind": withKey("kr1 "), "two": withKey("kr1 kb1"), "comma": withKey("kr1,kb1"),
+	} {
+		id := strings.ReplaceAll(name, " ", "-")
+		status, header := s.send(0, "/read/x?key=kr1", id, h)
+		if name == "blank behind" { // the protocol takes blanks off the end of a header
+			c.Check(status, qt.Equals, http.StatusOK)
+			continue
+		}
+		c.Check(status, qt.Equals, http.StatusUnauthorized, qt.Commentf("%s", name))
+		c.Check(header.Get("Retry-After"), qt.Equals, "")
+		c.Check(slices.Contains(s.allRan(), id), qt.IsFalse)
+	}
+	status, _ := s.send(0, "/open/x", "public", http.Header{})
+	c.Check(status, qt.Equals, http.StatusOK)
+}
+
+func TestAKeyThatPassesOnAndTeamsThatGo(t *testing.T) {
+	c := qt.New(t)
+	s := teamSite(t, 1, 2, 5*time.Second)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	var seen seenHeaders
+	s.handleAll(seen.note)
+	s.store.put(teamState(2, func(st *desired.State) {
+		st.Teams[0].Keys = []desired.Key{"kb2"}
+		st.Teams[1].Keys = []desired.Key{"kr1", "kb1"}
+	}))
+	s.settled(2)
+	status, _ := s.send(0, "/read/x", "moved", withKey("kb1"))
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(seen.last()[testNames.Team], qt.DeepEquals, []string{"red"})
+	s.store.put(teamState(3, func(st *desired.State) { st.Teams = nil }))
+	s.settled(3)
+	s.until("keys of no team are refused", func() bool {
+		status, _ := s.send(0, "/read/x", "gone", withKey("kr1"))
+		return status == http.StatusUnauthorized
+	})
+}
+
+// A store that falls silent, to all or to some, lets no key pass for longer than the bound; keys pass again soon after it is back,
+// and public routes are served all the while.
+func TestKeysFailClosedWhileTheStoreIsSilent(t *testing.T) {
+	c := qt.New(t)
+	const revoke = 1500 * time.Millisecond
+	s := teamSite(t, 2, 2, revoke)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	for _, n := range s.nodes {
+		s.store.turnAway(n.ip, true)
+	}
+	s.store.put(teamState(2, func(st *desired.State) { st.Teams[0].Keys = nil }))
+	confirmed := time.Now()
+	served := 0
+	for time.Since(confirmed) < 2*revoke {
+		for i := range s.nodes {
+			sent := time.Now()
+			id := fmt.Sprint("r", i, sent.UnixNano())
+			status, _ := s.send(i, "/read/x", id, withKey("kb1"))
+			late := sent.Sub(confirmed) > revoke
+			c.Assert(late && status == http.StatusOK, qt.IsFalse, qt.Commentf("node %d served the key %v after it was taken away", i, sent.Sub(confirmed)))
+			c.Assert(status, qt.Not(qt.Equals), http.StatusUnauthorized)
+			if status == http.StatusOK {
+				served++
+			}
+			status, _ = s.send(i, "/open/x", id+"p", http.Header{})
+			c.Assert(status, qt.Equals, http.StatusOK)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Check(served > 0, qt.IsTrue) // as late as is safe
+	for _, n := range s.nodes {
+		s.store.turnAway(n.ip, false)
+	}
+	back := time.Now()
+	s.awaitKeys("kr1")
+	c.Check(time.Since(back) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(back)))
+	status, _ := s.send(0, "/read/x", "old", withKey("kb1"))
+	c.Check(status, qt.Equals, http.StatusUnauthorized)
+}
+
+// A node that the store turns away goes on by the proofs of the others.
+func TestANodeThatIsTurnedAwayServesOn(t *testing.T) {
+	c := qt.New(t)
+	const revoke = 1500 * time.Millisecond
+	s := teamSite(t, 2, 3, revoke)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	for _, n := range s.nodes[:3] {
+		s.store.turnAway(n.ip, true) // all of one zone
+	}
+	for end := time.Now().Add(2 * revoke); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i := range s.nodes {
+			status, _ := s.send(i, "/read/x", fmt.Sprint("r", i, time.Now().UnixNano()), withKey("kb1"))
+			c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("node %d", i))
+		}
+	}
+}
+
+// What a team runs stays within its quota over all nodes, and other teams don't notice.
+func TestQuotaOverAllNodes(t *testing.T) {
+	c := qt.New(t)
+	s := teamSite(t, 3, 4, 5*time.Second)
+	s.store.put(teamState(1, func(st *desired.State) {
+		st.Teams[0].Rate, st.Teams[0].Burst = 100, 50
+		st.Teams[1].Rate, st.Teams[1].Burst = 100, 50
+	}))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	time.Sleep(3 * time.Second) // the buckets fill
+	const span = 5 * time.Second
+	var ran, refusedCalm, sent [2]int
+	for begun := time.Now(); time.Since(begun) < span; time.Sleep(time.Millisecond) {
+		due := int(time.Since(begun).Seconds() * 330)
+		for ; sent[0] < due; sent[0]++ {
+			status, h := s.send(sent[0]%len(s.nodes), "/read/x", fmt.Sprint("b", sent[0]), withKey("kb1"))
+			switch status {
+			case http.StatusOK:
+				ran[0]++
+			case http.StatusTooManyRequests:
+				c.Assert(h.Get("Retry-After"), qt.Not(qt.Equals), "")
+			default:
+				t.Fatalf("status %d", status)
+			}
+			if sent[0]%4 == 0 { // 82 a second
+				if status, _ := s.send(sent[0]%len(s.nodes), "/read/x", fmt.Sprint("r", sent[0]), withKey("kr1")); status != http.StatusOK {
+					refusedCalm[0]++
+				}
+			}
+		}
+	}
+	c.Check(ran[0] <= 625, qt.IsTrue, qt.Commentf("%d ran", ran[0]))
+	c.Check(ran[0] >= 475, qt.IsTrue, qt.Commentf("%d ran", ran[0]))
+	c.Check(refusedCalm[0], qt.Equals, 0)
+}
+
+// Keys stand nowhere in what a node writes or shows.
+func TestKeysAreNotShown(t *testing.T) {
+	c := qt.New(t)
+	var log lockedBuffer
+	s := newMemorySite(t)
+	s.log, s.first = &log, true
+	s.tune = func(m *settings.Mesh) { m.StrictRevoke, m.Revoke = true, 2*time.Second }
+	s.add("a", "z", 5)
+	s.store.put(teamState(1, func(st *desired.State) { st.Teams[0].Keys = []desired.Key{"very-secret"} }))
+	s.settled(1)
+	s.awaitKeys("very-secret")
+	s.store.put(teamState(2, func(st *desired.State) {
+		st.Teams[0].Keys, st.Teams[1].Keys = []desired.Key{"very-secret"}, []desired.Key{"very-secret"}
+	}))
+	s.until("the fault is written down", func() bool { return strings.Contains(log.String(), "can't be read") })
+	c.Check(log.String(), qt.Contains, "red key")
+	c.Check(log.String(), qt.Not(qt.Contains), "very-secret")
+	c.Check(fmt.Sprintf("%+v", s.nodes[0].Dump()), qt.Not(qt.Contains), "very-secret")
+	c.Check(s.nodes[0].version(), qt.Equals, int64(1))
+	status, _ := s.send(0, "/read/x", "still", withKey("very-secret"))
+	c.Check(status, qt.Equals, http.StatusOK)
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// Without teams a key is a header like any other.
+func TestWithoutTeamsHeadersPassThrough(t *testing.T) {
+	c := qt.New(t)
+	s := three(t)
+	var seen seenHeaders
+	s.handleAll(seen.note)
+	h := withKey("k")
+	h[testNames.Team] = []string{"x"}
+	status, _ := s.send(0, "/read/x", "plain", h)
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(seen.last()[testNames.Key], qt.DeepEquals, h[testNames.Key])
+	c.Check(seen.last()[testNames.Team], qt.DeepEquals, []string{"x"})
+}
+
+func BenchmarkIdentify(b *testing.B) {
+	for _, keys := range []int{0, 1, 100_000} {
+		b.Run(fmt.Sprint(keys, " keys"), func(b *testing.B) {
+			st := desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, "a")}}
+			for i := range keys {
+				st.Teams = append(st.Teams, desired.Team{Name: fmt.Sprint("t", i), Keys: []desired.Key{desired.Key(fmt.Sprint("k", i))}})
+			}
+			state, err := desired.New(st)
+			qt.Assert(b, err, qt.IsNil)
+			n := &Node{names: testNames, cfg: settings.Settings{Mesh: &settings.Mesh{}}}
+			r, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h/read/x", nil)
+			r.Header = withKey("k0")
+			b.ReportAllocs()
+			for range b.N {
+				if _, refusal := n.identify(r, state, &state.Routes[0]); refusal != nil {
+					b.Fatal(refusal)
+				}
+			}
+		})
+	}
+}
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -34,6 +34,7 @@
 	first   bool                       // the whole system starts for the first time
 	clocks  map[string]*suspendedClock // of the VMs that have one of their own
 	log     io.Writer
+	tune    func(m *settings.Mesh) // changes the settings of the nodes, if set
 }
 
 var siteCount atomic.Int64
@@ -110,6 +111,9 @@
 		Listen: settings.Listen{Peers: s.at(f.ip, 0), Outbound: s.at(f.ip, 1), Control: s.at(f.ip, 2), Ready: s.at(f.ip, 2)},
 		Mesh:   &settings.Mesh{Grace: 6 * time.Second, Apply: 3 * time.Second, FirstStart: s.first}, Seeds: s.seeds,
 	}
+	if s.tune != nil {
+		s.tune(cfg.Mesh)
+	}
 	cfg.Fill()
 	n, err := New(Options{
 		Settings: cfg, Names: testNames, Store: s.store.seam(f.ip), Decode: decodeTestState, Network: s.wire(),
--- /dev/null
+++ b/pkg/quota/quota_test.go
@@ -0,0 +1,312 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// theirs is what the operator of the tests lets pass beyond a limit.
+var theirs = Rules{Window: 5 * time.Second, Excess: 0.1, Slack: 20, Zones: 3}
+
+// fleet is nodes in made-up time that ask owners for tokens, as the nodes of a mesh do.
+type fleet struct {
+	rules Rules
+	limit Limit
+	now   time.Time
+	nodes []*fleetNode
+	cut   map[int]bool  // zones that are cut off from the others
+	late  time.Duration // after which nodes learn who they hear, at the most
+	views []lateView
+	ran   []time.Time
+}
+
+type fleetNode struct {
+	host  string
+	zone  int
+	pool  Pool
+	owner Owner
+	dead  bool
+	alone bool // cut off from all others
+}
+
+// lateView is a node that learns at a time whom it hears.
+type lateView struct {
+	at   time.Time
+	node *fleetNode
+}
+
+const team = "t"
+
+func newFleet(rules Rules, limit Limit, perZone int) *fleet {
+	f := &fleet{rules: rules, limit: limit, now: time.Unix(1000, 0), cut: map[int]bool{}}
+	for zone := range rules.Zones {
+		for i := range perZone {
+			f.nodes = append(f.nodes, &fleetNode{host: fmt.Sprintf("10.%d.0.%d", zone, i), zone: zone, owner: Owner{Rules: rules}})
+		}
+	}
+	for _, n := range f.nodes {
+		f.look(n, 0)
+	}
+	return f
+}
+
+// pass lets time go by.
+func (f *fleet) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	views := f.views
+	f.views = nil
+	for _, v := range views {
+		if v.at.After(f.now) {
+			f.views = append(f.views, v)
+			continue
+		}
+		f.look(v.node, Settle)
+	}
+}
+
+// hears tells whether one node hears another.
+func (f *fleet) hears(a, b *fleetNode) bool {
+	switch {
+	case a == b:
+		return true
+	case a.dead || b.dead || a.alone || b.alone:
+		return false
+	}
+	return a.zone == b.zone || !f.cut[a.zone] && !f.cut[b.zone]
+}
+
+// elect has each node choose the owners among those that it hears, each at a time of its own.
+func (f *fleet) elect() {
+	for i, n := range f.nodes {
+		f.views = append(f.views, lateView{f.now.Add(f.late * time.Duration(i*7%10) / 10), n})
+	}
+	f.pass(0)
+}
+
+// look has a node choose the owners.
+func (f *fleet) look(n *fleetNode, wait time.Duration) {
+	var alive []string
+	known := 0
+	for _, o := range f.nodes {
+		if o.zone != n.zone {
+			continue
+		}
+		known++
+		if f.hears(n, o) {
+			alive = append(alive, o.host)
+		}
+	}
+	ring := Owners(alive)
+	n.owner.Elect(f.now, func(shard int) bool { return ring[shard] == n.host }, float64(len(alive))/float64(known), wait)
+}
+
+// kill starts a node anew: it has lost all that it knew.
+func (f *fleet) kill(n *fleetNode) { n.pool, n.owner = Pool{}, Owner{Rules: f.rules} }
+
+// ask sends a request to a node; it reports whether it ran.
+func (f *fleet) ask(n *fleetNode) bool {
+	if n.dead {
+		return false
+	}
+	ok, want := n.pool.Take(f.now, team)
+	if !ok {
+		tokens := f.askOwners(n, want)
+		n.pool.Put(f.now, team, tokens)
+		ok = tokens > 0
+	}
+	if ok {
+		f.ran = append(f.ran, f.now)
+	}
+	return ok
+}
+
+// askOwners asks the owner of the own zone and then those of the others.
+func (f *fleet) askOwners(n *fleetNode, want int) int {
+	for i := range f.rules.Zones {
+		zone := (n.zone + i) % f.rules.Zones
+		name := fmt.Sprint(zone)
+		if !n.pool.MayHave(f.now, team, name) {
+			continue
+		}
+		for _, o := range f.nodes {
+			if o.zone != zone || !f.hears(n, o) || !o.owner.Owns(team) {
+				continue
+			}
+			if zone != n.zone {
+				want = 1
+			}
+			g := o.owner.Grant(f.now, team, f.limit, want, zone != n.zone)
+			if g.Tokens > 0 {
+				return g.Tokens
+			}
+			n.pool.Nothing(team, name, f.now.Add(g.Wait))
+		}
+	}
+	return 0
+}
+
+// mostIn returns the most that ran in any window.
+func (f *fleet) mostIn(window time.Duration) int {
+	most, first := 0, 0
+	for i, t := range f.ran {
+		for t.Sub(f.ran[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// allowed is the stated bound of a window.
+func (f *fleet) allowed() float64 {
+	return (f.limit.Rate*f.rules.Window.Seconds()+f.limit.Burst)*(1+f.rules.Excess) + f.rules.Slack
+}
+
+// What runs in a window stays within the bound, whatever is cut off from what, killed, started anew or sent.
+func TestNoWindowHasMoreThanItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: float64(rapid.IntRange(10, 400).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 400).Draw(t, "burst"))}
+		f := newFleet(theirs, limit, rapid.IntRange(1, 8).Draw(t, "nodes a zone"))
+		f.late = Settle
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				f.kill(n)
+				f.elect()
+			case 1:
+				n.alone = !n.alone
+				f.elect()
+			case 2:
+				f.cut[n.zone] = !f.cut[n.zone]
+				f.elect()
+			case 3:
+				n.dead = !n.dead
+				f.elect()
+			case 4, 5:
+				for range rapid.IntRange(1, 300).Draw(t, "at once") {
+					f.ask(n)
+				}
+			default:
+				for i := range rapid.IntRange(1, 300).Draw(t, "spread") {
+					f.ask(f.nodes[i%len(f.nodes)])
+					f.pass(time.Duration(rapid.IntRange(0, 8).Draw(t, "ms")) * time.Millisecond)
+				}
+			}
+			f.pass(time.Duration(rapid.IntRange(0, 800).Draw(t, "pause ms")) * time.Millisecond)
+		}
+		if most := f.mostIn(theirs.Window); float64(most) > f.allowed() {
+			t.Fatalf("%d ran in a window, at most %.0f may", most, f.allowed())
+		}
+	})
+}
+
+// play sends a rate evenly, from node to node, and returns the share that ran.
+func (f *fleet) play(rate float64, span time.Duration, next func(i int) *fleetNode) float64 {
+	sent, ran := 0, 0
+	for end := f.now.Add(span); f.now.Before(end); sent++ {
+		if f.ask(next(sent)) {
+			ran++
+		}
+		f.pass(time.Duration(float64(time.Second) / rate))
+	}
+	return float64(ran) / float64(sent)
+}
+
+func TestATeamBelowItsLimitIsNeverRefused(t *testing.T) {
+	for _, limit := range []Limit{{10, 10}, {40, 40}, {310, 310}, {100, 50}} {
+		for name, next := range map[string]func(f *fleet) func(i int) *fleetNode{
+			"in turn":  func(f *fleet) func(int) *fleetNode { return func(i int) *fleetNode { return f.nodes[i%len(f.nodes)] } },
+			"one node": func(f *fleet) func(int) *fleetNode { return func(int) *fleetNode { return f.nodes[1] } },
+			"one zone": func(f *fleet) func(int) *fleetNode { return func(i int) *fleetNode { return f.nodes[i%20] } },
+		} {
+			f := newFleet(theirs, limit, 20)
+			f.now = f.now.Add(10 * time.Second)
+			served := f.play(0.9*limit.Rate, 30*time.Second, next(f))
+			qt.Check(t, served, qt.Equals, 1.0, qt.Commentf("%v %s", limit, name))
+		}
+	}
+}
+
+func TestATeamFarOverItsLimitGetsIt(t *testing.T) {
+	c := qt.New(t)
+	for _, limit := range []Limit{{10, 10}, {40, 40}, {310, 310}, {100, 50}} {
+		f := newFleet(theirs, limit, 20)
+		f.now = f.now.Add(10 * time.Second)
+		served := f.play(7.5*limit.Rate, 30*time.Second, func(i int) *fleetNode { return f.nodes[i%len(f.nodes)] })
+		c.Check(served*7.5 >= 0.95, qt.IsTrue, qt.Commentf("%v: %.3f of the limit", limit, served*7.5))
+		c.Check(float64(f.mostIn(theirs.Window)) <= f.allowed(), qt.IsTrue, qt.Commentf("%v", limit))
+	}
+}
+
+func TestAFallenLimitBindsAtOnce(t *testing.T) {
+	f := newFleet(theirs, Limit{100, 50}, 4)
+	all := func(i int) *fleetNode { return f.nodes[i%len(f.nodes)] }
+	f.now = f.now.Add(10 * time.Second)
+	f.play(330, 5*time.Second, all)
+	f.limit = Limit{20, 10}
+	f.now = f.now.Add(HoldTime)
+	f.ran = nil
+	f.play(330, 20*time.Second, all)
+	qt.Check(t, float64(f.mostIn(theirs.Window)) <= f.allowed(), qt.IsTrue)
+}
+
+func TestACutZoneHasItsPart(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(theirs, Limit{100, 50}, 4)
+	f.now = f.now.Add(10 * time.Second)
+	f.cut[0] = true
+	f.elect()
+	served := f.play(100.0/3*0.9, 10*time.Second, func(i int) *fleetNode { return f.nodes[i%4] })
+	c.Check(served, qt.Equals, 1.0)
+}
+
+func TestOwnersMoveOnlyWithTheirNode(t *testing.T) {
+	c := qt.New(t)
+	hosts := []string{"a", "b", "c", "d"}
+	before, after := Owners(hosts), Owners(hosts[:3])
+	for shard, owner := range before {
+		if owner != "d" {
+			c.Check(after[shard], qt.Equals, owner)
+		}
+	}
+	c.Check((*Ring)(nil).Of(team), qt.Equals, "")
+	c.Check(Owners(nil).Of(team), qt.Equals, "")
+}
+
+func TestWhatLapsedIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	var p Pool
+	now := time.Unix(1000, 0)
+	ok, _ := p.Take(now, team)
+	c.Assert(ok, qt.IsFalse)
+	p.Put(now, team, 3)
+	ok, _ = p.Take(now.Add(HoldTime/2), team)
+	c.Assert(ok, qt.IsTrue)
+	ok, _ = p.Take(now.Add(HoldTime), team)
+	c.Assert(ok, qt.IsFalse)
+}
+
+func BenchmarkTokenInHand(b *testing.B) {
+	var p Pool
+	now := time.Unix(1000, 0)
+	p.Put(now, team, 1<<40)
+	b.ReportAllocs()
+	for range b.N {
+		p.Take(now, team)
+	}
+}
+
+func BenchmarkGrant(b *testing.B) {
+	o := Owner{Rules: theirs}
+	now := time.Unix(1000, 0)
+	o.Elect(now, func(int) bool { return true }, 1, 0)
+	b.ReportAllocs()
+	for i := range b.N {
+		o.Grant(now.Add(time.Duration(i)*time.Millisecond), team, Limit{310, 310}, 1, false)
+	}
+}
--- a/pkg/settings/mesh_settings.go
+++ b/pkg/settings/mesh_settings.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/poison"
@@ -14,6 +15,17 @@
 	RetryRatio  float64       `yaml:"retryRatio,omitempty"`  // repeats a service may see, as a share of its requests
 	RetrySlack  float64       `yaml:"retrySlack,omitempty"`  // repeats beyond that share in one window
 	RetryWindow time.Duration `yaml:"retryWindow,omitempty"` // window of both
+	// StrictRevoke tells that no request runs with a key that was taken away, once it was sent later than Revoke after the confirmation
+	// of the desired state that took it away, whatever the node can reach.
+	StrictRevoke bool          `yaml:"strictRevoke,omitempty"`
+	Revoke       time.Duration `yaml:"revoke,omitempty"`
+	// QuotaWindow is the time over which a team's requests are counted; without it quotas aren't kept. QuotaExcess is the share of
+	// what the quota allows in a window that may run beyond it, and QuotaSlack how many requests beyond that.
+	QuotaWindow time.Duration `yaml:"quotaWindow,omitempty"`
+	QuotaExcess float64       `yaml:"quotaExcess,omitempty"`
+	QuotaSlack  float64       `yaml:"quotaSlack,omitempty"`
+	// Zones are the availability zones among which each quota is divided.
+	Zones []string `yaml:"zones,omitempty"`
 	// PeerPort is the port at which the other nodes are reached, if it isn't the one that this node binds.
 	PeerPort   int       `yaml:"peerPort,omitempty"`
 	FirstStart bool      `yaml:"firstStart,omitempty"` // the whole system starts for the first time
@@ -38,6 +50,37 @@
 // maxHeld is the longest time that a request may be held back.
 const maxHeld = 24 * time.Hour
 
+// The bounds of the settings about teams.
+const (
+	// leastRevoke is the shortest time within which keys can be taken away: a proof takes some calls between nodes.
+	leastRevoke = time.Second
+	// leastQuotaWindow is the shortest time over which requests are counted: some times that for which nodes have tokens in hand.
+	leastQuotaWindow = time.Second
+	maxQuotaExcess   = 10.0
+)
+
+// teams checks the settings about keys and quotas.
+func (c *checker) teams(zone string, m *Mesh) {
+	if m.StrictRevoke && (m.Revoke < leastRevoke || m.Revoke > time.Hour) {
+		c.fail("mesh.revoke", "%v must be %v to 1h, with a unit, where mesh.strictRevoke is set", m.Revoke, leastRevoke)
+	}
+	if m.QuotaExcess < 0 || m.QuotaExcess > maxQuotaExcess {
+		c.fail("mesh.quotaExcess", "%v must be 0 to %v", m.QuotaExcess, maxQuotaExcess)
+	}
+	if m.QuotaSlack < 0 {
+		c.fail("mesh.quotaSlack", "%v must not be negative", m.QuotaSlack)
+	}
+	if m.QuotaWindow == 0 {
+		return
+	}
+	if m.QuotaWindow < leastQuotaWindow || m.QuotaWindow > time.Hour {
+		c.fail("mesh.quotaWindow", "%v must be %v to 1h, with a unit, or left out", m.QuotaWindow, leastQuotaWindow)
+	}
+	if !slices.Contains(m.Zones, zone) {
+		c.fail("mesh.zones", "%v must have this VM's zone %q, since quotas are divided among the zones", m.Zones, zone)
+	}
+}
+
 // heldBack checks them.
 func (c *checker) heldBack(h HoldTimes) {
 	for _, d := range []struct {
@@ -104,6 +147,7 @@
 			c.fail(d.field, "%v must be above 0 and at most 1h, with a unit", d.v)
 		}
 	}
+	c.teams(s.Zone, m)
 	if m.RetryRatio < 0 || m.RetryRatio > 1 {
 		c.fail("mesh.retryRatio", "%v must be 0 to 1", m.RetryRatio)
 	}
--- a/pkg/wire/outcome.go
+++ b/pkg/wire/outcome.go
@@ -37,6 +37,10 @@
 	ReasonHeldBack   Reason = "held-back"      // servers ended under the same request
 	ReasonSuspect    Reason = "suspect"        // a server ended under the same request, which is tried by itself
 	ReasonNoRoute    Reason = "no-route"       // no route matches the request
+	ReasonNoKey      Reason = "no-key"         // the request has no key of a team
+	ReasonOldState   Reason = "old-state"      // the desired state may be too old to let a key pass
+	ReasonQuota      Reason = "quota"          // the team is over its quota
+	ReasonNoOwner    Reason = "no-owner"       // nobody who knows the team's quota can be reached
 )
 
 // Elsewhere tells whether the refusal speaks of one backend server only, so that another may be tried.
