The store that comes back from a copy: cursors have an era, what was lost is written again, an old state proves nothing

Cause: a store that comes back from a copy gives versions out again. A feed that goes on from a version of before misses the change that is written under it later, and the records of VMs that were stored since are gone until they change.

Change: a Cursor names the era of its version, and one of another era has the state read whole. The newest era goes with the exchanges; when it rises a node writes its record, what was learned and what is held back again.

Without the comparison of eras the stand-in's test of cursors fails; without the writing again the test of records finds none.

--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -135,6 +135,7 @@
 		return nil
 	}
 	n.peer(m.From).alive(n.clock.Now(), m.Stopping)
+	n.noteEra(m.From, m.Era)
 	switch {
 	case m.Version <= n.version(): // a state of which it is known that it isn't newer needn't be read
 	case len(m.State) > 0:
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -36,6 +36,8 @@
 	Held  uint64        `codec:"h,omitempty"`
 	// Wants tells that the sender asks for the desired state.
 	Wants bool `codec:"w,omitempty"`
+	// Era is the newest of the store that the sender knows of: nodes that don't read the store write again what it lost.
+	Era int64 `codec:"n,omitempty"`
 	// Brief tells that the message has only such news, and is answered as briefly.
 	Brief bool `codec:"b,omitempty"`
 }
@@ -80,7 +82,7 @@
 	m := message{
 		From: n.ip, Zone: n.cfg.Zone, Version: n.version(), Stopping: n.stop.leaving(), Zones: n.ownZone(now),
 		Digest: n.control.directory.Digest(), Records: n.control.news.recent(now),
-		Unlearned: n.unlearned(now), Held: n.heldDigest(now),
+		Unlearned: n.unlearned(now), Held: n.heldDigest(now), Era: n.era.era.Load(),
 	}
 	n.watch.with(func(w *follow.Watch) { m.Age, m.Sure = w.Age(now) })
 	if zone == n.cfg.Zone {
--- a/pkg/mesh/fake_store_test.go
+++ b/pkg/mesh/fake_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	mu      sync.Mutex
 	state   []byte
 	version int64
+	era     int64
+	backup  func()
 	changed chan struct{}
 	records map[string]directory.Record
 	learned map[string]loads.Learned
@@ -31,7 +34,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{calls: map[storeCall]int{}, changed: make(chan struct{}), records: map[string]directory.Record{}, learned: map[string]loads.Learned{}, held: map[string]HeldBack{}}
+	return &fakeStore{calls: map[storeCall]int{}, era: 1, changed: make(chan struct{}), records: map[string]directory.Record{}, learned: map[string]loads.Learned{}, held: map[string]HeldBack{}}
 }
 
 type storeDownError struct{}
@@ -73,23 +76,47 @@
 // seam returns the calls as a VM makes them.
 func (s *fakeStore) seam(vm string) Store {
 	return Store{
-		ReadState: func(ctx context.Context) ([]byte, int64, error) {
+		ReadState: func(ctx context.Context) ([]byte, Cursor, error) {
 			if s.turnsAway(vm) {
-				return nil, 0, storeDownError{}
+				return nil, Cursor{}, storeDownError{}
 			}
 			return s.readState(ctx)
 		},
-		FollowState: func(ctx context.Context, after int64) ([]byte, int64, error) {
+		FollowState: func(ctx context.Context, after Cursor) ([]byte, Cursor, error) {
 			data, next, err := s.followState(ctx, after)
 			if s.turnsAway(vm) {
-				return nil, 0, storeDownError{}
+				return nil, Cursor{}, storeDownError{}
 			}
 			return data, next, err
 		},
 		ReadRecords: s.readRecords, RecordParts: fakeParts, WriteRecord: s.writeRecord, WriteLearned: s.writeLearned, WriteHeld: s.writeHeld,
+		Era: s.eraNow,
 	}
 }
 
+// copy keeps what the store has; comeBack puts it in place of what it has then.
+func (s *fakeStore) copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, version, records, learned := s.state, s.version, maps.Clone(s.records), maps.Clone(s.learned)
+	s.backup = func() { s.state, s.version, s.records, s.learned = state, version, records, learned }
+}
+
+func (s *fakeStore) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup()
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) eraNow() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // turnAway has the VM get no answer about the desired state, or answers again.
 func (s *fakeStore) turnAway(vm string, away bool) {
 	s.mu.Lock()
@@ -118,36 +145,38 @@
 	return n
 }
 
-func (s *fakeStore) readState(context.Context) ([]byte, int64, error) {
+func (s *fakeStore) readState(context.Context) ([]byte, Cursor, error) {
 	s.pause()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[readStateCall]++
 	if s.down {
-		return nil, 0, storeDownError{}
+		return nil, Cursor{}, storeDownError{}
 	}
-	return s.state, s.version, nil
+	return s.state, Cursor{s.era, s.version}, nil
 }
 
-func (s *fakeStore) followState(ctx context.Context, after int64) ([]byte, int64, error) {
+func (s *fakeStore) followState(ctx context.Context, after Cursor) ([]byte, Cursor, error) {
 	s.mu.Lock()
 	s.calls[followStateCall]++
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		changed, down := s.changed, s.down
-		data, v := s.state, s.version
+		data, v := s.state, Cursor{s.era, s.version}
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, storeDownError{}
-		case v > after:
+			return nil, Cursor{}, storeDownError{}
+		case v.Era != after.Era || v.Version < after.Version:
+			return nil, Cursor{}, &HistoryGoneError{After: after}
+		case v.Version > after.Version:
 			return data, v, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Cursor{}, ctx.Err()
 		}
 	}
 }
@@ -184,6 +213,13 @@
 	return out, nil
 }
 
+// stored returns how many records are there.
+func (s *fakeStore) stored() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records)
+}
+
 // writes returns how often a record was written.
 func (s *fakeStore) writes() int {
 	s.mu.Lock()
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -36,8 +36,6 @@
 	// reads only since nobody tells it anything: where the store is down for all, the followers find out when it is back.
 	aloneRetryFirst = 600 * time.Millisecond
 	aloneRetryMost  = 3 * time.Second
-	// readWhole in place of a version: the whole state has to be read first.
-	readWhole = -1
 )
 
 // followState keeps the desired state as new as the store tells, where it isn't kept so by others.
@@ -45,12 +43,12 @@
 	if !n.beginFollowing(ctx) {
 		return
 	}
-	next := int64(readWhole)
+	var next *Cursor // nil: the whole state has to be read first
 	var wait backoff
 	for ctx.Err() == nil {
 		follows, chosen := n.followsNow()
 		if !follows {
-			next = readWhole
+			next = nil
 			clock.Sleep(ctx, followPoll)
 			continue
 		}
@@ -62,7 +60,7 @@
 			clock.Sleep(ctx, followPoll) // what changes meanwhile is told at once; others may be known by then
 			continue
 		}
-		next = readWhole
+		next = nil
 		n.noteFollowing(err)
 		t.sleep(ctx, jitter(wait.next(followRetries(chosen))))
 	}
@@ -120,14 +118,14 @@
 	n.controlLog.Warn("desired state not followed", "err", err)
 }
 
-// followOnce makes one call and returns the version to go on from.
-func (n *Node) followOnce(ctx context.Context, t storeTry, next int64) (int64, error) {
+// followOnce makes one call and returns from where to go on.
+func (n *Node) followOnce(ctx context.Context, t storeTry, next *Cursor) (*Cursor, error) {
 	var data []byte
-	var after int64
+	var after Cursor
 	kind, span, read := readStateCall, storeCallTime, n.store.ReadState
-	if next != readWhole {
+	if next != nil {
 		kind, span = followStateCall, followTime
-		read = func(ctx context.Context) ([]byte, int64, error) { return n.store.FollowState(ctx, next) }
+		read = func(ctx context.Context) ([]byte, Cursor, error) { return n.store.FollowState(ctx, *next) }
 	}
 	sent, own := clock.Boot(n.clock), n.version()
 	err := n.callStore(ctx, t, kind, span, func(ctx context.Context) (err error) {
@@ -144,7 +142,7 @@
 	if kind == readStateCall {
 		n.proven(sent, own, data)
 	}
-	return after, nil
+	return &after, nil
 }
 
 // takeState puts a newer desired state in force; one that can't be read leaves the last good one.
--- a/pkg/mesh/keep_held.go
+++ b/pkg/mesh/keep_held.go
@@ -21,7 +21,11 @@
 // keepHeld stores what is held back of the requests for the own service, from one of its nodes.
 func (n *Node) keepHeld(ctx context.Context) {
 	var stored uint64
+	var era int64
 	for clock.Sleep(ctx, jitter(keepHeldPeriod)) {
+		if now := n.era.era.Load(); now != era {
+			era, stored = now, 0 // what was written may be lost
+		}
 		held := n.heldOf(n.cfg.Service)
 		digest := digestOf(held)
 		if digest == stored || !n.storesForService() {
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -29,7 +29,11 @@
 // keepLearned stores what was learned of the own service's runs, from one of its nodes.
 func (n *Node) keepLearned(ctx context.Context) {
 	var stored loads.Learned
+	var era int64
 	for clock.Sleep(ctx, jitter(keepPeriod)) {
+		if now := n.era.era.Load(); now != era {
+			era, stored = now, loads.Learned{} // what was written may be lost
+		}
 		if !n.storesForService() {
 			continue
 		}
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -27,12 +27,14 @@
 
 // Store is what a node needs of the platform's store. Each call has its deadline from the context.
 type Store struct {
-	// ReadState returns the newest desired state as it was written, nil if there is none, and the
-	// version of the store from which changes are to be followed.
-	ReadState func(ctx context.Context) (data []byte, next int64, err error)
-	// FollowState waits for a change after the version; data is nil if there was none in time. The error
+	// ReadState returns the newest desired state as it was written, nil if there is none, and from where changes are to
+	// be followed.
+	ReadState func(ctx context.Context) (data []byte, next Cursor, err error)
+	// FollowState waits for a change after the cursor; data is nil if there was none in time. The error
 	// is a *HistoryGoneError if the state must be read again.
-	FollowState func(ctx context.Context, after int64) (data []byte, next int64, err error)
+	FollowState func(ctx context.Context, after Cursor) (data []byte, next Cursor, err error)
+	// Era returns the newest era of the store that any answer told; nil: the store has no eras.
+	Era func() int64
 	// ReadRecords returns the records of VMs, and what was learned of the runs of each service, from the given parts, at
 	// once, or from all where none is given.
 	ReadRecords func(ctx context.Context, parts ...int) (Stored, error)
@@ -46,6 +48,13 @@
 	WriteHeld func(ctx context.Context, h HeldBack) error
 }
 
+// Cursor is a place in the store's history. Versions of different eras say nothing of each other: a store that came back from a
+// copy gives out those that it has lost again.
+type Cursor struct {
+	Era     int64
+	Version int64
+}
+
 // Stored is what the store keeps for nodes.
 type Stored struct {
 	Records []directory.Record
@@ -55,8 +64,8 @@
 	Unread []error
 }
 
-// HistoryGoneError reports that the store has forgotten what changed since a version.
-type HistoryGoneError struct{ After int64 }
+// HistoryGoneError reports that the store doesn't know what changed since a cursor.
+type HistoryGoneError struct{ After Cursor }
 
 // Error says so.
 func (e *HistoryGoneError) Error() string { return "the store's history is gone" }
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -24,6 +24,7 @@
 	{"peers_aside_total", "counter", "", "Times that a peer was set aside since it failed."},
 	{"store_calls_total", "counter", "call", "Calls to the store, by kind; reading all records is several calls."},
 	{"store_errors_total", "counter", "", "Calls to the store that failed."},
+	{"store_eras_total", "counter", "", "Times that the store came back from a copy."},
 	{"state_version", "gauge", "", "Desired state in force."},
 	{"servers_known", "gauge", "", "Backend servers that take work, as known here."},
 	{"gate_running", "gauge", "", "Requests in progress at the server on this VM."},
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -41,6 +41,7 @@
 	proofs    stateProofs
 	quotas    teamQuotas
 	roles     atomic.Pointer[teamRoles]
+	era       storeEra
 	knowledge knowledge
 	view      atomic.Pointer[view]
 	started   time.Time
--- a/pkg/mesh/prove_state.go
+++ b/pkg/mesh/prove_state.go
@@ -142,6 +142,9 @@
 		version = s.Version
 		n.takeState("store", data)
 	}
+	if !n.provesNow(sent) {
+		return
+	}
 	if version < own {
 		n.controlLog.Warn("the store has an older desired state than the one in force", "version", version, "own", own)
 		return
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -81,6 +81,9 @@
 	}
 }
 
+// lost notes that the store may have lost the record: it is written again.
+func (w *recordWriter) lost() { w.found(0) }
+
 // askWrite has the record looked at.
 func (w *recordWriter) askWrite() {
 	select {
--- /dev/null
+++ b/pkg/mesh/store_era_test.go
@@ -0,0 +1,77 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
+)
+
+// What the system wrote since the copy is written again by itself.
+func TestRecordsAreWrittenAgainAfterTheStoreCameBack(t *testing.T) {
+	c := qt.New(t)
+	s := newMemorySite(t)
+	s.first = true
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
+	s.store.copy() // before any node has written
+	for i := range 4 {
+		s.add("a", fmt.Sprint("z", i%2), 5)
+	}
+	s.settled(1)
+	s.until("all records are stored", func() bool { return s.store.stored() == 4 })
+	s.store.comeBack()
+	c.Assert(s.store.stored(), qt.Equals, 0)
+	s.store.put(desired.State{Version: 2, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
+	s.until("all records are stored again", func() bool { return s.store.stored() == 4 })
+	s.settled(2)
+}
+
+// A change that is written under a version that was given out before the store came back is found all the same.
+func TestAChangeUnderAVersionThatWasGivenOutBefore(t *testing.T) {
+	c := qt.New(t)
+	s := newMemorySite(t)
+	s.add("a", "z", 5)
+	put := func(version int64) {
+		s.store.put(desired.State{Version: version, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
+	}
+	put(1)
+	s.settled(1)
+	s.store.copy()
+	put(2)
+	put(3)
+	s.settled(3)
+	s.store.comeBack()
+	put(4) // the store's version of this row is that of the second before
+	s.settled(4)
+	c.Assert(s.nodes[0].version(), qt.Equals, int64(4))
+}
+
+// A store that came back without the state that took a key away doesn't let the key pass again.
+func TestAnOldStateOfTheStoreProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	const revoke = 2 * time.Second
+	s := teamSite(t, 1, 2, revoke)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	s.store.copy()
+	s.store.put(teamState(2, func(st *desired.State) { st.Teams[0].Keys = nil }))
+	s.settled(2)
+	s.store.comeBack()
+	lost := time.Now()
+	for time.Since(lost) < 3*revoke/2 {
+		for i := range s.nodes {
+			status, _ := s.send(i, "/read/x", fmt.Sprint("r", i, time.Now().UnixNano()), withKey("kb1"))
+			c.Assert(status, qt.Not(qt.Equals), http.StatusOK)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	status, _ := s.send(0, "/read/x", "unproven", withKey("kr1"))
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable) // it can't be known whether there is a newer one
+	s.store.put(teamState(2, func(st *desired.State) { st.Teams[0].Keys = nil }))
+	s.awaitKeys("kr1")
+}
