A team's priority goes before the route's: in the plan, in the gates' order

Cause: the plan and the gates knew the priority of the route alone.

Change: reports and the plan go by kind of request, a route and the priority of its teams (not the teams: reports cross zones); a request's rank is that of its team first (desired.State.Rank). Calls of backend servers carry no key: their order at a gate is by age, as before, and by nothing of the team. Without teams every kind is a route and every rank its priority, as before.

--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -75,6 +75,7 @@
 
 	byKey  map[keyDigest]*Team
 	byTeam map[string]*Team
+	ranks  int // priorities of routes: as many as the most that one has, and one
 	byHost map[string]map[string]*Route
 	byName map[string]*Route
 }
@@ -97,6 +98,7 @@
 		}
 		s.byHost[host][r.Prefix] = r
 		s.byName[r.Name] = r
+		s.ranks = max(s.ranks, r.Priority+1)
 	}
 	if err := s.indexTeams(); err != nil {
 		return nil, err
@@ -118,6 +120,15 @@
 	return s.byName[route].Priority
 }
 
+// Rank returns where requests of a route stand whose team has a priority: that of the team goes before the route's. Without teams it
+// is the route's own.
+func (s *State) Rank(route string, teamPriority int) int {
+	if s == nil || !s.HasRoute(route) {
+		return lowest
+	}
+	return teamPriority*s.ranks + s.Priority(route)
+}
+
 // Names tells whether the state has a service, or a route that leads to it.
 func (s *State) Names(service string) bool {
 	if s == nil {
--- a/pkg/loads/called_routes.go
+++ b/pkg/loads/called_routes.go
@@ -35,7 +35,8 @@
 // Add counts one report of a zone.
 func (o Origins) Add(zone string, r *Report) {
 	at := Origin{zone, r.Service}
-	for route, e := range r.Entries {
+	for kind, e := range r.Entries {
+		route, _ := SplitKind(kind)
 		if o[route] == nil {
 			o[route] = map[Origin]Entry{}
 		}
--- a/pkg/loads/report.go
+++ b/pkg/loads/report.go
@@ -11,7 +11,8 @@
 	Seq     int64  `json:"q"` // grows within one life
 	Service string `json:"s"`
 	// Room is the slots that the gate fills, less those by which more comes than it lets through.
-	Room    float64          `json:"l"`
+	Room float64 `json:"l"`
+	// Entries are the requests that begin beside the server, by Kind.
 	Entries map[string]Entry `json:"n,omitempty"`
 	Runs    map[string]Run   `json:"r,omitempty"` // started at the server, by route
 	Away    bool             `json:"w,omitempty"` // the server has ended, and has no room until it is heard again
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -12,11 +12,11 @@
 func (n *Node) admit(q *request, left time.Duration) bool {
 	share := overload.Share{Fresh: 1, Returning: 1}
 	if p := n.plan.Load(); p != nil && !n.off[settings.RootAdmission] {
-		if s, ok := p.shares[q.Route]; ok {
+		if s, ok := p.shares[q.kind()]; ok {
 			share = s
 		}
 	}
-	ok, returning := n.stats.admit(n.clock.Now(), q.Route, left, share)
+	ok, returning := n.stats.admit(n.clock.Now(), q.kind(), left, share)
 	if !ok {
 		n.callLog.Info("not admitted", "request", q.id, "route", q.Route, "returning", returning,
 			"fresh_share", round(share.Fresh), "returning_share", round(share.Returning))
--- a/pkg/mesh/admission_log.go
+++ b/pkg/mesh/admission_log.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
@@ -28,16 +29,25 @@
 	}
 	n.control.shown.nextPlan = now.Add(planLogPeriod)
 	demand, costs := demandOf(roots)
-	n.controlLog.Info("admission", "shares", plan.shares, "demand", demand, "costs", costs, "capacity", capacity,
+	n.controlLog.Info("admission", "shares", shownShares(plan.shares), "demand", demand, "costs", costs, "capacity", capacity,
 		"without_cost", missing, "reports", len(n.control.reports), "zones", len(n.otherZones(now)))
 }
 
+// shownShares returns the shares by names for people.
+func shownShares(shares map[string]overload.Share) map[string]overload.Share {
+	shown := make(map[string]overload.Share, len(shares))
+	for kind, s := range shares {
+		shown[loads.ShowKind(kind)] = s
+	}
+	return shown
+}
+
 // withoutCost returns the kinds that are asked for and take nothing by what is known.
 func withoutCost(roots []overload.Root) []string {
 	var routes []string
 	for _, r := range roots {
 		if len(r.Slots) == 0 && r.Fresh+r.Returning >= missedRate {
-			routes = append(routes, r.Route)
+			routes = append(routes, loads.ShowKind(r.Route))
 		}
 	}
 	slices.Sort(routes)
@@ -49,7 +59,7 @@
 	for route, s := range plan.shares {
 		if s.Fresh < 1 || n.control.shown.shares[route] {
 			n.control.shown.shares[route] = true
-			n.metrics.gauge(int64(s.Fresh*1000), "admitted_share", "route", route)
+			n.metrics.gauge(int64(s.Fresh*1000), "admitted_share", "route", loads.ShowKind(route))
 		}
 	}
 }
@@ -59,7 +69,7 @@
 func demandOf(roots []overload.Root) (demand map[string]float64, costs map[string]map[string]float64) {
 	demand, costs = map[string]float64{}, map[string]map[string]float64{}
 	for _, r := range roots {
-		costs[r.Route] = r.Slots
+		costs[loads.ShowKind(r.Route)] = r.Slots
 		for s, cost := range r.Slots {
 			demand[s] += cost * r.Fresh
 		}
--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -12,7 +12,7 @@
 
 // admissionPlan is what requests see of what was learned; it is never changed once published.
 type admissionPlan struct {
-	shares map[string]overload.Share     // by root route
+	shares map[string]overload.Share     // by kind of root request (loads.Kind)
 	inner  map[string]bool               // routes that only backend servers call
 	runs   map[string]map[string]float64 // runs by service of one request of a route, its calls included
 	holds  map[string]time.Duration      // how long one run of a route holds a slot, at any server
@@ -68,49 +68,50 @@
 
 // roots returns the demand for each kind of root request: what is counted, and what can't have been counted yet.
 func (n *Node) roots(now time.Time, reports []*loads.Report, plan *admissionPlan, costs map[string]callgraph.Cost) []overload.Root {
-	byRoute := n.countedRoots(reports, plan, costs)
-	n.control.asked = make(map[string]float64, len(byRoute))
-	for route, r := range byRoute {
-		n.control.asked[route] = r.Fresh
+	byKind := n.countedRoots(reports, plan, costs)
+	n.control.asked = make(map[string]float64, len(byKind))
+	for kind, r := range byKind {
+		n.control.asked[kind] = r.Fresh
 	}
-	if len(byRoute) > 0 {
+	if len(byKind) > 0 {
 		n.control.demand.Reported(now)
 	}
-	for route, missing := range n.control.demand.Missing(now) {
-		if plan.inner[route] {
+	for kind, missing := range n.control.demand.Missing(now) {
+		if plan.inner[routeOf(kind)] {
 			continue
 		}
-		if byRoute[route] == nil {
-			byRoute[route] = n.root(route, costs)
+		if byKind[kind] == nil {
+			byKind[kind] = n.root(kind, costs)
 		}
-		byRoute[route].Fresh += missing
+		byKind[kind].Fresh += missing
 	}
-	roots := make([]overload.Root, 0, len(byRoute))
-	for _, r := range byRoute {
+	roots := make([]overload.Root, 0, len(byKind))
+	for _, r := range byKind {
 		roots = append(roots, *r)
 	}
 	return roots
 }
 
 // root returns a kind of root request for which there is no demand.
-func (n *Node) root(route string, costs map[string]callgraph.Cost) *overload.Root {
-	return &overload.Root{Route: route, Priority: n.state.Load().Priority(route), Slots: costs[route].Slots}
+func (n *Node) root(kind string, costs map[string]callgraph.Cost) *overload.Root {
+	route, team := loads.SplitKind(kind)
+	return &overload.Root{Route: kind, Priority: n.state.Load().Rank(route, team), Slots: costs[route].Slots}
 }
 
 // countedRoots returns the demand that reports tell of.
 func (n *Node) countedRoots(reports []*loads.Report, plan *admissionPlan, costs map[string]callgraph.Cost) map[string]*overload.Root {
-	byRoute := map[string]*overload.Root{}
+	byKind := map[string]*overload.Root{}
 	for _, r := range reports {
-		for route, e := range r.Entries {
-			if plan.inner[route] {
+		for kind, e := range r.Entries {
+			if plan.inner[routeOf(kind)] {
 				continue
 			}
-			if byRoute[route] == nil {
-				byRoute[route] = n.root(route, costs)
+			if byKind[kind] == nil {
+				byKind[kind] = n.root(kind, costs)
 			}
-			byRoute[route].Fresh += e.Fresh
-			byRoute[route].Returning += e.Returning
+			byKind[kind].Fresh += e.Fresh
+			byKind[kind].Returning += e.Returning
 		}
 	}
-	return byRoute
+	return byKind
 }
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -76,14 +76,22 @@
 		if n.control.judged.called[route] {
 			l.Inner = append(l.Inner, route)
 		}
-		if rate := asked[route]; rate > 0 {
-			l.Asked[route] = rate
+	}
+	for kind, rate := range asked {
+		if _, known := calls[routeOf(kind)]; known && rate > 0 {
+			l.Asked[kind] = rate
 		}
 	}
 	slices.Sort(l.Inner)
 	return l
 }
 
+// routeOf returns the route of a kind of request.
+func routeOf(kind string) string {
+	route, _ := loads.SplitKind(kind)
+	return route
+}
+
 // allLearned returns what is known of all services, for a node that knows nothing yet. What is counted of the demand it
 // hears from the reports.
 func (n *Node) allLearned() []loads.Learned {
@@ -117,8 +125,12 @@
 func differ(known, stored loads.Learned) bool {
 	for route, calls := range known.Calls {
 		if differInCalls(calls, stored.Calls[route]) ||
-			differBy(keepHoldChange, known.Times[route].Hold, stored.Times[route].Hold) ||
-			differBy(keepAskedChange, known.Asked[route], stored.Asked[route]) {
+			differBy(keepHoldChange, known.Times[route].Hold, stored.Times[route].Hold) {
+			return true
+		}
+	}
+	for _, kind := range slices.Concat(slices.Collect(maps.Keys(known.Asked)), slices.Collect(maps.Keys(stored.Asked))) {
+		if differBy(keepAskedChange, known.Asked[kind], stored.Asked[kind]) {
 			return true
 		}
 	}
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -46,12 +46,12 @@
 		n.refuseBody(w, r, err)
 		return
 	}
-	n.nameTeam(q, team)
+	n.nameTeam(q, state, team)
 	if a := n.checkQuota(r.Context(), q); a != nil {
 		n.writeFinal(w, q, a)
 		return
 	}
-	n.stats.begins(n.clock.Now(), route.Name, q.clientDeadline)
+	n.stats.begins(n.clock.Now(), q.kind(), q.clientDeadline)
 	if q.Inner {
 		n.stats.called(n.clock.Now(), route.Name, q.clientDeadline)
 	}
--- a/pkg/mesh/repeats.go
+++ b/pkg/mesh/repeats.go
@@ -12,7 +12,7 @@
 	if p == nil || p.runs[q.Route][q.Service] == 0 {
 		return false // what a repeat costs below isn't known
 	}
-	if s, held := p.shares[q.Route]; held && s.Fresh < 1 {
+	if s, held := p.shares[q.kind()]; held && s.Fresh < 1 {
 		return false
 	}
 	return standardOf(n.clock.Now(), n.view.Load().services[q.Service], n.compared()).success >= soundShare
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/loads"
 )
 
 // request is one attempt of a client, or a call of a backend server, on its way through this node.
@@ -30,6 +31,17 @@
 	clientDeadline time.Time
 }
 
+// teamPriority returns the priority of the team whose request it is.
+func (q *request) teamPriority() int {
+	if q.team == nil {
+		return 0
+	}
+	return q.team.Priority
+}
+
+// kind returns under which name the request is counted and planned for.
+func (q *request) kind() string { return loads.Kind(q.Route, q.teamPriority()) }
+
 // bodyError says why a body can't be read.
 type bodyError struct {
 	status int
--- a/pkg/mesh/traffic_entries.go
+++ b/pkg/mesh/traffic_entries.go
@@ -6,24 +6,24 @@
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
-// entryStats counts the requests of one route that begin on this VM.
+// entryStats counts the requests of one kind (loads.Kind) that begin on this VM.
 type entryStats struct {
 	fresh, returning overload.DecayingRate
 	alone            overload.DecayingRate // came while no run was in progress that can have made them
-	longest          time.Duration         // most time that a client of this route ever had left
+	longest          time.Duration         // most time that a client of this kind ever had left
 	mayFresh         overload.Allowance
 	mayReturning     overload.Allowance
 }
 
-// returningShare of the longest time that clients of a route have is the time left below which an attempt
+// returningShare of the longest time that clients of a kind have is the time left below which an attempt
 // is one of a client that was refused before: a first attempt brings the whole time.
 const returningShare = 0.995
 
 // admit counts a request and decides whether it is taken in; the shares are those of its kind.
-func (s *trafficStats) admit(now time.Time, route string, left time.Duration, share overload.Share) (ok, returning bool) {
+func (s *trafficStats) admit(now time.Time, kind string, left time.Duration, share overload.Share) (ok, returning bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.entry(route)
+	e := s.entry(kind)
 	if e.isReturning(left) {
 		e.returning.Add(now, 1)
 		return e.mayReturning.Take(now, share.Returning, &e.returning), true
@@ -32,22 +32,22 @@
 	return e.mayFresh.Take(now, share.Fresh, &e.fresh), false
 }
 
-// entry returns the counts of a route, made if it is new.
-func (s *trafficStats) entry(route string) *entryStats {
-	e := s.entries[route]
+// entry returns the counts of a kind, made if it is new.
+func (s *trafficStats) entry(kind string) *entryStats {
+	e := s.entries[kind]
 	if e == nil {
 		e = &entryStats{}
-		s.entries[route] = e
+		s.entries[kind] = e
 	}
 	return e
 }
 
 // begins notes a request that begins on this VM, with its time limit: it may be a call of a run in progress or not.
-func (s *trafficStats) begins(now time.Time, route string, deadline time.Time) {
+func (s *trafficStats) begins(now time.Time, kind string, deadline time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.learner.MayHaveMade(deadline) {
-		s.entry(route).alone.Add(now, 1)
+		s.entry(kind).alone.Add(now, 1)
 	}
 }
 
--- a/pkg/mesh/traffic_stats.go
+++ b/pkg/mesh/traffic_stats.go
@@ -12,7 +12,7 @@
 // trafficStats counts this node's own traffic.
 type trafficStats struct {
 	mu      sync.Mutex
-	entries map[string]*entryStats
+	entries map[string]*entryStats // by loads.Kind
 	runs    map[string]*runStats
 	// longestCall is the most time that a call of each route had left when it came to the gate.
 	longestCall map[string]*recentMost
@@ -36,10 +36,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := loads.Report{Entries: map[string]loads.Entry{}, Runs: map[string]loads.Run{}}
-	for route, e := range s.entries {
+	for kind, e := range s.entries {
 		f, b := e.fresh.PerSecond(now), e.returning.PerSecond(now)
 		if f+b > leastReported {
-			r.Entries[route] = loads.Entry{Fresh: round(f), Returning: round(b), Alone: round(e.alone.PerSecond(now))}
+			r.Entries[kind] = loads.Entry{Fresh: round(f), Returning: round(b), Alone: round(e.alone.PerSecond(now))}
 		}
 	}
 	for route, x := range s.runs {
--- a/pkg/mesh/who_asks.go
+++ b/pkg/mesh/who_asks.go
@@ -109,8 +109,8 @@
 }
 
 // nameTeam has the backend server see whose request it is, as this node knows it, and neither the key nor what the client says of it.
-func (n *Node) nameTeam(q *request, team *desired.Team) {
-	if !n.needsKeys(n.state.Load()) {
+func (n *Node) nameTeam(q *request, s *desired.State, team *desired.Team) {
+	if !n.needsKeys(s) {
 		return
 	}
 	delete(q.header, n.names.Key)
@@ -121,6 +121,7 @@
 	}
 	if team != nil {
 		q.team = team
+		q.Priority = s.Rank(q.Route, team.Priority)
 		q.header[n.names.Team] = []string{team.Name}
 	}
 }
