Soak: teams, keys that are taken away, a team over its limit, a store that comes back from a copy

Checks: no run by a key later than the bound after it was taken away, no 401 for a key that every state had, no window over the limit, the team's name and never the key at the server.

--- a/pkg/soak/backend_answers.go
+++ b/pkg/soak/backend_answers.go
@@ -18,7 +18,10 @@
 	instance, f := b.state()
 	id := r.Header.Get(standin.Headers.AttemptID)
 	w.Header().Set(standin.Headers.AttemptID, id)
-	a := arrival{ID: id, Service: b.vm.service, Instance: instance, VM: b.vm.ip, At: time.Now()}
+	a := arrival{ID: id, Service: b.vm.service, Instance: instance, VM: b.vm.ip, At: time.Now(), Team: r.Header.Get(standin.Headers.Team)}
+	if r.Header.Get(standin.Headers.Key) != "" {
+		b.history.found("key", id+" showed the server its key")
+	}
 	if meant := r.Header.Get(standin.Headers.Instance); meant != "" && meant != instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -19,6 +19,7 @@
 	vm     *vm
 	client *http.Client
 	rnd    *rand.Rand
+	keys   *rand.Rand // draws the keys: what rnd draws doesn't change with them
 	count  int
 }
 
@@ -41,7 +42,7 @@
 		c.count++
 		a := attempt{
 			ID: fmt.Sprintf("%s-%d-%d", c.vm.service, c.vm.number, c.count), Route: r.path, Service: r.service,
-			Once: r.once, VM: c.vm.ip, Limit: callerLimit, Probe: r.probe,
+			Once: r.once, VM: c.vm.ip, Limit: callerLimit, Probe: r.probe, Key: s.teams.pick(c.keys),
 		}
 		s.asking.Go(func() {
 			a.Begun = time.Now()
@@ -65,6 +66,8 @@
 	req.Host = routeHost
 	req.Header.Set(standin.Headers.AttemptID, a.ID)
 	req.Header.Set(standin.Headers.TimeLeft, strconv.FormatInt(a.Limit.Milliseconds(), 10))
+	req.Header.Set(standin.Headers.Key, standin.Headers.KeyScheme+" "+a.Key.Key)
+	req.Header.Set(standin.Headers.Team, "forged")
 	res, err := c.client.Do(req)
 	if err != nil {
 		return
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -49,6 +49,12 @@
 	{"foreign heartbeats", false, foreignHeartbeats},
 }
 
+// teamFaults came later still.
+var teamFaults = []fault{
+	{"key changed", true, changeKey},
+	{"store comes back from a copy", false, storeComesBack},
+}
+
 // laterPerSecond of them come on average.
 const laterPerSecond = 0.4
 
@@ -77,10 +83,17 @@
 func schedule(seed uint64, span time.Duration) []event {
 	if isPlannedOnly(seed) {
 		planned := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !f.planned })
-		return draw(rand.New(rand.NewPCG(seed, 1)), planned, faultsPerSecond, span)
+		events := draw(rand.New(rand.NewPCG(seed, 1)), planned, faultsPerSecond, span)
+		return inOrder(append(events, draw(rand.New(rand.NewPCG(seed, 3)), teamFaults[:1], laterPerSecond, span)...))
 	}
 	events := draw(rand.New(rand.NewPCG(seed, 1)), faults, faultsPerSecond, span)
 	events = append(events, draw(rand.New(rand.NewPCG(seed, 2)), laterFaults, laterPerSecond, span)...)
+	events = append(events, draw(rand.New(rand.NewPCG(seed, 3)), teamFaults, laterPerSecond, span)...)
+	return inOrder(events)
+}
+
+// inOrder returns the events in order of time.
+func inOrder(events []event) []event {
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return events
 }
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -15,9 +15,10 @@
 	Begun   time.Time
 	Ended   time.Time
 	Limit   time.Duration
-	Status  int  // 0: the connection broke
-	Own     bool // a success that carries the backend server's mark and the whole body
-	Probe   bool // of the desired state, not of the service
+	Status  int     // 0: the connection broke
+	Own     bool    // a success that carries the backend server's mark and the whole body
+	Probe   bool    // of the desired state, not of the service
+	Key     keyLife // that it carries, as of when it was sent
 }
 
 // arrival is a request at a backend server.
@@ -28,6 +29,7 @@
 	VM       string
 	At       time.Time
 	Ran      bool
+	Team     string // as the server was told
 }
 
 // disturbance is a time in which something was done to a VM or to the store.
@@ -54,6 +56,7 @@
 	leaves       []leaving
 	versions     []stateChange
 	broken       []Finding
+	keys         []keyLife // at the end
 }
 
 // stateChange is an acknowledged change of the desired state.
--- a/pkg/soak/promise_checks.go
+++ b/pkg/soak/promise_checks.go
@@ -9,6 +9,7 @@
 // checks judge a run, one promise each.
 var checks = []func(h *history, calmFrom time.Time) []Finding{
 	checkOnce, checkRefusals, checkAnswers, checkLeaving, checkFinalAnswers, checkPlannedWork, checkState, checkRepeats, checkRecovery,
+	checkTeams, checkRevoked, checkSoundKeys, checkQuota,
 }
 
 // The bounds of the checks.
@@ -167,7 +168,8 @@
 	asked, served := 0, 0
 	var examples []string
 	for _, a := range h.attempts {
-		if a.Probe || a.Begun.Before(calmFrom.Add(recoverTime)) {
+		owed := !a.Key.Gone && a.Key.Team != teamHot
+		if a.Probe || !owed || a.Begun.Before(calmFrom.Add(recoverTime)) {
 			continue
 		}
 		asked++
--- a/pkg/soak/site.go
+++ b/pkg/soak/site.go
@@ -54,6 +54,9 @@
 	awayMu sync.Mutex
 	away   map[string]int // servers taken away by planned work, by service
 
+	teams siteTeams
+	keyMu sync.Mutex // held while keys change
+
 	routesMu sync.Mutex
 	routes   []route // besides those that stay
 	version  int64
@@ -63,6 +66,7 @@
 func newSite(o Options) (*site, error) {
 	base := fmt.Sprintf("127.%d.%d.", soakNetwork, o.Network)
 	s := &site{opts: o, storeIP: base + "250", log: slog.New(slog.NewTextHandler(o.Log, nil)).With("seed", o.Seed)}
+	s.teams.init()
 	for i := range o.VMs {
 		v, err := s.newVM(i, base)
 		if err != nil {
@@ -123,6 +127,7 @@
 	for i := range min(seedCount, len(s.vms)) {
 		cfg.Seeds = append(cfg.Seeds, s.vms[i].at(portControl))
 	}
+	tuneTeams(cfg.Mesh)
 	cfg.Fill()
 	return cfg
 }
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -45,7 +45,7 @@
 	defer stop()
 	var callersDone sync.WaitGroup
 	for i, v := range s.vms {
-		c := &caller{vm: v, client: clientFrom(v.ip, callerLimit+lateTime), rnd: rand.New(rand.NewPCG(o.Seed, uint64(i+2)))}
+		c := &caller{vm: v, client: clientFrom(v.ip, callerLimit+lateTime), rnd: rand.New(rand.NewPCG(o.Seed, uint64(i+2))), keys: rand.New(rand.NewPCG(o.Seed, uint64(keyDraws+i)))}
 		callersDone.Go(func() { c.run(callers, o.Rate) })
 	}
 	s.play(ctx, schedule(o.Seed, o.Faulty), begun)
@@ -54,9 +54,13 @@
 	stop()
 	callersDone.Wait()
 	s.asking.Wait() // requests in progress end by themselves
+	s.history.keys = s.teams.all()
 	return s.report(calmFrom), nil
 }
 
+// keyDraws begins the streams of random numbers for keys.
+const keyDraws = 1 << 16
+
 // settleTime is given to the nodes to find each other.
 const settleTime = time.Second
 
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -104,6 +105,23 @@
 			}
 		}},
 		{"recovery", func(h *history) { h.attempts = nil }},
+		{"team", func(h *history) { h.attempts[0].Key = keyLife{Key: "k", Team: teamCalm} }},
+		{"revoked key", func(h *history) {
+			h.attempts[0].Key = keyLife{Key: "k", Team: teamCalm}
+			h.arrivals[0].Team = teamName(teamCalm)
+			h.keys = []keyLife{{Key: "k", To: judged.Add(-revokeTime - time.Second)}}
+		}},
+		{"sound key", func(h *history) {
+			h.attempts[0].Key = keyLife{Key: "k", Team: teamCalm}
+			h.attempts[0].Status, h.attempts[0].Own, h.arrivals = http.StatusUnauthorized, false, nil
+		}},
+		{"quota", func(h *history) {
+			for i := range 100 {
+				id := fmt.Sprint("bill-2-", i)
+				h.addAttempt(attempt{ID: id, Key: keyLife{Key: "k", Team: teamHot}, Begun: judged, Ended: judged, Status: http.StatusOK, Own: true})
+				h.addArrival(arrival{ID: id, Team: teamName(teamHot), At: judged, Ran: true})
+			}
+		}},
 		{"recovery", func(h *history) {
 			h.attempts[0].Status, h.attempts[0].Own = http.StatusServiceUnavailable, false
 			h.arrivals = nil
