--- a/pkg/freshness/schedule.go
+++ b/pkg/freshness/schedule.go
@@ -10,6 +10,9 @@
 	readShare = 0.24
 	// askShare is the time between questions to a node that knows more.
 	askShare = 0.08
+	// firstAsks is how many times more often a node asks that has no proof yet: after a loss of all nodes a reader has the first
+	// some hundredths of a second after the others have asked it.
+	firstAsks = 4
 	// widenShare is the age of a proof from which on nodes of all zones are asked as well.
 	widenShare = 0.4
 	// aloneShare is the age from which on a node that isn't a reader asks the store by itself, after aloneFirstShare more.
@@ -42,14 +45,15 @@
 
 // Next returns what to do now, given the age of the proof in hand.
 func (s *Schedule) Next(now time.Time, age time.Duration, known, reads bool) Action {
+	pause := s.share(askShare)
 	if !known {
-		age = s.Bound
+		age, pause = s.Bound, pause/firstAsks
 	}
 	if s.readsNow(now, age, reads) {
 		s.read = now
 		return Read
 	}
-	if reads && age <= s.share(widenShare) || now.Sub(s.asked) < s.share(askShare) {
+	if reads && age <= s.share(widenShare) || now.Sub(s.asked) < pause {
 		return Wait
 	}
 	s.asked = now
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -19,6 +19,8 @@
 			n.serveExchange(w, r)
 		case proofPath:
 			n.serveProof(w, r)
+		case handoverPath:
+			n.serveHandover(w, r)
 		case quotaPath:
 			n.serveQuota(w, r)
 		default:
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -36,6 +36,11 @@
 		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
 		return
 	}
+	state, route = n.awaitProof(r, state, route)
+	if route == nil {
+		n.noRoute(w, r)
+		return
+	}
 	team, refusal := n.identify(r, state, route)
 	if refusal != nil {
 		n.refuseKey(w, r, route, refusal)
--- a/pkg/mesh/team_quotas.go
+++ b/pkg/mesh/team_quotas.go
@@ -29,8 +29,11 @@
 	return quota.Rules{Window: m.QuotaWindow, Excess: m.QuotaExcess, Slack: m.QuotaSlack, Zones: len(m.Zones)}
 }
 
-// quotaPath is where nodes ask the owner of a team's quota for tokens.
-const quotaPath = "/quota"
+// quotaPath is where nodes ask the owner of a team's quota for tokens, and handoverPath where an owner hands over to the next.
+const (
+	quotaPath    = "/quota"
+	handoverPath = "/quota-handover"
+)
 
 const (
 	// quotaTime bounds a question to an owner: a request waits for it, and an answer takes a few milliseconds at the most, while the owner is well.
@@ -55,11 +58,67 @@
 	Owner  string        `codec:"o"` // who owns the team, if it isn't the node that was asked
 }
 
-// elect takes who owns which teams in the own zone.
-func (t *teamQuotas) elect(now time.Time, host string, ring *quota.Ring, part float64, wait time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.owner.Elect(now, func(shard int) bool { return ring[shard] == host }, part, wait)
+// electOwners takes who owns which teams in the own zone, and hands over what goes to others.
+func (n *Node) electOwners(now time.Time, ring *quota.Ring, part float64) {
+	limits := limitsOf(n.state.Load())
+	n.quotas.mu.Lock()
+	left := n.quotas.owner.Elect(now, func(shard int) bool { return ring[shard] == n.ip }, part, n.quotaWait(now), limits)
+	n.quotas.mu.Unlock()
+	byOwner := make(map[string][]quota.Balance)
+	for _, b := range left {
+		if host := ring.Of(b.Team); host != "" {
+			byOwner[host] = append(byOwner[host], b)
+		}
+	}
+	for host, balances := range byOwner {
+		go n.handOver(host, balances)
+	}
+}
+
+// handOver tells the next owner of some teams what is left of them. What doesn't arrive is lost, and the next one begins with
+// nothing.
+func (n *Node) handOver(host string, balances []quota.Balance) {
+	var taken quotaAnswer
+	if err := n.askNode(context.Background(), host, handoverPath, quotaTime, balances, &taken); err != nil {
+		n.controlLog.Info("quotas not handed over", "peer", host, "teams", len(balances), "err", err)
+	}
+}
+
+// serveHandover takes what another owner hands over.
+func (n *Node) serveHandover(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessage))
+	var balances []quota.Balance
+	if err == nil {
+		err = unpack(data, &balances)
+	}
+	if err != nil {
+		n.controlLog.Warn("question can't be read", "peer", r.RemoteAddr, "path", handoverPath, "err", err)
+		http.Error(w, "not a question", http.StatusBadRequest)
+		return
+	}
+	now, state := n.clock.Now(), n.state.Load()
+	n.quotas.mu.Lock()
+	for _, b := range balances {
+		if team := state.Team(b.Team); team.Limited() && b.Tokens > 0 {
+			n.quotas.owner.Receive(now, b, limitOf(team))
+		}
+	}
+	n.quotas.mu.Unlock()
+	n.answerNode(w, quotaAnswer{})
+}
+
+// limitsOf returns the limits of all teams that have one.
+func limitsOf(s *desired.State) map[string]quota.Limit {
+	limits := make(map[string]quota.Limit)
+	if s == nil {
+		return limits
+	}
+	for i := range s.Teams {
+		if t := &s.Teams[i]; t.Limited() {
+			limits[t.Name] = limitOf(t)
+		}
+	}
+	return limits
 }
 
 // noteSilent notes an owner that didn't answer.
--- a/pkg/mesh/team_roles.go
+++ b/pkg/mesh/team_roles.go
@@ -30,7 +30,7 @@
 	old := &n.control.members
 	own := members.byZone[n.cfg.Zone]
 	if members.known != old.known || !slices.Equal(own, old.byZone[n.cfg.Zone]) {
-		n.quotas.elect(now, n.ip, quota.Owners(own), float64(len(own))/float64(max(members.known, 1)), n.quotaWait())
+		n.electOwners(now, quota.Owners(own), float64(len(own))/float64(max(members.known, 1)))
 	}
 	roles := &teamRoles{rings: make(map[string]*quota.Ring, len(members.byZone)), proofs: n.roles.Load().proofs}
 	for zone, hosts := range members.byZone {
@@ -50,17 +50,17 @@
 const youngZone = 3 * time.Second
 
 // quotaWait returns how long this node waits before it gives out what it comes to own. Where all nodes of the zone were started
-// together nobody owned it before.
-func (n *Node) quotaWait() time.Duration {
+// together nobody has owned it since this one was started, so it has come in since.
+func (n *Node) quotaWait(now time.Time) time.Duration {
 	for _, r := range n.control.reports {
 		if r.Epoch < n.epoch-youngZone.Milliseconds() {
 			return quota.Settle
 		}
 	}
-	if n.clock.Now().Sub(n.started) > youngZone {
+	if now.Sub(n.started) > youngZone {
 		return quota.Settle
 	}
-	return 0
+	return n.started.Sub(now)
 }
 
 // teamMembers returns the nodes of each zone that may have a role: of the own zone those that are heard, of the others
--- a/pkg/mesh/who_asks.go
+++ b/pkg/mesh/who_asks.go
@@ -50,6 +50,22 @@
 	return team, nil
 }
 
+// awaitProof waits a moment, if the node has just started, for the proof without which no key passes; it returns the state in force
+// then, and the route there.
+func (n *Node) awaitProof(r *http.Request, s *desired.State, route *desired.Route) (*desired.State, *desired.Route) {
+	if route.Public || !n.cfg.Mesh.StrictRevoke {
+		return s, route
+	}
+	waited := false
+	for !n.mayPass(s) && n.awaitNews(r.Context()) {
+		s, waited = n.state.Load(), true
+	}
+	if waited {
+		route = s.Match(r.Host, r.RequestURI)
+	}
+	return s, route
+}
+
 // teamOf returns the team of the one key that a request carries, or nil.
 func (n *Node) teamOf(values []string, s *desired.State) *desired.Team {
 	if len(values) != 1 {
--- a/pkg/quota/owner.go
+++ b/pkg/quota/owner.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// lentAbove is the part of a bucket that is kept for the own zone: nodes of others get what lies above it. A team at 0.9 of a limit of 10 a second, all at
@@ -19,6 +22,12 @@
 	Wait   time.Duration // if there are none: when to ask again
 }
 
+// Balance is the tokens of one team that go from one owner to the next.
+type Balance struct {
+	Team   string
+	Tokens int
+}
+
 // Owner holds the buckets of the teams that a node owns. Its zero value owns none; it isn't safe for concurrent use.
 type Owner struct {
 	Rules Rules
@@ -26,15 +35,29 @@
 	since   [Shards]time.Time // from when on the node gives out tokens; zero: it isn't the owner
 	part    float64           // of the zone's tokens that may be given out
 	buckets map[string]*bucket
+	early   map[string]earlyBalance // of teams that the node doesn't own yet
+}
+
+// earlyBalance came before the node knew that it is the owner.
+type earlyBalance struct {
+	tokens int
+	at     time.Time
 }
 
-// Settle is how much later than others a node may learn who owns a team: some rounds of exchanges. A new owner waits for that long, so
-// that it doesn't give out what the one before still gives.
-const Settle = time.Second
+const (
+	// Settle is how much later than others a node may learn who owns a team: some rounds of exchanges. A new owner to whom the one before
+	// hands nothing over waits for that long, so that it doesn't give out what that one still gives.
+	Settle = time.Second
+	// earlyTime is how long tokens are kept that were handed over before the node knew that it is the owner.
+	earlyTime = 3 * time.Second
+)
 
 // Elect takes which shards the node owns, and the part of the zone's nodes that it hears; what it has just come to own it gives
 // out after the wait. What it doesn't own any more is forgotten: if it comes back, it begins with nothing.
-func (o *Owner) Elect(now time.Time, owns func(shard int) bool, part float64, wait time.Duration) {
+//
+// It returns what is left of the teams in shards that go to others, among those that there are, to be handed over.
+func (o *Owner) Elect(now time.Time, owns func(shard int) bool, part float64, wait time.Duration, limits map[string]Limit) []Balance {
+	left := o.leave(now, owns, limits)
 	o.part = part
 	for shard := range o.since {
 		switch {
@@ -44,11 +67,62 @@
 			o.since[shard] = now.Add(wait)
 		}
 	}
+	o.takeEarly(now, limits)
+	return left
+}
+
+// leave forgets the shards that go to others, and returns what is left of their teams.
+func (o *Owner) leave(now time.Time, owns func(shard int) bool, limits map[string]Limit) []Balance {
+	var left []Balance
+	for team, l := range limits {
+		shard := ShardOf(team)
+		if o.since[shard].IsZero() || owns(shard) {
+			continue
+		}
+		b := o.bucket(team)
+		b.fill(now, o.Rules.rate(l)*o.part, o.Rules.depth(l)*o.part)
+		if n := b.take(math.MaxInt32, 0); n > 0 {
+			left = append(left, Balance{team, n})
+		}
+	}
 	for team := range o.buckets {
-		if o.since[ShardOf(team)].IsZero() {
+		if !owns(ShardOf(team)) {
 			delete(o.buckets, team)
 		}
 	}
+	return left
+}
+
+// Receive takes what the owner before hands over: from now on that one gives out nothing of it.
+func (o *Owner) Receive(now time.Time, b Balance, l Limit) {
+	shard := ShardOf(b.Team)
+	if o.since[shard].IsZero() {
+		if o.early == nil {
+			o.early = make(map[string]earlyBalance)
+		}
+		o.early[b.Team] = earlyBalance{b.Tokens, now}
+		return
+	}
+	if o.since[shard].After(now) {
+		o.since[shard] = now
+	}
+	mine := o.bucket(b.Team)
+	if mine.last.After(now) {
+		mine.last = now
+	}
+	mine.level = min(mine.level+float64(b.Tokens), o.Rules.depth(l)*o.part)
+}
+
+// takeEarly takes what came before the node knew that it is the owner.
+func (o *Owner) takeEarly(now time.Time, limits map[string]Limit) {
+	for team, b := range o.early {
+		if o.Owns(team) && now.Sub(b.at) < earlyTime {
+			o.Receive(now, Balance{team, b.tokens}, limits[team])
+		}
+		if o.Owns(team) || now.Sub(b.at) >= earlyTime {
+			delete(o.early, team)
+		}
+	}
 }
 
 // Owns tells whether the node owns the team.
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -31,6 +31,7 @@
 	owner Owner
 	dead  bool
 	alone bool // cut off from all others
+	left  bool // stops in order: it is no member any more, and knows it
 }
 
 // lateView is a node that learns at a time whom it hears.
@@ -92,7 +93,7 @@
 	var alive []string
 	known := 0
 	for _, o := range f.nodes {
-		if o.zone != n.zone {
+		if o.zone != n.zone || o.left {
 			continue
 		}
 		known++
@@ -101,7 +102,15 @@
 		}
 	}
 	ring := Owners(alive)
-	n.owner.Elect(f.now, func(shard int) bool { return ring[shard] == n.host }, float64(len(alive))/float64(known), wait)
+	limits := map[string]Limit{team: f.limit}
+	left := n.owner.Elect(f.now, func(shard int) bool { return ring[shard] == n.host }, float64(len(alive))/float64(max(known, 1)), wait, limits)
+	for _, b := range left {
+		for _, o := range f.nodes {
+			if o.host == ring.Of(team) && f.hears(n, o) {
+				o.owner.Receive(f.now, b, f.limit)
+			}
+		}
+	}
 }
 
 // kill starts a node anew: it has lost all that it knew.
@@ -265,6 +274,25 @@
 	c.Check(served, qt.Equals, 1.0)
 }
 
+// Where nodes leave and join in order, as in a release, a team below its limit is served all the while.
+func TestOwnersThatChangeInOrderHandOver(t *testing.T) {
+	c := qt.New(t)
+	for _, limit := range []Limit{{10, 10}, {310, 310}} {
+		f := newFleet(theirs, limit, 12)
+		f.late = Settle / 2
+		f.now = f.now.Add(10 * time.Second)
+		served := 0.0
+		for i := range 24 {
+			leaver := f.nodes[i+i/8*4] // eight of the twelve of each zone
+			leaver.left = true
+			f.look(leaver, Settle)
+			f.elect()
+			served += f.play(1.1*limit.Rate, time.Second, func(i int) *fleetNode { return f.nodes[8+i%4+i%3*12] }) / 24
+		}
+		c.Check(served > 0.99, qt.IsTrue, qt.Commentf("%v: %.3f", limit, served))
+	}
+}
+
 func TestOwnersMoveOnlyWithTheirNode(t *testing.T) {
 	c := qt.New(t)
 	hosts := []string{"a", "b", "c", "d"}
@@ -304,7 +332,7 @@
 func BenchmarkGrant(b *testing.B) {
 	o := Owner{Rules: theirs}
 	now := time.Unix(1000, 0)
-	o.Elect(now, func(int) bool { return true }, 1, 0)
+	o.Elect(now, func(int) bool { return true }, 1, 0, nil)
 	b.ReportAllocs()
 	for i := range b.N {
 		o.Grant(now.Add(time.Duration(i)*time.Millisecond), team, Limit{310, 310}, 1, false)
