--- a/pkg/mesh/client_connections.go
+++ b/pkg/clientconns/connections.go
@@ -1,4 +1,4 @@
-package mesh
+package clientconns
 
 import (
 	"container/list"
@@ -9,24 +9,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// clientShare of the descriptors that the process may have open are for connections of clients; the rest is for the backend server's, other nodes' and the
-// store's. Above it those that rested longest are closed. Without a bound a flood of clients that open a connection for each try, and keep it,
-// takes all descriptors, and a node that says it is ready takes no new connection until some have rested for idleTime. With a bound of 20, of 60 clients that keep
-// theirs open all are answered and 20 connections stay (test on loopback).
-const clientShare = 0.5
-
-// clientConnections are the open connections of clients. Its zero value has none and no bound.
-type clientConnections struct {
-	most int // 0: no bound
+// Connections are the open connections of clients. Its zero value has none and no bound.
+type Connections struct {
+	// Closed is told how many were closed to make room, if set; it must not be changed once connections come.
+	Closed func(n int)
 
 	mu      sync.Mutex
+	most    int                        // 0: no bound
 	open    map[net.Conn]*list.Element // in resting, or nil while it carries a request
 	resting list.List                  // of net.Conn, the longest first
-	closed  func(n int)                // told how many were closed, if set
 }
 
-// maxDescriptors returns how many descriptors the process may have open, 0 if that isn't known.
-func maxDescriptors() int {
+// MaxDescriptors returns how many descriptors the process may have open, 0 if that isn't known.
+func MaxDescriptors() int {
 	var l unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > 1<<31 {
 		return 0
@@ -34,15 +29,29 @@
 	return int(l.Cur)
 }
 
-// follow takes how a connection stands, as http.Server.ConnState tells it.
-func (c *clientConnections) follow(conn net.Conn, s http.ConnState) {
+// SetMost bounds how many may be open; 0: no bound.
+func (c *Connections) SetMost(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = n
+}
+
+// Open returns how many are open.
+func (c *Connections) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// Follow takes how a connection stands, as http.Server.ConnState tells it.
+func (c *Connections) Follow(conn net.Conn, s http.ConnState) {
 	for _, old := range c.note(conn, s) {
 		_ = old.Close() // it carries nothing
 	}
 }
 
 // note notes it, and returns the connections that have to go.
-func (c *clientConnections) note(conn net.Conn, s http.ConnState) []net.Conn {
+func (c *Connections) note(conn net.Conn, s http.ConnState) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -64,15 +73,15 @@
 }
 
 // beyond takes out those that rested longest while there are too many; c.mu is held.
-func (c *clientConnections) beyond() []net.Conn {
+func (c *Connections) beyond() []net.Conn {
 	var out []net.Conn
 	for c.most > 0 && len(c.open) > c.most && c.resting.Len() > 0 {
 		conn := c.resting.Remove(c.resting.Front()).(net.Conn)
 		delete(c.open, conn)
 		out = append(out, conn)
 	}
-	if len(out) > 0 && c.closed != nil {
-		c.closed(len(out))
+	if len(out) > 0 && c.Closed != nil {
+		c.Closed(len(out))
 	}
 	return out
 }
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -19,12 +19,16 @@
 //   - Requests that end servers (package poison): server_end.go tells that the server on this VM has ended,
 //     suspects.go and suspect_trial.go say where a suspect goes and when it runs, suspect_news.go tells all nodes,
 //     keep_held.go keeps what is held back in the store, held_back_handler.go shows and lifts it.
-//   - The node itself: node.go and mesh_options.go, listeners.go, client_connections.go and network.go,
+//   - The node itself: node.go and mesh_options.go, listeners.go and network.go,
 //     control_loop.go, resumed.go, stop_state.go, dump.go, peer.go, peer_silence.go; node_metrics.go with
 //     metric_table.go and metrics_text.go.
+//   - Who asks, and how much: who_asks.go judges keys and names teams, prove_state.go keeps the proof without which no key passes
+//     (package freshness), team_quotas.go takes requests off their teams' quotas (package quota), team_roles.go says which nodes
+//     do what for both, ask_node.go asks them.
 //   - The store: follow_state.go follows the desired state where package follow says so, and newer_state.go
 //     fetches from peers what they have; record_writer.go, write_records.go and sync_records.go keep the
-//     records of VMs, ask_peers.go spares a restarted node the reading; store_calls.go counts the calls, and
+//     records of VMs, ask_peers.go spares a restarted node the reading; store_era.go writes again
+//     what a store that came back has lost; store_calls.go counts the calls, and
 //     store_watch.go joins what they find.
 //   - Exchanges between nodes: exchange.go, exchange_peers.go, talk_period.go,
 //     exchange_message.go, exchange_zone_loads.go, record_news.go.
--- a/pkg/mesh/listeners.go
+++ b/pkg/mesh/listeners.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/rockspoke/rockspoke/pkg/clientconns"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -27,12 +28,18 @@
 	return servers
 }
 
+// clientShare of the descriptors that the process may have open are for connections of clients; the rest is for the backend server's, other nodes' and the
+// store's. Above it those that rested longest are closed. Without a bound a flood of clients that open a connection for each try, and keep it,
+// takes all descriptors, and a node that says it is ready takes no new connection until some have rested for idleTime. With a bound of 20, of 60 clients that keep
+// theirs open all are answered and 20 connections stay (test on loopback).
+const clientShare = 0.5
+
 // clientServer returns the server for clients and the backend server on this VM.
 func (n *Node) clientServer(addr string) *http.Server {
 	s := n.newServer(addr, n.outboundHandler())
-	n.clients.most = int(clientShare * float64(maxDescriptors()))
-	n.clients.closed = func(closed int) { n.metrics.add(int64(closed), "client_connections_closed_total") }
-	s.ConnState = n.clients.follow
+	n.clients.SetMost(int(clientShare * float64(clientconns.MaxDescriptors())))
+	n.clients.Closed = func(closed int) { n.metrics.add(int64(closed), "client_connections_closed_total") }
+	s.ConnState = n.clients.Follow
 	return s
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
+	"github.com/rockspoke/rockspoke/pkg/clientconns"
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
@@ -60,7 +61,7 @@
 	poison   poison.Table
 	limits   clock.Limits // of requests in progress
 	away     atomic.Bool  // the server on this VM has ended and wasn't heard since
-	clients  clientConnections
+	clients  clientconns.Connections
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
--- a/pkg/mesh/report_own_load.go
+++ b/pkg/mesh/report_own_load.go
@@ -32,6 +32,7 @@
 	own := n.control.own.Record()
 	r.Host, r.Epoch, r.Service = n.ip, n.epoch, own.Service
 	n.logCalls(now, r.Runs)
+	r.Leaving = n.stop.leaving()
 	n.control.reportSeq++
 	r.Seq = n.control.reportSeq
 	n.gateMu.Lock()
--- a/pkg/mesh/team_quotas.go
+++ b/pkg/mesh/team_quotas.go
@@ -159,6 +159,9 @@
 	}
 	asked := clock.Boot(n.clock)
 	tokens, heard := n.askOwners(ctx, q.team, want)
+	for tokens == 0 && !heard && n.awaitNews(ctx) {
+		tokens, heard = n.askOwners(ctx, q.team, 1) // a node that has just started doesn't know the owners yet
+	}
 	n.quotas.mu.Lock()
 	n.quotas.pool.Put(n.clock.Now().Add(-clock.Boot(n.clock).Sub(asked)), q.team.Name, tokens)
 	n.quotas.mu.Unlock()
--- a/pkg/mesh/team_roles.go
+++ b/pkg/mesh/team_roles.go
@@ -70,7 +70,7 @@
 	fresh := now.Sub(n.started) < reportLifeLeast
 	for _, r := range n.control.directory.All() {
 		near := r.Zone == n.cfg.Zone || r.Host == n.ip
-		heard := !near || r.Host == n.ip || n.control.reports[r.Host] != nil || fresh
+		heard := !near || r.Host == n.ip || n.heardOf(now, r.Host) || fresh
 		if near && (r.Phase != directory.Gone || heard) {
 			m.known++
 		}
@@ -85,6 +85,19 @@
 	return m
 }
 
+// memberTime is how long a node that isn't heard any more keeps its role, in exchanges, and memberLeast at the least: what it owns is
+// at nobody's disposal meanwhile. Reports of a node that is well take about a second to reach all of its zone.
+const (
+	memberTime  = 6
+	memberLeast = 2 * time.Second
+)
+
+// heardOf tells whether a node of the own zone was heard lately, and doesn't leave.
+func (n *Node) heardOf(now time.Time, host string) bool {
+	r := n.control.reports[host]
+	return r != nil && !r.Leaving && now.Sub(r.heard) <= max(memberTime*n.calmTalkPeriod(), memberLeast)
+}
+
 // stopsNow tells whether a node is known to be stopping.
 func (n *Node) stopsNow(now time.Time, host string) bool {
 	if host == n.ip {
--- a/pkg/mesh/teams_test.go
+++ b/pkg/mesh/teams_test.go
@@ -368,3 +368,44 @@
 		})
 	}
 }
+
+// An owner that stops in order hands over what is left of its teams, so that the next one needn't wait.
+func TestAnOwnerThatStopsHandsOver(t *testing.T) {
+	c := qt.New(t)
+	s := teamSite(t, 1, 3, 5*time.Second)
+	s.store.put(teamState(1, func(st *desired.State) { st.Teams[0].Rate, st.Teams[0].Burst = 10, 10 }))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	owner := func(n *Node) bool {
+		n.quotas.mu.Lock()
+		defer n.quotas.mu.Unlock()
+		return n.quotas.owner.Owns("blue")
+	}
+	var first, next *Node
+	s.until("one node owns the team", func() bool {
+		owners := 0
+		for _, n := range s.nodes {
+			if owner(n) {
+				first = n
+				owners++
+			}
+		}
+		return owners == 1
+	})
+	time.Sleep(2 * time.Second) // its bucket fills
+	go first.Stop(context.Background())
+	s.until("another node owns the team", func() bool {
+		for _, n := range s.nodes {
+			if n != first && owner(n) {
+				next = n
+				return true
+			}
+		}
+		return false
+	})
+	taken := 0
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end) && taken == 0; time.Sleep(10 * time.Millisecond) {
+		taken = next.grant(&quotaQuestion{Team: "blue", Want: 1, Zone: next.cfg.Zone}).Tokens
+	}
+	c.Check(taken, qt.Equals, 1)
+}
