--- a/pkg/mesh/team_roles.go
+++ b/pkg/mesh/team_roles.go
@@ -30,7 +30,7 @@
 	old := &n.control.members
 	own := members.byZone[n.cfg.Zone]
 	if members.known != old.known || !slices.Equal(own, old.byZone[n.cfg.Zone]) {
-		n.quotas.elect(now, n.ip, quota.Owners(own), float64(len(own))/float64(max(members.known, 1)), n.quotaWait())
+		n.electOwners(now, quota.Owners(own), float64(len(own))/float64(max(members.known, 1)))
 	}
 	roles := &teamRoles{rings: make(map[string]*quota.Ring, len(members.byZone)), proofs: n.roles.Load().proofs}
 	for zone, hosts := range members.byZone {
@@ -50,17 +50,17 @@
 const youngZone = 3 * time.Second
 
 // quotaWait returns how long this node waits before it gives out what it comes to own. Where all nodes of the zone were started
-// together nobody owned it before.
-func (n *Node) quotaWait() time.Duration {
+// together nobody has owned it since this one was started, so it has come in since.
+func (n *Node) quotaWait(now time.Time) time.Duration {
 	for _, r := range n.control.reports {
 		if r.Epoch < n.epoch-youngZone.Milliseconds() {
 			return quota.Settle
 		}
 	}
-	if n.clock.Now().Sub(n.started) > youngZone {
+	if now.Sub(n.started) > youngZone {
 		return quota.Settle
 	}
-	return 0
+	return n.started.Sub(now)
 }
 
 // teamMembers returns the nodes of each zone that may have a role: of the own zone those that are heard, of the others
@@ -70,7 +70,7 @@
 	fresh := now.Sub(n.started) < reportLifeLeast
 	for _, r := range n.control.directory.All() {
 		near := r.Zone == n.cfg.Zone || r.Host == n.ip
-		heard := !near || r.Host == n.ip || n.control.reports[r.Host] != nil || fresh
+		heard := !near || r.Host == n.ip || n.heardOf(now, r.Host) || fresh
 		if near && (r.Phase != directory.Gone || heard) {
 			m.known++
 		}
@@ -85,6 +85,19 @@
 	return m
 }
 
+// memberTime is how long a node that isn't heard any more keeps its role, in exchanges, and memberLeast at the least: what it owns is
+// at nobody's disposal meanwhile. Reports of a node that is well take about a second to reach all of its zone.
+const (
+	memberTime  = 6
+	memberLeast = 2 * time.Second
+)
+
+// heardOf tells whether a node of the own zone was heard lately, and doesn't leave.
+func (n *Node) heardOf(now time.Time, host string) bool {
+	r := n.control.reports[host]
+	return r != nil && !r.Leaving && now.Sub(r.heard) <= max(memberTime*n.calmTalkPeriod(), memberLeast)
+}
+
 // stopsNow tells whether a node is known to be stopping.
 func (n *Node) stopsNow(now time.Time, host string) bool {
 	if host == n.ip {
