--- a/pkg/mesh/resumed_test.go
+++ b/pkg/mesh/resumed_test.go
@@ -24,6 +24,9 @@
 // Now returns the steady time and what is counted of the suspensions.
 func (k *suspendedClock) Now() time.Time { return time.Now().Add(time.Duration(k.counted.Load())) }
 
+// Boot returns the time that goes on while the VM is suspended.
+func (k *suspendedClock) Boot() time.Time { return time.Now().Add(time.Duration(k.stood.Load())) }
+
 // NoteSuspension counts what isn't counted yet.
 func (k *suspendedClock) NoteSuspension() time.Duration {
 	total := k.stood.Load()
--- a/pkg/mesh/teams_test.go
+++ b/pkg/mesh/teams_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
@@ -409,3 +410,34 @@
 	}
 	c.Check(taken, qt.Equals, 1)
 }
+
+// A VM that was suspended lets no key pass on what it knew before, from the first request on, and has no token in hand.
+func TestAfterASuspensionNoKeyPassesOnAnOldProof(t *testing.T) {
+	c := qt.New(t)
+	s := newMemorySite(t)
+	s.first = true
+	s.tune = func(m *settings.Mesh) {
+		m.StrictRevoke, m.Revoke = true, 5*time.Second
+		m.QuotaWindow, m.QuotaExcess, m.QuotaSlack, m.Zones = 5*time.Second, 0.1, 20, []string{"z0"}
+	}
+	k := &suspendedClock{}
+	s.clocks = map[string]*suspendedClock{s.base + "1": k}
+	s.add("a", "z0", 10)
+	s.store.put(teamState(1, func(st *desired.State) { st.Teams[0].Rate, st.Teams[0].Burst = 100, 100 }))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	n := s.nodes[0]
+	n.quotas.mu.Lock()
+	n.quotas.pool.Put(clock.Boot(k), "blue", 5)
+	n.quotas.mu.Unlock()
+	s.store.turnAway(n.ip, true)
+	for i := range 20 { // whoever notices the suspension first
+		k.stood.Add(int64(10 * time.Second))
+		status, _ := s.send(0, "/read/x", fmt.Sprint("after", i), withKey("kb1"))
+		c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+		n.quotas.mu.Lock()
+		inHand, _ := n.quotas.pool.Take(clock.Boot(k), "blue")
+		n.quotas.mu.Unlock()
+		c.Assert(inHand, qt.IsFalse)
+	}
+}
