--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -23,7 +23,8 @@
 //     control_loop.go, resumed.go, stop_state.go, dump.go, peer.go, peer_silence.go; node_metrics.go with
 //     metric_table.go and metrics_text.go.
 //   - Who asks, and how much: who_asks.go judges keys and names teams, prove_state.go keeps the proof without which no key passes
-//     (package freshness), team_quotas.go takes requests off their teams' quotas (package quota), team_roles.go says which nodes
+//     (package freshness), team_quotas.go takes requests off their teams' quotas and quota_owner.go
+//     gives out what this node owns of them (package quota), team_roles.go says which nodes
 //     do what for both, ask_node.go asks them.
 //   - The store: follow_state.go follows the desired state where package follow says so, and newer_state.go
 //     fetches from peers what they have; record_writer.go, write_records.go and sync_records.go keep the
