An owner counts its part of the zone for the time in which it was that part

Cause, found in reading: what has come in since a bucket was last asked for was counted by the part of the zone that its node hears now. One that heard a quarter for a minute and then all was credited with the whole zone's tokens for that minute, beside what others gave out meanwhile.

Change: the buckets are brought up to date before the part changes.

--- a/pkg/quota/owner.go
+++ b/pkg/quota/owner.go
@@ -57,7 +57,8 @@
 //
 // It returns what is left of the teams in shards that go to others, among those that there are, to be handed over.
 func (o *Owner) Elect(now time.Time, owns func(shard int) bool, part float64, wait time.Duration, limits map[string]Limit) []Balance {
-	left := o.leave(now, owns, limits)
+	o.fillOwned(now, limits)
+	left := o.leave(owns, limits)
 	o.part = part
 	for shard := range o.since {
 		switch {
@@ -71,17 +72,24 @@
 	return left
 }
 
+// fillOwned brings all buckets up to date by the part that the node had until now: a node that had a quarter of its zone's tokens while it
+// was cut off mustn't count the whole zone's for that time once it hears the others again.
+func (o *Owner) fillOwned(now time.Time, limits map[string]Limit) {
+	for team, l := range limits {
+		if o.Owns(team) {
+			o.bucket(team).fill(now, o.Rules.rate(l)*o.part, o.Rules.depth(l)*o.part)
+		}
+	}
+}
+
 // leave forgets the shards that go to others, and returns what is left of their teams.
-func (o *Owner) leave(now time.Time, owns func(shard int) bool, limits map[string]Limit) []Balance {
+func (o *Owner) leave(owns func(shard int) bool, limits map[string]Limit) []Balance {
 	var left []Balance
-	for team, l := range limits {
-		shard := ShardOf(team)
-		if o.since[shard].IsZero() || owns(shard) {
+	for team := range limits {
+		if !o.Owns(team) || owns(ShardOf(team)) {
 			continue
 		}
-		b := o.bucket(team)
-		b.fill(now, o.Rules.rate(l)*o.part, o.Rules.depth(l)*o.part)
-		if n := b.take(math.MaxInt32, 0); n > 0 {
+		if n := o.bucket(team).take(math.MaxInt32, 0); n > 0 {
 			left = append(left, Balance{team, n})
 		}
 	}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -293,6 +293,20 @@
 	}
 }
 
+// What came in while a node heard a quarter of its zone is a quarter, also when it hears all again before anybody has asked.
+func TestAPartCountsForTheTimeInWhichItWasOne(t *testing.T) {
+	c := qt.New(t)
+	o := Owner{Rules: theirs}
+	now, limits := time.Unix(1000, 0), map[string]Limit{team: {100, 50}}
+	all := func(int) bool { return true }
+	o.Elect(now, all, 0.25, 0, limits)
+	now = now.Add(time.Minute)
+	o.Elect(now, all, 1, 0, limits)
+	g := o.Grant(now, team, limits[team], 1, false)
+	c.Assert(g.Tokens, qt.Equals, 1)
+	c.Assert(o.buckets[team].level <= theirs.depth(limits[team])/4, qt.IsTrue, qt.Commentf("%v of %v", o.buckets[team].level, theirs.depth(limits[team])))
+}
+
 func TestOwnersMoveOnlyWithTheirNode(t *testing.T) {
 	c := qt.New(t)
 	hosts := []string{"a", "b", "c", "d"}
