A team's rank goes by the place of its priority among those that there are

Cause, found in reading: the rank was the team's priority times the routes' priorities. Teams at 0 and 100 were six seconds apart at a gate, whose order counts 20 ms a step, and a huge number ran over and came first.

Change: the place among the priorities in the state. Nothing changes where priorities are 0 and 1.

--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -73,11 +74,13 @@
 	Teams    []Team // none: requests need no key
 	Limits   Limits
 
-	byKey  map[keyDigest]*Team
-	byTeam map[string]*Team
-	ranks  int // priorities of routes: as many as the most that one has, and one
-	byHost map[string]map[string]*Route
-	byName map[string]*Route
+	byKey map[keyDigest]*Team
+	// teamPriorities are those that teams have, the most urgent first.
+	teamPriorities []int
+	byTeam         map[string]*Team
+	ranks          int // priorities of routes: as many as the most that one has, and one
+	byHost         map[string]map[string]*Route
+	byName         map[string]*Route
 }
 
 // New indexes a state; the error is an *InvalidError.
@@ -120,13 +123,14 @@
 	return s.byName[route].Priority
 }
 
-// Rank returns where requests of a route stand whose team has a priority: that of the team goes before the route's. Without teams it
-// is the route's own.
+// Rank returns where requests of a route stand whose team has a priority: that of the team goes before the route's, and what counts
+// is its place among those that there are, however far apart they are. Without teams it is the route's own.
 func (s *State) Rank(route string, teamPriority int) int {
 	if s == nil || !s.HasRoute(route) {
 		return lowest
 	}
-	return teamPriority*s.ranks + s.Priority(route)
+	place, _ := slices.BinarySearch(s.teamPriorities, teamPriority)
+	return place*s.ranks + s.Priority(route)
 }
 
 // Names tells whether the state has a service, or a route that leads to it.
--- a/pkg/desired/desired_test.go
+++ b/pkg/desired/desired_test.go
@@ -31,6 +31,18 @@
 	c.Assert(s.Priority("nobody") > s.Priority("a"), qt.IsTrue)
 }
 
+// How far apart the priorities of teams are doesn't count: a lag by rank at a gate would else keep the less urgent out for seconds.
+func TestRanksAreClose(t *testing.T) {
+	c := qt.New(t)
+	r := valid("a", "h", "/a/")
+	r.Priority = 2
+	s, err := New(State{Version: 1, Routes: []Route{r}, Teams: []Team{{Name: "x", Priority: 1 << 62}, {Name: "y", Priority: 10}, {Name: "z", Priority: 1 << 62}}})
+	c.Assert(err, qt.IsNil)
+	c.Check(s.Rank("a", 10), qt.Equals, 2)
+	c.Check(s.Rank("a", 1<<62), qt.Equals, 5)
+	c.Check(s.Rank("a", 20), qt.Equals, 5) // of a state that isn't known here
+}
+
 func TestFaultsNameTheField(t *testing.T) {
 	c := qt.New(t)
 	for field, change := range map[string]func(*Route){
--- a/pkg/desired/team.go
+++ b/pkg/desired/team.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"runtime"
+	"slices"
 	"strings"
 )
 
@@ -76,10 +77,13 @@
 			return &InvalidError{"team " + t.Name + " name", t.Name, "stands twice"}
 		}
 		s.byTeam[t.Name] = t
+		s.teamPriorities = append(s.teamPriorities, t.Priority)
 		if err := s.indexKeys(t); err != nil {
 			return err
 		}
 	}
+	slices.Sort(s.teamPriorities)
+	s.teamPriorities = slices.Compact(s.teamPriorities)
 	return nil
 }
 
