New fields of exchanges and reports come last

Cause, found in reading: fields go by their place on the wire, and the era and the word of leaving stood before older ones. Nodes of the release before would have read an era as a truth value and refused every exchange, while one release replaces the other.

Change: both stand last, and a test holds the order.

--- a/pkg/loads/report.go
+++ b/pkg/loads/report.go
@@ -15,8 +15,8 @@
 	// Entries are the requests that begin beside the server, by Kind.
 	Entries map[string]Entry `json:"n,omitempty"`
 	Runs    map[string]Run   `json:"r,omitempty"` // started at the server, by route
-	Leaving bool             `json:"x,omitempty"` // the node stops; told by all, since it may end before most have heard it
 	Away    bool             `json:"w,omitempty"` // the server has ended, and has no room until it is heard again
+	Leaving bool             `json:"x,omitempty"` // the node stops; told by all, since it may end before most have heard it
 }
 
 // Entry is how often requests of a route begin beside one server.
--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -11,7 +11,8 @@
 	"github.com/rockspoke/rockspoke/pkg/poison"
 )
 
-// message is what two nodes tell each other.
+// message is what two nodes tell each other. Fields go by their place on the wire, so new ones come last: nodes of two releases
+// talk to each other while one is replaced by the other.
 type message struct {
 	From     string `codec:"f"`
 	Zone     string `codec:"z"` // the sender's availability zone
@@ -36,10 +37,10 @@
 	Held  uint64        `codec:"h,omitempty"`
 	// Wants tells that the sender asks for the desired state.
 	Wants bool `codec:"w,omitempty"`
-	// Era is the newest of the store that the sender knows of: nodes that don't read the store write again what it lost.
-	Era int64 `codec:"n,omitempty"`
 	// Brief tells that the message has only such news, and is answered as briefly.
 	Brief bool `codec:"b,omitempty"`
+	// Era is the newest of the store that the sender knows of: nodes that don't read the store write again what it lost.
+	Era int64 `codec:"n,omitempty"`
 }
 
 // packedReport is a report as its node wrote it. It is passed on as it is, and read only where it is news:
--- /dev/null
+++ b/pkg/mesh/wire_places_test.go
@@ -0,0 +1,33 @@
+package mesh
+
+import (
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/loads"
+)
+
+// Fields go by their place on the wire. While one release replaces another, nodes of both talk to each other: a field in the midst of the others
+// would have what comes behind it read as something else.
+func TestFieldsKeepTheirPlaceOnTheWire(t *testing.T) {
+	c := qt.New(t)
+	for _, x := range []struct {
+		of    any
+		names []string
+	}{
+		{message{}, []string{
+			"From", "Zone", "Version", "Digest", "Stopping", "Records", "Reports", "Zones", "State", "Unlearned", "Learned", "Sure", "Age",
+			"Ends", "Cases", "Held", "Wants", "Brief", "Era",
+		}},
+		{loads.Report{}, []string{"Host", "Epoch", "Seq", "Service", "Room", "Entries", "Runs", "Away", "Leaving"}},
+	} {
+		typ := reflect.TypeOf(x.of)
+		var names []string
+		for i := range typ.NumField() {
+			names = append(names, typ.Field(i).Name)
+		}
+		c.Check(names, qt.DeepEquals, x.names)
+	}
+}
