A store's era and the time until it proves anything are set at once

Cause, found in reading: the era was raised first and the time after it. A reader whose call ended between the two took an answer of the new era for a proof. The time was kept as nanoseconds since the zero time, which a clock that shows dates overflows.

Change: both under one lock, the time as a time. Test: nothing proves anything from the moment the era is known.

--- a/pkg/mesh/exchange_message.go
+++ b/pkg/mesh/exchange_message.go
@@ -83,7 +83,7 @@
 	m := message{
 		From: n.ip, Zone: n.cfg.Zone, Version: n.version(), Stopping: n.stop.leaving(), Zones: n.ownZone(now),
 		Digest: n.control.directory.Digest(), Records: n.control.news.recent(now),
-		Unlearned: n.unlearned(now), Held: n.heldDigest(now), Era: n.era.era.Load(),
+		Unlearned: n.unlearned(now), Held: n.heldDigest(now), Era: n.era.now(),
 	}
 	n.watch.with(func(w *follow.Watch) { m.Age, m.Sure = w.Age(now) })
 	if zone == n.cfg.Zone {
--- a/pkg/mesh/prove_state.go
+++ b/pkg/mesh/prove_state.go
@@ -142,7 +142,7 @@
 		version = s.Version
 		n.takeState("store", data)
 	}
-	if !n.provesNow(sent) {
+	if !n.era.proves(sent) {
 		return
 	}
 	if version < own {
--- a/pkg/mesh/store_era.go
+++ b/pkg/mesh/store_era.go
@@ -2,7 +2,7 @@
 
 import (
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
@@ -21,8 +21,38 @@
 //   - Records of other VMs, and what was learned and held back elsewhere, when they are read: a record counts by its generation, which
 //     its node makes, so an older one from the copy is no news.
 type storeEra struct {
-	era    atomic.Int64 // 0: none was told yet
-	settle atomic.Int64 // until when the store's answers prove nothing, in nanoseconds of the boot clock's time
+	mu      sync.Mutex
+	number  int64     // 0: none was told yet
+	settled time.Time // until then the store's answers prove nothing, by the boot clock
+}
+
+// now returns the newest era that was told.
+func (e *storeEra) now() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.number
+}
+
+// rise takes an era that was told; it returns the one before if that is how the store came back, and 0 otherwise. Both are set at once: an
+// answer of the new era that is looked at just then mustn't prove anything yet.
+func (e *storeEra) rise(number int64, settled time.Time) (before int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if number <= e.number {
+		return 0
+	}
+	before, e.number = e.number, number
+	if before != 0 {
+		e.settled = settled
+	}
+	return before
+}
+
+// proves tells whether what the store said in answer to a call that was sent then can prove anything.
+func (e *storeEra) proves(sent time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !sent.Before(e.settled)
 }
 
 const (
@@ -36,32 +66,19 @@
 
 // noteEra takes an era that the store or another node told.
 func (n *Node) noteEra(from string, era int64) {
-	for {
-		old := n.era.era.Load()
-		if era <= old {
-			return
-		}
-		if !n.era.era.CompareAndSwap(old, era) {
-			continue
-		}
-		if old != 0 {
-			n.storeCameBack(from, old, era)
-		}
-		return
+	if era <= n.era.now() {
+		return // with every message
+	}
+	settled := clock.Boot(n.clock).Add(time.Duration(eraSettle * float64(n.cfg.Mesh.Revoke)))
+	if before := n.era.rise(era, settled); before != 0 {
+		n.storeCameBack(from, before, era)
 	}
 }
 
 // storeCameBack has all that this node wrote written again.
-func (n *Node) storeCameBack(from string, old, era int64) {
-	settled := clock.Boot(n.clock).Add(time.Duration(eraSettle * float64(n.cfg.Mesh.Revoke)))
-	n.era.settle.Store(settled.Sub(time.Time{}).Nanoseconds())
-	n.controlLog.Warn("the store came back from a copy", "from", from, "era", era, "before", old)
+func (n *Node) storeCameBack(from string, before, era int64) {
+	n.controlLog.Warn("the store came back from a copy", "from", from, "era", era, "before", before)
 	n.metrics.count("store_eras_total")
 	spread := rewriteSpread * time.Duration(max(n.nodes.Load(), 1))
 	time.AfterFunc(rand.N(spread), n.records.lost)
 }
-
-// provesNow tells whether what the store said in answer to a call that was sent then can prove anything.
-func (n *Node) provesNow(sent time.Time) bool {
-	return sent.Sub(time.Time{}).Nanoseconds() >= n.era.settle.Load()
-}
--- a/pkg/mesh/store_era_test.go
+++ b/pkg/mesh/store_era_test.go
@@ -75,3 +75,17 @@
 	s.store.put(teamState(2, func(st *desired.State) { st.Teams[0].Keys = nil }))
 	s.awaitKeys("kr1")
 }
+
+// Once a new era is known nothing that was sent before it has settled proves anything, whoever looks when.
+func TestAnEraAndItsSettlingAreKnownAtOnce(t *testing.T) {
+	c := qt.New(t)
+	var e storeEra
+	at := func(s int) time.Time { return time.Time{}.Add(time.Duration(s) * time.Second) }
+	c.Check(e.rise(1, at(2)), qt.Equals, int64(0)) // the first that was told isn't a return
+	c.Check(e.proves(at(0)), qt.IsTrue)
+	c.Check(e.rise(2, at(12)), qt.Equals, int64(1))
+	c.Check(e.rise(2, at(15)), qt.Equals, int64(0))
+	c.Check(e.proves(at(11)), qt.IsFalse)
+	c.Check(e.proves(at(12)), qt.IsTrue)
+	c.Check(e.now(), qt.Equals, int64(2))
+}
