What the work on teams wrote twice is one piece; what was done twice is done once

Behaviour is meant to stay as it is, but for what is read: a state that the store has and that is in force isn't decoded again, and a new one once instead of twice (proven, takeState); the owners of the own zone are chosen once when nodes come or go, and roles aren't published anew five times a second while none do; other zones are put in an order only where the own one has no token.

One piece for: the POST between nodes and the reading of its answer (exchangeWith, askNode), a question of a node that is read and refused (quotas, hand-over), the end of a peer's time aside (three places), the age of the proof (three places), the answer 429 beside 503; in tests the buffer of the log and the site that serves teams. Names: startUnlessBusy.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -10,13 +10,13 @@
 
 // admit decides whether a root request is taken in.
 func (n *Node) admit(q *request, left time.Duration) bool {
-	share := overload.Share{Fresh: 1, Returning: 1}
+	share, kind := overload.Share{Fresh: 1, Returning: 1}, q.kind()
 	if p := n.plan.Load(); p != nil && !n.off[settings.RootAdmission] {
-		if s, ok := p.shares[q.kind()]; ok {
+		if s, ok := p.shares[kind]; ok {
 			share = s
 		}
 	}
-	ok, returning := n.stats.admit(n.clock.Now(), q.kind(), left, share)
+	ok, returning := n.stats.admit(n.clock.Now(), kind, left, share)
 	if !ok {
 		n.callLog.Info("not admitted", "request", q.id, "route", q.Route, "returning", returning,
 			"fresh_share", round(share.Fresh), "returning_share", round(share.Returning))
--- a/pkg/mesh/ask_node.go
+++ b/pkg/mesh/ask_node.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	p := n.peer(host)
-	res, err := p.pool.Do(ctx, &httpconn.Request{Method: http.MethodPost, URI: path, Host: host, Header: http.Header{}, Body: body})
+	res, err := p.post(ctx, path, body)
 	if err != nil {
 		// Only what can't be reached at all is set aside: a node that is busy for a moment can serve requests all the same.
 		if unsent(err) && ctx.Err() == nil && p.failed(n.clock.Now()) {
@@ -42,8 +42,7 @@
 		}
 		return err
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxShortAnswer))
-	_ = res.Body.Close() // it was read, or err says why not
+	data, err := readAll(res.Body, maxShortAnswer)
 	if err != nil {
 		return err
 	}
@@ -54,6 +53,31 @@
 	return unpack(data, answer)
 }
 
+// post sends a message to the peer.
+func (p *peer) post(ctx context.Context, path string, body []byte) (*httpconn.Response, error) {
+	return p.pool.Do(ctx, &httpconn.Request{Method: http.MethodPost, URI: path, Host: p.host, Header: http.Header{}, Body: body})
+}
+
+// readAll reads a body up to a bound, and closes it.
+func readAll(body io.ReadCloser, most int64) ([]byte, error) {
+	defer body.Close() // it was read, or the error says why not
+	return io.ReadAll(io.LimitReader(body, most))
+}
+
+// readQuestion reads what another node asks; one that can't be read, or isn't sound, is refused.
+func (n *Node) readQuestion(w http.ResponseWriter, r *http.Request, most int64, question any, sound func() bool) bool {
+	data, err := readAll(r.Body, most)
+	if err == nil {
+		err = unpack(data, question)
+	}
+	if err == nil && sound() {
+		return true
+	}
+	n.controlLog.Warn("question can't be read", "peer", r.RemoteAddr, "path", r.URL.Path, "err", err)
+	http.Error(w, "not a question", http.StatusBadRequest)
+	return false
+}
+
 // answerNode answers such a question.
 func (n *Node) answerNode(w http.ResponseWriter, answer any) {
 	body, err := pack(answer)
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/follow"
-	"github.com/rockspoke/rockspoke/pkg/httpconn"
 )
 
 // exchangePath is where nodes talk to each other about control state.
@@ -84,17 +82,14 @@
 	ctx, cancel := context.WithTimeout(ctx, talkTime)
 	defer cancel()
 	p := n.peer(host)
-	res, err := p.pool.Do(ctx, &httpconn.Request{
-		Method: http.MethodPost, URI: exchangePath, Host: host, Header: http.Header{}, Body: body,
-	})
+	res, err := p.post(ctx, exchangePath, body)
 	if err != nil {
 		if p.failed(n.clock.Now()) {
 			n.controlLog.Warn("peer doesn't answer", "peer", host, "err", err)
 		}
 		return false
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxMessage))
-	_ = res.Body.Close() // it was read, or err says why not
+	data, err := readAll(res.Body, maxMessage)
 	if err != nil {
 		n.controlLog.Warn("exchange broke off", "peer", host, "err", err)
 		return false
@@ -104,7 +99,7 @@
 
 // serveExchange answers a peer's message with what this node knows.
 func (n *Node) serveExchange(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessage))
+	data, err := readAll(r.Body, maxMessage)
 	if err != nil {
 		n.controlLog.Debug("exchange broke off", "peer", r.RemoteAddr, "err", err)
 		return
--- a/pkg/mesh/explain_failure_test.go
+++ b/pkg/mesh/explain_failure_test.go
@@ -29,6 +29,12 @@
 	return l.b.Write(p)
 }
 
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // story returns what the logs tell of a request.
 func (l *logBuffer) story(c *qt.C, id string) []trace.Line {
 	return trace.Story(l.lines(c), id)
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -135,29 +136,39 @@
 	if err != nil {
 		return next, err
 	}
-	if data != nil {
-		n.takeState("store", data)
-	}
+	version := n.takeStored(data)
 	n.watch.with(func(w *follow.Watch) { w.Fed(n.clock.Now()) })
 	if kind == readStateCall {
-		n.proven(sent, own, data)
+		n.proven(sent, own, version)
 	}
 	return &after, nil
 }
 
-// takeState puts a newer desired state in force; one that can't be read leaves the last good one.
-func (n *Node) takeState(from string, data []byte) {
+// takeStored takes the desired state that the store has, if there is one, and returns its version, 0 if it can't be read. Most often it is the one in force,
+// which needn't be read again.
+func (n *Node) takeStored(data []byte) int64 {
+	if data == nil {
+		return 0
+	}
+	if s := n.state.Load(); s != nil && bytes.Equal(s.Source, data) {
+		return s.Version
+	}
+	return n.takeState("store", data)
+}
+
+// takeState puts a newer desired state in force, and returns the version of the one that was told; one that can't be read leaves the last good one.
+func (n *Node) takeState(from string, data []byte) int64 {
 	s, err := n.decode(data)
 	if err != nil {
 		n.controlLog.Error("desired state can't be read, the last good one stays", "from", from, "err", err)
-		return
+		return 0
 	}
-	if !n.raiseState(s) {
-		return
+	if n.raiseState(s) {
+		n.forgetTeams(s)
+		n.controlLog.Info("desired state", "version", s.Version, "routes", len(s.Routes), "from", from)
+		n.do(n.announceState)
 	}
-	n.forgetTeams(s)
-	n.controlLog.Info("desired state", "version", s.Version, "routes", len(s.Routes), "from", from)
-	n.do(n.announceState)
+	return s.Version
 }
 
 // raiseState publishes a state unless a newer one is in force.
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -203,11 +203,11 @@
 	}
 	status := http.StatusBadGateway
 	switch {
-	case a.reason == wire.ReasonQuota:
-		status = http.StatusTooManyRequests
-		w.Header().Set("Retry-After", retryAfter(n.comeBack(q, a)))
 	case a.outcome == wire.NotRun:
 		status = http.StatusServiceUnavailable
+		if a.reason == wire.ReasonQuota {
+			status = http.StatusTooManyRequests
+		}
 		w.Header().Set("Retry-After", retryAfter(n.comeBack(q, a)))
 	case a.canceled:
 		status = http.StatusGatewayTimeout
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -131,7 +131,7 @@
 		others: max(int64(r.Running+r.Queued)-p.inflight.Load(), 0),
 		limit:  float64(r.Limit), pace: float64(r.Pace) / 100, success: float64(r.Success) / 100, at: now,
 	}
-	p.failures, p.asideTil, p.silence = 0, time.Time{}, silence{}
+	p.endAside()
 	p.noteStop(now, r.Stopping)
 }
 
@@ -156,7 +156,7 @@
 func (p *peer) alive(now time.Time, stopping bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failures, p.asideTil, p.silence = 0, time.Time{}, silence{}
+	p.endAside()
 	p.noteStop(now, stopping)
 }
 
@@ -164,9 +164,12 @@
 func (p *peer) answered() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failures, p.asideTil, p.silence = 0, time.Time{}, silence{}
+	p.endAside()
 }
 
+// endAside takes the peer for one that was just heard; p.mu is held.
+func (p *peer) endAside() { p.failures, p.asideTil, p.silence = 0, time.Time{}, silence{} }
+
 // failed sets the peer aside for a growing time; it reports whether it was in use before.
 func (p *peer) failed(now time.Time) bool {
 	p.mu.Lock()
--- a/pkg/mesh/prove_state.go
+++ b/pkg/mesh/prove_state.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -62,23 +61,21 @@
 
 // proveNext does what is due.
 func (n *Node) proveNext(ctx context.Context) {
-	now, own, roles := clock.Boot(n.clock), n.version(), n.roles.Load().proofs
-	var age time.Duration
-	var known bool
-	n.proofs.with(func(k *freshness.Keeper) { age, known = k.Age(now, own) })
-	switch n.proofs.schedule.Next(now, age, known, roles.Reads(n.ip)) {
+	roles := n.roles.Load().proofs
+	age, known := n.proofAge()
+	switch n.proofs.schedule.Next(clock.Boot(n.clock), age, known, roles.Reads(n.ip)) {
 	case freshness.Read:
-		n.alone(&n.proofs.reading, func() { n.readProof(ctx) })
+		startUnlessBusy(&n.proofs.reading, func() { n.readProof(ctx) })
 	case freshness.Ask:
-		n.alone(&n.proofs.asking, func() { n.askProof(ctx, n.anyOf(roles.Asked(n.ip))) })
+		startUnlessBusy(&n.proofs.asking, func() { n.askProof(ctx, n.anyOf(roles.Asked(n.ip))) })
 	case freshness.AskWider:
-		n.alone(&n.proofs.asking, func() { n.askProof(ctx, n.anyNode(ctx)) })
+		startUnlessBusy(&n.proofs.asking, func() { n.askProof(ctx, n.anyNode(ctx)) })
 	case freshness.Wait:
 	}
 }
 
-// alone starts a call unless the last one is still on its way.
-func (n *Node) alone(busy *atomic.Bool, call func()) {
+// startUnlessBusy starts a call unless the last one is still on its way.
+func startUnlessBusy(busy *atomic.Bool, call func()) {
 	if !busy.CompareAndSwap(false, true) {
 		return
 	}
@@ -99,7 +96,7 @@
 }
 
 // anyNode returns any other node, or "".
-func (n *Node) anyNode(ctx context.Context) (host string) {
+func (n *Node) anyNode(ctx context.Context) string {
 	var hosts []string
 	if n.ask(ctx, func() {
 		for _, t := range n.talkTargets(announceFanout, anywhere) {
@@ -124,32 +121,31 @@
 		n.controlLog.Debug("no proof from the store", "err", err)
 		return
 	}
-	n.proven(sent, own, data)
+	n.proven(sent, own, n.takeStored(data))
 }
 
-// proven takes what the store had in answer to a call that was sent when a version was in force here. A state that is older than that one proves nothing:
-// the store has lost what it had acknowledged.
-func (n *Node) proven(sent time.Time, own int64, data []byte) {
-	if !n.cfg.Mesh.StrictRevoke || data == nil {
-		return
-	}
-	version := n.version()
-	if s := n.state.Load(); s == nil || !bytes.Equal(s.Source, data) {
-		s, err := n.decode(data)
-		if err != nil {
-			return // followState says so
-		}
-		version = s.Version
-		n.takeState("store", data)
-	}
-	if !n.era.proves(sent) {
-		return
-	}
-	if version < own {
+// proven takes the version that the store had in answer to a call that was sent when another one was in force here; 0: it had none that can be read. One that is
+// older than that one proves nothing: the store has lost what it had acknowledged.
+func (n *Node) proven(sent time.Time, own, version int64) {
+	switch {
+	case !n.cfg.Mesh.StrictRevoke || version == 0 || !n.era.proves(sent):
+	case version < own:
 		n.controlLog.Warn("the store has an older desired state than the one in force", "version", version, "own", own)
-		return
+	default:
+		n.takeProof(freshness.Proof{Version: version, Sent: sent})
 	}
-	n.proofs.with(func(k *freshness.Keeper) { k.Take(freshness.Proof{Version: version, Sent: sent}, n.version()) })
+}
+
+// takeProof takes a proof that the store or another node gave.
+func (n *Node) takeProof(p freshness.Proof) {
+	n.proofs.with(func(k *freshness.Keeper) { k.Take(p, n.version()) })
+}
+
+// proofAge returns how old the proof for the state in force is; known is false if there is none.
+func (n *Node) proofAge() (age time.Duration, known bool) {
+	now, own := clock.Boot(n.clock), n.version()
+	n.proofs.with(func(k *freshness.Keeper) { age, known = k.Age(now, own) })
+	return age, known
 }
 
 // askProof asks a node for its proof. What it says is taken as of when the question was sent: how long the answer was on
@@ -163,9 +159,7 @@
 	if err := n.askNode(ctx, host, proofPath, proofTime, nil, &a); err != nil || a.Version <= 0 || a.Age < 0 {
 		return
 	}
-	n.proofs.with(func(k *freshness.Keeper) {
-		k.Take(freshness.Proof{Version: a.Version, Sent: sent.Add(-a.Age)}, n.version())
-	})
+	n.takeProof(freshness.Proof{Version: a.Version, Sent: sent.Add(-a.Age)})
 	n.noticeVersion(host, a.Version)
 }
 
--- a/pkg/mesh/quota_owner.go
+++ b/pkg/mesh/quota_owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -36,17 +35,10 @@
 
 // serveQuota answers a node that asks for tokens.
 func (n *Node) serveQuota(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxShortAnswer))
-	var question quotaQuestion
-	if err == nil {
-		err = unpack(data, &question)
+	var q quotaQuestion
+	if n.readQuestion(w, r, maxShortAnswer, &q, func() bool { return q.Want >= 1 && q.Want <= maxTokens }) {
+		n.answerNode(w, n.grant(&q))
 	}
-	if err != nil || question.Want < 1 || question.Want > maxTokens {
-		n.controlLog.Warn("question can't be read", "peer", r.RemoteAddr, "path", quotaPath, "err", err)
-		http.Error(w, "not a question", http.StatusBadRequest)
-		return
-	}
-	n.answerNode(w, n.grant(&question))
 }
 
 // grant gives out tokens of a team that this node owns.
@@ -75,11 +67,12 @@
 	return n.ip
 }
 
-// electOwners takes who owns which teams in the own zone, and hands over what goes to others.
+// electOwners takes who owns which teams in the own zone, and hands over what goes to others; without a ring nobody owns any.
 func (n *Node) electOwners(now time.Time, ring *quota.Ring, part float64) {
 	limits := limitsOf(n.state.Load())
+	owns := func(shard int) bool { return ring != nil && ring[shard] == n.ip }
 	n.quotas.mu.Lock()
-	left := n.quotas.owner.Elect(clock.Boot(n.clock), func(shard int) bool { return ring[shard] == n.ip }, part, n.quotaWait(now), limits)
+	left := n.quotas.owner.Elect(clock.Boot(n.clock), owns, part, n.quotaWait(now), limits)
 	n.quotas.mu.Unlock()
 	byOwner := make(map[string][]quota.Balance)
 	for _, b := range left {
@@ -103,14 +96,8 @@
 
 // serveHandover takes what another owner hands over.
 func (n *Node) serveHandover(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessage))
 	var balances []quota.Balance
-	if err == nil {
-		err = unpack(data, &balances)
-	}
-	if err != nil {
-		n.controlLog.Warn("question can't be read", "peer", r.RemoteAddr, "path", handoverPath, "err", err)
-		http.Error(w, "not a question", http.StatusBadRequest)
+	if !n.readQuestion(w, r, maxMessage, &balances, func() bool { return true }) {
 		return
 	}
 	now, state := clock.Boot(n.clock), n.state.Load()
--- a/pkg/mesh/store_era_test.go
+++ b/pkg/mesh/store_era_test.go
@@ -54,10 +54,7 @@
 func TestAnOldStateOfTheStoreProvesNothing(t *testing.T) {
 	c := qt.New(t)
 	const revoke = 2 * time.Second
-	s := teamSite(t, 1, 2, revoke)
-	s.store.put(teamState(1, nil))
-	s.settled(1)
-	s.awaitKeys("kb1")
+	s := servingTeams(t, 1, 2, revoke)
 	s.store.copy()
 	s.store.put(teamState(2, func(st *desired.State) { st.Teams[0].Keys = nil }))
 	s.settled(2)
--- a/pkg/mesh/team_priority_test.go
+++ b/pkg/mesh/team_priority_test.go
@@ -19,8 +19,10 @@
 	n, _ := s.add("a", "z", 10)
 	pay, read := route("pay", desired.Once, "a"), route("read", desired.Repeatable, "a")
 	read.Priority = 2
-	st, err := desired.New(desired.State{Version: 1, Routes: []desired.Route{pay, read},
-		Teams: []desired.Team{{Name: "urgent"}, {Name: "other", Priority: 1}}})
+	st, err := desired.New(desired.State{
+		Version: 1, Routes: []desired.Route{pay, read},
+		Teams: []desired.Team{{Name: "urgent"}, {Name: "other", Priority: 1}},
+	})
 	c.Assert(err, qt.IsNil)
 	n.state.Store(st)
 	report := &loads.Report{Entries: map[string]loads.Entry{
--- a/pkg/mesh/team_quotas.go
+++ b/pkg/mesh/team_quotas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -65,10 +66,13 @@
 // limitOf returns a team's quota.
 func limitOf(t *desired.Team) quota.Limit { return quota.Limit{Rate: t.Rate, Burst: t.Burst} }
 
+// isLimited tells whether a request counts against a quota.
+func (n *Node) isLimited(q *request) bool { return q.team.Limited() && n.quotas.owner.Rules.Kept() }
+
 // checkQuota takes one request off the team's quota; it returns the answer if there is nothing left, or nil. That comes
 // before admission, so that what is over a quota isn't taken for overload.
 func (n *Node) checkQuota(ctx context.Context, q *request) *answer {
-	if !q.team.Limited() || !n.quotas.owner.Rules.Kept() {
+	if !n.isLimited(q) {
 		return nil
 	}
 	asked := clock.Boot(n.clock) // tokens lapse while the VM is suspended, too
@@ -104,7 +108,7 @@
 
 // giveBackQuota returns the token of a request that wasn't let in after all.
 func (n *Node) giveBackQuota(q *request) {
-	if !q.team.Limited() || !n.quotas.owner.Rules.Kept() {
+	if !n.isLimited(q) {
 		return
 	}
 	n.quotas.mu.Lock()
@@ -112,45 +116,43 @@
 	n.quotas.pool.GiveBack(clock.Boot(n.clock), q.team.Name)
 }
 
-// askOwners asks the owner of the own zone for tokens, and those of the others if it has none; heard tells whether one of them
-// has answered, or did so a moment ago.
+// askOwners asks the owner of the own zone for tokens, and those of the others, in an order by chance, if it has none; heard tells
+// whether one of them has answered, or did so a moment ago.
 func (n *Node) askOwners(ctx context.Context, team *desired.Team, want int) (tokens int, heard bool) {
-	for _, zone := range n.zonesNearFirst() {
-		n.quotas.mu.Lock()
-		may := n.quotas.pool.MayHave(clock.Boot(n.clock), team.Name, zone)
-		n.quotas.mu.Unlock()
-		if !may {
-			heard = true
-			continue
-		}
-		if zone != n.cfg.Zone {
-			want = 1 // tokens of other zones are for requests that are there
-		}
-		a, ok := n.askOwner(ctx, zone, team, want)
-		if !ok {
+	tokens, heard = n.askZone(ctx, n.cfg.Zone, team, want)
+	if tokens > 0 {
+		return tokens, true
+	}
+	zones := n.cfg.Mesh.Zones
+	for _, i := range rand.Perm(len(zones)) {
+		if zones[i] == n.cfg.Zone {
 			continue
 		}
-		heard = true
-		if a.Tokens > 0 {
-			return a.Tokens, true
+		// One at a time: tokens of other zones are for requests that are there.
+		tokens, answered := n.askZone(ctx, zones[i], team, 1)
+		heard = heard || answered
+		if tokens > 0 {
+			return tokens, true
 		}
-		n.quotas.mu.Lock()
-		n.quotas.pool.Nothing(team.Name, zone, clock.Boot(n.clock).Add(a.Wait))
-		n.quotas.mu.Unlock()
 	}
 	return 0, heard
 }
 
-// zonesNearFirst returns the availability zones, the own one first and the others in an order by chance.
-func (n *Node) zonesNearFirst() []string {
-	zones := make([]string, 1, len(n.cfg.Mesh.Zones))
-	zones[0] = n.cfg.Zone
-	for _, i := range rand.Perm(len(n.cfg.Mesh.Zones)) {
-		if z := n.cfg.Mesh.Zones[i]; z != n.cfg.Zone {
-			zones = append(zones, z)
-		}
+// askZone asks the owner of one zone, unless it had nothing a moment ago.
+func (n *Node) askZone(ctx context.Context, zone string, team *desired.Team, want int) (tokens int, heard bool) {
+	n.quotas.mu.Lock()
+	may := n.quotas.pool.MayHave(clock.Boot(n.clock), team.Name, zone)
+	n.quotas.mu.Unlock()
+	if !may {
+		return 0, true
+	}
+	a, ok := n.askOwner(ctx, zone, team, want)
+	if ok && a.Tokens == 0 {
+		n.quotas.mu.Lock()
+		n.quotas.pool.Nothing(team.Name, zone, clock.Boot(n.clock).Add(a.Wait))
+		n.quotas.mu.Unlock()
 	}
-	return zones
+	return a.Tokens, ok
 }
 
 // askOwner asks the owner of one zone, and whom that one takes for the owner if it isn't.
@@ -165,7 +167,7 @@
 		if host == "" || !n.peer(host).reachable() || n.quotas.isSilent(n.clock.Now(), host) {
 			return quotaAnswer{}, false
 		}
-		n.metrics.count("quota_questions_total", "near", near(zone == n.cfg.Zone))
+		n.metrics.count("quota_questions_total", "near", strconv.FormatBool(zone == n.cfg.Zone))
 		var a quotaAnswer
 		if err := n.askNode(ctx, host, quotaPath, quotaTime, &question, &a); err != nil {
 			if ctx.Err() == nil {
@@ -180,11 +182,3 @@
 	}
 	return quotaAnswer{}, false
 }
-
-// near names a zone for a metric.
-func near(own bool) string {
-	if own {
-		return "true"
-	}
-	return "false"
-}
--- a/pkg/mesh/team_roles.go
+++ b/pkg/mesh/team_roles.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,24 +27,25 @@
 	if !n.needsKeys(n.state.Load()) {
 		return
 	}
-	members := n.teamMembers(now)
-	old := &n.control.members
-	own := members.byZone[n.cfg.Zone]
-	if members.known != old.known || !slices.Equal(own, old.byZone[n.cfg.Zone]) {
-		n.electOwners(now, quota.Owners(own), float64(len(own))/float64(max(members.known, 1)))
+	members, before := n.teamMembers(now), n.control.members
+	if members.known == before.known && maps.EqualFunc(members.byZone, before.byZone, slices.Equal) {
+		return
 	}
-	roles := &teamRoles{rings: make(map[string]*quota.Ring, len(members.byZone)), proofs: n.roles.Load().proofs}
+	n.control.members = members
+	old := n.roles.Load()
+	roles := &teamRoles{rings: make(map[string]*quota.Ring, len(members.byZone)), proofs: old.proofs}
 	for zone, hosts := range members.byZone {
-		roles.rings[zone] = n.roles.Load().rings[zone]
-		if roles.rings[zone] == nil || !slices.Equal(hosts, old.byZone[zone]) {
+		roles.rings[zone] = old.rings[zone]
+		if !slices.Equal(hosts, before.byZone[zone]) {
 			roles.rings[zone] = quota.Owners(hosts)
 		}
 	}
-	if !slices.Equal(own, old.byZone[n.cfg.Zone]) {
+	own := members.byZone[n.cfg.Zone]
+	if !slices.Equal(own, before.byZone[n.cfg.Zone]) {
 		roles.proofs = freshness.Choose(own)
 	}
+	n.electOwners(now, roles.rings[n.cfg.Zone], float64(len(own))/float64(max(members.known, 1)))
 	n.roles.Store(roles)
-	*old = members
 }
 
 // youngZone is by how much older than this process another one of its zone is that wasn't started together with it.
--- a/pkg/mesh/teams_test.go
+++ b/pkg/mesh/teams_test.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -20,7 +19,7 @@
 )
 
 // teamSite is some nodes in zones, with a store of their own each, that serve teams.
-func teamSite(t testing.TB, zones int, perZone int, revoke time.Duration) *site {
+func teamSite(t testing.TB, zones, perZone int, revoke time.Duration) *site {
 	s := newMemorySite(t)
 	s.first = true
 	var names []string
@@ -98,6 +97,15 @@
 	})
 }
 
+// servingTeams is a teamSite whose nodes let the keys of the first state pass.
+func servingTeams(t testing.TB, zones, perZone int, revoke time.Duration) *site {
+	s := teamSite(t, zones, perZone, revoke)
+	s.store.put(teamState(1, nil))
+	s.settled(1)
+	s.awaitKeys("kb1")
+	return s
+}
+
 // seenHeaders notes the headers that servers get.
 type seenHeaders struct {
 	mu  sync.Mutex
@@ -119,10 +127,7 @@
 
 func TestServersSeeTheTeamAndNeverTheKey(t *testing.T) {
 	c := qt.New(t)
-	s := teamSite(t, 2, 1, 5*time.Second)
-	s.store.put(teamState(1, nil))
-	s.settled(1)
-	s.awaitKeys("kb1")
+	s := servingTeams(t, 2, 1, 5*time.Second)
 	var seen seenHeaders
 	s.handleAll(seen.note)
 	forged := func(h http.Header) http.Header {
@@ -149,10 +154,7 @@
 
 func TestRequestsWithoutAGoodKeyRunNowhere(t *testing.T) {
 	c := qt.New(t)
-	s := teamSite(t, 1, 2, 5*time.Second)
-	s.store.put(teamState(1, nil))
-	s.settled(1)
-	s.awaitKeys("kr1")
+	s := servingTeams(t, 1, 2, 5*time.Second)
 	for name, h := range map[string]http.Header{
 		"none": {}, "unknown": withKey("nobody"), "empty": withKey(""), "twice": withKey("kr1", "kr1"),
 		"other scheme": {testNames.Key: {"Bearer kr1"}}, "no scheme": {testNames.Key: {"kr1"}},
@@ -174,10 +176,7 @@
 
 func TestAKeyThatPassesOnAndTeamsThatGo(t *testing.T) {
 	c := qt.New(t)
-	s := teamSite(t, 1, 2, 5*time.Second)
-	s.store.put(teamState(1, nil))
-	s.settled(1)
-	s.awaitKeys("kb1")
+	s := servingTeams(t, 1, 2, 5*time.Second)
 	var seen seenHeaders
 	s.handleAll(seen.note)
 	s.store.put(teamState(2, func(st *desired.State) {
@@ -201,10 +200,7 @@
 func TestKeysFailClosedWhileTheStoreIsSilent(t *testing.T) {
 	c := qt.New(t)
 	const revoke = 1500 * time.Millisecond
-	s := teamSite(t, 2, 2, revoke)
-	s.store.put(teamState(1, nil))
-	s.settled(1)
-	s.awaitKeys("kb1")
+	s := servingTeams(t, 2, 2, revoke)
 	for _, n := range s.nodes {
 		s.store.turnAway(n.ip, true)
 	}
@@ -242,10 +238,7 @@
 func TestANodeThatIsTurnedAwayServesOn(t *testing.T) {
 	c := qt.New(t)
 	const revoke = 1500 * time.Millisecond
-	s := teamSite(t, 2, 3, revoke)
-	s.store.put(teamState(1, nil))
-	s.settled(1)
-	s.awaitKeys("kb1")
+	s := servingTeams(t, 2, 3, revoke)
 	for _, n := range s.nodes[:3] {
 		s.store.turnAway(n.ip, true) // all of one zone
 	}
@@ -297,7 +290,7 @@
 // Keys stand nowhere in what a node writes or shows.
 func TestKeysAreNotShown(t *testing.T) {
 	c := qt.New(t)
-	var log lockedBuffer
+	var log logBuffer
 	s := newMemorySite(t)
 	s.log, s.first = &log, true
 	s.tune = func(m *settings.Mesh) { m.StrictRevoke, m.Revoke = true, 2*time.Second }
@@ -317,23 +310,6 @@
 	c.Check(status, qt.Equals, http.StatusOK)
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.String()
-}
-
 // Without teams a key is a header like any other.
 func TestWithoutTeamsHeadersPassThrough(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/mesh/who_asks.go
+++ b/pkg/mesh/who_asks.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
@@ -83,12 +82,9 @@
 	if refusal.status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", n.names.KeyScheme)
 	}
-	var age time.Duration
-	var proven bool
-	now, own := clock.Boot(n.clock), n.version()
-	n.proofs.with(func(k *freshness.Keeper) { age, proven = k.Age(now, own) })
+	age, proven := n.proofAge()
 	n.callLog.Info("key refused", "request", r.Header.Get(n.names.AttemptID), "route", route.Name, "reason", refusal.reason,
-		"key", n.fingerprint(r.Header[n.names.Key]), "version", own, "proven", proven, "proof_age", age)
+		"key", n.fingerprint(r.Header[n.names.Key]), "version", n.version(), "proven", proven, "proof_age", age)
 	n.refuseUnrouted(w, r, refusal.reason, refusal.status)
 }
 
