Tests of teams that count by time run in made-up time

The test sent in real time, one request after another: when the machine can't send 412 a second, the inner loop runs on past the 5 s, and the quota rightly gives more for more time. Change: the four tests that count or bound by time (quota over all nodes, keys while the store is silent, nodes turned away, an owner that stops) run in made-up time, same bounds. Sites within the process get a clock whose time since the start is made-up time as well; before, tokens and proofs would have gone by the machine's. Conclusion: the quota holds; the test measured the machine.

--- a/pkg/mesh/resumed_test.go
+++ b/pkg/mesh/resumed_test.go
@@ -33,11 +33,14 @@
 	return time.Duration(total - k.counted.Swap(total))
 }
 
-// clockOf returns the clock of a VM.
+// clockOf returns the clock of a VM. That of a site within the process tells made-up time as the time since the start, too.
 func (s *site) clockOf(ip string) clock.Clock {
 	if k := s.clocks[ip]; k != nil {
 		return k
 	}
+	if s.network != nil {
+		return &suspendedClock{}
+	}
 	return clock.Real{}
 }
 
--- a/pkg/mesh/teams_test.go
+++ b/pkg/mesh/teams_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -197,7 +198,9 @@
 
 // A store that falls silent, to all or to some, lets no key pass for longer than the bound; keys pass again soon after it is back,
 // and public routes are served all the while.
-func TestKeysFailClosedWhileTheStoreIsSilent(t *testing.T) {
+func TestKeysFailClosedWhileTheStoreIsSilent(t *testing.T) { synctest.Test(t, testStoreSilentToAll) }
+
+func testStoreSilentToAll(t *testing.T) {
 	c := qt.New(t)
 	const revoke = 1500 * time.Millisecond
 	s := servingTeams(t, 2, 2, revoke)
@@ -235,7 +238,9 @@
 }
 
 // A node that the store turns away goes on by the proofs of the others.
-func TestANodeThatIsTurnedAwayServesOn(t *testing.T) {
+func TestANodeThatIsTurnedAwayServesOn(t *testing.T) { synctest.Test(t, testNodesTurnedAway) }
+
+func testNodesTurnedAway(t *testing.T) {
 	c := qt.New(t)
 	const revoke = 1500 * time.Millisecond
 	s := servingTeams(t, 2, 3, revoke)
@@ -251,7 +256,9 @@
 }
 
 // What a team runs stays within its quota over all nodes, and other teams don't notice.
-func TestQuotaOverAllNodes(t *testing.T) {
+func TestQuotaOverAllNodes(t *testing.T) { synctest.Test(t, testQuotaOverAllNodes) }
+
+func testQuotaOverAllNodes(t *testing.T) {
 	c := qt.New(t)
 	s := teamSite(t, 3, 4, 5*time.Second)
 	s.store.put(teamState(1, func(st *desired.State) {
@@ -347,7 +354,9 @@
 }
 
 // An owner that stops in order hands over what is left of its teams, so that the next one needn't wait.
-func TestAnOwnerThatStopsHandsOver(t *testing.T) {
+func TestAnOwnerThatStopsHandsOver(t *testing.T) { synctest.Test(t, testOwnerStops) }
+
+func testOwnerStops(t *testing.T) {
 	c := qt.New(t)
 	s := teamSite(t, 1, 3, 5*time.Second)
 	s.store.put(teamState(1, func(st *desired.State) { st.Teams[0].Rate, st.Teams[0].Burst = 10, 10 }))
@@ -370,7 +379,8 @@
 		return owners == 1
 	})
 	time.Sleep(2 * time.Second) // its bucket fills
-	go first.Stop(context.Background())
+	var stopping sync.WaitGroup
+	stopping.Go(func() { c.Check(first.Stop(context.Background()), qt.IsNil) })
 	s.until("another node owns the team", func() bool {
 		for _, n := range s.nodes {
 			if n != first && owner(n) {
@@ -385,6 +395,7 @@
 		taken = next.grant(&quotaQuestion{Team: "blue", Want: 1, Zone: next.cfg.Zone}).Tokens
 	}
 	c.Check(taken, qt.Equals, 1)
+	stopping.Wait()
 }
 
 // A VM that was suspended lets no key pass on what it knew before, from the first request on, and has no token in hand.
