Tests in made-up time tick by function timers and run beside each other

Cause: two whole runs of pkg/mesh with the race detector ended in a crash of the detector itself ("CHECK failed: tsan_rtl.cpp:346", then a SIGSEGV in it) within tests in made-up time. Change: the clock of nodes in made-up time ticks by function timers. Tests in made-up time don't depend on the machine's pace, so they run beside each other. No check was changed. Conclusion: the crash was in the tools, at a place that our tests can leave alone.

--- a/pkg/mesh/capacity_of_services_test.go
+++ b/pkg/mesh/capacity_of_services_test.go
@@ -69,6 +69,7 @@
 // A server ended for good beside its idle node: the plan went on with all of its slots, while the last one of its service turned two calls in five away. Of a
 // day with one of three servers left at its bottom service 0.45 of the requests failed half-way, 0.24 since such a server has no room (one play each).
 func TestAServerThatHasEndedHasNoRoom(t *testing.T) {
+	t.Parallel()
 	for name, busy := range map[string]bool{"with runs": true, "idle": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/mesh/follow_state_test.go
+++ b/pkg/mesh/follow_state_test.go
@@ -75,6 +75,7 @@
 // Every node followed the store by itself: 32 nodes made 32 calls for each change, and at the start each read all four parts of the
 // records and the state.
 func TestAFewNodesFollowTheStoreForTheirZone(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := bigSite(t)
@@ -97,6 +98,7 @@
 
 // Where all followers are lost at the moment of a change, the others find out by themselves, within the bound.
 func TestAChangeComesInForceThoughItsFollowersAreLost(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := bigSite(t)
@@ -117,6 +119,7 @@
 
 // The store turns away just those that follow it for a zone that is cut off from the others, too.
 func TestAChangeComesInForceThoughTheStoreTurnsTheFollowersAway(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := bigSite(t)
@@ -136,6 +139,7 @@
 
 // While the store is down for all, a call of each node every second or so finds it out no sooner than the followers do.
 func TestAStoreThatIsDownIsNotAskedByAll(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := bigSite(t)
@@ -154,6 +158,7 @@
 // A node that was started anew read all records and the state, five calls, though its peers know them. Where its settings name
 // no seeds yet, as they come 0.3 s later on some sites, one part of the records tells it whom to ask.
 func TestARestartedNodeAsksItsPeersBeforeTheStore(t *testing.T) {
+	t.Parallel()
 	for name, calls := range map[string]int{"with seeds": 0, "without": 1} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { testRestartOfOne(t, calls) })
@@ -213,6 +218,7 @@
 
 // See TestAReportThatLapsedIsntTakenAgain.
 func TestDeadNodesAreForgottenInALargeZone(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := bigSite(t)
--- a/pkg/mesh/gone_test.go
+++ b/pkg/mesh/gone_test.go
@@ -14,6 +14,7 @@
 // A client that leaves ends the work all the way down the chain: three services below one another, of which the last one works for as long as it is
 // asked to. Each node hears of it by its connection's end, so the time is that of the ways alone.
 func TestAClientThatLeavesEndsTheWholeChain(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := newMemorySite(t)
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -126,6 +126,7 @@
 
 // Requests that came between the first desired state and what was learned were taken in whatever they cost.
 func TestRequestsWaitForWhatWasLearned(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		n := &Node{clock: clock.Real{}}
--- a/pkg/mesh/many_servers_test.go
+++ b/pkg/mesh/many_servers_test.go
@@ -73,6 +73,7 @@
 // fell on three of its servers the busiest ran 1.66 to 1.69 times the mean, and 1.09 to 1.12 since all are as likely to be
 // looked at (three runs each).
 func TestManySmallServersAreUsedAlike(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := manySite(t)
--- a/pkg/mesh/newer_state_test.go
+++ b/pkg/mesh/newer_state_test.go
@@ -58,6 +58,7 @@
 
 // A state of a thousand routes came from other zones to each node that heard of it there first.
 func TestANewerStateOfAnotherZoneIsLeftToTheFollowers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		a := newAsking()
@@ -73,6 +74,7 @@
 }
 
 func TestANodeThatHasTheStateIsAskedAFewTimes(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		a := newAsking()
@@ -87,6 +89,7 @@
 }
 
 func TestANodeWithoutAStateAsksAnybody(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		a := newAsking()
--- a/pkg/mesh/poison_innocent_test.go
+++ b/pkg/mesh/poison_innocent_test.go
@@ -11,6 +11,7 @@
 
 // The log of a site whose servers end tells which request ran in all of them.
 func TestTheLogTellsWhichRequestRanInEachServerThatEnded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 9, 70*time.Millisecond)
@@ -47,6 +48,7 @@
 // Servers that end for another reason, under a read that many callers send, are no reason to hold it back: five of nine end
 // at once, twice, and nearly all reads are served, whether all ask for the same or a half.
 func TestAPopularRequestIsServedWhileServersEnd(t *testing.T) {
+	t.Parallel()
 	for name, popular := range map[string]int{"all ask for it": 1, "every second one asks for it": 2} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/mesh/poison_request_test.go
+++ b/pkg/mesh/poison_request_test.go
@@ -22,6 +22,7 @@
 // lines `server ended` of this test each names the fingerprint of this request, and no other one stands in all of them
 // (TestTheLogTellsWhichRequestRanInEachServerThatEnded); nothing ends while it isn't asked for.
 func TestARequestThatEndsServersIsHeldBack(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name    string
 		servers int
@@ -67,6 +68,7 @@
 
 // Two poison requests at once are told from each other and from the reads beside them.
 func TestTwoRequestsThatEndServersAreHeldBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 12, 70*time.Millisecond)
@@ -87,6 +89,7 @@
 
 // In a site of many servers each node hears of the ends in time.
 func TestManyServersAreSpared(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 60, 70*time.Millisecond)
@@ -102,6 +105,7 @@
 
 // A request that is held back is so after the loss of all nodes, by the store, and at a node that starts while the store is away, by its peers.
 func TestWhatIsHeldBackOutlastsNodes(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 5, 70*time.Millisecond)
@@ -127,6 +131,7 @@
 
 // While a zone is cut off, no news crosses; each side holds the request back by what it sees, and they agree when the cut has healed.
 func TestEachSideOfACutHoldsBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 12, 70*time.Millisecond)
@@ -146,6 +151,7 @@
 // A call of a run may end servers deep down: the root request comes again and makes the call again, with another id. The call is held back, and
 // the server that made it goes on.
 func TestACallThatEndsServersIsHeldBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 9, 70*time.Millisecond)
@@ -164,6 +170,7 @@
 
 // Who looks after the system sees what is held back and why, by any node, and can have it tried again; not so a caller from another VM.
 func TestWhatIsHeldBackIsShownAndLifted(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := newPoisonSite(t, 5, 70*time.Millisecond)
--- a/pkg/mesh/recovery_test.go
+++ b/pkg/mesh/recovery_test.go
@@ -42,6 +42,7 @@
 // With the calls of runs kept alone, a read was taken for none of its five runs at the bottom one second after the store's
 // return, and for 0.3 to 3.2 of them after two; of what was served before, 0.69 to 0.80 was served in two seconds then.
 func TestRequestsAreServedSoonAfterALossOfAllNodes(t *testing.T) {
+	t.Parallel()
 	for name, silent := range map[string]time.Duration{"the store answers": 0, "the store is silent": 4 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { testLossOfAllNodes(t, silent) })
--- a/pkg/mesh/resumed_test.go
+++ b/pkg/mesh/resumed_test.go
@@ -27,6 +27,31 @@
 // Boot returns the time that goes on while the VM is suspended.
 func (k *suspendedClock) Boot() time.Time { return time.Now().Add(time.Duration(k.stood.Load())) }
 
+// NewTicker ticks by function timers. The runtime isn't ready for the race detector where goroutines of one bubble of made-up time look at
+// channel timers that are due in the same instant: it runs them side by side in one context of the detector, which then crashes.
+func (k *suspendedClock) NewTicker(d time.Duration) (<-chan time.Time, func()) {
+	c := make(chan time.Time, 1)
+	var t *time.Timer
+	var stopped atomic.Bool
+	made := make(chan struct{})
+	t = time.AfterFunc(d, func() {
+		<-made
+		if stopped.Load() {
+			return
+		}
+		t.Reset(d)
+		select {
+		case c <- time.Now():
+		default: // as with any ticker, what isn't taken in time is lost
+		}
+	})
+	close(made)
+	return c, func() {
+		stopped.Store(true)
+		t.Stop()
+	}
+}
+
 // NoteSuspension counts what isn't counted yet.
 func (k *suspendedClock) NoteSuspension() time.Duration {
 	total := k.stood.Load()
@@ -58,6 +83,7 @@
 // A VM was suspended while the desired state changed: by its steady clock the state in force was known to be the newest a moment ago, and requests by the
 // old one were served for as long as it had been suspended and more.
 func TestAfterASuspensionTheStateIsNotTakenForTheNewest(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := newMemorySite(t)
@@ -84,6 +110,7 @@
 
 // What was in progress is ended by the time that its client had, not later by as long as the VM was suspended.
 func TestRequestsLapseWhileAVMIsSuspended(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s, k := suspendableSite(t)
@@ -108,6 +135,7 @@
 
 // Connections that rested while the VM was suspended aren't used again: the other sides have given them up, and a request that may run once would be lost on them.
 func TestConnectionsAreLeftAfterASuspension(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s, k := suspendableSite(t)
--- a/pkg/mesh/store_watch_test.go
+++ b/pkg/mesh/store_watch_test.go
@@ -12,6 +12,7 @@
 // A node that started while the store was silent had its records 0.9 s before its desired state, which it was still
 // waiting for on a call that hung.
 func TestACallThatHangsIsMadeAgainOnceTheStoreAnswers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		var w storeWatch
@@ -35,6 +36,7 @@
 
 // Calls that the store answers don't disturb each other.
 func TestACallIsLeftAloneWhileTheStoreIsWell(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		var w storeWatch
--- a/pkg/mesh/suspect_news_test.go
+++ b/pkg/mesh/suspect_news_test.go
@@ -95,6 +95,7 @@
 
 // A server's node tries a copy alone where its sender knows of two ends in a row, though it doesn't know that itself; who has waited goes by what is known here.
 func TestWhatTheSenderKnowsCountsAtTheServer(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		b := &backend{n: newAsking().Node}
--- a/pkg/mesh/teams_test.go
+++ b/pkg/mesh/teams_test.go
@@ -198,7 +198,10 @@
 
 // A store that falls silent, to all or to some, lets no key pass for longer than the bound; keys pass again soon after it is back,
 // and public routes are served all the while.
-func TestKeysFailClosedWhileTheStoreIsSilent(t *testing.T) { synctest.Test(t, testStoreSilentToAll) }
+func TestKeysFailClosedWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testStoreSilentToAll)
+}
 
 func testStoreSilentToAll(t *testing.T) {
 	c := qt.New(t)
@@ -238,7 +241,10 @@
 }
 
 // A node that the store turns away goes on by the proofs of the others.
-func TestANodeThatIsTurnedAwayServesOn(t *testing.T) { synctest.Test(t, testNodesTurnedAway) }
+func TestANodeThatIsTurnedAwayServesOn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testNodesTurnedAway)
+}
 
 func testNodesTurnedAway(t *testing.T) {
 	c := qt.New(t)
@@ -256,7 +262,10 @@
 }
 
 // What a team runs stays within its quota over all nodes, and other teams don't notice.
-func TestQuotaOverAllNodes(t *testing.T) { synctest.Test(t, testQuotaOverAllNodes) }
+func TestQuotaOverAllNodes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testQuotaOverAllNodes)
+}
 
 func testQuotaOverAllNodes(t *testing.T) {
 	c := qt.New(t)
@@ -354,7 +363,10 @@
 }
 
 // An owner that stops in order hands over what is left of its teams, so that the next one needn't wait.
-func TestAnOwnerThatStopsHandsOver(t *testing.T) { synctest.Test(t, testOwnerStops) }
+func TestAnOwnerThatStopsHandsOver(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testOwnerStops)
+}
 
 func testOwnerStops(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/mesh/wide_site_load_test.go
+++ b/pkg/mesh/wide_site_load_test.go
@@ -37,6 +37,7 @@
 // while each gate that turned a request away counted it: from 2 to 4 s on the room that was planned for was taken away, and 0.73 to
 // 0.93 of it served (seven runs of 32 and 48 nodes), then 1.07 to 1.15.
 func TestAnOverloadOfManyServersFromTheFirstRequestOn(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		parts := overloadFromTheStart(t, 4)
 		qt.New(t).Check(parts[1] > 0.95, qt.IsTrue)
