Requests on connections that have gone silent are found and sent again

Cause: open connections may go silent for good without a reset, while new ones work. On TCP the kernel's keep-alive finds one within a second or two; where something on the way still acknowledges, nothing did, and a request waited until its time was up, and so did the next one on each connection that rested. Change: the node that sent a request asks the peer for it, on a connection that was heard since or a new one, once it has taken 250 ms and three times as long as usual; what the peer lacks twice, 250 ms apart, is lost, and goes on if it may be repeated (pkg/awaited, no I/O; property test: only lost ones are given up). Connections that rest are closed once a peer, or the backend server, has been without a word for long, once the time of a request on a kept one was up, and once a call to the store timed out. After a lost attempt the next goes on a connection that was heard in the last 100 ms. The soak has the fault. Ruled out: a repeat on a second connection beside the first (twice the load when something is slow); a shorter limit of the first attempt (breaks off slow work). On TCP: a test drops all packets of a connection; it isn't used for longer than the kernel's bound. Once-only work that is lost so still waits out its time: whether it ran isn't known any sooner.

--- /dev/null
+++ b/pkg/awaited/awaited_test.go
@@ -0,0 +1,115 @@
+package awaited
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func TestARequestThatThePeerLacksTwiceIsLost(t *testing.T) {
+	c := qt.New(t)
+	var table Table
+	gone := 0
+	r := &Request{ID: "a", Sent: start, Patience: time.Second, GiveUp: func() { gone++ }}
+	table.Add(r)
+	c.Assert(table.Ask(after(time.Second-1)), qt.HasLen, 0)
+	asked := table.Ask(after(time.Second))
+	c.Assert(asked, qt.HasLen, 1)
+	c.Assert(table.Ask(after(2*time.Second)), qt.HasLen, 0) // it is being asked
+	c.Assert(table.Told(after(time.Second), asked, []string{"a"}), qt.HasLen, 0)
+	c.Assert(table.Ask(after(time.Second+MissPause-1)), qt.HasLen, 0)
+	asked = table.Ask(after(time.Second + MissPause))
+	c.Assert(table.Told(after(time.Second+MissPause), asked, []string{"a"}), qt.HasLen, 1)
+	c.Assert(gone, qt.Equals, 1)
+	c.Assert(table.Ask(after(time.Hour)), qt.HasLen, 0)
+}
+
+func TestARequestThatThePeerHasIsAskedForAgainAndKept(t *testing.T) {
+	c := qt.New(t)
+	var table Table
+	r := &Request{ID: "a", Sent: start, Patience: time.Second, GiveUp: func() { t.Fatal("given up") }}
+	table.Add(r)
+	for i := range 10 { // lacked and had in turn: never lost
+		now := after(time.Duration(i+1) * time.Second)
+		asked := table.Ask(now)
+		c.Assert(asked, qt.HasLen, 1)
+		table.Told(now, asked, []string{"a"}[:i%2])
+	}
+	table.Remove(r)
+	c.Assert(table.Ask(after(time.Hour)), qt.HasLen, 0)
+}
+
+// Whatever comes when: a request that is in progress at the peer whenever it is asked is never given up, and one that never is there, is.
+func TestOnlyLostRequestsAreGivenUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table Table
+		var there Present
+		lost := map[string]bool{}
+		var present, absent []string
+		now := start
+		for i := range rapid.IntRange(1, 100).Draw(t, "requests") {
+			id := fmt.Sprint("r", i)
+			table.Add(&Request{
+				ID: id, Sent: now, Patience: time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond,
+				GiveUp: func() { lost[id] = true },
+			})
+			if rapid.Bool().Draw(t, "there") {
+				there.Begin(id)
+				present = append(present, id)
+			} else {
+				absent = append(absent, id)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "pause")) * time.Millisecond)
+		}
+		for range 400 { // at the most 64 at a time
+			now = now.Add(50 * time.Millisecond)
+			asked := table.Ask(now)
+			if len(asked) == 0 {
+				continue
+			}
+			var ids []string
+			for _, r := range asked {
+				ids = append(ids, r.ID)
+			}
+			table.Told(now, asked, there.Missing(ids))
+		}
+		for _, id := range present {
+			if lost[id] {
+				t.Fatalf("%s was there", id)
+			}
+		}
+		for _, id := range absent {
+			if !lost[id] {
+				t.Fatalf("%s wasn't found lost", id)
+			}
+		}
+	})
+}
+
+func TestPresent(t *testing.T) {
+	c := qt.New(t)
+	var p Present
+	first, second := p.Begin("a"), p.Begin("a")
+	c.Assert(p.Missing([]string{"a", "b"}), qt.DeepEquals, []string{"b"})
+	first()
+	c.Assert(p.Missing([]string{"a"}), qt.HasLen, 0)
+	second()
+	c.Assert(slices.Equal(p.Missing([]string{"a"}), []string{"a"}), qt.IsTrue)
+	c.Assert(p.ids, qt.HasLen, 0)
+}
+
+func BenchmarkPresent(b *testing.B) {
+	var p Present
+	b.ReportAllocs()
+	for range b.N {
+		p.Begin("some-attempt-0123456789")()
+	}
+}
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -47,9 +47,9 @@
 	keep   time.Duration // how long the server said that it keeps an idle connection; 0: not said
 }
 
-// get returns a connection that rested, or a new one; the error is an *Error of kind NotConnected.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	if c := p.takeIdle(); c != nil {
+// get returns a connection that was heard since a time, or a new one; the error is an *Error of kind NotConnected.
+func (p *Pool) get(ctx context.Context, since time.Time) (*conn, error) {
+	if c := p.takeIdle(since); c != nil {
 		return c, nil
 	}
 	raw, err := p.Dial(ctx)
@@ -64,13 +64,13 @@
 	}, nil
 }
 
-// takeIdle returns a usable idle connection, or nil when one is to be made, which it counts.
-func (p *Pool) takeIdle() *conn {
+// takeIdle returns a usable idle connection that was put back after a time, or nil when one is to be made, which it counts.
+func (p *Pool) takeIdle(since time.Time) *conn {
 	now := p.Clock.Now()
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
-		if n == 0 {
+		if n == 0 || p.idle[n-1].rested.Before(since) {
 			p.open++
 			p.mu.Unlock()
 			return nil
@@ -125,30 +125,38 @@
 // Sweep closes connections that have rested too long.
 func (p *Pool) Sweep() {
 	now := p.Clock.Now()
+	p.drop(func(c *conn) bool { return now.Sub(c.rested) >= c.restLimit() })
+}
+
+// DropRested closes the idle connections on which nothing came since a time: they may have gone silent. With the zero time it does nothing.
+func (p *Pool) DropRested(since time.Time) {
+	if since.IsZero() {
+		return
+	}
+	p.drop(func(c *conn) bool { return c.rested.Before(since) })
+}
+
+// DropIdle closes the idle connections, whose other sides may be gone.
+func (p *Pool) DropIdle() {
+	p.drop(func(*conn) bool { return true })
+}
+
+// drop closes some of the idle connections.
+func (p *Pool) drop(which func(c *conn) bool) {
 	p.mu.Lock()
 	kept := p.idle[:0]
-	var old []*conn
+	var dropped []*conn
 	for _, c := range p.idle {
-		if now.Sub(c.rested) < c.restLimit() {
-			kept = append(kept, c)
+		if which(c) {
+			dropped = append(dropped, c)
 		} else {
-			old = append(old, c)
+			kept = append(kept, c)
 		}
 	}
+	clear(p.idle[len(kept):])
 	p.idle = kept
 	p.mu.Unlock()
-	for _, c := range old {
-		c.Close()
-	}
-}
-
-// DropIdle closes the idle connections, whose other sides may be gone.
-func (p *Pool) DropIdle() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range dropped {
 		c.Close()
 	}
 }
--- a/pkg/mesh/ask_node.go
+++ b/pkg/mesh/ask_node.go
@@ -27,6 +27,11 @@
 
 // askNode asks another node a short question and reads its answer.
 func (n *Node) askNode(ctx context.Context, host, path string, span time.Duration, question, answer any) error {
+	return n.askNodeSince(ctx, time.Time{}, host, path, span, question, answer)
+}
+
+// askNodeSince asks on a connection that was heard since a time, or a new one.
+func (n *Node) askNodeSince(ctx context.Context, since time.Time, host, path string, span time.Duration, question, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	body, err := pack(question)
@@ -34,7 +39,7 @@
 		return err
 	}
 	p := n.peer(host)
-	res, err := p.post(ctx, path, body)
+	res, err := p.post(ctx, since, path, body)
 	if err != nil {
 		// Only what can't be reached at all is set aside: a node that is busy for a moment can serve requests all the same.
 		if unsent(err) && ctx.Err() == nil && p.failed(n.clock.Now()) {
@@ -53,9 +58,11 @@
 	return unpack(data, answer)
 }
 
-// post sends a message to the peer.
-func (p *peer) post(ctx context.Context, path string, body []byte) (*httpconn.Response, error) {
-	return p.pool.Do(ctx, &httpconn.Request{Method: http.MethodPost, URI: path, Host: p.host, Header: http.Header{}, Body: body})
+// post sends a message to the peer, on a connection that was heard since a time, or a new one.
+func (p *peer) post(ctx context.Context, since time.Time, path string, body []byte) (*httpconn.Response, error) {
+	return p.pool.Do(ctx, &httpconn.Request{
+		Method: http.MethodPost, URI: path, Host: p.host, Header: http.Header{}, Body: body, HeardSince: since,
+	})
 }
 
 // readAll reads a body up to a bound, and closes it.
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -113,6 +113,7 @@
 	n.gate.Expire(now)
 	n.gateMu.Unlock()
 	n.leaveSilentPeers(now)
+	n.askForAwaited(ctx, now)
 	n.fetchNewer(now)
 	n.tellCleared(now)
 	if !now.Before(n.control.nextSweep) {
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, talkTime)
 	defer cancel()
 	p := n.peer(host)
-	res, err := p.post(ctx, exchangePath, body)
+	res, err := p.post(ctx, time.Time{}, exchangePath, body)
 	if err != nil {
 		if p.failed(n.clock.Now()) {
 			n.controlLog.Warn("peer doesn't answer", "peer", host, "err", err)
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,15 +15,16 @@
 
 // delivery is the story of one request at the node where it began.
 type delivery struct {
-	n        *Node
-	q        *request
-	route    *desired.Route
-	tried    []*peer
-	arrivals int     // backend servers that it reached, or may have reached
-	failure  *answer // a server's own failure, which is the answer if no other server does better
-	lost     *answer // an attempt that may have run: from then on no refusal is certain
-	reason   wire.Reason
-	comeBack time.Duration // what the last refusal says of when to come back; 0: nothing
+	n          *Node
+	q          *request
+	route      *desired.Route
+	tried      []*peer
+	arrivals   int       // backend servers that it reached, or may have reached
+	failure    *answer   // a server's own failure, which is the answer if no other server does better
+	lost       *answer   // an attempt that may have run: from then on no refusal is certain
+	heardSince time.Time // its connection has to have been heard since then, once an attempt was lost; zero: any will do
+	reason     wire.Reason
+	comeBack   time.Duration // what the last refusal says of when to come back; 0: nothing
 }
 
 // run sends the request until it is answered or given up.
@@ -75,7 +77,7 @@
 	case a.failed():
 		d.failure = a
 	case a.outcome == wire.Unknown:
-		d.lost = a
+		d.lost, d.heardSince = a, d.n.clock.Now().Add(-heardLately)
 	}
 	d.comeBack = a.comeBack
 }
@@ -120,7 +122,7 @@
 
 // send hands the request to one server, through the node beside it.
 func (d *delivery) send(ctx context.Context, p *peer) *answer {
-	p.sending(d.n.clock.Now(), d.n.usualHold(d.route.Name))
+	usual, since := p.sending(d.n.clock.Now(), d.n.usualHold(d.route.Name))
 	defer p.inflight.Add(-1)
 	if p.local {
 		a := d.n.backend.serve(ctx, d.q)
@@ -134,9 +136,9 @@
 	h := d.q.header.Clone()
 	h.Set(headerCall, d.q.encode())
 	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	res, err := p.pool.Do(ctx, &httpconn.Request{
+	res, err := d.exchange(ctx, p, usual, &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h, Packed: !p.near.Load() && !d.n.off[settings.PackedHeaders],
-		Body: d.q.body, Stream: d.q.stream, StreamLen: d.q.length,
+		Body: d.q.body, Stream: d.q.stream, StreamLen: d.q.length, HeardSince: latest(since, d.heardSince),
 	})
 	if err != nil {
 		return d.peerFailed(p, err)
@@ -173,6 +175,9 @@
 
 // peerFailed judges an exchange with a node that gave no whole answer.
 func (d *delivery) peerFailed(p *peer, err error) *answer {
+	if errors.Is(err, errNotThere) {
+		return lost(wire.ReasonLost)
+	}
 	if ended(err) {
 		a := lost(wire.ReasonDeadline)
 		a.canceled = true
@@ -216,3 +221,11 @@
 	w.Header().Set(wire.HeaderReason, string(a.reason))
 	w.WriteHeader(status)
 }
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -23,6 +23,8 @@
 			n.serveHandover(w, r)
 		case quotaPath:
 			n.serveQuota(w, r)
+		case inProgressPath:
+			n.serveInProgress(w, r)
 		default:
 			n.serveInbound(w, r)
 		}
@@ -38,6 +40,7 @@
 	}
 	done := n.stop.begin()
 	defer done()
+	defer n.present.Begin(r.Header.Get(n.names.AttemptID))()
 	n.noticeVersion(r.RemoteAddr, c.Version)
 	if n.stop.refusesPeers() {
 		n.reply(w, refused(wire.ReasonLeaving))
--- a/pkg/mesh/memory_network_test.go
+++ b/pkg/mesh/memory_network_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,6 +16,8 @@
 	listeners map[string]*memoryListener
 	// cut tells whether a VM can't reach an address; connections that are open stay.
 	cut func(ip, addr string) bool
+
+	open []*memoryConn // the sides that called
 }
 
 // memoryAddr is an address on it.
@@ -27,6 +30,21 @@
 type memoryConn struct {
 	net.Conn
 	local, remote memoryAddr
+	lost          *atomic.Bool // the connection has gone silent: nothing that one side sends, its end included, reaches the other
+}
+
+func (c *memoryConn) Write(b []byte) (int, error) {
+	if c.lost.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *memoryConn) Close() error {
+	if c.lost.Load() {
+		return c.SetDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.Close()
 }
 
 func (c *memoryConn) LocalAddr() net.Addr  { return c.local }
@@ -88,9 +106,14 @@
 	}
 	from := memoryAddr(net.JoinHostPort(ip, "1"))
 	a, b := net.Pipe()
+	lost := &atomic.Bool{}
 	select {
-	case l.came <- &memoryConn{Conn: b, local: l.addr, remote: from}:
-		return &memoryConn{Conn: a, local: from, remote: l.addr}, nil
+	case l.came <- &memoryConn{Conn: b, local: l.addr, remote: from, lost: lost}:
+		c := &memoryConn{Conn: a, local: from, remote: l.addr, lost: lost}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.open = append(w.open, c)
+		return c, nil
 	case <-l.closed:
 		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
@@ -98,6 +121,17 @@
 	}
 }
 
+// silence makes the open connections to addresses silent for good; new ones work.
+func (w *memoryNetwork) silence(to func(addr string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.open {
+		if to(c.remote.String()) {
+			c.lost.Store(true)
+		}
+	}
+}
+
 // client returns an HTTP client of a VM.
 func (w *memoryNetwork) client(ip string) *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -22,6 +22,7 @@
 	{"repeats_total", "counter", "service", "Requests that were sent to one more server."},
 	{"repeats_denied_total", "counter", "service", "Repeats not made for want of budget."},
 	{"peers_aside_total", "counter", "", "Times that a peer was set aside since it failed."},
+	{"requests_lost_total", "counter", "", "Requests whose connection to a peer went silent: the peer didn't have them."},
 	{"store_calls_total", "counter", "call", "Calls to the store, by kind; reading all records is several calls."},
 	{"store_errors_total", "counter", "", "Calls to the store that failed."},
 	{"store_eras_total", "counter", "", "Times that the store came back from a copy."},
--- a/pkg/mesh/network.go
+++ b/pkg/mesh/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"syscall"
@@ -68,10 +69,25 @@
 
 // NewStoreHTTP returns the HTTP client for the store, from the address of this VM.
 func NewStoreHTTP(ip string) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &storeTransport{http.Transport{
 		DialContext:         dialer(ip, storeCallTime).DialContext,
 		MaxIdleConnsPerHost: storeConns,
 		IdleConnTimeout:     storeIdle,
 		DisableCompression:  true,
-	}}
+	}}}
+}
+
+// storeTransport makes the calls to the store. When the time of one is up without an answer, the connections that rest may have gone
+// silent with its own, and are closed: else up to storeConns calls would fail one after the other.
+type storeTransport struct {
+	http.Transport
+}
+
+// RoundTrip makes one call.
+func (t *storeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.Transport.RoundTrip(r)
+	if err != nil && errors.Is(r.Context().Err(), context.DeadlineExceeded) {
+		t.CloseIdleConnections()
+	}
+	return res, err
 }
--- /dev/null
+++ b/pkg/mesh/network_test.go
@@ -0,0 +1,140 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
+)
+
+// deafListener takes TCP connections that can be made to go silent: the kernel drops what comes on them, so that nothing is
+// acknowledged either.
+type deafListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+func (l *deafListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, c.(*net.TCPConn))
+	}
+	return c, err
+}
+
+// silence makes all connections go silent that are open.
+func (l *deafListener) silence(c *qt.C) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+	for _, conn := range l.conns {
+		raw, err := conn.SyscallConn()
+		c.Assert(err, qt.IsNil)
+		var serr error
+		c.Assert(raw.Control(func(fd uintptr) {
+			serr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop[0]})
+		}), qt.IsNil)
+		c.Assert(serr, qt.IsNil)
+	}
+}
+
+// serveDeaf serves on such connections.
+func serveDeaf(t *testing.T, h http.HandlerFunc) *deafListener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	l := &deafListener{Listener: ln}
+	srv := &http.Server{Handler: h}
+	go srv.Serve(l)
+	t.Cleanup(func() { srv.Close() })
+	return l
+}
+
+// deadBound is how long a connection that is silent on TCP is used, with a margin for a busy machine.
+const deadBound = deadConnections + 3*time.Second
+
+func TestAKeptConnectionThatGoesSilentOnTCPIsNotUsedForLong(t *testing.T) {
+	c := qt.New(t)
+	l := serveDeaf(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	dial := Network{}.dialFunc("127.0.0.1", l.Addr().String(), time.Second)
+	p := &httpconn.Pool{Dial: dial, Clock: clock.Real{}, Idle: time.Minute}
+	t.Cleanup(p.Close)
+	get := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		res, err := p.Do(ctx, &httpconn.Request{Method: http.MethodGet, URI: "/", Host: "h"})
+		if err == nil {
+			_, err = readAll(res.Body, 10)
+		}
+		return err
+	}
+	c.Assert(get(), qt.IsNil)
+	l.silence(c)
+	begun := time.Now()
+	c.Assert(get(), qt.IsNotNil) // sent on it: nothing is acknowledged
+	c.Assert(time.Since(begun) < deadBound, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+	c.Assert(get(), qt.IsNil)
+	l.silence(c)
+	for begun := time.Now(); time.Since(begun) < deadBound; {
+		time.Sleep(deadConnections + 500*time.Millisecond) // it rests, and is found dead meanwhile
+		if get() == nil {
+			return
+		}
+	}
+	t.Fatal("a dead connection was used")
+}
+
+// When the time of one call to the store is up, the next one goes on a new connection.
+func TestOneCallFailsWhenConnectionsToTheStoreGoSilent(t *testing.T) {
+	c := qt.New(t)
+	together := make(chan struct{})
+	var arrive sync.WaitGroup
+	arrive.Add(3)
+	go func() {
+		arrive.Wait()
+		close(together)
+	}()
+	l := serveDeaf(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/together" {
+			arrive.Done()
+			<-together // so that each has a connection of its own
+		}
+		fmt.Fprint(w, "ok")
+	})
+	h := NewStoreHTTP("127.0.0.1")
+	t.Cleanup(h.CloseIdleConnections)
+	call := func(path string, span time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), span)
+		defer cancel()
+		req := httptest.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String()+path, nil)
+		req.RequestURI = ""
+		res, err := h.Do(req)
+		if err == nil {
+			_, err = readAll(res.Body, 10)
+		}
+		return err
+	}
+	var calls sync.WaitGroup
+	for range 3 {
+		calls.Go(func() { c.Check(call("/together", time.Minute), qt.IsNil) })
+	}
+	calls.Wait()
+	l.silence(c)
+	c.Assert(call("/", 300*time.Millisecond), qt.IsNotNil)
+	c.Assert(call("/", time.Minute), qt.IsNil)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Assert(l.conns, qt.HasLen, 4)
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/rockspoke/rockspoke/pkg/awaited"
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/clientconns"
 	"github.com/rockspoke/rockspoke/pkg/clock"
@@ -59,8 +60,9 @@
 	budgetMu sync.Mutex
 	budget   overload.RepeatBudget
 	poison   poison.Table
-	limits   clock.Limits // of requests in progress
-	away     atomic.Bool  // the server on this VM has ended and wasn't heard since
+	limits   clock.Limits    // of requests in progress
+	present  awaited.Present // requests of other nodes that are here
+	away     atomic.Bool     // the server on this VM has ended and wasn't heard since
 	clients  clientconns.Connections
 
 	peersMu sync.Mutex
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/awaited"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 )
@@ -20,6 +21,7 @@
 	near     atomic.Bool // in this node's availability zone
 	slots    atomic.Int64
 	inflight atomic.Int64 // sent by this node and not ended
+	awaited  awaited.Table
 
 	// digest of its records, and whether it lacks what was learned, as it last told; the control goroutine's.
 	digest    uint64
--- a/pkg/mesh/peer_silence.go
+++ b/pkg/mesh/peer_silence.go
@@ -15,6 +15,10 @@
 	// times that which such requests usually take it is longer.
 	silentLeast = 250 * time.Millisecond
 	silentHolds = 3
+	// newConnLeast and newConnHolds are the same for the next request to go on a connection that was heard since, or a new one; those
+	// that rest are closed, since each may have gone silent and would cost a request.
+	newConnLeast = 50 * time.Millisecond
+	newConnHolds = 2
 	// unknownHold is taken for requests of which that isn't known.
 	unknownHold = time.Second
 )
@@ -26,11 +30,8 @@
 	hold  time.Duration // that the longest of them usually takes
 }
 
-// sent notes a request to the peer that usually takes so long, 0 if that isn't known.
+// sent notes a request to the peer that usually takes so long.
 func (s *silence) sent(now time.Time, usual time.Duration) {
-	if usual == 0 {
-		usual = unknownHold
-	}
 	if s.sends == 0 {
 		*s = silence{first: now}
 	}
@@ -38,17 +39,39 @@
 	s.hold = max(s.hold, usual)
 }
 
+// heardSince returns from when on a connection has to have been heard for another request, zero if any will do.
+func (s *silence) heardSince(now time.Time) time.Time {
+	if s.sends == 0 || now.Sub(s.first) < newConnLeast+newConnHolds*s.hold {
+		return time.Time{}
+	}
+	return s.first
+}
+
 // over tells whether the peer would have been heard by now if it could.
 func (s *silence) over(now time.Time) bool {
 	return s.sends >= silentSends && now.Sub(s.first) > silentLeast+silentHolds*s.hold
 }
 
-// sending notes a request to the peer.
-func (p *peer) sending(now time.Time, usual time.Duration) {
+// usualAt returns how long a request may be taken to hold a slot of a server with a pace, which is so long at any server, 0 if that
+// isn't known.
+func usualAt(pace float64, usual time.Duration) time.Duration {
+	if usual == 0 {
+		return unknownHold
+	}
+	return time.Duration(float64(usual) * max(pace, 1))
+}
+
+// sending notes a request to the peer that usually takes so long at any server, 0 if that isn't known; it returns how long it
+// may be taken to take there, and since when its connection has to have been heard.
+func (p *peer) sending(now time.Time, usual time.Duration) (time.Duration, time.Time) {
 	p.inflight.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.silence.sent(now, time.Duration(float64(usual)*max(p.load.pace, 1)))
+	since := p.silence.heardSince(now)
+	p.pool.DropRested(since)
+	usual = usualAt(p.load.pace, usual)
+	p.silence.sent(now, usual)
+	return usual, since
 }
 
 // isSilent tells whether the peer has fallen silent, once.
@@ -73,6 +96,7 @@
 		if !p.local && p.isSilent(now) && p.failed(now) {
 			n.metrics.count("peers_aside_total")
 			n.controlLog.Warn("peer is silent", "peer", p.host, "in_progress", p.inflight.Load())
+			p.pool.DropIdle()
 		}
 	}
 }
--- a/pkg/mesh/peer_silence_test.go
+++ b/pkg/mesh/peer_silence_test.go
@@ -38,7 +38,7 @@
 	c := qt.New(t)
 	var s silence
 	for range 10 {
-		s.sent(chooseTime, 0)
+		s.sent(chooseTime, usualAt(0, 0))
 	}
 	c.Assert(s.over(chooseTime.Add(unknownHold)), qt.IsFalse)
 	s = silence{}
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -46,7 +46,7 @@
 	{NearFirst, "servers of all availability zones are compared alike"},
 	{Pace, "servers are compared by use alone, not by how fast they are"},
 	{Success, "a server that fails is compared like any other"},
-	{Silence, "a node that has fallen silent is sent to until requests to it time out"},
+	{Silence, "a node that has fallen silent is sent to until requests to it time out, and so are connections that have"},
 	{PackedHeaders, "headers between availability zones are sent as text"},
 	{GateOrder, "a server's queue is in the order of arrival"},
 	{KindHolds, "whether a request can end in time goes by the average of all kinds"},
--- a/pkg/soak/fault_links.go
+++ b/pkg/soak/fault_links.go
@@ -67,6 +67,20 @@
 	s.holdLinks(kind, s.vms, links, linkFault{Mute: true}, d)
 }
 
+// silenceConnections makes the open connections of some VMs to the others, to their backend servers and to the store go silent for good.
+func silenceConnections(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
+	over := s.history.begin(kind, false)
+	v := s.some(rnd)
+	for _, l := range linksOf(v, s.vms) {
+		s.proxy.silence(l)
+	}
+	for _, x := range v {
+		s.proxy.silence(x.serverLink())
+		s.proxy.silence(link{x.ip, s.storeIP})
+	}
+	over()
+}
+
 // cutZone cuts a zone off from the others and from the store.
 func cutZone(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	zone := s.oneOf(rnd).zone
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -55,6 +55,11 @@
 	{"store comes back from a copy", false, storeComesBack},
 }
 
+// silentFaults came last.
+var silentFaults = []fault{
+	{"connections go silent", false, silenceConnections},
+}
+
 // laterPerSecond of them come on average.
 const laterPerSecond = 0.4
 
@@ -89,6 +94,7 @@
 	events := draw(rand.New(rand.NewPCG(seed, 1)), faults, faultsPerSecond, span)
 	events = append(events, draw(rand.New(rand.NewPCG(seed, 2)), laterFaults, laterPerSecond, span)...)
 	events = append(events, draw(rand.New(rand.NewPCG(seed, 3)), teamFaults, laterPerSecond, span)...)
+	events = append(events, draw(rand.New(rand.NewPCG(seed, 4)), silentFaults, laterPerSecond, span)...)
 	return inOrder(events)
 }
 
--- a/pkg/soak/link_proxy.go
+++ b/pkg/soak/link_proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,7 +26,10 @@
 }
 
 // carried is one connection on its way through the proxy.
-type carried struct{ near, far *net.TCPConn }
+type carried struct {
+	near, far *net.TCPConn
+	silent    atomic.Bool // for good: what comes is taken and goes nowhere, an end included
+}
 
 // The proxy's constants.
 const (
@@ -62,6 +66,17 @@
 	}
 }
 
+// silence makes the connections of a link that are open go silent for good.
+func (p *linkProxy) silence(l link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, on := range p.carried {
+		if on == l {
+			c.silent.Store(true)
+		}
+	}
+}
+
 // breakOff resets both ends; they may have been closed before, which is as good.
 func (c *carried) breakOff() {
 	for _, end := range []*net.TCPConn{c.near, c.far} {
@@ -135,6 +150,12 @@
 		for muted() && ctx.Err() == nil {
 			time.Sleep(mutedPoll)
 		}
+		if c.silent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				c.breakOff()
