--- a/pkg/mesh/store_era_test.go
+++ b/pkg/mesh/store_era_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -13,6 +14,11 @@
 
 // What the system wrote since the copy is written again by itself.
 func TestRecordsAreWrittenAgainAfterTheStoreCameBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testRecordsAreWrittenAgainAfterTheStoreCameBack)
+}
+
+func testRecordsAreWrittenAgainAfterTheStoreCameBack(t *testing.T) {
 	c := qt.New(t)
 	s := newMemorySite(t)
 	s.first = true
@@ -32,6 +38,11 @@
 
 // A change that is written under a version that was given out before the store came back is found all the same.
 func TestAChangeUnderAVersionThatWasGivenOutBefore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testAChangeUnderAVersionThatWasGivenOutBefore)
+}
+
+func testAChangeUnderAVersionThatWasGivenOutBefore(t *testing.T) {
 	c := qt.New(t)
 	s := newMemorySite(t)
 	s.add("a", "z", 5)
@@ -52,6 +63,11 @@
 
 // A store that came back without the state that took a key away doesn't let the key pass again.
 func TestAnOldStateOfTheStoreProvesNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testAnOldStateOfTheStoreProvesNothing)
+}
+
+func testAnOldStateOfTheStoreProvesNothing(t *testing.T) {
 	c := qt.New(t)
 	const revoke = 2 * time.Second
 	s := servingTeams(t, 1, 2, revoke)
--- a/pkg/mesh/teams_test.go
+++ b/pkg/mesh/teams_test.go
@@ -127,6 +127,11 @@
 }
 
 func TestServersSeeTheTeamAndNeverTheKey(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testServersSeeTheTeamAndNeverTheKey)
+}
+
+func testServersSeeTheTeamAndNeverTheKey(t *testing.T) {
 	c := qt.New(t)
 	s := servingTeams(t, 2, 1, 5*time.Second)
 	var seen seenHeaders
@@ -154,6 +159,11 @@
 }
 
 func TestRequestsWithoutAGoodKeyRunNowhere(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testRequestsWithoutAGoodKeyRunNowhere)
+}
+
+func testRequestsWithoutAGoodKeyRunNowhere(t *testing.T) {
 	c := qt.New(t)
 	s := servingTeams(t, 1, 2, 5*time.Second)
 	for name, h := range map[string]http.Header{
@@ -176,6 +186,11 @@
 }
 
 func TestAKeyThatPassesOnAndTeamsThatGo(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testAKeyThatPassesOnAndTeamsThatGo)
+}
+
+func testAKeyThatPassesOnAndTeamsThatGo(t *testing.T) {
 	c := qt.New(t)
 	s := servingTeams(t, 1, 2, 5*time.Second)
 	var seen seenHeaders
@@ -305,6 +320,11 @@
 
 // Keys stand nowhere in what a node writes or shows.
 func TestKeysAreNotShown(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testKeysAreNotShown)
+}
+
+func testKeysAreNotShown(t *testing.T) {
 	c := qt.New(t)
 	var log logBuffer
 	s := newMemorySite(t)
@@ -412,6 +432,11 @@
 
 // A VM that was suspended lets no key pass on what it knew before, from the first request on, and has no token in hand.
 func TestAfterASuspensionNoKeyPassesOnAnOldProof(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testAfterASuspensionNoKeyPassesOnAnOldProof)
+}
+
+func testAfterASuspensionNoKeyPassesOnAnOldProof(t *testing.T) {
 	c := qt.New(t)
 	s := newMemorySite(t)
 	s.first = true
