What is kept is written again in a new era by one look at it, not two

keepHeld and keepLearned compared the store's era with the one they knew by the same lines. Behaviour as it was; pkg/mesh green with the race detector.

--- a/pkg/mesh/keep_held.go
+++ b/pkg/mesh/keep_held.go
@@ -23,8 +23,8 @@
 	var stored uint64
 	var era int64
 	for clock.Sleep(ctx, jitter(keepHeldPeriod)) {
-		if now := n.era.now(); now != era {
-			era, stored = now, 0 // what was written may be lost
+		if n.era.left(&era) {
+			stored = 0 // what was written may be lost
 		}
 		held := n.heldOf(n.cfg.Service)
 		digest := digestOf(held)
--- a/pkg/mesh/keep_learned.go
+++ b/pkg/mesh/keep_learned.go
@@ -31,8 +31,8 @@
 	var stored loads.Learned
 	var era int64
 	for clock.Sleep(ctx, jitter(keepPeriod)) {
-		if now := n.era.now(); now != era {
-			era, stored = now, loads.Learned{} // what was written may be lost
+		if n.era.left(&era) {
+			stored = loads.Learned{} // what was written may be lost
 		}
 		if !n.storesForService() {
 			continue
--- a/pkg/mesh/store_era.go
+++ b/pkg/mesh/store_era.go
@@ -33,6 +33,13 @@
 	return e.number
 }
 
+// left tells whether the known era is over, and has the newest one known.
+func (e *storeEra) left(known *int64) bool {
+	before := *known
+	*known = e.now()
+	return *known != before
+}
+
 // rise takes an era that was told; it returns the one before if that is how the store came back, and 0 otherwise. Both are set at once: an
 // answer of the new era that is looked at just then mustn't prove anything yet.
 func (e *storeEra) rise(number int64, settled time.Time) (before int64) {
