Connections that may have gone silent are left by the pool that holds them

Cause (reading the change once more): peers and the backend server each kept count of what was without an answer, and told the pool which of its connections to close; the pool had a rule of its own beside that for requests whose time was up. Three pieces for one thing, and `mesh.off: [silence]` switched off only two of them. Change: a request tells its patience, and the pool leaves its resting connections once nothing came for that long (httpconn/silence.go). Backends ask for four requests in a row, as before. Questions and exchanges have 100 ms, in place of their time limits. Tests keep their bounds. Conclusion: less state, and the switch does what its page says.

--- a/pkg/httpconn/doc.go
+++ b/pkg/httpconn/doc.go
@@ -9,7 +9,7 @@
 // An idle connection on which bytes wait, or that the other side closed, isn't
 // handed out: such bytes are an answer that belongs to no request.
 //
-// pool.go keeps the connections, quiet.go looks at idle ones, exchange.go runs
+// pool.go keeps the connections, quiet.go looks at idle ones, silence.go tells when they may have gone silent, exchange.go runs
 // one exchange, whose parts are in send_request.go, answer_body.go and
 // exchange_error.go. A request may ask for its headers to be packed (package headerpack).
 package httpconn
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -26,6 +26,9 @@
 	StreamLen int64
 	// HeardSince has the request sent on a connection on which an answer came later than that, or a new one; zero: on any.
 	HeardSince time.Time
+	// Patience is the time in which its answer can be expected. Where nothing comes for that long, the connections that rest may have gone silent
+	// with its own: the next request goes on a new one, and they are closed. 0: nothing is made of it.
+	Patience time.Duration
 }
 
 // Response is an answer whose header was read. Its Body must be closed.
@@ -39,22 +42,20 @@
 // Do sends a request on a kept or new connection and reads the header of its answer. The connection goes
 // back when the body has been read to its end. When ctx ends the connection is closed. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
-	c, err := p.get(ctx, req.HeardSince)
+	c, err := p.get(ctx, latest(req.HeardSince, p.sending(req.Patience)))
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{conn: c, ctx: ctx, begun: p.Clock.Now()}
+	x := &exchange{conn: c, ctx: ctx}
 	x.stop = context.AfterFunc(ctx, func() {
 		_ = c.raw.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection, which is what is wanted
 	})
 	res, err := x.run(req)
 	if err != nil {
 		x.abandon()
-		if x.wasSilent() {
-			p.DropRested(x.begun)
-		}
 		return nil, x.explain(err)
 	}
+	p.heard()
 	return res, nil
 }
 
@@ -62,7 +63,6 @@
 type exchange struct {
 	conn   *conn
 	ctx    context.Context
-	begun  time.Time
 	stop   func() bool
 	kind   ErrorKind
 	reuse  bool
@@ -70,12 +70,6 @@
 	stream chan error // the end of sending a streamed body; nil if there is none
 }
 
-// wasSilent tells whether the time was up without a word on a connection that had carried others: it may have gone silent, and those
-// that rested all the while with it.
-func (x *exchange) wasSilent() bool {
-	return x.kind == NoAnswer && !x.conn.rested.IsZero() && errors.Is(x.ctx.Err(), context.DeadlineExceeded)
-}
-
 // run sends the request and reads the header of its answer.
 func (x *exchange) run(req *Request) (*Response, error) {
 	x.kind = NoAnswer
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -26,11 +26,14 @@
 	Idle time.Duration
 	// Once lists the headers of packed requests whose values hardly come twice.
 	Once map[string]bool
-
-	mu     sync.Mutex
-	idle   []*conn // the last one was used last
-	open   int
-	closed bool
+	// SilentSends is how many requests in a row have to be without an answer for their patience to count; 0 means 1.
+	SilentSends int
+
+	mu      sync.Mutex
+	idle    []*conn // the last one was used last
+	open    int
+	closed  bool
+	silence silence
 }
 
 // conn is a connection that carries one request at a time.
@@ -136,6 +139,25 @@
 	p.drop(func(c *conn) bool { return c.rested.Before(since) })
 }
 
+// sending notes a request, and closes the connections that may have gone silent; it returns since when that of the request has to have been heard.
+func (p *Pool) sending(patience time.Duration) (since time.Time) {
+	if patience == 0 {
+		return time.Time{}
+	}
+	p.mu.Lock()
+	since = p.silence.sending(p.Clock.Now(), patience, max(p.SilentSends, 1))
+	p.mu.Unlock()
+	p.DropRested(since)
+	return since
+}
+
+// heard notes an answer.
+func (p *Pool) heard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silence = silence{}
+}
+
 // DropIdle closes the idle connections, whose other sides may be gone.
 func (p *Pool) DropIdle() {
 	p.drop(func(*conn) bool { return true })
--- a/pkg/mesh/ask_node.go
+++ b/pkg/mesh/ask_node.go
@@ -58,10 +58,14 @@
 	return unpack(data, answer)
 }
 
+// messagePatience is in which time the answer to a message can be expected, as httpconn counts it: nodes answer each other without waiting for
+// anything. Without it the messages on connections that have gone silent would fail one after the other.
+const messagePatience = 100 * time.Millisecond
+
 // post sends a message to the peer, on a connection that was heard since a time, or a new one.
 func (p *peer) post(ctx context.Context, since time.Time, path string, body []byte) (*httpconn.Response, error) {
 	return p.pool.Do(ctx, &httpconn.Request{
-		Method: http.MethodPost, URI: path, Host: p.host, Header: http.Header{}, Body: body, HeardSince: since,
+		Method: http.MethodPost, URI: path, Host: p.host, Header: http.Header{}, Body: body, HeardSince: since, Patience: messagePatience,
 	})
 }
 
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -4,13 +4,11 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
-	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -20,13 +18,12 @@
 	pool  *httpconn.Pool
 	runs  serverRuns
 	trial trial
-
-	mu      sync.Mutex
-	silence silence
 }
 
 func newBackend(n *Node) *backend {
-	return &backend{n: n, pool: &httpconn.Pool{Dial: n.network.dialFunc(n.ip, n.cfg.Backend.Address, backendDialTime), Clock: n.clock}}
+	return &backend{n: n, pool: &httpconn.Pool{
+		Dial: n.network.dialFunc(n.ip, n.cfg.Backend.Address, backendDialTime), Clock: n.clock, SilentSends: silentSends,
+	}}
 }
 
 // serve puts a request through the gate and hands it to the backend server.
@@ -148,12 +145,11 @@
 	h.Set(b.n.names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	res, err := b.pool.Do(ctx, &httpconn.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Header: h,
-		Body: q.body, Stream: q.stream, StreamLen: q.length, HeardSince: b.sending(q),
+		Body: q.body, Stream: q.stream, StreamLen: q.length, Patience: b.patience(q),
 	})
 	if err != nil {
 		return b.failed(err)
 	}
-	b.heard()
 	if res.Header.Get(b.n.names.AttemptID) != q.id {
 		_ = res.Body.Close() // it belongs to another request, and so does what follows on the connection
 		if notExecuted(res, b.n.names) && res.Header.Get(b.n.names.AttemptID) == "" {
@@ -175,28 +171,12 @@
 	return a, gate.Answered
 }
 
-// sending notes a request to the server; it returns since when its connection has to have been heard. Where several requests in a
-// row are without a word, those that rest may have gone silent, and are closed: each would cost a request.
-func (b *backend) sending(q *request) (since time.Time) {
+// patience returns in which time the server's answer can be expected.
+func (b *backend) patience(q *request) time.Duration {
 	b.n.gateMu.Lock()
 	pace := b.n.gate.Read().Pace
 	b.n.gateMu.Unlock()
-	now := b.n.clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.silence.sends >= silentSends && !b.n.off[settings.Silence] {
-		since = b.silence.heardSince(now)
-		b.pool.DropRested(since)
-	}
-	b.silence.sent(now, usualAt(pace, b.n.usualHold(q.Route)))
-	return since
-}
-
-// heard notes a word of the server.
-func (b *backend) heard() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.silence = silence{}
+	return b.n.connPatience(usualAt(pace, b.n.usualHold(q.Route)))
 }
 
 // notExecuted tells whether the server says that it hasn't run the request.
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -122,7 +122,7 @@
 
 // send hands the request to one server, through the node beside it.
 func (d *delivery) send(ctx context.Context, p *peer) *answer {
-	usual, since := p.sending(d.n.clock.Now(), d.n.usualHold(d.route.Name))
+	usual := p.sending(d.n.clock.Now(), d.n.usualHold(d.route.Name))
 	defer p.inflight.Add(-1)
 	if p.local {
 		a := d.n.backend.serve(ctx, d.q)
@@ -138,7 +138,7 @@
 	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	res, err := d.exchange(ctx, p, usual, &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h, Packed: !p.near.Load() && !d.n.off[settings.PackedHeaders],
-		Body: d.q.body, Stream: d.q.stream, StreamLen: d.q.length, HeardSince: latest(since, d.heardSince),
+		Body: d.q.body, Stream: d.q.stream, StreamLen: d.q.length, HeardSince: d.heardSince, Patience: d.n.connPatience(usual),
 	})
 	if err != nil {
 		return d.peerFailed(p, err)
@@ -221,11 +221,3 @@
 	w.Header().Set(wire.HeaderReason, string(a.reason))
 	w.WriteHeader(status)
 }
-
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
--- a/pkg/mesh/peer_silence.go
+++ b/pkg/mesh/peer_silence.go
@@ -15,8 +15,7 @@
 	// times that which such requests usually take it is longer.
 	silentLeast = 250 * time.Millisecond
 	silentHolds = 3
-	// newConnLeast and newConnHolds are the same for the next request to go on a connection that was heard since, or a new one; those
-	// that rest are closed, since each may have gone silent and would cost a request.
+	// newConnLeast and newConnHolds are the same for the next request to go on a new connection.
 	newConnLeast = 50 * time.Millisecond
 	newConnHolds = 2
 	// unknownHold is taken for requests of which that isn't known.
@@ -39,14 +38,6 @@
 	s.hold = max(s.hold, usual)
 }
 
-// heardSince returns from when on a connection has to have been heard for another request, zero if any will do.
-func (s *silence) heardSince(now time.Time) time.Time {
-	if s.sends == 0 || now.Sub(s.first) < newConnLeast+newConnHolds*s.hold {
-		return time.Time{}
-	}
-	return s.first
-}
-
 // over tells whether the peer would have been heard by now if it could.
 func (s *silence) over(now time.Time) bool {
 	return s.sends >= silentSends && now.Sub(s.first) > silentLeast+silentHolds*s.hold
@@ -61,17 +52,23 @@
 	return time.Duration(float64(usual) * max(pace, 1))
 }
 
+// connPatience returns in which time the answer to a request can be expected that usually takes so long, as httpconn counts it.
+func (n *Node) connPatience(usual time.Duration) time.Duration {
+	if n.off[settings.Silence] {
+		return 0
+	}
+	return newConnLeast + newConnHolds*usual
+}
+
 // sending notes a request to the peer that usually takes so long at any server, 0 if that isn't known; it returns how long it
-// may be taken to take there, and since when its connection has to have been heard.
-func (p *peer) sending(now time.Time, usual time.Duration) (time.Duration, time.Time) {
+// may be taken to take there.
+func (p *peer) sending(now time.Time, usual time.Duration) time.Duration {
 	p.inflight.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	since := p.silence.heardSince(now)
-	p.pool.DropRested(since)
 	usual = usualAt(p.load.pace, usual)
 	p.silence.sent(now, usual)
-	return usual, since
+	return usual
 }
 
 // isSilent tells whether the peer has fallen silent, once.
