--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -74,6 +74,7 @@
 	b.n.gate.Done(now, held, b.n.usualHold(q.Route), outcome)
 	b.n.gateMu.Unlock()
 	b.n.stats.end(now, q.Route, run, held, outcome)
+	b.n.metrics.count("runs_total", "route", q.Route, "outcome", outcome.String())
 	b.n.metrics.add(held.Milliseconds(), "slot_ms_total", "route", q.Route, "outcome", outcome.String())
 	return a
 }
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -239,7 +239,7 @@
 			n.ownChanged(before.Since != n.control.own.Record().Since)
 		}
 		if n.control.own.Record().Lifetime() == r.Lifetime() {
-			n.away.Store(false)
+			n.noteAway(false)
 		}
 		generation = n.control.own.Record().Generation
 	})
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -32,6 +32,8 @@
 	{"gate_queued", "gauge", "", "Requests that wait for it."},
 	{"room_part", "gauge", "", "Part in a thousand of the own server's room that may be planned for; above a thousand where its slots stay free."},
 	{"learned_stored_total", "counter", "", "Times that what was learned of the calls was stored."},
+	{"runs_total", "counter", "route, outcome", "Requests that were handed to the server on this VM, by how they ended there: with slot_ms_total, for how long one holds a slot."},
+	{"server_away", "gauge", "", "1 while nobody listens at the address of the server on this VM, 0 otherwise."},
 	{"slot_ms_total", "counter", "route, outcome", "Milliseconds for which requests held the slots of the server on this VM, by how they ended there."},
 	{"admitted_share", "gauge", "route", "Share in a thousand of first attempts that is taken in; only while below all."},
 	{"request_seconds", "histogram", "route", "Time from a request's arrival to its answer, of those served."},
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -121,6 +121,11 @@
 		known += len(peers)
 	}
 	n.metrics.gauge(int64(known), "servers_known")
+	away := int64(0)
+	if n.away.Load() {
+		away = 1
+	}
+	n.metrics.gauge(away, "server_away")
 	n.gateMu.Lock()
 	g := n.gate.Read()
 	n.gateMu.Unlock()
--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -147,7 +147,7 @@
 	e, first := b.runs.breakOff(b.n.clock.Now(), r)
 	if first {
 		ended := b.hasEnded()
-		b.n.away.Store(ended)
+		b.n.noteAway(ended)
 		b.noteEnd(r.life, ended, b.runs.judge(b.n.clock.Now(), r.life, ended))
 		close(e.judged) // now that a copy of the guilty request that is sent on is known for one
 	} else {
@@ -173,7 +173,14 @@
 // noteRefused takes note of a connection that the server refused: where no run goes on nobody is there.
 func (b *backend) noteRefused(err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) && !b.runs.goesOn(b.n.clock.Now()) {
-		b.n.away.Store(true)
+		b.n.noteAway(true)
+	}
+}
+
+// noteAway notes whether nobody is there beside this node.
+func (n *Node) noteAway(away bool) {
+	if n.away.Swap(away) != away {
+		n.callLog.Warn("own server", "away", away, "instance", n.view.Load().own.Instance)
 	}
 }
 
