--- a/pkg/mesh/memory_network_test.go
+++ b/pkg/mesh/memory_network_test.go
@@ -16,6 +16,8 @@
 	listeners map[string]*memoryListener
 	// cut tells whether a VM can't reach an address; connections that are open stay.
 	cut func(ip, addr string) bool
+	// dialTime is how long a connection, or its refusal, takes.
+	dialTime time.Duration
 
 	open []*memoryConn // the sides that called
 }
@@ -95,8 +97,9 @@
 	return l, nil
 }
 
-// dial connects at once; an address on which nobody listens refuses.
+// dial connects after dialTime; an address on which nobody listens refuses.
 func (w *memoryNetwork) dial(ctx context.Context, ip, addr string, _ time.Duration) (net.Conn, error) {
+	time.Sleep(w.dialTime)
 	w.mu.Lock()
 	l := w.listeners[addr]
 	away := w.cut != nil && w.cut(ip, addr)
--- a/pkg/mesh/recovery_test.go
+++ b/pkg/mesh/recovery_test.go
@@ -18,9 +18,16 @@
 }
 
 // startAll starts them anew.
-func (s *site) startAll() {
+func (s *site) startAll() { s.startAllBut(-1) }
+
+// startAllBut starts them anew; the server beside one node isn't there, and sends no heartbeat.
+func (s *site) startAllBut(gone int) {
 	for i := range s.nodes {
-		s.start(i)
+		if i == gone {
+			s.startNode(i)
+		} else {
+			s.start(i)
+		}
 	}
 }
 
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -97,10 +97,15 @@
 
 // start starts the node beside a server, which then sends a heartbeat; one that was halted loses all it knew.
 func (s *site) start(i int) {
+	s.startNode(i)
+	s.beat(i, false)
+}
+
+// startNode does the same without a heartbeat.
+func (s *site) startNode(i int) {
 	n := s.newNode(i)
 	qt.New(s.t).Assert(n.Start(context.Background()), qt.IsNil)
 	s.nodes[i] = n
-	s.beat(i, false)
 }
 
 // newNode returns a node beside a server that isn't started.
