A request that a server didn't take is no run

Cause: the node beside a server that is gone counted each request that nobody took as a run that failed after no time, 1,500 to 2,200 of them a second beside 1,480 real runs, so a call of that service seemed to hold a slot for 0.018 s where it holds it for 0.040 s, and twice as much was let in as there is room for. Change: what ends with 'not run' isn't counted among the runs and says nothing of their calls, whoever refused: the server, its address, or a time limit that passed before.

--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -73,6 +73,10 @@
 	b.n.gateMu.Lock()
 	b.n.gate.Done(now, held, b.n.usualHold(q.Route), outcome)
 	b.n.gateMu.Unlock()
+	if a.outcome == wire.NotRun {
+		b.n.stats.drop(now, run)
+		return a
+	}
 	b.n.stats.end(now, q.Route, run, held, outcome)
 	b.n.metrics.count("runs_total", "route", q.Route, "outcome", outcome.String())
 	b.n.metrics.add(held.Milliseconds(), "slot_ms_total", "route", q.Route, "outcome", outcome.String())
--- a/pkg/mesh/keep_learned_test.go
+++ b/pkg/mesh/keep_learned_test.go
@@ -12,7 +12,6 @@
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
-	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 )
 
@@ -32,7 +31,7 @@
 	s.store.learned["b"] = loads.Learned{Service: "b", Calls: map[string]callgraph.Rates{"r": {"called": 9}}}
 	n, _ := s.add("a", "z", 10)
 	s.until("it is recalled", func() bool {
-		n.stats.end(time.Now(), "r", n.stats.begin(time.Now(), "r", time.Now()), 0, gate.Shed)
+		n.stats.drop(time.Now(), n.stats.begin(time.Now(), "r", time.Now()))
 		n.stats.mu.Lock()
 		defer n.stats.mu.Unlock()
 		return n.stats.callsOf("r")["called"] == 4
@@ -118,7 +117,7 @@
 	low = s.nodes[1]
 	s.until("the restarted node knows the calls", func() bool { return low.isInner("called") })
 	c.Assert(low.knowledge.complete.Load(), qt.IsTrue)
-	low.stats.end(time.Now(), "called", low.stats.begin(time.Now(), "called", time.Now()), 0, gate.Shed)
+	low.stats.drop(time.Now(), low.stats.begin(time.Now(), "called", time.Now()))
 	low.stats.mu.Lock()
 	defer low.stats.mu.Unlock()
 	c.Assert(low.stats.callsOf("called")["x"], qt.Equals, 5.0)
@@ -163,7 +162,7 @@
 	n.do(func() {
 		n.recallTold("peer", told(1))
 		n.recallTold("peer", told(8))
-		n.stats.end(time.Now(), "r", n.stats.begin(time.Now(), "r", time.Now()), 0, gate.Shed)
+		n.stats.drop(time.Now(), n.stats.begin(time.Now(), "r", time.Now()))
 		n.stats.mu.Lock()
 		defer n.stats.mu.Unlock()
 		taken <- n.stats.callsOf("r")["x"]
--- a/pkg/mesh/traffic_runs.go
+++ b/pkg/mesh/traffic_runs.go
@@ -21,14 +21,17 @@
 	return s.learner.Begin(now, route, deadline)
 }
 
-// end notes the end of such a run; one that the server refused isn't counted as a run.
+// drop forgets a run that the server didn't take: counted, it would seem to hold a slot for no time and to make no calls.
+func (s *trafficStats) drop(now time.Time, run *callgraph.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learner.Drop(now, run)
+}
+
+// end notes the end of a run.
 func (s *trafficStats) end(now time.Time, route string, run *callgraph.Run, held time.Duration, o gate.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o == gate.Shed {
-		s.learner.Drop(now, run)
-		return
-	}
 	s.learner.End(now, run, o == gate.Answered)
 	r := s.runs[route]
 	if r == nil {
