A node finds that nobody is there beside it, though its own request is in progress

Cause: where the address of a server refuses a connection and no run goes on, nobody is there; but the request whose connection was refused counted as a run that goes on, but for a clock that stands still, as in the tests. A node that has started anew, which hasn't seen its server end, never learned it. Change: only runs that are older than the refused one show that the server goes on, and it is looked at when that one has ended.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -15,10 +15,12 @@
 type answer struct {
 	outcome  wire.Outcome
 	reason   wire.Reason
-	arrived  bool   // the request reached, or may have reached, a backend server
-	canceled bool   // the caller has gone, or its time is up
-	broken   bool   // the connection to the backend server broke before its answer was whole
-	ended    string // the instance of the backend server that ended under it; empty: none did
+	arrived  bool // the request reached, or may have reached, a backend server
+	canceled bool // the caller has gone, or its time is up
+	broken   bool // the connection to the backend server broke before its answer was whole
+	// unreachable tells that the backend server's address refused a connection: where no older run goes on, nobody is there.
+	unreachable bool
+	ended       string // the instance of the backend server that ended under it; empty: none did
 	// comeBack is when the caller should try again; 0: as usual.
 	comeBack time.Duration
 	// overloaded tells that admission refused the request, which may take a while to pass.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/directory"
@@ -68,6 +70,9 @@
 	} else {
 		b.runs.end(at)
 	}
+	if a.unreachable && !b.runs.goesOn(begun) {
+		b.n.noteAway(true)
+	}
 	now := b.n.clock.Now()
 	held := min(now.Sub(begun), max(q.deadline.Sub(begun), 0)) // while the VM was suspended the run held nothing
 	b.n.gateMu.Lock()
@@ -202,8 +207,9 @@
 func (b *backend) failed(err error) (*answer, gate.Outcome) {
 	switch {
 	case unsent(err):
-		b.noteRefused(err)
-		return refused(wire.ReasonNoServer), gate.Failed
+		a := refused(wire.ReasonNoServer)
+		a.unreachable = errors.Is(err, syscall.ECONNREFUSED)
+		return a, gate.Failed
 	case ended(err):
 		a := lost(wire.ReasonDeadline)
 		a.canceled = true
--- a/pkg/mesh/gone_server_test.go
+++ b/pkg/mesh/gone_server_test.go
@@ -66,7 +66,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s, gone := oneOfTwoGone(t)
-		s.askRead(gone)
+		for range 20 {
+			s.askRead(gone)
+		}
 		c.Check(s.nodes[gone].away.Load(), qt.IsTrue)
 		s.beat(gone, false)
 		c.Check(s.nodes[gone].away.Load(), qt.IsFalse)
--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -170,13 +170,6 @@
 	return a
 }
 
-// noteRefused takes note of a connection that the server refused: where no run goes on nobody is there.
-func (b *backend) noteRefused(err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) && !b.runs.goesOn(b.n.clock.Now()) {
-		b.n.noteAway(true)
-	}
-}
-
 // noteAway notes whether nobody is there beside this node.
 func (n *Node) noteAway(away bool) {
 	if n.away.Swap(away) != away {
