A server that is gone isn't tried again by each call

Change: a refusal names the life of the server that is gone, and callers pass it by until the next life is known or five seconds are over, as they do by a server that has ended under a request; such a server is no last resort once another one was tried.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -20,7 +20,7 @@
 	broken   bool // the connection to the backend server broke before its answer was whole
 	// unreachable tells that the backend server's address refused a connection: where no older run goes on, nobody is there.
 	unreachable bool
-	ended       string // the instance of the backend server that ended under it; empty: none did
+	ended       string // the life of the backend server that has ended, under the request if it may have run; empty: none has
 	// comeBack is when the caller should try again; 0: as usual.
 	comeBack time.Duration
 	// overloaded tells that admission refused the request, which may take a while to pass.
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -68,7 +68,7 @@
 }
 
 // choose returns the server to send to, or nil if all were tried or there is none. Servers that are set
-// aside or stopping are taken only if there is no other.
+// aside or stopping are taken only if there is no other, and those that have ended only if nothing was tried.
 func choose(now time.Time, list []*peer, tried []*peer, c comparison) *peer {
 	if len(list) == 0 {
 		return nil
@@ -119,6 +119,9 @@
 		if (p.near.Load() || s.noZone) != near || slices.Contains(tried, p) || !p.open(now, lastResort) {
 			continue
 		}
+		if len(tried) > 0 && p.gone(now) {
+			continue
+		}
 		few.add(p)
 	}
 	var found *peer
--- a/pkg/mesh/gone_server_test.go
+++ b/pkg/mesh/gone_server_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
 )
@@ -75,6 +77,29 @@
 	})
 }
 
+// Each call went to the gone server first, some 2,000 a second, since it seemed idle.
+func TestAGoneServerIsPassedBy(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, gone := oneOfTwoGone(t)
+		s.servers[0].work = 100 * time.Millisecond
+		time.Sleep(learnedWait) // what comes before waits, and goes on at once
+		const reads = 600
+		var asking sync.WaitGroup
+		for i := range reads {
+			asking.Go(func() { s.askRead(i) })
+			time.Sleep(5 * time.Millisecond)
+		}
+		asking.Wait()
+		key := label("arrivals_total", "service", "a", "outcome", "not-run", "reason", "no-server")
+		tries := metrics.GetOrRegisterCounter(key, s.nodes[gone].metrics.registry).Count()
+		c.Check(tries < reads/20, qt.IsTrue, qt.Commentf("%d of %d reads went to it", tries, reads))
+		s.servers[0].srv.Close()
+		c.Check(s.askRead(0), qt.Equals, http.StatusServiceUnavailable)
+	})
+}
+
 // oneOfTwoGone is a site of two servers of which one isn't there, though its record says that it serves.
 func oneOfTwoGone(t *testing.T) (s *site, gone int) {
 	s = newMemorySite(t)
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -184,12 +184,24 @@
 	return first
 }
 
+// gone tells whether the peer's server has ended and the next one isn't known yet.
+func (p *peer) gone(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isGone(now)
+}
+
+// isGone does the same while p.mu is held.
+func (p *peer) isGone(now time.Time) bool {
+	return p.ended != "" && p.ended == p.life && now.Before(p.endedTil)
+}
+
 // usable tells whether the peer isn't set aside, and its server hasn't ended without the next one being known yet. One that was set aside, and hasn't been
 // heard since, is tried by one request at a time.
 func (p *peer) usable(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ended != "" && p.ended == p.life && now.Before(p.endedTil) {
+	if p.isGone(now) {
 		return false
 	}
 	return !now.Before(p.asideTil) && (p.failures == 0 || p.inflight.Load() == 0)
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -50,7 +50,7 @@
 	Success  int // good answers of the server in a hundred, refusals of its own counted as none
 	Version  int64
 	Stopping bool
-	Ended    string        // the instance of the server that ended under the request; empty: none did
+	Ended    string        // the life of the server that has ended, under the request if it may have run; empty: none has
 	ComeBack time.Duration // when the caller should try again; 0: as usual
 }
 
--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -173,7 +173,11 @@
 // noteAway notes whether nobody is there beside this node.
 func (n *Node) noteAway(away bool) {
 	if n.away.Swap(away) != away {
-		n.callLog.Warn("own server", "away", away, "instance", n.view.Load().own.Instance)
+		own := n.view.Load().own
+		n.callLog.Warn("own server", "away", away, "instance", own.Instance)
+		if away {
+			n.peer(n.ip).serverEnded(n.clock.Now(), own.LifeName())
+		}
 	}
 }
 
