--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -32,6 +32,7 @@
 	srv  *http.Server
 	seq  atomic.Int64
 	life atomic.Int64 // which of its lives this is
+	down atomic.Bool  // it has ended, and the next life hasn't begun
 	born atomic.Int64 // when this life began, in Unix milliseconds; 0: it doesn't say
 	out  string       // the node's outbound address
 	ways *http.Client // to the node
--- /dev/null
+++ b/pkg/mesh/innocent_kinds_test.go
@@ -0,0 +1,203 @@
+package mesh
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+var (
+	innocentPlays = flag.Int("innocent.plays", 12, "plays of TestNoSoundKindIsHeldBackForLong")
+	innocentSeed  = flag.Uint64("innocent.seed", 1, "seed of the first one")
+)
+
+// The bounds that the plays are held to.
+const (
+	// leastServed of the requests of a sound kind are served over a play, but for those that a server ended under.
+	leastServed = 0.99
+	// longestRefusal is for how long requests of one sound kind may be refused as suspects without one that is served.
+	longestRefusal = time.Second
+	// mostCulpritEnds is how many servers a culprit may end after those under its runs that began before its first end.
+	mostCulpritEnds = 2
+)
+
+// soundKind is a kind of sound requests, with what became of them.
+type soundKind struct {
+	path     string
+	rate     float64 // a second
+	sent     int
+	served   int
+	refused  int // as a suspect
+	lost     int // a server ended under it, twice
+	firstBad time.Time
+	lastBad  time.Time
+	longest  time.Duration // for which none was served and some were refused
+}
+
+// note takes what became of one request; it was sent at a time.
+func (k *soundKind) note(sent time.Time, status int, reason wire.Reason) {
+	k.sent++
+	switch {
+	case status == http.StatusOK:
+		k.served++
+		if sent.After(k.firstBad) {
+			k.firstBad = time.Time{}
+		}
+	case reason == wire.ReasonSuspect || reason == wire.ReasonHeldBack:
+		k.refused++
+		if k.firstBad.IsZero() {
+			k.firstBad = sent
+		}
+		k.longest = max(k.longest, sent.Sub(k.firstBad))
+	default:
+		k.lost++
+	}
+}
+
+// innocentPlay is one play drawn by a seed.
+type innocentPlay struct {
+	*poisonSite
+	rnd   *rand.Rand
+	mu    sync.Mutex
+	kinds []*soundKind
+	total soundKind // of kinds that are asked for once each
+}
+
+// shares of the sound requests that popular kinds have.
+var kindShares = []float64{1. / 3, 1. / 4, 1. / 10, 1. / 30, 1. / 100, 1. / 1000}
+
+// newInnocentPlay draws a play.
+func newInnocentPlay(t *testing.T, seed uint64) *innocentPlay {
+	rnd := rand.New(rand.NewPCG(seed, seed))
+	p := &innocentPlay{rnd: rnd}
+	fuse := time.Duration(50+rnd.IntN(1950)) * time.Millisecond
+	if rnd.IntN(3) == 0 {
+		fuse = 500 * time.Millisecond
+	}
+	p.poisonSite = newPoisonSite(t, 6+rnd.IntN(7), fuse)
+	rate := float64(100 + rnd.IntN(150))
+	first := rnd.IntN(2)
+	for i, share := range kindShares[first : first+5] {
+		p.kinds = append(p.kinds, &soundKind{path: fmt.Sprint("/read/kind", i), rate: rate * share})
+	}
+	p.total.rate = rate / 4
+	return p
+}
+
+// askSound sends sound requests for a time.
+func (p *innocentPlay) askSound(span time.Duration) {
+	for _, k := range append(p.kinds, &p.total) {
+		p.work.Go(func() {
+			end := time.Now().Add(span)
+			for i := 0; ; i++ {
+				time.Sleep(time.Duration(rand.ExpFloat64() / k.rate * float64(time.Second)))
+				if !time.Now().Before(end) {
+					return
+				}
+				path := k.path
+				if path == "" {
+					path = fmt.Sprint("/read/unique", i)
+				}
+				p.work.Go(func() { p.askKind(k, path) })
+			}
+		})
+	}
+}
+
+// askKind sends one sound request.
+func (p *innocentPlay) askKind(k *soundKind, path string) {
+	sent := time.Now()
+	status, _, h := p.ask(rand.N(poisonEntries), http.MethodGet, path, fmt.Sprint("s", rand.Uint64()), 2*time.Second)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k.note(sent, status, wire.Reason(h.Get(wire.HeaderReason)))
+}
+
+// trouble ends servers for other reasons now and then.
+func (p *innocentPlay) trouble(span time.Duration) {
+	servers := p.servers[poisonEntries:]
+	end := time.Now().Add(span)
+	for {
+		time.Sleep(time.Duration(500+p.rnd.IntN(4000)) * time.Millisecond)
+		if time.Now().After(end) {
+			return
+		}
+		switch p.rnd.IntN(4) {
+		case 0: // one crashes
+			f := servers[p.rnd.IntN(len(servers))]
+			p.endServer(f, f.life.Load())
+		case 1: // several crash within 100 ms
+			for _, i := range p.rnd.Perm(len(servers))[:2+p.rnd.IntN(2)] {
+				f := servers[i]
+				p.work.Go(func() {
+					time.Sleep(rand.N(100 * time.Millisecond))
+					p.endServer(f, f.life.Load())
+				})
+			}
+		case 2: // news is lost between a zone and the others
+			cut := p.cutZone(fmt.Sprint("z", p.rnd.IntN(3)))
+			time.Sleep(time.Duration(200+p.rnd.IntN(800)) * time.Millisecond)
+			cut.Store(false)
+		case 3: // a calm while
+		}
+	}
+}
+
+// play plays it.
+func (p *innocentPlay) play() {
+	const span = 14 * time.Second
+	p.from = time.Now()
+	p.askSound(span)
+	time.Sleep(2 * time.Second)
+	perS := 1 + p.rnd.IntN(12)
+	p.work.Go(func() { p.askPoison(8*time.Second, perS, 0, 1, 2) })
+	if p.rnd.IntN(2) == 0 {
+		p.work.Go(func() { p.trouble(8 * time.Second) })
+	}
+	p.finish()
+}
+
+// No request of a popular kind that ended nothing is refused as a suspect for long: three ends, under each of which some of its runs were, by chance, had it held back.
+func TestNoSoundKindIsHeldBackForLong(t *testing.T) {
+	t.Parallel()
+	for i := range *innocentPlays {
+		seed := *innocentSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p := newInnocentPlay(t, seed)
+				p.play()
+				p.check(c)
+			})
+		})
+	}
+}
+
+// check checks the bounds, and writes a line for the table of many plays.
+func (p *innocentPlay) check(c *qt.C) {
+	worst, longest, refused, sent, lost := 1.0, time.Duration(0), 0, 0, 0
+	for _, k := range append(p.kinds, &p.total) {
+		answered := k.sent - k.lost
+		share := float64(k.served) / float64(max(answered, 1))
+		if k.path != "" && k.rate >= 2 {
+			worst, longest = min(worst, share), max(longest, k.longest)
+			c.Check(share >= leastServed, qt.IsTrue, qt.Commentf("%s, %.1f a second: %d of %d served, %d refused as suspects", k.path, k.rate, k.served, answered, k.refused))
+			c.Check(k.longest <= longestRefusal, qt.IsTrue, qt.Commentf("%s, %.1f a second: refused for %v", k.path, k.rate, k.longest))
+		}
+		refused, sent, lost = refused+k.refused, sent+k.sent, lost+k.lost
+	}
+	r := p.of(poisonPath)
+	most := r.sendsBeforeFirstEnd() + mostCulpritEnds
+	c.Check(len(r.ended) <= most, qt.IsTrue, qt.Commentf("the culprit ended %d servers, at most %d may", len(r.ended), most))
+	c.Logf("PLAY servers %d fuse %v: %d of %d refused as suspects, %d lost, worst kind %.3f, longest %v, culprit ended %d (at most %d)",
+		len(p.servers)-poisonEntries, p.fuse, refused, sent, lost, worst, longest, len(r.ended), most)
+}
--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -130,9 +130,10 @@
 // endServer ends one life of a server, which starts anew under another id after some seconds; it reports whether that life went on
 // until now.
 func (p *poisonSite) endServer(f *fakeServer, life int64) bool {
-	if !f.life.CompareAndSwap(life, life+1) {
+	if f.down.Load() || !f.life.CompareAndSwap(life, life+1) {
 		return false
 	}
+	f.down.Store(true)
 	f.mu.Lock()
 	srv := f.srv
 	f.mu.Unlock()
@@ -155,6 +156,7 @@
 			return
 		}
 		go next.Serve(ln)
+		f.down.Store(false)
 		p.beat(slices.Index(p.servers, f), false)
 	})
 	return true
