Ends of which a request was cleared count for no later stage

Cause: a run that began when one end was known makes the second stage, whether the request has been cleared of the first end since or not; so a popular request, of which some runs are under each of several ends in a row, comes to the third stage though dozens of its runs end well between them, and once it is held back nothing can clear it. Change: the stage that counts is no more than the ends that it wasn't cleared of.

--- a/pkg/mesh/innocent_kinds_test.go
+++ b/pkg/mesh/innocent_kinds_test.go
@@ -39,7 +39,6 @@
 	refused  int // as a suspect
 	lost     int // a server ended under it, twice
 	firstBad time.Time
-	lastBad  time.Time
 	longest  time.Duration // for which none was served and some were refused
 }
 
--- a/pkg/poison/case.go
+++ b/pkg/poison/case.go
@@ -15,7 +15,7 @@
 	Route       string      `json:"route"`
 	Request     string      `json:"request"` // id of the last attempt under which a server ended
 	// Stage counts the ends one after the other: that of a run that began in stage n makes stage n+1, so servers that end
-	// together, under copies of a request that many send, make one stage.
+	// together, under copies of a request that many send, make one stage. See severity for the ends of which it was cleared meanwhile.
 	Stage int `json:"stage"`
 	// Ends are the servers that ended under it since it was last cleared, Cleared those before.
 	Ends    []Lifetime    `json:"ends"`
@@ -23,6 +23,10 @@
 	Age     time.Duration `json:"age_ns"` // since the last end, when this was written
 }
 
+// severity is the stage that the ends bear out which it wasn't cleared of: news of an end may come after that of a run that ended well, and says then
+// how many ends there were when the run began, whether they count any more or not.
+func (c *Case) severity() int { return min(c.Stage, len(c.Ends)) }
+
 // live tells whether the request is under suspicion.
 func (c *Case) live() bool { return len(c.Ends) > 0 }
 
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -55,7 +55,7 @@
 		if k == nil || !k.live() {
 			continue
 		}
-		stages[i] = k.Stage
+		stages[i] = k.severity()
 		if j := t.rules().judge(&k.Case, now.Sub(k.last)); j.Treatment > worst.Treatment {
 			worst = j
 		}
@@ -214,7 +214,7 @@
 
 // Held returns the cases that are or were held back, in order, for a node that has just started and for who asks.
 func (t *Table) Held(now time.Time) []Case {
-	return t.some(now, func(k *kept) bool { return k.live() && k.Stage >= heldStage })
+	return t.some(now, func(k *kept) bool { return k.live() && k.severity() >= heldStage })
 }
 
 // All returns all requests under suspicion, in order.
@@ -233,7 +233,7 @@
 		}
 	}
 	slices.SortFunc(cases, func(a, b Case) int {
-		return cmp.Or(cmp.Compare(b.Stage, a.Stage), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+		return cmp.Or(cmp.Compare(b.severity(), a.severity()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	return cases
 }
@@ -254,7 +254,7 @@
 // over tells whether a case need not be kept any longer.
 func (k *kept) over(now time.Time, rules Rules) bool {
 	if k.live() {
-		return now.Sub(k.last) >= rules.memory(k.Stage)
+		return now.Sub(k.last) >= rules.memory(k.severity())
 	}
 	return now.Sub(k.cleared) >= clearedMemory
 }
@@ -269,7 +269,7 @@
 	for _, k := range t.cases {
 		all = append(all, k)
 	}
-	slices.SortFunc(all, func(a, b *kept) int { return cmp.Or(cmp.Compare(a.Stage, b.Stage), a.last.Compare(b.last)) })
+	slices.SortFunc(all, func(a, b *kept) int { return cmp.Or(cmp.Compare(a.severity(), b.severity()), a.last.Compare(b.last)) })
 	for _, k := range all[:over+maxCases/8] { // some more, so that this is done seldom
 		t.count(k.live(), false)
 		delete(t.cases, k.Fingerprint)
--- a/pkg/poison/treatment.go
+++ b/pkg/poison/treatment.go
@@ -111,11 +111,12 @@
 // judge returns what is to be done with a request some time after the last end under it.
 func (r Rules) judge(c *Case, since time.Duration) Judgement {
 	j := Judgement{Ends: c.Ends}
+	stage := c.severity()
 	switch {
-	case since < r.hold(c.Stage):
-		j.Treatment, j.For = HeldBack, r.hold(c.Stage)-since
+	case since < r.hold(stage):
+		j.Treatment, j.For = HeldBack, r.hold(stage)-since
 		return j
-	case c.Stage >= aloneStage || len(c.Ends) >= heldEnds:
+	case stage >= aloneStage || len(c.Ends) >= heldEnds:
 		j.Treatment = Alone
 	default:
 		j.Treatment = Confined
