At the first start of the whole system quotas begin full

They are answers 429 of the owners of quotas: buckets begin empty, and a team of one request a second gets its first token of each zone after seconds. Change: what a node owns since before Settle (1 s) after the first start is full from then on, once; before that nodes may not agree on who owns what. Nothing has run before the first start, so the bound of a window, which allows a full bucket, holds. After a loss of all nodes buckets begin empty as before: what ran in the window isn't known, and a bucket of each zone may have been given out in full just before.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -21,6 +21,7 @@
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 	"github.com/rockspoke/rockspoke/pkg/poison"
+	"github.com/rockspoke/rockspoke/pkg/quota"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -132,6 +133,9 @@
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, func() { close(n.ended) })
 	n.started = n.clock.Now()
+	if n.cfg.Mesh.FirstStart {
+		n.quotas.owner.FullFrom = clock.Boot(n.clock).Add(quota.Settle)
+	}
 	for _, s := range n.servers {
 		if err := n.listen(s); err != nil {
 			n.cancel()
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -6,6 +6,8 @@
 type bucket struct {
 	level float64
 	last  time.Time // as of which the level is
+	// begunFull tells that it was filled for the first start.
+	begunFull bool
 }
 
 // fill brings the level up to date.
--- a/pkg/quota/owner.go
+++ b/pkg/quota/owner.go
@@ -31,6 +31,9 @@
 // Owner holds the buckets of the teams that a node owns. Its zero value owns none; it isn't safe for concurrent use.
 type Owner struct {
 	Rules Rules
+	// FullFrom is when the buckets that the node has owned since before are full, once: at the first start of the whole system nothing has run before, but
+	// until nodes agree on who owns what, several may give out the same tokens. Zero: they begin empty, since what has run lately isn't known.
+	FullFrom time.Time
 
 	since   [Shards]time.Time // from when on the node gives out tokens; zero: it isn't the owner
 	part    float64           // of the zone's tokens that may be given out
@@ -141,6 +144,9 @@
 	rate, depth := o.Rules.rate(l)*o.part, o.Rules.depth(l)*o.part
 	b := o.bucket(team)
 	b.fill(now, rate, depth) // a node that waits has a bucket as of a later time, in which nothing comes
+	if o.startsFull(now, team, b) {
+		b.level, b.begunFull = depth, true
+	}
 	kept := 0.0
 	if far {
 		kept = lentAbove * depth
@@ -153,6 +159,11 @@
 	return Grant{Wait: o.waitFor(kept+1-b.level, rate)}
 }
 
+// startsFull tells whether a bucket is to be filled now for the first start.
+func (o *Owner) startsFull(now time.Time, team string, b *bucket) bool {
+	return !o.FullFrom.IsZero() && !b.begunFull && !now.Before(o.FullFrom) && o.since[ShardOf(team)].Before(o.FullFrom)
+}
+
 // waitFor returns when so many tokens have come.
 func (o *Owner) waitFor(missing, rate float64) time.Duration {
 	if rate <= 0 {
