What has ended well of late needs more ends to be held back, and isn't refused to spare the last server

Cause: a request of which some runs are in every server is under each end, whoever is to blame. It was tried alone, which a request of more than one run at a time can't be; and where others had ended all servers but one, it was kept from that one, so that no run could clear it. Change: a request counts as sound for ten seconds after a run of it ended well, here or, in the five to ten seconds before, at a server that then ended, whose node remembers that by hashes of its own. A sound request needs three ends more for each treatment and may go to the last server; and no sender's word against it counts at a server where it has ended well.

--- a/pkg/cli/query_held_back.go
+++ b/pkg/cli/query_held_back.go
@@ -16,7 +16,8 @@
 )
 
 const heldBackHelp = `Held-back lists the requests under which backend servers ended, as one node of a mesh knows them, and what is done with each:
-confined (one server, the same for all its copies), alone (there, one at a time) or held back (not sent on).
+confined (one server, the same for all its copies), alone (there, one at a time) or held back (not sent on). SOUND tells whether
+runs of it have ended well in the last seconds: such a request needs three more ends for each of these.
 
 --lift has one go anywhere again, at all nodes: by the id of an attempt or the fingerprint that the list shows. It is taken
 only on the VM of the node.
@@ -91,12 +92,12 @@
 }
 
 func suspectsTable(t io.Writer, list []mesh.Suspect) {
-	row(t, "REQUEST", "SERVICE", "ROUTE", "TREATMENT", "FOR", "ENDED", "FINGERPRINT")
+	row(t, "REQUEST", "SERVICE", "ROUTE", "TREATMENT", "FOR", "SOUND", "ENDED", "FINGERPRINT")
 	for _, s := range list {
 		ended := make([]string, 0, len(s.Ends))
 		for _, l := range s.Ends {
 			ended = append(ended, l.Host+" "+l.Instance)
 		}
-		row(t, s.Request, s.Service, s.Route, s.Treatment, s.For.Round(time.Second), strings.Join(ended, ", "), s.Fingerprint)
+		row(t, s.Request, s.Service, s.Route, s.Treatment, s.For.Round(time.Second), s.Sound, strings.Join(ended, ", "), s.Fingerprint)
 	}
 }
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -11,6 +11,7 @@
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
+	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -20,6 +21,7 @@
 	pool  *httpconn.Pool
 	runs  serverRuns
 	trial trial
+	good  poison.GoodRuns
 }
 
 func newBackend(n *Node) *backend {
--- a/pkg/mesh/server_end.go
+++ b/pkg/mesh/server_end.go
@@ -226,7 +226,9 @@
 	now := b.n.clock.Now()
 	e := poison.End{Lifetime: poison.Lifetime{Host: b.n.ip, Instance: life}, Service: broken[0].q.Service}
 	for _, r := range broken {
-		e.Runs = append(e.Runs, poison.Run{Identity: r.q.identity(), Stages: r.q.Stages, Route: r.q.Route, Request: r.q.id})
+		e.Runs = append(e.Runs, poison.Run{
+			Identity: r.q.identity(), Stages: r.q.Stages, Sound: b.good.Of(now, r.q.asked()), Route: r.q.Route, Request: r.q.id,
+		})
 	}
 	if !b.n.poison.TakeEnd(now, e) {
 		return // a run that was sent to the same life after its end
--- a/pkg/mesh/suspect_trial.go
+++ b/pkg/mesh/suspect_trial.go
@@ -54,8 +54,8 @@
 	wait := time.NewTimer(trialWait)
 	defer wait.Stop()
 	// The sender may have heard of an end that is news here: two copies that came just then ran side by side. Whoever has waited goes by what is known here, which
-	// the run that it waited for has settled.
-	told := q.Stages
+	// the run that it waited for has settled. Of what has ended well here of late the sender's word counts for nothing.
+	told := q.Stages.Without(b.good.Of(b.n.clock.Now(), q.asked()))
 	for {
 		j := b.n.judge(q)
 		q.Stages = j.Stages.Max(told)
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -21,18 +21,21 @@
 
 // identity tells what the request asks for, whatever attempt it is.
 func (q *request) identity() poison.Identity {
-	q.ident.once.Do(func() {
-		a := poison.Asked{
-			Service: q.Service, Method: q.method, Host: q.host, URI: q.uri, Caller: q.Caller, Body: q.body,
-		}
-		if q.stream != nil {
-			a.Body, a.Length = q.head, q.length
-		}
-		q.ident.of = a.Identity()
-	})
+	q.ident.once.Do(func() { q.ident.of = q.asked().Identity() })
 	return q.ident.of
 }
 
+// asked returns what the request asks for.
+func (q *request) asked() poison.Asked {
+	a := poison.Asked{
+		Service: q.Service, Method: q.method, Host: q.host, URI: q.uri, Caller: q.Caller, Body: q.body,
+	}
+	if q.stream != nil {
+		a.Body, a.Length = q.head, q.length
+	}
+	return a
+}
+
 // judge returns what is to be done with a request, by what ended under it anywhere. While nothing is under suspicion it costs one look.
 func (n *Node) judge(q *request) poison.Judgement {
 	if !n.poison.Any() || n.off[settings.HeldBack] {
@@ -45,7 +48,7 @@
 func (n *Node) heldBack(q *request, j poison.Judgement) *answer {
 	n.metrics.count("held_back_total", "route", q.Route)
 	n.callLog.Info("held back", "request", q.id, "route", q.Route, "service", q.Service, "fingerprint", q.identity().Widest(),
-		"stages", j.Stages, "for", j.For, "ended", lifetimes(j.Ends))
+		"stages", j.Stages, "sound", j.Sound, "for", j.For, "ended", lifetimes(j.Ends))
 	a := refused(wire.ReasonHeldBack)
 	a.comeBack = j.For
 	return a
@@ -97,10 +100,11 @@
 	}
 }
 
-// placeSuspect returns the server that a suspect goes to. The last one that is there is spared for a moment, for the sake of all other requests.
+// placeSuspect returns the server that a suspect goes to. The last one that is there is spared for a moment, for the sake of all other
+// requests, but from those whose runs have ended well of late.
 func (d *delivery) placeSuspect(now time.Time, servers []*peer, j poison.Judgement) (*peer, *answer) {
 	there := those(servers, func(p *peer) bool { return p.open(now, false) })
-	if len(there) == 1 && len(servers) > 1 && j.For > 0 {
+	if len(there) == 1 && len(servers) > 1 && j.For > 0 && !j.Sound {
 		a := refused(wire.ReasonSuspect)
 		a.comeBack = j.For
 		return nil, a
@@ -143,7 +147,11 @@
 
 // noteSurvived clears a request whose run ended well. A server's own failure says too little: the run may have been cut short before it could do harm.
 func (b *backend) noteSurvived(q *request, a *answer) {
-	if !b.n.poison.Any() || a.outcome != wire.Ran || a.status >= http.StatusInternalServerError {
+	if a.outcome != wire.Ran || a.status >= http.StatusInternalServerError || b.n.off[settings.HeldBack] {
+		return
+	}
+	b.good.Add(b.n.clock.Now(), q.asked())
+	if !b.n.poison.Any() {
 		return
 	}
 	cleared := b.n.poison.Clear(b.n.clock.Now(), q.identity())
--- /dev/null
+++ b/pkg/mesh/turned_deadly_test.go
@@ -0,0 +1,50 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A popular request that has turned into one that ends servers is held back as well, after some more ends.
+func TestAPopularRequestThatTurnsDeadlyIsHeldBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPoisonSite(t, 12, 70*time.Millisecond)
+		turns := time.Now().Add(5 * time.Second)
+		for _, f := range p.servers[poisonEntries:] {
+			serve := f.handle
+			f.handle = func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == popularPath && time.Now().After(turns) {
+					r.URL.Path = poisonPath
+				}
+				serve(w, r)
+			}
+		}
+		p.from = time.Now()
+		sent := 0
+		const every = 20 * time.Millisecond
+		for time.Now().Before(turns.Add(6 * time.Second)) {
+			p.work.Go(func() {
+				p.ask(sent%poisonEntries, http.MethodGet, popularPath, fmt.Sprint("q", sent), 2*time.Second)
+			})
+			time.Sleep(every)
+			sent++
+		}
+		p.finish()
+		r := p.of(poisonPath)
+		most := r.sendsBeforeFirstEnd() + mostCulpritEnds + soundStages
+		c.Check(len(r.ended) <= most, qt.IsTrue, qt.Commentf("%d servers ended, at most %d may", len(r.ended), most))
+		c.Check(len(r.ended) > 0, qt.IsTrue)
+		last := r.ended[len(r.ended)-1]
+		c.Check(last.Before(turns.Add(3*time.Second)), qt.IsTrue, qt.Commentf("the last one %v after it turned", last.Sub(turns)))
+	})
+}
+
+// soundStages is how many more ends a request may cause whose runs had ended well.
+const soundStages = 3
--- a/pkg/poison/end.go
+++ b/pkg/poison/end.go
@@ -25,6 +25,16 @@
 	return s
 }
 
+// Without returns the stages but for those of likenesses whose runs have ended well.
+func (s Stages) Without(sound Sound) Stages {
+	for i := range s {
+		if sound[i] {
+			s[i] = 0
+		}
+	}
+	return s
+}
+
 // Treatment returns what may be done, by the stages alone, with a request of which a node that sends it knows them: it may have heard of an end that is news to
 // the node beside the next server. How long ago that was, and so whether it is held back, only a Table tells.
 func (s Stages) Treatment() Treatment {
@@ -42,6 +52,7 @@
 type Run struct {
 	Identity Identity
 	Stages   Stages // of its cases when the run began
+	Sound    Sound  // whether runs of it had ended well there of late
 	Route    string // for who reads about it
 	Request  string // id of the attempt, as above
 }
--- /dev/null
+++ b/pkg/poison/good_runs.go
@@ -0,0 +1,98 @@
+package poison
+
+import (
+	"encoding/binary"
+	"hash/maphash"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The bounds of GoodRuns.
+const (
+	// goodMemory is for how long a run that ended well is remembered at the least, twice that at the most.
+	goodMemory = 5 * time.Second
+	// maxGoodRuns bounds the likenesses of requests that are remembered in that time, some 16 bytes each.
+	maxGoodRuns = 8192
+)
+
+// GoodRuns remembers which requests have ended well at one server of late: when that ends, such a request is hardly to blame. Its zero value is empty and
+// works. It is safe for concurrent use.
+type GoodRuns struct {
+	mu              sync.Mutex
+	seed            maphash.Seed
+	seeded          bool
+	current, before map[uint64]struct{}
+	since           time.Time // when current began
+}
+
+// Sound tells by which likenesses a request has ended well of late.
+type Sound [Likenesses]bool
+
+// Add notes that a run of a request has ended well.
+func (g *GoodRuns) Add(now time.Time, a Asked) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.turn(now)
+	for _, key := range g.keys(a) {
+		if len(g.current) < maxGoodRuns {
+			g.current[key] = struct{}{}
+		}
+	}
+}
+
+// Of tells whether runs of a request have ended well of late.
+func (g *GoodRuns) Of(now time.Time, a Asked) Sound {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.turn(now)
+	var s Sound
+	for i, key := range g.keys(a) {
+		_, lately := g.current[key]
+		_, before := g.before[key]
+		s[i] = lately || before
+	}
+	return s
+}
+
+// turn begins a new stretch of time once the present one is long enough; g.mu is held.
+func (g *GoodRuns) turn(now time.Time) {
+	if !g.seeded {
+		g.seed, g.seeded = maphash.MakeSeed(), true
+	}
+	switch age := now.Sub(g.since); {
+	case age >= 2*goodMemory:
+		g.before = nil
+	case age >= goodMemory:
+		g.before = g.current
+	default:
+		return
+	}
+	g.current, g.since = make(map[uint64]struct{}), now
+}
+
+// keys returns the request's likenesses by hashes that nobody outside this process can foresee.
+func (g *GoodRuns) keys(a Asked) [Likenesses]uint64 {
+	path, _, _ := strings.Cut(a.URI, "?")
+	return [Likenesses]uint64{
+		Exact:     g.key(a, a.URI, a.Caller, Exact),
+		SamePath:  g.key(a, path, a.Caller, SamePath),
+		AnyCaller: g.key(a, path, "", AnyCaller),
+	}
+}
+
+// key returns the hash of one likeness.
+func (g *GoodRuns) key(a Asked, uri, caller string, likeness byte) uint64 {
+	var h maphash.Hash
+	h.SetSeed(g.seed)
+	_ = h.WriteByte(likeness) // as below
+	for _, part := range []string{a.Service, a.Method, a.Host, uri, caller} {
+		_, _ = h.WriteString(part) // a hash takes all bytes
+		_ = h.WriteByte(0)
+	}
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(a.Length))
+	_, _ = h.Write(length[:])
+	_, _ = h.Write(a.Body)
+	return h.Sum64()
+}
--- /dev/null
+++ b/pkg/poison/good_runs_test.go
@@ -0,0 +1,58 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What ended well is known for some seconds, by each likeness, and no longer.
+func TestGoodRunsAreRememberedForAWhile(t *testing.T) {
+	c := qt.New(t)
+	var g GoodRuns
+	a := Asked{Service: "s", Method: "GET", URI: "/x?a=1", Caller: "c"}
+	c.Assert(g.Of(start, a), qt.Equals, Sound{})
+	g.Add(start, a)
+	c.Assert(g.Of(start.Add(goodMemory), a), qt.Equals, Sound{true, true, true})
+	other := a
+	other.URI = "/x?a=2"
+	c.Assert(g.Of(start.Add(goodMemory), other), qt.Equals, Sound{Exact: false, SamePath: true, AnyCaller: true})
+	other.Caller = "d"
+	c.Assert(g.Of(start.Add(goodMemory), other), qt.Equals, Sound{AnyCaller: true})
+	other.Body = []byte("b")
+	c.Assert(g.Of(start.Add(goodMemory), other), qt.Equals, Sound{})
+	c.Assert(g.Of(start.Add(3*goodMemory), a), qt.Equals, Sound{})
+}
+
+// Kinds by the thousand don't take more memory than the bound.
+func TestGoodRunsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var g GoodRuns
+	for i := range 3 * maxGoodRuns {
+		g.Add(start, Asked{Service: "s", URI: fmt.Sprint("/", i)})
+	}
+	c.Assert(len(g.current), qt.Equals, maxGoodRuns)
+}
+
+// A request whose runs end well needs more ends in a row, and is held back all the same in the end.
+func TestASoundRequestNeedsMoreEnds(t *testing.T) {
+	c := qt.New(t)
+	var x Table
+	for i := range heldStage + soundEnds {
+		c.Assert(x.Judge(start, idOf("/popular")).Treatment < HeldBack, qt.IsTrue, qt.Commentf("after %d ends", i))
+		e := endOf("a", i, i, "/popular")
+		e.Runs[0].Sound = Sound{true, true, true}
+		x.TakeEnd(start, e)
+	}
+	c.Assert(x.Judge(start, idOf("/popular")).Treatment, qt.Equals, HeldBack)
+}
+
+// BenchmarkGoodRuns is what each run that ends well costs.
+func BenchmarkGoodRuns(b *testing.B) {
+	var g GoodRuns
+	a := Asked{Service: "xati36a", Method: "GET", Host: "rano73.example", URI: "/boda430/0000af", Caller: "wuno24d"}
+	for b.Loop() {
+		g.Add(start, a)
+	}
+}
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -18,6 +18,8 @@
 	maxSeen = 256
 	// clearedMemory is how long a cleared case is kept, so that news of the ends before, which is still on its way, doesn't count again.
 	clearedMemory = 10 * time.Second
+	// soundMemory is for how long a request counts as one whose runs end well.
+	soundMemory = 10 * time.Second
 )
 
 // Table keeps the cases of all services; its zero value is empty and works. It is safe for concurrent use.
@@ -36,6 +38,7 @@
 	Case
 	last    time.Time // when the last server ended under it
 	cleared time.Time // when it was last cleared; zero: never
+	sound   time.Time // when runs of it were last known to end well; zero: not known
 }
 
 // Any tells whether any request is under suspicion; while none is, nothing else needs to be asked.
@@ -56,8 +59,12 @@
 			continue
 		}
 		stages[i] = k.severity()
-		if j := t.rules().judge(&k.Case, now.Sub(k.last)); j.Treatment > worst.Treatment {
+		k.Sound = k.soundAt(now)
+		switch j := t.rules().judge(&k.Case, now.Sub(k.last)); {
+		case j.Treatment > worst.Treatment:
 			worst = j
+		case j.Treatment == worst.Treatment && !j.Sound:
+			worst.Sound = false
 		}
 	}
 	worst.Stages = stages
@@ -108,6 +115,9 @@
 	if at.After(k.last) {
 		k.last = at
 	}
+	if r.Sound[likeness] && at.After(k.sound) {
+		k.sound = at
+	}
 	t.count(was, k.live())
 }
 
@@ -173,7 +183,7 @@
 	}
 	was := k.live()
 	k.Ends = without(k.Ends, k.Cleared)
-	k.cleared = now
+	k.cleared, k.sound = now, now
 	if !k.live() {
 		k.Stage = 0
 	}
@@ -204,9 +214,15 @@
 	return news
 }
 
+// soundAt tells whether runs of the request have ended well of late.
+func (k *kept) soundAt(now time.Time) bool {
+	return !k.sound.IsZero() && now.Sub(k.sound) < soundMemory
+}
+
 // told returns the case as it is told to others.
 func (k *kept) told(now time.Time) Case {
 	c := k.Case
+	c.Sound = k.soundAt(now)
 	c.Ends, c.Cleared = slices.Clone(k.Ends), slices.Clone(k.Cleared)
 	c.Age = now.Sub(k.last)
 	return c
--- a/pkg/poison/treatment.go
+++ b/pkg/poison/treatment.go
@@ -31,6 +31,9 @@
 	heldStage = 3
 	// heldEnds servers that ended are enough in aloneStage: a request that many clients sent at once ends several servers in its first stage.
 	heldEnds = 3
+	// soundEnds is how many stages more a request needs of which runs have ended well of late: most likely others end the servers, and tried alone a popular
+	// one would mostly be refused. Should it have turned into one that ends servers, it ends so many more.
+	soundEnds = 3
 	// spareTime after an end is how long a suspect isn't sent to the last server of its service that is there: servers that end are back after some
 	// seconds, and the others' requests need the last one. After that it is tried even there, since a service may have one server for good.
 	spareTime = 4 * time.Second
@@ -104,19 +107,24 @@
 	Stages    Stages
 	// For is how long the treatment lasts, of one that is held back, or how long the last server of the service is to be spared.
 	For time.Duration
+	// Sound tells that runs of it have ended well of late.
+	Sound bool
 	// Ends are the servers that ended under it.
 	Ends []Lifetime
 }
 
 // judge returns what is to be done with a request some time after the last end under it.
 func (r Rules) judge(c *Case, since time.Duration) Judgement {
-	j := Judgement{Ends: c.Ends}
+	j := Judgement{Ends: c.Ends, Sound: c.Sound}
 	stage := c.severity()
+	if c.Sound {
+		stage -= soundEnds
+	}
 	switch {
 	case since < r.hold(stage):
 		j.Treatment, j.For = HeldBack, r.hold(stage)-since
 		return j
-	case stage >= aloneStage || len(c.Ends) >= heldEnds:
+	case stage >= aloneStage || len(c.Ends) >= heldEnds && !c.Sound:
 		j.Treatment = Alone
 	default:
 		j.Treatment = Confined
