News of servers that nobody knows makes no peers

Each end of a server that a message named made a peer with a pool of connections, whether there is such a VM or not: a thousand of them for a thousand ends. TestNewsOfUnknownServersMakesNoPeers red before (1,001 peers), green now.

--- a/pkg/mesh/suspect_news.go
+++ b/pkg/mesh/suspect_news.go
@@ -150,7 +150,12 @@
 
 // noteEnded has requests pass by a server that ended.
 func (n *Node) noteEnded(e poison.End) {
-	n.peer(e.Lifetime.Host).serverEnded(n.clock.Now(), e.Lifetime.Instance)
+	n.peersMu.Lock()
+	p := n.peers[e.Lifetime.Host]
+	n.peersMu.Unlock()
+	if p != nil {
+		p.serverEnded(n.clock.Now(), e.Lifetime.Instance)
+	}
 }
 
 // tellCleared tells what was cleared here of late. Who hears it tells it on with the exchanges of its own zone only.
--- a/pkg/mesh/suspect_news_test.go
+++ b/pkg/mesh/suspect_news_test.go
@@ -93,6 +93,21 @@
 	c.Assert(a.newsTargets(endRelay, 0), qt.HasLen, endRelay)
 }
 
+// News of ends that names servers nobody knows takes no memory beyond the table's bounds.
+func TestNewsOfUnknownServersMakesNoPeers(t *testing.T) {
+	c := qt.New(t)
+	a := newAsking()
+	var ends []poison.End
+	for i := range 1000 {
+		e := endOfMany(1)
+		e.Lifetime.Host = fmt.Sprint("10.9.0.", i)
+		ends = append(ends, e)
+	}
+	before := len(a.peers)
+	a.takeSuspects(a.clock.Now(), ends, nil)
+	c.Assert(len(a.peers), qt.Equals, before)
+}
+
 // A server's node tries a copy alone where its sender knows of two ends in a row, though it doesn't know that itself; who has waited goes by what is known here.
 func TestWhatTheSenderKnowsCountsAtTheServer(t *testing.T) {
 	t.Parallel()
