--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -112,7 +112,7 @@
 
 // best returns the best of a few servers taken at random, so that nodes with the same news don't all go to one. Each
 // server is as likely to be among the few: the list is in the order of hosts, so those of one zone stand together, and
-// with neighbours of a random place the first three of twenty servers in one of five zones got four fifths of its calls.
+// neighbours of a random place would mostly be the first ones of a zone.
 func (s standard) best(now time.Time, list, tried []*peer, near, lastResort bool) (*peer, float64) {
 	var few peerSample
 	for _, p := range list {
--- a/pkg/mesh/suspect_news.go
+++ b/pkg/mesh/suspect_news.go
@@ -98,8 +98,8 @@
 	n.tellBriefly(n.newsTargets(endNear, endFar), []poison.End{e}, nil)
 }
 
-// newsTargets returns some nodes of the own zone and some of each other one. Seeds aren't among them: in a zone of four they took up to three of the four places, so that
-// a node heard of an end only with the next exchange, and a fourth server ended under a request in two of some 930 plays.
+// newsTargets returns some nodes of the own zone and some of each other one. Seeds aren't among them: they may be the same nodes
+// again, and others would hear of an end only with the next exchange.
 func (n *Node) newsTargets(near, farOfEach int) []talkTarget {
 	targets := someOf(n.knownTargets(nearOnly), near)
 	byZone := map[string][]talkTarget{}
--- a/pkg/mesh/suspect_trial.go
+++ b/pkg/mesh/suspect_trial.go
@@ -13,8 +13,7 @@
 // The times of suspects that are tried one at a time.
 const (
 	// trialWait is how long one waits for another one's run to end. Most runs end well within it, and the copies of a popular request that
-	// wait are free then: of five of nine servers that ended under one, in two plays of made-up time, 9 to 20 of 200 reads were refused
-	// without a wait.
+	// wait are free then.
 	trialWait = 300 * time.Millisecond
 	// suspectPause is when one that has waited so long is told to come back.
 	suspectPause = 300 * time.Millisecond
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -12,8 +12,8 @@
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
-// identity is what a request asks for, worked out when it is first needed: beside suspects each request needs it three to five times, of 1.1 us each (benchmark of
-// package poison). Its zero value isn't worked out.
+// identity is what a request asks for, worked out when it is first needed, since beside suspects each request needs it several times. Its zero value isn't
+// worked out.
 type identity struct {
 	once sync.Once
 	of   poison.Identity
@@ -125,7 +125,7 @@
 }
 
 // settled returns the peers whose servers all nodes know, or all if there are none. While news of a server spreads nodes would choose differently, and two
-// copies that are tried at once may end two servers: of three, a fourth one ended in one of some ten plays in made-up time.
+// copies that are tried at once may end two servers.
 func settled(now time.Time, list []*peer) []*peer {
 	old := those(list, func(p *peer) bool { return p.settled(now) })
 	if len(old) == 0 {
--- a/pkg/mesh/traffic_at_gate.go
+++ b/pkg/mesh/traffic_at_gate.go
@@ -4,9 +4,7 @@
 
 // atGate counts a request at the first gate that it comes to, and whether it was turned away for want of room. In a service of
 // many servers a request goes on to all of them: were it counted at each, the share that is turned away would grow
-// with their number, and with it the room that is taken from them. In an overload of four times the room from the first
-// request on, 48 nodes with six servers of the smallest service served 1.19 of the room in 12 s and 0.77 from 2 to 4 s
-// when it was, 1.28 and 1.12 now; eight nodes with one such server 1.31 (whole nodes in made-up time, two runs each).
+// with their number, and with it the room that is taken from them.
 func (s *trafficStats) atGate(now time.Time, inner, turnedAway bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/overload/allowance.go
+++ b/pkg/overload/allowance.go
@@ -12,9 +12,7 @@
 
 // Allowance lets in a flow's share as a rate, not as one of so many requests: the share is what there is room for divided
 // by a demand that was counted over a second. Where the demand falls, room would stay empty until that is known, and where it
-// rises too much would be let in. The share times the demand is right in both cases: in the two seconds after a burst eight
-// nodes served 0.66 to 0.69 of what was asked, and 0.40 to 0.48 with shares of requests (whole nodes in made-up time, two
-// and four runs). Its zero value has nothing saved up; it isn't safe for concurrent use.
+// rises too much would be let in. The share times the demand is right in both cases. Its zero value has nothing saved up; it isn't safe for concurrent use.
 type Allowance struct {
 	saved float64
 	last  time.Time
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -16,9 +16,7 @@
 }
 
 // Target is the share of a service's capacity that admission fills. More than all of it, since some requests fail
-// before they have made all of their calls, and since a gate that turns requests away says so (RoomControl): of the worth
-// of all answers in two overloads of 15 nodes callers got 0.327 and 0.434 at 0.95, 0.334 and 0.470 at 1.0, 0.346 and 0.476 at
-// 1.15 (one play each).
+// before they have made all of their calls, and since a gate that turns requests away says so (RoomControl).
 const Target = 1.1
 
 // Options switch parts of the plan off; the zero value has them all.
--- a/pkg/overload/room_control.go
+++ b/pkg/overload/room_control.go
@@ -34,15 +34,13 @@
 	// seen after a second or so: reports spread, and what was let in before has to end.
 	takeRate = 0.8
 	// giveRate is how fast it is given back, as a share of the whole a second, and freeGiveRate the same while slots are free:
-	// then nothing is turned away any more, whatever the counts of the last seconds say. Without it the middle service of 194 VMs
-	// stood idle for five seconds of an overload, planned with a sixteenth of its slots.
+	// then nothing is turned away any more, whatever the counts of the last seconds say.
 	giveRate     = 0.25
 	freeGiveRate = 1.5
 	// leastRoom is the part that is always planned for, so that there is something to learn from.
 	leastRoom = 0.08
 	// learnTime after the server is first used nothing is taken: what is turned away then tells of costs that aren't
-	// learned yet, and soon are. Counted from the start of the process, it had passed before the first request where the
-	// desired state came late, and the burst of the first second cost 0.56 of the room.
+	// learned yet, and soon are. It counts from the first use, since the desired state may come long after the start.
 	learnTime = 3 * time.Second
 	// longestStep bounds the time that one look stands for.
 	longestStep = time.Second
--- a/pkg/quota/owner.go
+++ b/pkg/quota/owner.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// lentAbove is the part of a bucket that is kept for the own zone: nodes of others get what lies above it. A team at 0.9 of a limit of 10 a second, all at
-	// one entry, was refused 0.009 of its requests with a third, none with this, and one far over its limit asks other zones a tenth more (made-up time, 69 nodes).
+	// lentAbove is the part of a bucket that is kept for the own zone: nodes of others get what lies above it. With more, a team all of
+	// whose requests come in at one entry is refused below its limit.
 	lentAbove = 0.2
 	// aheadAbove is the part above which a node gets more than the one token that it needs now.
 	aheadAbove = 0.5
