Test servers are taken for up once their heartbeat was heard

One run of the tests of sound kinds with the race detector was red (its trace wasn't kept). Suspected by reading: the goroutine that starts a server anew read its instance after it had said that the server is up, and the next end of the server writes it.

--- a/pkg/mesh/innocent_kinds_test.go
+++ b/pkg/mesh/innocent_kinds_test.go
@@ -126,7 +126,9 @@
 func (p *innocentPlay) askCulprit(span time.Duration, perS float64) {
 	p.work.Go(func() {
 		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(around(time.Duration(float64(time.Second) / perS))) {
+			p.mu.Lock()
 			p.sent = append(p.sent, time.Now())
+			p.mu.Unlock()
 			p.work.Go(func() {
 				p.ask(rand.N(poisonEntries), http.MethodGet, poisonPath, fmt.Sprint("p", rand.Uint64()), 2*time.Second)
 			})
@@ -181,7 +183,9 @@
 				})
 			}
 		case 2: // news is lost between a zone and the others
+			p.mu.Lock()
 			p.cuts = append(p.cuts, time.Now())
+			p.mu.Unlock()
 			cut := p.cutZone(fmt.Sprint("z", p.rnd.IntN(3)))
 			time.Sleep(longestCut/5 + time.Duration(p.rnd.Int64N(int64(longestCut)*4/5)))
 			cut.Store(false)
--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -156,8 +156,8 @@
 			return
 		}
 		go next.Serve(ln)
-		f.down.Store(false)
 		p.beat(slices.Index(p.servers, f), false)
+		f.down.Store(false)
 	})
 	return true
 }
