--- a/pkg/poison/fingerprint.go
+++ b/pkg/poison/fingerprint.go
@@ -47,22 +47,33 @@
 
 // Identity returns the fingerprints. They are cryptographic hashes, so that no caller can have another one's requests held back.
 func (a Asked) Identity() Identity {
+	var id Identity
+	for i, l := range a.likenesses() {
+		id[i] = a.fingerprint(l, int64(i))
+	}
+	return id
+}
+
+// likeness is what counts of a request by one of them, beside what does by all.
+type likeness struct{ uri, caller string }
+
+func (a Asked) likenesses() [Likenesses]likeness {
 	path, _, _ := strings.Cut(a.URI, "?")
-	return Identity{
-		Exact:     a.fingerprint(a.URI, a.Caller, Exact),
-		SamePath:  a.fingerprint(path, a.Caller, SamePath),
-		AnyCaller: a.fingerprint(path, "", AnyCaller),
+	return [Likenesses]likeness{
+		Exact:     {a.URI, a.Caller},
+		SamePath:  {path, a.Caller},
+		AnyCaller: {path, ""},
 	}
 }
 
 // Widest returns the fingerprint that the most requests share.
 func (id Identity) Widest() Fingerprint { return id[AnyCaller] }
 
-// fingerprint returns that of the request for a URI from a caller by one likeness.
-func (a Asked) fingerprint(uri, caller string, likeness int64) Fingerprint {
+// fingerprint returns the one by a likeness.
+func (a Asked) fingerprint(l likeness, index int64) Fingerprint {
 	h := sha256.New()
-	addLength(h, likeness)
-	for _, part := range []string{a.Service, a.Method, strings.ToLower(a.Host), uri, caller} {
+	addLength(h, index)
+	for _, part := range []string{a.Service, a.Method, strings.ToLower(a.Host), l.uri, l.caller} {
 		addLength(h, int64(len(part)))
 		_, _ = io.WriteString(h, part) // a hash takes all bytes
 	}
--- a/pkg/poison/good_runs.go
+++ b/pkg/poison/good_runs.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"hash/maphash"
-	"strings"
 	"sync"
 	"time"
 )
@@ -20,8 +19,7 @@
 // works. It is safe for concurrent use.
 type GoodRuns struct {
 	mu              sync.Mutex
-	seed            maphash.Seed
-	seeded          bool
+	seed            maphash.Seed // the zero one until something is noted
 	current, before map[uint64]struct{}
 	since           time.Time // when current began
 }
@@ -57,8 +55,8 @@
 
 // turn begins a new stretch of time once the present one is long enough; g.mu is held.
 func (g *GoodRuns) turn(now time.Time) {
-	if !g.seeded {
-		g.seed, g.seeded = maphash.MakeSeed(), true
+	if g.seed == (maphash.Seed{}) {
+		g.seed = maphash.MakeSeed()
 	}
 	switch age := now.Sub(g.since); {
 	case age >= 2*goodMemory:
@@ -73,20 +71,19 @@
 
 // keys returns the request's likenesses by hashes that nobody outside this process can foresee.
 func (g *GoodRuns) keys(a Asked) [Likenesses]uint64 {
-	path, _, _ := strings.Cut(a.URI, "?")
-	return [Likenesses]uint64{
-		Exact:     g.key(a, a.URI, a.Caller, Exact),
-		SamePath:  g.key(a, path, a.Caller, SamePath),
-		AnyCaller: g.key(a, path, "", AnyCaller),
+	var keys [Likenesses]uint64
+	for i, l := range a.likenesses() {
+		keys[i] = g.key(a, l, byte(i))
 	}
+	return keys
 }
 
-// key returns the hash of one likeness.
-func (g *GoodRuns) key(a Asked, uri, caller string, likeness byte) uint64 {
+// key returns the hash by one likeness.
+func (g *GoodRuns) key(a Asked, l likeness, index byte) uint64 {
 	var h maphash.Hash
 	h.SetSeed(g.seed)
-	_ = h.WriteByte(likeness) // as below
-	for _, part := range []string{a.Service, a.Method, a.Host, uri, caller} {
+	_ = h.WriteByte(index) // as below
+	for _, part := range []string{a.Service, a.Method, a.Host, l.uri, l.caller} {
 		_, _ = h.WriteString(part) // a hash takes all bytes
 		_ = h.WriteByte(0)
 	}
