New fields of suspects' news stand last on the wire

The test of places on the wire has these messages, too (red before: Sound before Route, and before Age).

--- a/pkg/mesh/wire_places_test.go
+++ b/pkg/mesh/wire_places_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/loads"
+	"github.com/rockspoke/rockspoke/pkg/poison"
 )
 
 // Fields go by their place on the wire. While one release replaces another, nodes of both talk to each other: a field in the midst of the others
@@ -22,6 +23,9 @@
 			"Ends", "Cases", "Held", "Wants", "Brief", "Era",
 		}},
 		{loads.Report{}, []string{"Host", "Epoch", "Seq", "Service", "Room", "Entries", "Runs", "Away", "Leaving"}},
+		{poison.End{}, []string{"Lifetime", "Service", "Age", "Runs"}},
+		{poison.Run{}, []string{"Identity", "Stages", "Route", "Request", "Sound"}},
+		{poison.Case{}, []string{"Fingerprint", "Service", "Route", "Request", "Stage", "Ends", "Cleared", "Age", "Sound"}},
 	} {
 		typ := reflect.TypeOf(x.of)
 		var names []string
--- a/pkg/poison/case.go
+++ b/pkg/poison/case.go
@@ -20,8 +20,8 @@
 	// Ends are the servers that ended under it since it was last cleared, Cleared those before.
 	Ends    []Lifetime    `json:"ends"`
 	Cleared []Lifetime    `json:"cleared,omitempty"`
-	Sound   bool          `json:"sound,omitempty"` // runs of it ended well in the last seconds
 	Age     time.Duration `json:"age_ns"`          // since the last end, when this was written
+	Sound   bool          `json:"sound,omitempty"` // runs of it ended well in the last seconds
 }
 
 // severity is the stage that the ends bear out which it wasn't cleared of: news of an end may come after that of a run that ended well, and says then
--- a/pkg/poison/end.go
+++ b/pkg/poison/end.go
@@ -52,9 +52,9 @@
 type Run struct {
 	Identity Identity
 	Stages   Stages // of its cases when the run began
-	Sound    Sound  // whether runs of it had ended well there of late
 	Route    string // for who reads about it
 	Request  string // id of the attempt, as above
+	Sound    Sound  // whether runs of it had ended well there of late
 }
 
 // End is the end of a server that nobody had announced.
