That a server is gone is told apart from that one ended under a request

A flag of its own tells it now, which older nodes pass over; the life that is marked is the one known when the request was sent.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -18,9 +18,11 @@
 	arrived  bool // the request reached, or may have reached, a backend server
 	canceled bool // the caller has gone, or its time is up
 	broken   bool // the connection to the backend server broke before its answer was whole
+	// gone tells that it hasn't run since nobody is there beside the node that was asked.
+	gone bool
 	// unreachable tells that the backend server's address refused a connection: where no older run goes on, nobody is there.
 	unreachable bool
-	ended       string // the life of the backend server that has ended, under the request if it may have run; empty: none has
+	ended       string // the life of the backend server that ended under it; empty: none did
 	// comeBack is when the caller should try again; 0: as usual.
 	comeBack time.Duration
 	// overloaded tells that admission refused the request, which may take a while to pass.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -82,9 +82,7 @@
 	b.n.gateMu.Unlock()
 	if a.outcome == wire.NotRun {
 		b.n.stats.drop(now, run)
-		if b.n.away.Load() {
-			a.ended = at.life
-		}
+		a.gone = b.n.away.Load()
 		return a
 	}
 	b.n.stats.end(now, q.Route, run, held, outcome)
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -122,6 +122,7 @@
 
 // send hands the request to one server, through the node beside it.
 func (d *delivery) send(ctx context.Context, p *peer) *answer {
+	life := p.lifeKnown()
 	usual := p.sending(d.n.clock.Now(), d.n.usualHold(d.route.Name))
 	defer p.inflight.Add(-1)
 	if p.local {
@@ -150,6 +151,9 @@
 		return lost(wire.ReasonLost)
 	}
 	p.heard(d.n.clock.Now(), r)
+	if r.Gone {
+		p.serverEnded(d.n.clock.Now(), life)
+	}
 	d.n.noticeVersion(p.host, r.Version)
 	return d.read(p, res, r)
 }
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -86,7 +86,7 @@
 	return reply{
 		Outcome: a.outcome, Reason: a.reason, ByServer: a.arrived,
 		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Pace: int(g.Pace*100 + 0.5),
-		Success: int(g.Success*(1-g.Shed)*100 + 0.5), Stopping: n.stop.leaving(), Version: n.version(),
+		Success: int(g.Success*(1-g.Shed)*100 + 0.5), Stopping: n.stop.leaving(), Gone: a.gone, Version: n.version(),
 		Ended: a.ended, ComeBack: a.comeBack,
 	}
 }
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -111,6 +111,13 @@
 	return now.Sub(p.known) >= settleTime
 }
 
+// lifeKnown returns the life of the peer's server that is known.
+func (p *peer) lifeKnown() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life
+}
+
 // serverEnded notes that a life of the peer's server has ended.
 func (p *peer) serverEnded(now time.Time, life string) {
 	p.mu.Lock()
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -50,7 +50,8 @@
 	Success  int // good answers of the server in a hundred, refusals of its own counted as none
 	Version  int64
 	Stopping bool
-	Ended    string        // the life of the server that has ended, under the request if it may have run; empty: none has
+	Gone     bool          // it hasn't run since nobody is there beside the node
+	Ended    string        // the life of the server that ended under the request; empty: none did
 	ComeBack time.Duration // when the caller should try again; 0: as usual
 }
 
@@ -109,7 +110,7 @@
 }
 
 func (r reply) encode() string {
-	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, flags(r.ByServer, r.Stopping),
+	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, flags(r.ByServer, r.Stopping, r.Gone),
 		r.Running, r.Queued, r.Limit, r.Pace, r.Success, r.Version)
 	if r.Ended != "" || r.ComeBack > 0 {
 		s += fmt.Sprintf(",%s,%d", r.Ended, r.ComeBack.Milliseconds())
@@ -140,7 +141,7 @@
 	}
 	return reply{
 		Outcome: wire.Outcome(f[0]), Reason: wire.Reason(f[1]),
-		ByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0,
+		ByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0, Gone: n[0]&4 != 0,
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
 		Pace: int(n[4]), Success: int(n[5]), Version: n[6],
 		Ended: ended, ComeBack: comeBack,
--- a/pkg/mesh/peer_protocol_test.go
+++ b/pkg/mesh/peer_protocol_test.go
@@ -17,7 +17,7 @@
 	c.Assert(got, qt.Equals, in)
 	r := reply{
 		Outcome: wire.NotRun, Reason: wire.ReasonQueue, ByServer: true, Running: 3, Queued: 4, Limit: 5,
-		Pace: 150, Success: 99, Version: 8, Stopping: true,
+		Pace: 150, Success: 99, Version: 8, Stopping: true, Gone: true,
 	}
 	back, err := parseReply(r.encode())
 	c.Assert(err, qt.IsNil)
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// noteEnded takes the word of the node beside a server that this has ended, without waiting for the news of it.
+// noteEnded takes the word of the node beside a server that this has ended under the request, without waiting for the news of it.
 func (d *delivery) noteEnded(p *peer, r reply) {
 	if r.Ended == "" {
 		return
@@ -89,9 +89,6 @@
 	now := d.n.clock.Now()
 	at := poison.Lifetime{Host: p.host, Instance: r.Ended}
 	p.serverEnded(now, r.Ended)
-	if r.Outcome == wire.NotRun {
-		return // it had ended before
-	}
 	for i, f := range d.q.identity() {
 		d.n.poison.TakeCase(now, poison.Case{
 			Fingerprint: f, Service: d.q.Service, Route: d.q.Route, Request: d.q.id,
