--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -15,6 +15,9 @@
 // the other nodes as a Case. Both may come in any order, any number of times: what counts is which lives of servers ended under a
 // request and which of these are cleared, not when anything was heard.
 //
+// A request that is popular runs in every server at any moment, so it is under each end. One of which runs have ended well of late, here or
+// at the server that ended (GoodRuns), is sound: it needs some ends more.
+//
 // fingerprint.go makes the fingerprints, end.go and case.go have what nodes tell each other,
-// table.go keeps the cases, treatment.go says what follows from one, and place.go chooses a server for a suspect.
+// table.go keeps the cases, good_runs.go what ended well at one server, treatment.go says what follows from one, and place.go chooses a server for a suspect.
 package poison
