A request that was sound is held back as long as others, not for hours

Found by reading: whether a request had ended well was asked anew at each look, so ten seconds after a popular request had turned into one that ends servers the three ends more that it had been allowed counted for the time for which it is held: three hours at its first time, where it is 30 s. Change: what was known shortly before one of the ends holds for the case, until it is cleared.

--- a/pkg/poison/case.go
+++ b/pkg/poison/case.go
@@ -21,7 +21,7 @@
 	Ends    []Lifetime    `json:"ends"`
 	Cleared []Lifetime    `json:"cleared,omitempty"`
 	Age     time.Duration `json:"age_ns"`          // since the last end, when this was written
-	Sound   bool          `json:"sound,omitempty"` // runs of it ended well in the last seconds
+	Sound   bool          `json:"sound,omitempty"` // runs of it had ended well shortly before one of the ends
 }
 
 // severity is the stage that the ends bear out which it wasn't cleared of: news of an end may come after that of a run that ended well, and says then
--- a/pkg/poison/good_runs_test.go
+++ b/pkg/poison/good_runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -48,6 +49,29 @@
 	c.Assert(x.Judge(start, idOf("/popular")).Treatment, qt.Equals, HeldBack)
 }
 
+// A request that had ended well was held back for hours at its first time, once its good runs were forgotten.
+func TestARequestThatWasSoundIsHeldBackAsLongAsOthers(t *testing.T) {
+	c := qt.New(t)
+	var x Table
+	end := func(now time.Time, i int, sound bool) {
+		e := endOf("a", i, i, "/popular")
+		e.Runs[0].Sound = Sound{sound, sound, sound}
+		x.TakeEnd(now, e)
+	}
+	for i := range heldStage + soundEnds {
+		end(start, i, i == 0)
+	}
+	later := start.Add(defaultHoldFirst)
+	c.Assert(x.Judge(later.Add(-time.Second), idOf("/popular")).For, qt.Equals, time.Second)
+	c.Assert(x.Judge(later, idOf("/popular")).Treatment, qt.Equals, Alone)
+	end(later, heldStage+soundEnds, false)
+	c.Assert(x.Judge(later, idOf("/popular")).For, qt.Equals, defaultHoldTimes*defaultHoldFirst)
+	c.Assert(x.Clear(later, idOf("/popular")), qt.HasLen, Likenesses)
+	x.Sweep(later.Add(clearedMemory))
+	end(later.Add(clearedMemory), 9, false)
+	c.Assert(x.Judge(later.Add(clearedMemory), idOf("/popular")).Sound, qt.IsFalse)
+}
+
 // BenchmarkGoodRuns is what each run that ends well costs.
 func BenchmarkGoodRuns(b *testing.B) {
 	var g GoodRuns
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -59,7 +59,6 @@
 			continue
 		}
 		stages[i] = k.severity()
-		k.Sound = k.soundAt(now)
 		switch j := t.rules().judge(&k.Case, now.Sub(k.last)); {
 		case j.Treatment > worst.Treatment:
 			worst = j
@@ -118,6 +117,7 @@
 	if r.Sound[likeness] && at.After(k.sound) {
 		k.sound = at
 	}
+	k.Sound = k.Sound || k.soundAt(at)
 	t.count(was, k.live())
 }
 
@@ -185,7 +185,7 @@
 	k.Ends = without(k.Ends, k.Cleared)
 	k.cleared, k.sound = now, now
 	if !k.live() {
-		k.Stage = 0
+		k.Stage, k.Sound = 0, false
 	}
 	t.count(was, k.live())
 	return true
@@ -206,6 +206,9 @@
 		k.Stage = c.Stage
 		news = true
 	}
+	if len(ends) > 0 && (c.Sound || k.soundAt(now)) {
+		k.Sound = true
+	}
 	if at := now.Add(-c.Age); news && len(ends) > 0 && at.After(k.last) {
 		k.last, k.Route, k.Request = at, c.Route, c.Request
 	}
@@ -214,15 +217,14 @@
 	return news
 }
 
-// soundAt tells whether runs of the request have ended well of late.
-func (k *kept) soundAt(now time.Time) bool {
-	return !k.sound.IsZero() && now.Sub(k.sound) < soundMemory
+// soundAt tells whether runs of the request had ended well of late at a time.
+func (k *kept) soundAt(at time.Time) bool {
+	return !k.sound.IsZero() && at.Sub(k.sound) < soundMemory
 }
 
 // told returns the case as it is told to others.
 func (k *kept) told(now time.Time) Case {
 	c := k.Case
-	c.Sound = k.soundAt(now)
 	c.Ends, c.Cleared = slices.Clone(k.Ends), slices.Clone(k.Cleared)
 	c.Age = now.Sub(k.last)
 	return c
--- a/pkg/poison/treatment.go
+++ b/pkg/poison/treatment.go
@@ -107,7 +107,7 @@
 	Stages    Stages
 	// For is how long the treatment lasts, of one that is held back, or how long the last server of the service is to be spared.
 	For time.Duration
-	// Sound tells that runs of it have ended well of late.
+	// Sound tells that runs of it had ended well shortly before one of the ends.
 	Sound bool
 	// Ends are the servers that ended under it.
 	Ends []Lifetime
