--- a/pkg/mesh/innocent_kinds_test.go
+++ b/pkg/mesh/innocent_kinds_test.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	innocentPlays = flag.Int("innocent.plays", 12, "plays of TestNoSoundKindIsHeldBackForLong")
+	innocentPlays = flag.Int("innocent.plays", 4, "plays of TestNoSoundKindIsHeldBackForLong")
 	innocentSeed  = flag.Uint64("innocent.seed", 1, "seed of the first one")
 )
 
