--- a/pkg/mesh/gone_server_test.go
+++ b/pkg/mesh/gone_server_test.go
@@ -21,7 +21,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := deepSite(t)
-		s.network.dialTime = 100 * time.Microsecond
+		s.network.slowDown(100 * time.Microsecond)
 		s.addDeep("floor", "z1", floorSlots) // near callers, which try it first
 		gone := s.servers[len(s.servers)-1]
 		s.settled(1)
@@ -103,7 +103,7 @@
 // oneOfTwoGone is a site of two servers of which one isn't there, though its record says that it serves.
 func oneOfTwoGone(t *testing.T) (s *site, gone int) {
 	s = newMemorySite(t)
-	s.network.dialTime = 100 * time.Microsecond
+	s.network.slowDown(100 * time.Microsecond)
 	s.seeds = []string{s.at(s.base+"1", 2)}
 	s.add("a", "z0", 10)
 	s.add("a", "z0", 10)
--- a/pkg/mesh/memory_network_test.go
+++ b/pkg/mesh/memory_network_test.go
@@ -15,9 +15,8 @@
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	// cut tells whether a VM can't reach an address; connections that are open stay.
-	cut func(ip, addr string) bool
-	// dialTime is how long a connection, or its refusal, takes.
-	dialTime time.Duration
+	cut      func(ip, addr string) bool
+	dialTime time.Duration // that a connection, or its refusal, takes
 
 	open []*memoryConn // the sides that called
 }
@@ -99,7 +98,10 @@
 
 // dial connects after dialTime; an address on which nobody listens refuses.
 func (w *memoryNetwork) dial(ctx context.Context, ip, addr string, _ time.Duration) (net.Conn, error) {
-	time.Sleep(w.dialTime)
+	w.mu.Lock()
+	wait := w.dialTime
+	w.mu.Unlock()
+	time.Sleep(wait)
 	w.mu.Lock()
 	l := w.listeners[addr]
 	away := w.cut != nil && w.cut(ip, addr)
@@ -124,6 +126,13 @@
 	}
 }
 
+// slowDown has connections take a time.
+func (w *memoryNetwork) slowDown(dialTime time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dialTime = dialTime
+}
+
 // silence makes the open connections to addresses silent for good; new ones work.
 func (w *memoryNetwork) silence(to func(addr string) bool) {
 	w.mu.Lock()
--- a/pkg/mesh/turned_deadly_test.go
+++ b/pkg/mesh/turned_deadly_test.go
@@ -30,8 +30,9 @@
 		sent := 0
 		const every = 20 * time.Millisecond
 		for time.Now().Before(turns.Add(6 * time.Second)) {
+			i := sent
 			p.work.Go(func() {
-				p.ask(sent%poisonEntries, http.MethodGet, popularPath, fmt.Sprint("q", sent), 2*time.Second)
+				p.ask(i%poisonEntries, http.MethodGet, popularPath, fmt.Sprint("q", i), 2*time.Second)
 			})
 			time.Sleep(every)
 			sent++
