Mesh: logs and metrics tell what a backend server advertises in its answers

Cause: no code reads the headers by which a server names a rate limit or says that it leaves, and no log line or metric shows them. Whether a node had seen a limit, lost it or never looked couldn't be told from what the incident left.

Change: package advertised parses both headers and follows the limit over answers that arrive out of order; platform/ has their names. The node beside the server logs a new limit with the server's instance, the first answer that says the server leaves, and an unusable value once for each lifetime and reason; the metrics server_rate_limit and server_headers_invalid_total go with them. Nothing is decided by them yet, and the headers pass to the caller as they came.

--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -40,6 +40,15 @@
 	StartedMS int64 // Unix milliseconds; 0: not reported
 }
 
+// SameAs reports whether both may be the same lifetime: the instance IDs are equal, and so are the start times as far
+// as both are reported.
+func (l Lifetime) SameAs(other Lifetime) bool {
+	if l.Instance != other.Instance {
+		return false
+	}
+	return l.StartedMS == other.StartedMS || l.StartedMS == 0 || other.StartedMS == 0
+}
+
 // Lifetime returns the server's lifetime that the record describes.
 func (r Record) Lifetime() Lifetime { return Lifetime{r.Instance, r.StartedMS} }
 
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -22,6 +22,7 @@
 	runs            serverRuns
 	trial           trial
 	recentSuccesses poison.SuccessTracker
+	notices         serverNotices
 }
 
 // newBackend returns the backend of a node.
@@ -67,7 +68,7 @@
 	run := b.n.stats.beginRun(started, q.Route, q.deadline.Add(-answerMargin))
 	at := &serverRun{q: q, lifetime: own.LifetimeID(), started: started}
 	b.runs.begin(at)
-	a, outcome := b.send(ctx, q, own.Instance)
+	a, outcome := b.send(ctx, q, own)
 	if a.broken {
 		a = b.resolveBrokenRun(at, a)
 	} else {
@@ -148,13 +149,14 @@
 const answerMargin = 20 * time.Millisecond
 
 // send sends a request to the server, and returns the answer and its outcome for the gate.
-func (b *backend) send(ctx context.Context, q *request, instance string) (*answer, gate.Outcome) {
-	left := q.deadline.Sub(b.n.clock.Now()) - answerMargin
+func (b *backend) send(ctx context.Context, q *request, own directory.Record) (*answer, gate.Outcome) {
+	sent := b.n.clock.Now()
+	left := q.deadline.Sub(sent) - answerMargin
 	if left < time.Millisecond {
 		return notRunAnswer(wire.ReasonDeadline), gate.Abandoned
 	}
 	h := q.header.Clone()
-	h.Set(b.n.names.Instance, instance)
+	h.Set(b.n.names.Instance, own.Instance)
 	h.Set(b.n.names.Caller, q.Caller)
 	h.Set(b.n.names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	res, err := b.pool.Do(ctx, &httpconn.Request{
@@ -171,14 +173,22 @@
 		}
 		return unknownAnswer(wire.ReasonAnswerLost), gate.Failed
 	}
+	if res.Status == http.StatusMisdirectedRequest {
+		_ = drainBody(res) // another server answered, and its text isn't used
+		return b.shedAnswer(res), gate.Shed
+	}
+	b.noteHeader(q, own, sent, res.Header)
 	if notExecuted(res, b.n.names) {
-		_ = drainBody(res) // only the refusal counts; its text isn't used
+		if drainBody(res) == nil { // only the refusal counts; its text isn't used
+			b.noteWholeAnswer(own, sent, res.Header)
+		}
 		return b.shedAnswer(res), gate.Shed
 	}
 	a := &answer{outcome: wire.Ran, arrived: true, status: res.Status, header: endToEndHeaders(res.Header)}
 	if err := a.bufferBody(res); err != nil {
 		return b.failedAnswer(err)
 	}
+	b.noteWholeAnswer(own, sent, res.Header)
 	if a.status >= http.StatusInternalServerError {
 		return a, gate.Failed
 	}
--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -8,12 +8,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/advertised"
 )
 
 // testNames are the header names that the tests use.
 var testNames = HeaderNames{
 	AttemptID: "X-Attempt", TimeLeft: "X-Time-Left", Instance: "X-Instance",
 	NotRun: "X-Not-Run", Caller: "X-Caller", Key: "Authorization", KeyScheme: "Token", Team: "X-Team",
+	Advertised: advertised.Names{RateLimit: "X-Rate-Limit", Leaving: "X-Leaving"},
 }
 
 // sealHeader is a header that backend servers set and nodes pass on like any other.
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
@@ -23,6 +24,8 @@
 	Key       string // a client's key, after KeyScheme and a space
 	KeyScheme string
 	Team      string // the team of the key, for the backend server
+	// Advertised are the headers in which a backend server says something of itself.
+	Advertised advertised.Names
 }
 
 // Store is what a node uses of the platform's store. Each call gets its deadline from the context.
--- a/pkg/mesh/test_state_test.go
+++ b/pkg/mesh/test_state_test.go
@@ -33,3 +33,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	return data
 }
+
+// desiredReads returns a desired state with the route read to one service.
+func desiredReads(service string) desired.State {
+	return desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, service)}}
+}
