Soak: servers name rate limits and say that they leave in their answers

Both rules are checked as the platform states them, by the node where a request or a call began and what it had passed on; a restart or pause excuses that node alone. A limit that has just fallen counts as before for half a second, the time that the rule leaves for the word to be passed on.

--- a/pkg/soak/backend_answers.go
+++ b/pkg/soak/backend_answers.go
@@ -15,10 +15,10 @@
 
 // ServeHTTP records one request as an arrival, checks its headers, and rejects or runs it.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	instance, f := b.instanceAndFault()
+	instance, lifetime, f := b.instanceAndFault()
 	id := r.Header.Get(standin.Headers.AttemptID)
 	w.Header().Set(standin.Headers.AttemptID, id)
-	a := arrival{ID: id, Service: b.vm.service, Instance: instance, VM: b.vm.ip, At: time.Now(), Team: r.Header.Get(standin.Headers.Team)}
+	a := arrival{ID: id, Service: b.vm.service, Instance: instance, Lifetime: lifetime, VM: b.vm.ip, At: time.Now(), Team: r.Header.Get(standin.Headers.Team)}
 	if r.Header.Get(standin.Headers.Key) != "" {
 		b.history.addFinding("key", id+" showed the server its key")
 	}
@@ -31,18 +31,19 @@
 	}
 	if rand.Float64() < f.RefusalRate {
 		b.history.addArrival(a)
+		b.setNotices(w.Header(), lifetime)
 		w.Header().Set(standin.Headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	a.Ran = true
 	b.history.addArrival(a)
-	b.run(w, r, id, f)
+	b.run(w, r, id, lifetime, f)
 }
 
 // run simulates the work on a request, with the internal call of the service if it has one, and writes the response
 // that f allows.
-func (b *backendServer) run(w http.ResponseWriter, r *http.Request, id string, f serverFault) {
+func (b *backendServer) run(w http.ResponseWriter, r *http.Request, id, lifetime string, f serverFault) {
 	time.Sleep(time.Duration(float64(serverRunTime) * float64(max(f.Slowdown, 1)) * (0.5 + rand.Float64())))
 	ok := rand.Float64() >= f.FailureRate
 	if called := b.vm.site.calledPath(b.vm.service); called != "" && ok {
@@ -52,6 +53,7 @@
 		writeRawAndClose(w, "")
 		return
 	}
+	b.setNotices(w.Header(), lifetime)
 	if !ok {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -81,11 +83,13 @@
 	req.Host = routeHost
 	req.Header.Set(standin.Headers.AttemptID, callID)
 	req.Header.Set(standin.Headers.TimeLeft, strconv.Itoa(leftMS))
+	b.history.addCall(internalCall{ID: callID, VM: b.vm.ip, Begun: time.Now()})
 	res, err := b.callClient.Do(req)
 	if err != nil {
 		return false
 	}
 	defer res.Body.Close()
+	b.history.addNotice(b.vm.ip, res.Header)
 	body, err := io.ReadAll(res.Body)
 	return err == nil && res.StatusCode == http.StatusOK && string(body) == answerBody(callID)
 }
--- a/pkg/soak/backend_server.go
+++ b/pkg/soak/backend_server.go
@@ -36,6 +36,8 @@
 	lifetime  int
 	seq       int64
 	draining  bool
+	limit     string // rate limit in its answers; empty: none
+	leaving   bool   // its answers say that it leaves
 }
 
 // Constants of the backend servers.
@@ -56,6 +58,7 @@
 	b.instance = fmt.Sprintf("i-%s-%d", b.vm.ip, b.lifetime)
 	b.startedMS = time.Now().UnixMilli()
 	b.seq, b.draining = 0, false
+	b.limit, b.leaving = "", false
 }
 
 // restartSameInstance starts a new lifetime of the server under the same instance. It returns a heartbeat of the
@@ -65,11 +68,12 @@
 	late = b.nextHeartbeat()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.draining {
+	if b.draining || b.leaving {
 		return late, false
 	}
 	b.startedMS = max(time.Now().UnixMilli(), b.startedMS+1)
 	b.seq = 0
+	b.limit, b.leaving = "", false
 	return late, true
 }
 
@@ -84,13 +88,16 @@
 	}
 }
 
-// instanceAndFault returns the current instance and the fault in effect.
-func (b *backendServer) instanceAndFault() (instance string, f serverFault) {
+// instanceAndFault returns the current instance, a name of its lifetime and the fault in effect.
+func (b *backendServer) instanceAndFault() (instance, lifetime string, f serverFault) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.instance, b.faults.current()
+	return b.instance, b.lifetimeName(), b.faults.current()
 }
 
+// lifetimeName returns a name of the current lifetime that no other lifetime of any server has; b.mu must be held.
+func (b *backendServer) lifetimeName() string { return fmt.Sprintf("%s/%d", b.instance, b.startedMS) }
+
 // sendHeartbeat sends one heartbeat and reports whether the node acknowledged it.
 func (b *backendServer) sendHeartbeat() bool {
 	return standin.Register(b.registerClient, b.vm.at(portControl), b.nextHeartbeat()) == nil
--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -75,6 +75,7 @@
 		return
 	}
 	defer res.Body.Close()
+	c.vm.site.history.addNotice(c.vm.ip, res.Header)
 	body, err := io.ReadAll(res.Body)
 	if err != nil {
 		return
--- a/pkg/soak/doc.go
+++ b/pkg/soak/doc.go
@@ -12,8 +12,8 @@
 // between nodes, to backend servers and to the store go through link_proxy.go,
 // which delays, resets, mutes or cuts them one way. fault_table.go lists the
 // kinds of fault, fault_links.go, fault_processes.go, fault_servers.go,
-// fault_store.go and planned_work.go inject them. history.go records what was seen,
-// promise_checks.go and team_checks.go check it against the promises.
+// fault_store.go, fault_notices.go and planned_work.go inject them. history.go records what was seen,
+// promise_checks.go, notice_checks.go and team_checks.go check it against the promises.
 //
 // Clock jumps aren't injected: changing the time of day from outside a process
 // needs privileges that the soak doesn't use.
--- a/pkg/soak/fault_processes.go
+++ b/pkg/soak/fault_processes.go
@@ -14,9 +14,11 @@
 func pauseNode(s *site, kind string, rnd *rand.Rand, d time.Duration) {
 	v := s.randomVM(rnd)
 	recordEnd := s.history.beginDisturbance(kind, false)
+	endOutage := s.history.beginOutage(v.ip)
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	v.signal(syscall.SIGCONT)
+	endOutage()
 	recordEnd()
 }
 
@@ -57,6 +59,7 @@
 func (v *vm) restart(sig syscall.Signal, down time.Duration) {
 	v.node.restarting.Lock()
 	defer v.node.restarting.Unlock()
+	defer v.site.history.beginOutage(v.ip)()
 	v.signal(sig)
 	if !v.node.waitForExit(v.node.cfg.Mesh.Grace) {
 		if sig == syscall.SIGTERM && !v.node.wasPaused() {
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -61,6 +61,14 @@
 	{"connections go silent", false, silenceConnections},
 }
 
+// noticeFaults have a table and random stream of their own for the same reason. Seeds of planned work alone have those that
+// don't make requests fail.
+var noticeFaults = []fault{
+	{"server leaves by its answers", true, leaveByAnswers},
+	{"server names a rate limit", false, advertiseLimits},
+	{"server names a rate limit", false, advertiseLimits},
+}
+
 // addedFaultsPerSecond is the mean rate of faults from each table other than baseFaults.
 const addedFaultsPerSecond = 0.4
 
@@ -91,12 +99,14 @@
 	if isPlannedOnly(seed) {
 		planned := slices.DeleteFunc(slices.Clone(baseFaults), func(f fault) bool { return !f.planned })
 		events := drawFaults(rand.New(rand.NewPCG(seed, 1)), planned, faultsPerSecond, span)
-		return sortByStart(append(events, drawFaults(rand.New(rand.NewPCG(seed, 3)), keyAndStoreFaults[:1], addedFaultsPerSecond, span)...))
+		events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 3)), keyAndStoreFaults[:1], addedFaultsPerSecond, span)...)
+		return sortByStart(append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults[:1], addedFaultsPerSecond, span)...))
 	}
 	events := drawFaults(rand.New(rand.NewPCG(seed, 1)), baseFaults, faultsPerSecond, span)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 2)), registrationFaults, addedFaultsPerSecond, span)...)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 3)), keyAndStoreFaults, addedFaultsPerSecond, span)...)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 4)), silentConnectionFaults, addedFaultsPerSecond, span)...)
+	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults, addedFaultsPerSecond, span)...)
 	return sortByStart(events)
 }
 
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -26,6 +26,7 @@
 	ID       string
 	Service  string
 	Instance string
+	Lifetime string // of the server, also where it keeps its instance
 	VM       string
 	At       time.Time
 	Ran      bool
@@ -57,6 +58,10 @@
 	stateChanges []stateChange
 	findings     []Finding
 	keys         []keyRecord // set at the end of the run
+	calls        []internalCall
+	notices      []passedNotice
+	limits       []advertisedLimit
+	outages      []nodeOutage
 }
 
 // stateChange is an acknowledged change of the desired state.
--- a/pkg/soak/promise_checks.go
+++ b/pkg/soak/promise_checks.go
@@ -10,6 +10,7 @@
 var checks = []func(h *history, calmFrom time.Time) []Finding{
 	checkOnceOnly, checkRefusals, checkAnswers, checkLeaving, checkFinalAnswers, checkPlannedWork, checkDesiredState, checkRetryBudget, checkRecovery,
 	checkTeams, checkRevokedKeys, checkValidKeys, checkQuota,
+	checkRateLimits, checkLeavingByAnswers,
 }
 
 // The bounds of the checks.
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"os/exec"
@@ -78,7 +79,7 @@
 func servedHistory() *history {
 	h := &history{}
 	h.addAttempt(attempt{ID: "bill-1-1", Route: routePay.path, Service: serviceBill, Once: true, VM: "a", Begun: testTime, Ended: testTime.Add(time.Millisecond), Limit: time.Second, Status: http.StatusOK, OwnAnswer: true})
-	h.addArrival(arrival{ID: "bill-1-1", Service: serviceBill, Instance: "i", At: testTime, Ran: true})
+	h.addArrival(arrival{ID: "bill-1-1", Service: serviceBill, Instance: "i", Lifetime: "i/1", At: testTime, Ran: true})
 	return h
 }
 
@@ -95,6 +96,16 @@
 		{"leaving", func(h *history) {
 			h.addLeave(acknowledgedLeave{Instance: "i", At: testTime.Add(-drainDuration - time.Second)})
 		}},
+		{"rate limit", func(h *history) {
+			h.addLimit(advertisedLimit{Lifetime: "i/1", At: testTime.Add(-5 * time.Second), PerSecond: 2, Limited: true})
+			h.notices = []passedNotice{{VM: "a", Lifetime: "i/1", At: testTime.Add(-time.Second), Limited: true}}
+			for range int(2*limitRatio*limitWindow.Seconds()) + limitSlack {
+				h.arrivals = append(h.arrivals, h.arrivals[0])
+			}
+		}},
+		{"leaving by answers", func(h *history) {
+			h.notices = []passedNotice{{VM: "a", Lifetime: "i/1", At: testTime.Add(-drainDuration - time.Second), Leaving: true}}
+		}},
 		{"final answer", func(h *history) { h.attempts[0].Ended = testTime.Add(2 * time.Second) }},
 		{"planned work", func(h *history) { h.attempts[0].Status, h.attempts[0].OwnAnswer = http.StatusBadGateway, false }},
 		{"desired state", func(h *history) {
@@ -156,6 +167,43 @@
 	c.Assert(checkPlannedWork(h, testTime), qt.HasLen, 1)
 }
 
+// A restart or pause of the node where a request began excuses it, one of another node doesn't, and a word passed on after it
+// binds again.
+func TestOutagesExcuseOnlyTheNodeWhereRequestsBegin(t *testing.T) {
+	c := qt.New(t)
+	h := servedHistory()
+	told := testTime.Add(-drainDuration - 2*time.Second)
+	h.notices = []passedNotice{{VM: "a", Lifetime: "i/1", At: told, Leaving: true}}
+	h.outages = []nodeOutage{{VM: "b", From: told.Add(time.Millisecond), To: told.Add(time.Second)}}
+	c.Assert(checkLeavingByAnswers(h, testTime), qt.HasLen, 1)
+	h.outages[0].VM = "a"
+	c.Assert(checkLeavingByAnswers(h, testTime), qt.HasLen, 0)
+	h.notices = append(h.notices, passedNotice{VM: "a", Lifetime: "i/1", At: testTime.Add(-drainDuration - time.Millisecond), Leaving: true})
+	h.outages[0].To = told.Add(2 * time.Millisecond)
+	c.Assert(checkLeavingByAnswers(h, testTime), qt.HasLen, 1)
+}
+
+// A limit that fell counts as before for limitTold, and a lifted one binds no longer.
+func TestLimitsAllowWhatWasAdvertised(t *testing.T) {
+	c := qt.New(t)
+	limits := []advertisedLimit{
+		{At: testTime, PerSecond: 40, Limited: true}, {At: testTime.Add(5 * time.Second), PerSecond: 10, Limited: true}, {At: testTime.Add(20 * time.Second)},
+	}
+	at := func(s float64) time.Time { return testTime.Add(time.Duration(s * float64(time.Second))) }
+	allowed := func(to float64) float64 {
+		n, bound := allowedBetween(limits, at(to-4), at(to))
+		c.Assert(bound, qt.IsTrue)
+		return math.Round(n)
+	}
+	c.Assert(allowed(3), qt.Equals, 160.0)
+	c.Assert(allowed(7), qt.Equals, 100.0+15)
+	c.Assert(allowed(12), qt.Equals, 40.0)
+	_, bound := allowedBetween(limits, at(-2), at(2))
+	c.Assert(bound, qt.IsFalse)
+	_, bound = allowedBetween(limits, at(18), at(22))
+	c.Assert(bound, qt.IsFalse)
+}
+
 func TestCommandNamesWhatIsWrong(t *testing.T) {
 	c := qt.New(t)
 	var out, errs strings.Builder
