--- a/pkg/advertised/notice.go
+++ b/pkg/advertised/notice.go
@@ -61,11 +61,11 @@
 	if len(values) > 1 {
 		return RateLimit{}, newValueError(n.RateLimit, strings.Join(values, ", "), "more than one header")
 	}
-	rate, err := parseDecimal(values[0])
+	l, err := ParseRate(values[0])
 	if err != nil {
 		return RateLimit{}, newValueError(n.RateLimit, values[0], err.Error())
 	}
-	return RateLimit{Advertised: true, PerSecond: rate}, nil
+	return l, nil
 }
 
 // ParseLeaving reports whether the headers of an answer say that the server is leaving. The error is a *ValueError.
@@ -94,14 +94,18 @@
 // Error returns the reason.
 func (e decimalError) Error() string { return string(e) }
 
-// parseDecimal parses digits with an optional point among them. It accepts no sign, exponent, hexadecimal number or
-// infinity, which strconv does.
-func parseDecimal(text string) (float64, error) {
+// ParseRate parses a rate: digits with an optional point among them. It accepts no sign, exponent, hexadecimal number or
+// infinity, which strconv does. The error says why the text is no decimal number.
+func ParseRate(text string) (RateLimit, error) {
 	switch {
 	case len(text) > maxRateDigits:
-		return 0, decimalError("too long")
+		return RateLimit{}, decimalError("too long")
 	case strings.Trim(text, "0123456789.") != "" || strings.Count(text, ".") > 1 || strings.Trim(text, ".") == "":
-		return 0, decimalError("no decimal number")
+		return RateLimit{}, decimalError("no decimal number")
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return RateLimit{}, decimalError(err.Error())
 	}
-	return strconv.ParseFloat(text, 64)
+	return RateLimit{Advertised: true, PerSecond: rate}, nil
 }
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -49,6 +49,14 @@
 	return l.StartedMS == other.StartedMS || l.StartedMS == 0 || other.StartedMS == 0
 }
 
+// MoreKnown returns which of two names of the same lifetime has a start time.
+func (l Lifetime) MoreKnown(other Lifetime) Lifetime {
+	if l.StartedMS > 0 {
+		return l
+	}
+	return other
+}
+
 // Lifetime returns the server's lifetime that the record describes.
 func (r Record) Lifetime() Lifetime { return Lifetime{r.Instance, r.StartedMS} }
 
--- a/pkg/gate/doc.go
+++ b/pkg/gate/doc.go
@@ -8,7 +8,10 @@
 // as arrived a little earlier, since work was already spent on them, and less
 // urgent roots as arrived a little later.
 //
-// gate.go holds the slots and the queue, ticket_order.go and ticket_wait.go set
+// A server may limit its rate as well. A token bucket then holds back the tickets
+// that have a slot, and rejects those that would wait too long for a token.
+//
+// gate.go holds the slots and the queue, rate_limit.go the bucket, ticket_order.go and ticket_wait.go set
 // the order of tickets and how long they may wait, and run_outcome.go records how
 // runs ended.
 //
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -12,6 +12,8 @@
 	Start  bool
 	Queued bool        // Notify receives the final decision
 	Reason wire.Reason // why it was rejected
+	// RetryAfter is the time until the server's rate limit allows the request, if it was rejected for that.
+	RetryAfter time.Duration
 }
 
 // Ticket is a request that wants to start.
@@ -52,6 +54,7 @@
 	limit        float64
 	running      int
 	queue        []*Ticket // the next to start is first
+	rate         rateBucket
 	seq          int64
 	holdTime     time.Duration
 	slowdown     float64
@@ -94,13 +97,13 @@
 	t.arrived, t.fifo = now, g.FIFO
 	g.seq++
 	t.seq = g.seq
-	if len(g.queue) == 0 && g.hasFreeSlot() {
+	if len(g.queue) == 0 && g.hasFreeSlot() && g.rate.take(now) {
 		g.running++
 		return Decision{Start: true}
 	}
 	index, _ := slices.BinarySearchFunc(g.queue, t, compareTickets)
-	if g.expectedWait(index) > g.maxWait(t, left) {
-		return Decision{Reason: wire.ReasonQueue}
+	if g.expectedWait(now, index) > g.maxWait(t, left) {
+		return g.rejection(now, index)
 	}
 	g.queue = slices.Insert(g.queue, index, t)
 	t.queued = true
@@ -110,13 +113,17 @@
 
 func (g *Gate) hasFreeSlot() bool { return float64(g.running) < max(g.limit, 1) }
 
-// startQueued starts queued tickets while there are free slots.
-func (g *Gate) startQueued(now time.Time) {
+// StartQueued starts queued tickets while there are free slots and the rate limit allows it.
+func (g *Gate) StartQueued(now time.Time) {
 	for len(g.queue) > 0 && g.hasFreeSlot() {
 		t := g.queue[0]
+		late := g.tooLate(t, now)
+		if !late && !g.rate.take(now) {
+			return
+		}
 		g.queue = g.queue[1:]
 		t.queued = false
-		if g.tooLate(t, now) {
+		if late {
 			t.Notify(Decision{Reason: wire.ReasonDeadline})
 			continue
 		}
--- a/pkg/gate/run_outcome.go
+++ b/pkg/gate/run_outcome.go
@@ -58,7 +58,7 @@
 		// The limit stays: the gate never fills the server, so it refuses for a fault of its own, whatever its load.
 	case Abandoned:
 	}
-	g.startQueued(now)
+	g.StartQueued(now)
 }
 
 // observeHold adds one run's slot hold time to the smoothed hold time and slowdown.
--- a/pkg/gate/ticket_wait.go
+++ b/pkg/gate/ticket_wait.go
@@ -19,7 +19,15 @@
 )
 
 // expectedWait returns the time after which a ticket at an index of the queue, counted from 0, would start.
-func (g *Gate) expectedWait(index int) time.Duration {
+func (g *Gate) expectedWait(now time.Time, index int) time.Duration {
+	return max(g.slotWait(index), g.rate.wait(now, index+1))
+}
+
+// slotWait returns the time after which a ticket at an index of the queue would get a slot.
+func (g *Gate) slotWait(index int) time.Duration {
+	if g.hasFreeSlot() {
+		return 0 // the queue waits for the rate limit
+	}
 	return time.Duration(float64(index+1) * float64(g.holdTime) / max(g.limit, 1))
 }
 
@@ -52,12 +60,12 @@
 	for n := len(g.queue); n > 1; n = len(g.queue) {
 		last := g.queue[n-1]
 		waited := now.Sub(last.arrived)
-		if g.expectedWait(n-1)+waited <= 2*g.maxWait(last, last.Deadline.Sub(last.arrived)) {
+		if g.expectedWait(now, n-1)+waited <= 2*g.maxWait(last, last.Deadline.Sub(last.arrived)) {
 			return
 		}
 		g.queue = g.queue[:n-1]
 		last.queued = false
-		last.Notify(Decision{Reason: wire.ReasonQueue})
+		last.Notify(g.rejection(now, n-1))
 	}
 }
 
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/overload"
 	"github.com/rockspoke/rockspoke/pkg/settings"
+	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
 // admit decides whether a root request is admitted. left is the time until its deadline.
@@ -35,10 +36,14 @@
 // retryDelay returns the delay after which a refused client should retry. An overload takes a while to pass, so the
 // delay is as long as the client will wait for, with jitter so that clients don't retry together.
 func (n *Node) retryDelay(q *request, a *answer) time.Duration {
+	maxDelay := time.Duration(float64(q.clientDeadline.Sub(n.clock.Now())) * retryDeadlineShare)
 	if a.retryAfter > 0 {
-		return a.retryAfter + rand.N(max(a.retryAfter/retrySpreadDivisor, 1))
+		spread := a.retryAfter / retrySpreadDivisor
+		if a.reason == wire.ReasonRateLimit {
+			spread = max(spread, maxDelay-a.retryAfter) // the rate allows them one by one
+		}
+		return a.retryAfter + rand.N(max(spread, 1))
 	}
-	maxDelay := time.Duration(float64(q.clientDeadline.Sub(n.clock.Now())) * retryDeadlineShare)
 	if !a.overloaded {
 		maxDelay = min(maxDelay, 2*minRetryDelay)
 	}
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -50,12 +50,18 @@
 	if refusal != nil {
 		return refusal
 	}
-	reason := b.waitAtGate(ctx, q)
+	b.adoptLimit(own, q.knownLimit)
+	d := b.waitAtGate(ctx, q)
 	if !q.RejectedElsewhere {
-		b.n.stats.noteGateArrival(b.n.clock.Now(), q.Internal, reason == wire.ReasonQueue)
+		b.n.stats.noteGateArrival(b.n.clock.Now(), q.Internal, d.Reason == wire.ReasonQueue)
 	}
-	if reason != wire.ReasonNone {
-		return notRunAnswer(reason)
+	if !d.Start {
+		if d.Reason == wire.ReasonRateLimit {
+			b.logRateRejection(q, own, d)
+		}
+		a := notRunAnswer(d.Reason)
+		a.retryAfter = d.RetryAfter
+		return a
 	}
 	a := b.runAtServer(ctx, q, own)
 	b.recordSuccess(q, a)
@@ -81,6 +87,7 @@
 	holdTime := min(now.Sub(started), max(q.deadline.Sub(started), 0)) // a run holds no slot while the VM is suspended
 	b.n.gateMu.Lock()
 	b.n.gate.Finish(now, holdTime, b.n.slotHoldTime(q.Route), outcome)
+	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
 	if a.outcome == wire.NotRun {
 		b.n.stats.dropRun(now, run)
@@ -93,15 +100,22 @@
 	return a
 }
 
-// waitAtGate waits for a slot. It returns why the request was refused, or ReasonNone once it may start.
-func (b *backend) waitAtGate(ctx context.Context, q *request) wire.Reason {
+// isFull reports whether a gate rejected a request since its server takes no more for now.
+func isFull(reason wire.Reason) bool {
+	return reason == wire.ReasonQueue || reason == wire.ReasonRateLimit
+}
+
+// waitAtGate waits for a slot, and for the rate limit if the server has one. It returns the final decision.
+func (b *backend) waitAtGate(ctx context.Context, q *request) gate.Decision {
 	decisions := make(chan gate.Decision, 1)
 	t := &gate.Ticket{
 		Internal: q.Internal, Priority: q.Priority, Deadline: q.deadline, TypicalHold: b.n.slotHoldTime(q.Route), Age: b.n.minWorkAge(q),
 		Notify: func(d gate.Decision) { decisions <- d },
 	}
+	now := b.n.clock.Now()
 	b.n.gateMu.Lock()
-	d := b.n.gate.Submit(b.n.clock.Now(), t)
+	d := b.n.gate.Submit(now, t)
+	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
 	if d.Queued {
 		select {
@@ -110,10 +124,27 @@
 			return b.withdrawTicket(t, decisions)
 		}
 	}
-	if d.Start {
-		return wire.ReasonNone
+	return d
+}
+
+// minGateDelay is the shortest time between two looks at tickets that wait for the rate limit.
+const minGateDelay = time.Millisecond
+
+// scheduleGate has queued tickets started once the server's rate limit allows it; gateMu must be held.
+func (n *Node) scheduleGate(now time.Time) {
+	wait, ok := n.gate.NextStart(now)
+	if !ok || n.gateScheduled {
+		return
 	}
-	return d.Reason
+	n.gateScheduled = true
+	time.AfterFunc(max(wait, minGateDelay), func() {
+		now := n.clock.Now()
+		n.gateMu.Lock()
+		defer n.gateMu.Unlock()
+		n.gateScheduled = false
+		n.gate.StartQueued(now)
+		n.scheduleGate(now)
+	})
 }
 
 // minWorkAge returns the least time since the work that a call belongs to began. Calls of the same route that are made
@@ -127,21 +158,24 @@
 }
 
 // withdrawTicket cancels the ticket of a request whose caller has disconnected, and returns why it didn't run.
-func (b *backend) withdrawTicket(t *gate.Ticket, decisions <-chan gate.Decision) wire.Reason {
+func (b *backend) withdrawTicket(t *gate.Ticket, decisions <-chan gate.Decision) gate.Decision {
+	late := gate.Decision{Reason: wire.ReasonDeadline}
 	b.n.gateMu.Lock()
 	queued := b.n.gate.Cancel(t)
 	b.n.gateMu.Unlock()
 	if queued {
-		return wire.ReasonDeadline
+		return late
 	}
 	d := <-decisions
 	if !d.Start {
-		return d.Reason
+		return d
 	}
+	now := b.n.clock.Now()
 	b.n.gateMu.Lock()
-	b.n.gate.Finish(b.n.clock.Now(), 0, 0, gate.Abandoned)
+	b.n.gate.Finish(now, 0, 0, gate.Abandoned)
+	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
-	return wire.ReasonDeadline
+	return late
 }
 
 // answerMargin is taken off the time that a backend server is given, so that an answer at the end of that time still
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -23,7 +23,10 @@
 )
 
 // comparisonOptions says which factors a comparison of servers ignores; the zero value ignores none.
-type comparisonOptions struct{ ignoreZone, ignoreSlowdown, ignoreSuccess bool }
+type comparisonOptions struct {
+	ignoreZone, ignoreSlowdown, ignoreSuccess bool
+	internal                                  bool // the request is a call of a request in progress
+}
 
 // comparisonSettings returns the factors that this node's settings switch off.
 func (n *Node) comparisonSettings() comparisonOptions {
@@ -70,7 +73,8 @@
 }
 
 // chooseServer returns the server to send to, or nil if there is none or all were tried. Servers that are backed off or
-// stopping are chosen only if there is no other, and crashed ones only if nothing was tried yet.
+// stopping are chosen only if there is no other, and crashed ones only if nothing was tried yet. Servers that say that they
+// are leaving are never chosen, those at their rate limit only for a call if there is no other: calls go first there.
 func chooseServer(now time.Time, list []*peer, tried []*peer, c comparisonOptions) *peer {
 	if len(list) == 0 {
 		return nil
@@ -105,6 +109,18 @@
 	return !stopping && p.usable(now)
 }
 
+// shortestFullTime returns the shortest time after which the rate limit of one of the peers' servers allows a request, or 0 if
+// none of them is at its limit.
+func shortestFullTime(now time.Time, list []*peer) time.Duration {
+	var shortest time.Duration
+	for _, p := range list {
+		if wait, full := p.fullFor(now); full && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // anyStopping reports whether one of the peers is stopping.
 func anyStopping(now time.Time, list []*peer) bool {
 	return slices.ContainsFunc(list, func(p *peer) bool {
@@ -126,6 +142,9 @@
 		if len(tried) > 0 && p.isServerDown(now) {
 			continue
 		}
+		if _, full := p.fullFor(now); full && !(lastResort && s.internal) {
+			continue
+		}
 		sample.add(p)
 	}
 	var best *peer
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -179,6 +179,7 @@
 func (n *Node) localServerChanged(newLifetime bool) {
 	r := n.control.localServer.Record()
 	n.gateMu.Lock()
+	n.backend.noticesOf(r.Lifetime())
 	if r.Phase == directory.Serving {
 		n.gate.Open(r.Slots, newLifetime)
 	} else {
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -45,9 +45,7 @@
 			continue
 		}
 		if p == nil {
-			if anyStopping(now, servers) && len(d.tried) == 0 {
-				d.reason = wire.ReasonLeaving
-			}
+			d.noteNoServer(now, servers)
 			return d.finalAnswer()
 		}
 		d.tried = append(d.tried, p)
@@ -67,10 +65,23 @@
 	}
 }
 
+// noteNoServer records why there is no server left to send to.
+func (d *delivery) noteNoServer(now time.Time, servers []*peer) {
+	if wait := shortestFullTime(now, servers); wait > 0 {
+		d.reason, d.retryAfter = wire.ReasonRateLimit, wait
+		d.n.callLog.Info("no server within its rate limit is left", "request", d.q.id, "route", d.route.Name, "service", d.q.Service,
+			"servers", len(servers), "retry_after", wait)
+		return
+	}
+	if len(d.tried) == 0 && anyStopping(now, servers) {
+		d.reason = wire.ReasonLeaving
+	}
+}
+
 // recordAttempt records what an attempt's answer means for the request as a whole.
 func (d *delivery) recordAttempt(a *answer) {
 	d.reason = a.reason
-	if a.reason == wire.ReasonQueue {
+	if isFull(a.reason) {
 		d.q.RejectedElsewhere = true
 	}
 	switch {
@@ -94,7 +105,7 @@
 	if a.reason == wire.ReasonQuarantined || a.reason == wire.ReasonSuspect {
 		return false // no other server may be put at risk
 	}
-	if d.q.Stages.Suspected() && a.reason == wire.ReasonQueue {
+	if d.q.Stages.Suspected() && isFull(a.reason) {
 		return false // a suspect's copies stay at one server, as above
 	}
 	if a.serverFailed() && !d.n.anotherServerMayHelp(d.q) {
@@ -123,20 +134,25 @@
 
 // send sends the request to one server through its node, and returns the answer.
 func (d *delivery) send(ctx context.Context, p *peer) *answer {
-	lifetime := p.knownLifetime()
-	usual := p.recordSend(d.n.clock.Now(), d.n.slotHoldTime(d.route.Name))
+	lifetime, sent := p.knownLifetime(), d.n.clock.Now()
+	usual := p.recordSend(sent, d.n.slotHoldTime(d.route.Name))
 	defer p.inflight.Add(-1)
 	if p.local {
 		a := d.n.backend.serve(ctx, d.q)
-		p.receivedReply(d.n.clock.Now(), d.n.replyHeader(a))
+		r := d.n.replyHeader(a)
+		p.receivedReply(d.n.clock.Now(), r)
+		d.noteNotice(p, sent, r, a.header)
 		return a
 	}
-	left := d.q.deadline.Sub(d.n.clock.Now())
+	left := d.q.deadline.Sub(sent)
 	if left <= 0 {
 		return notRunAnswer(wire.ReasonDeadline)
 	}
 	h := d.q.header.Clone()
 	h.Set(headerCall, d.q.encode())
+	if k := p.knownLimit(); k.limit.Advertised {
+		h.Set(headerKnownLimit, encodeKnownLimit(k.limit, k.instance))
+	}
 	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	res, err := d.roundTrip(ctx, p, usual, &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
@@ -152,6 +168,7 @@
 		return unknownAnswer(wire.ReasonAnswerLost)
 	}
 	p.receivedReply(d.n.clock.Now(), r)
+	d.noteNotice(p, sent, r, res.Header)
 	if r.NotListening {
 		p.markServerCrashed(d.n.clock.Now(), lifetime)
 	}
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -45,7 +45,7 @@
 	defer n.peerRequests.Start(r.Header.Get(n.names.AttemptID))()
 	n.noteVersion(r.RemoteAddr, c.Version)
 	if n.stop.refusesPeers() {
-		n.writeReply(w, notRunAnswer(wire.ReasonLeaving))
+		n.writeReply(w, notRunAnswer(wire.ReasonLeaving), c)
 		return
 	}
 	q, err := n.newRequest(r, c, 0)
@@ -55,18 +55,23 @@
 	} else {
 		ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline.Add(inboundGrace))
 		defer cancel()
+		n.readKnownLimit(q, r)
 		a = n.backend.serve(ctx, q)
 	}
-	n.writeReply(w, a)
+	n.writeReply(w, a, c)
 }
 
 // inboundGrace is how long after a request's deadline its answer is still awaited. The sender's own clock ends the
 // request, and a small network delay must not cut off an answer that is just ready.
 const inboundGrace = 100 * time.Millisecond
 
-// writeReply writes the answer to the node that sent the request.
-func (n *Node) writeReply(w http.ResponseWriter, a *answer) {
-	w.Header().Set(headerReply, n.replyHeader(a).encode())
+// writeReply writes the answer to the node that sent the request with the metadata c.
+func (n *Node) writeReply(w http.ResponseWriter, a *answer, c peerCall) {
+	reply := n.replyHeader(a)
+	if !c.ReadsNotices {
+		reply.Notice = serverNotice{}
+	}
+	w.Header().Set(headerReply, reply.encode())
 	if n.stop.stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -89,7 +94,7 @@
 		Outcome: a.outcome, Reason: a.reason, RefusedByServer: a.arrived,
 		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5),
 		Success: int(g.SuccessShare*(1-g.ShedShare)*100 + 0.5), Stopping: n.stop.stopping(), NotListening: a.notListening, Version: n.stateVersion(),
-		CrashedLifetime: a.crashedLifetime, RetryAfter: a.retryAfter,
+		CrashedLifetime: a.crashedLifetime, RetryAfter: a.retryAfter, Notice: n.backend.notice(),
 	}
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -52,8 +52,9 @@
 	stop           stopState
 	backend        *backend
 
-	gateMu sync.Mutex
-	gate   gate.Gate
+	gateMu        sync.Mutex
+	gate          gate.Gate
+	gateScheduled bool // a timer is set that starts queued tickets
 
 	metrics            nodeMetrics
 	stats              trafficStats
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -127,10 +127,12 @@
 		notListening = 1
 	}
 	n.metrics.gauge(notListening, "server_away")
+	now := n.clock.Now()
 	n.gateMu.Lock()
-	g := n.gate.Snapshot()
+	g, rate := n.gate.Snapshot(), n.gate.RateLimit(now)
 	n.gateMu.Unlock()
+	n.metrics.gauge(int64(n.rateUse(now, rate)*1000), "server_rate_use")
 	n.metrics.gauge(int64(g.Running), "gate_running")
 	n.metrics.gauge(int64(g.Queued), "gate_queued")
-	n.metrics.gauge(int64(len(n.poison.SuspectCases(n.clock.Now()))), "suspects")
+	n.metrics.gauge(int64(len(n.poison.SuspectCases(now))), "suspects")
 }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -72,7 +72,7 @@
 func (n *Node) newPeerCall(state *desired.State, route *desired.Route) peerCall {
 	return peerCall{
 		Service: pickTargetService(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
-		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version,
+		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version, ReadsNotices: true,
 	}
 }
 
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -21,7 +21,9 @@
 	sameZone atomic.Bool // it is in this node's availability zone
 	slots    atomic.Int64
 	inflight atomic.Int64 // requests from this node in flight
-	awaited  awaited.Table
+	// hasNotice is set while the server limits its rate or leaves, so that the others are chosen from without a look at notices.
+	hasNotice atomic.Bool
+	awaited   awaited.Table
 
 	// digest is that of the peer's records, and lacksLearned whether it lacks learned call statistics, both as last reported; only the control
 	// goroutine uses them.
@@ -34,11 +36,13 @@
 	unansweredSends unansweredSends
 	failures        int
 	backedOffUntil  time.Time
-	lifetime        string    // of the server, as its record says
-	knownSince      time.Time // when this lifetime became known
-	crashedLifetime string    // the lifetime that crashed
-	crashedUntil    time.Time // until when the crash counts
-	stoppingSince   time.Time // when its planned stop became known; zero: it isn't stopping
+	lifetime        string             // of the server, as its record says
+	knownSince      time.Time          // when this lifetime became known
+	crashedLifetime string             // the lifetime that crashed
+	crashedUntil    time.Time          // until when the crash counts
+	stoppingSince   time.Time          // when its planned stop became known; zero: it isn't stopping
+	serverLifetime  directory.Lifetime // as its record says
+	notices         peerNotices
 }
 
 // serverLoad is the load of a server, as its node last reported it.
@@ -99,6 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.zone = r.Zone
+	p.serverLifetime = r.Lifetime()
 	if lifetime := r.LifetimeID(); p.lifetime != lifetime {
 		p.lifetime, p.knownSince = lifetime, now
 		p.load = serverLoad{} // the load of the previous lifetime doesn't apply to the new one
@@ -119,6 +124,13 @@
 	return p.lifetime
 }
 
+// knownServer returns the lifetime of the peer's server, as its record says.
+func (p *peer) knownServer() directory.Lifetime {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serverLifetime
+}
+
 // markServerCrashed notes that a lifetime of the peer's server has crashed.
 func (p *peer) markServerCrashed(now time.Time, lifetime string) {
 	p.mu.Lock()
@@ -226,7 +238,7 @@
 
 // loadEstimate is the estimated state of a peer's server.
 type loadEstimate struct {
-	utilization float64 // 1 when all usable slots are taken
+	utilization float64 // 1 when all usable slots are taken, or the whole rate limit
 	success     float64 // fraction of successful answers
 	slowdown    float64 // slot hold time relative to the same kinds of requests at all servers; 0: not known
 }
@@ -246,6 +258,6 @@
 		e.success = max(p.load.success, minSuccessRate)
 		e.slowdown = p.load.slowdown
 	}
-	e.utilization = float64(p.inflight.Load()+otherRequests+1) / max(capacity, 1)
+	e.utilization = max(float64(p.inflight.Load()+otherRequests+1)/max(capacity, 1), p.rateUse(now))
 	return e
 }
--- /dev/null
+++ b/pkg/mesh/peer_notices.go
@@ -0,0 +1,99 @@
+package mesh
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rockspoke/rockspoke/pkg/advertised"
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// peerNotices is what a node knows of another VM's server that limits its rate or leaves; peer.mu guards it. The node beside
+// the server may forget it in a restart, so each node goes by what it has seen itself.
+type peerNotices struct {
+	lifetime  directory.Lifetime
+	limit     advertised.Tracker
+	use       float64   // requests a second that arrive for the server, relative to the limit
+	usedAt    time.Time // when use was reported
+	allowedAt time.Time // the rate allows no further request before
+	fullUntil time.Time // no request is sent before, even if the limit is lifted meanwhile
+	leaving   bool
+}
+
+// maxFullTime bounds how long a server isn't sent to because of its rate limit, which may be lifted meanwhile.
+const maxFullTime = 500 * time.Millisecond
+
+// noticesOf returns what is known of a lifetime of the peer's server, and drops what is known of an earlier one; p.mu must be
+// held.
+func (p *peer) noticesOf(at directory.Lifetime) *peerNotices {
+	if !p.notices.lifetime.SameAs(at) {
+		p.notices = peerNotices{}
+	}
+	p.notices.lifetime = p.notices.lifetime.MoreKnown(at)
+	return &p.notices
+}
+
+// receivedNotice records what the reply to a request, sent at sent, tells of the peer's server. It reports whether the server
+// is now known to be leaving and wasn't before.
+func (p *peer) receivedNotice(sent, now time.Time, r serverNotice) (startsLeaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.noticesOf(r.Lifetime)
+	s.limit.Observe(sent, now, r.Limit)
+	s.use, s.usedAt = float64(r.Use)/100, now
+	s.allowedAt, s.fullUntil = now.Add(r.Wait), now.Add(min(r.Wait, maxFullTime))
+	startsLeaving = r.Leaving && !s.leaving
+	s.leaving = s.leaving || r.Leaving
+	p.hasNotice.Store(s.leaving || s.limit.Limit().Advertised)
+	return startsLeaving
+}
+
+// noticesApply reports whether the notices are about the lifetime that the server's record names; p.mu must be held.
+func (p *peer) noticesApply() bool { return p.notices.lifetime.SameAs(p.serverLifetime) }
+
+// fullFor reports whether the peer's server is at its rate limit, and for how long the rate allows no further request.
+func (p *peer) fullFor(now time.Time) (wait time.Duration, full bool) {
+	if !p.hasNotice.Load() {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.noticesApply() || !p.notices.limit.Limit().Advertised {
+		return 0, false
+	}
+	return p.notices.allowedAt.Sub(now), now.Before(p.notices.fullUntil)
+}
+
+// rateUse returns the use of the server's rate limit, 0 if it has none or the use isn't known; p.mu must be held.
+func (p *peer) rateUse(now time.Time) float64 {
+	if !p.noticesApply() || !p.notices.limit.Limit().Advertised || now.Sub(p.notices.usedAt) >= maxLoadAge {
+		return 0
+	}
+	return p.notices.use
+}
+
+// knownLimit returns the rate limit of the peer's server as this node knows it.
+func (p *peer) knownLimit() knownLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return knownLimit{p.notices.limit.Limit(), p.notices.lifetime.Instance}
+}
+
+// noteNotice applies what the reply r to a request, sent at sent, tells of the peer's server. Nodes that send no notice pass on
+// the server's own header, which is all that there is to tell of a server without a limit.
+func (d *delivery) noteNotice(p *peer, sent time.Time, r peerReply, h http.Header) {
+	notice := r.Notice
+	if notice.Lifetime.Instance == "" {
+		if r.Outcome != wire.Ran {
+			return
+		}
+		notice.Lifetime = p.knownServer()
+		notice.Limit, _ = d.n.names.Advertised.ParseRateLimit(h) // the node beside the server logs unusable values
+		notice.Leaving, _ = d.n.names.Advertised.ParseLeaving(h) // likewise
+	}
+	if !p.receivedNotice(sent, d.n.clock.Now(), notice) {
+		return
+	}
+	d.n.callLog.Info("server is leaving by its answer", "peer", p.host, "instance", notice.Lifetime.Instance, "request", d.q.id)
+}
--- /dev/null
+++ b/pkg/mesh/peer_notices_test.go
@@ -0,0 +1,75 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/advertised"
+	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// noticedPeer returns an idle peer of whose server the notice is known.
+func noticedPeer(host string, r serverNotice) *peer {
+	p := testPeer(host, true, 0, 100, 100)
+	p.serverLifetime = directory.Lifetime{Instance: "i-" + host}
+	r.Lifetime = p.serverLifetime
+	p.receivedNotice(chooseTime, chooseTime, r)
+	return p
+}
+
+var limit15 = advertised.RateLimit{Advertised: true, PerSecond: 15}
+
+func TestServerAtItsRateLimitIsFullHoweverManySlotsAreFree(t *testing.T) {
+	c := qt.New(t)
+	full := noticedPeer("n", serverNotice{Limit: limit15, Wait: 50 * time.Millisecond, Use: 120})
+	busy := testPeer("b", true, 15, 100, 100)
+	c.Assert(choicesOf(busy, full, busy), qt.Equals, 1000)
+	c.Assert(chooseServer(chooseTime, []*peer{full}, nil, comparisonOptions{}), qt.IsNil)
+	c.Assert(chooseServer(chooseTime, []*peer{full}, nil, comparisonOptions{internal: true}), qt.Equals, full, qt.Commentf("calls go first there"))
+	c.Assert(shortestFullTime(chooseTime, []*peer{busy, full}), qt.Equals, 50*time.Millisecond)
+	c.Assert(chooseServer(chooseTime.Add(50*time.Millisecond), []*peer{full}, nil, comparisonOptions{}), qt.Equals, full)
+	used := noticedPeer("u", serverNotice{Limit: limit15, Use: 90})
+	c.Assert(choicesOf(busy, used, busy), qt.Equals, 1000, qt.Commentf("nearly at its limit"))
+	lifted := noticedPeer("l", serverNotice{Limit: limit15, Use: 90, Wait: time.Second})
+	lifted.receivedNotice(chooseTime.Add(1), chooseTime.Add(2), serverNotice{Lifetime: lifted.serverLifetime})
+	c.Assert(choicesOf(lifted, lifted, busy), qt.Equals, 1000)
+}
+
+// Nodes of the release before read the two headers as fields by position, and reject one with more of them.
+func TestNodesOfTheReleaseBeforeAreUnderstoodAndUnderstand(t *testing.T) {
+	c := qt.New(t)
+	call, err := parseCall("s,r,c,2,7,12")
+	c.Assert(err, qt.IsNil)
+	c.Assert(call.ReadsNotices, qt.IsFalse)
+	reply, err := parseReply("ran,,2,2,3,4,5,6,7")
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Notice, qt.Equals, serverNotice{})
+	c.Assert(peerCall{Service: "s", Route: "r", Caller: "c", Priority: 2, Internal: true, ReadsNotices: true, Version: 12}.encode(), qt.Equals, "s,r,c,2,9,12")
+	c.Assert(peerReply{Outcome: wire.Ran, Running: 2, Queued: 3, Limit: 4, Slowdown: 5, Success: 6, Version: 7}.encode(), qt.Equals, "ran,,0,2,3,4,5,6,7")
+	c.Assert(peerReply{Outcome: wire.NotRun, Reason: wire.ReasonRateLimit, RetryAfter: time.Second}.encode(), qt.Equals, "not-run,rate-limit,0,0,0,0,0,0,0,,1000")
+}
+
+func TestNoticesRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range []serverNotice{
+		{Lifetime: directory.Lifetime{Instance: "i-1", StartedMS: 7}, Limit: limit15, Use: 130, Wait: 20 * time.Millisecond},
+		{Lifetime: directory.Lifetime{Instance: "i-1"}, Limit: advertised.RateLimit{Advertised: true}, Use: 10_000, Leaving: true},
+		{Lifetime: directory.Lifetime{Instance: "i-1"}, Leaving: true},
+	} {
+		in := peerReply{Outcome: wire.Ran, CrashedLifetime: "x", Notice: s}
+		got, err := parseReply(in.encode())
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, in)
+	}
+	l, instance, err := parseKnownLimit(encodeKnownLimit(limit15, "i-1"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(l, qt.Equals, limit15)
+	c.Assert(instance, qt.Equals, "i-1")
+	for _, v := range []string{"", "15", "15,", "none,i", "-1,i", "1e9,i"} {
+		_, _, err := parseKnownLimit(v)
+		c.Assert(err, qt.ErrorMatches, "malformed peer header Rs-L.*", qt.Commentf("%q", v))
+	}
+}
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/advertised"
+	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -15,6 +17,9 @@
 const (
 	headerCall  = "Rs-C"
 	headerReply = "Rs-R"
+	// headerKnownLimit carries the rate limit of the chosen server as the sender knows it: the limit, a comma and the server's
+	// instance. The node beside the server loses the limit when it restarts, its peers don't.
+	headerKnownLimit = "Rs-L"
 )
 
 // callFields and replyFields are the numbers of fields in the two headers.
@@ -23,6 +28,9 @@
 	replyFields = 9
 	// suspectCallFields and suspectReplyFields are the additional fields for a request under suspicion.
 	suspectCallFields, suspectReplyFields = poison.ScopeCount, 2
+	// noticeReplyFields are the further fields about a server that limits its rate or leaves. A node that doesn't know them
+	// can't parse the header, so they are sent only to those that say they read them.
+	noticeReplyFields = 5
 )
 
 // peerCall is the metadata that a node sends with a request to the chosen server's node.
@@ -34,6 +42,7 @@
 	Internal          bool
 	Once              bool
 	RejectedElsewhere bool          // by another gate, which had no free slot
+	ReadsNotices      bool          // the sender reads a serverNotice in the reply
 	Version           int64         // of the desired state by which the request was routed
 	Stages            poison.Stages // of its cases, as the sender knows them
 }
@@ -53,6 +62,16 @@
 	NotListening    bool          // it hasn't run since the node's backend server isn't listening
 	CrashedLifetime string        // lifetime of the server that crashed while it ran the request; empty: none did
 	RetryAfter      time.Duration // delay before the caller should retry; 0: the default
+	Notice          serverNotice
+}
+
+// serverNotice is what the server's node tells of a server that limits its rate or leaves; the zero value tells nothing.
+type serverNotice struct {
+	Lifetime directory.Lifetime
+	Limit    advertised.RateLimit
+	Use      int           // requests a second that arrive for the server, in percent of the limit
+	Wait     time.Duration // until the rate allows one more root request to be queued
+	Leaving  bool
 }
 
 // ProtocolError reports a peer header that can't be parsed.
@@ -68,7 +87,7 @@
 
 // encode returns the value of headerCall.
 func (c peerCall) encode() string {
-	s := fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, packFlags(c.Internal, c.Once, c.RejectedElsewhere), c.Version)
+	s := fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, packFlags(c.Internal, c.Once, c.RejectedElsewhere, c.ReadsNotices), c.Version)
 	if c.Stages.Suspected() {
 		for _, stage := range c.Stages {
 			s += "," + strconv.Itoa(stage)
@@ -109,24 +128,52 @@
 	}
 	return peerCall{
 		Service: f[0], Route: f[1], Caller: f[2], Priority: prio,
-		Internal: bits&1 != 0, Once: bits&2 != 0, RejectedElsewhere: bits&4 != 0, Version: version, Stages: stages,
+		Internal: bits&1 != 0, Once: bits&2 != 0, RejectedElsewhere: bits&4 != 0, ReadsNotices: bits&8 != 0,
+		Version: version, Stages: stages,
 	}, nil
 }
 
 // encode returns the value of headerReply.
 func (r peerReply) encode() string {
-	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, packFlags(r.RefusedByServer, r.Stopping, r.NotListening),
+	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, packFlags(r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving),
 		r.Running, r.Queued, r.Limit, r.Slowdown, r.Success, r.Version)
-	if r.CrashedLifetime != "" || r.RetryAfter > 0 {
+	known := r.Notice.Lifetime.Instance != ""
+	if r.CrashedLifetime != "" || r.RetryAfter > 0 || known {
 		s += fmt.Sprintf(",%s,%d", r.CrashedLifetime, r.RetryAfter.Milliseconds())
 	}
+	if known {
+		s += r.Notice.encode()
+	}
 	return s
 }
 
+// encode returns the fields of the notice, each after a comma; Leaving is among the reply's flags.
+func (s serverNotice) encode() string {
+	limit := ""
+	if s.Limit.Advertised {
+		limit = s.Limit.String()
+	}
+	return fmt.Sprintf(",%s,%d,%s,%d,%d", s.Lifetime.Instance, s.Lifetime.StartedMS, limit, s.Use, s.Wait.Milliseconds())
+}
+
+// parseNotice parses what encode returned, split at the commas; it reports whether the fields are valid.
+func parseNotice(f []string) (s serverNotice, ok bool) {
+	startedMS, err1 := strconv.ParseInt(f[1], 10, 64)
+	limit, err2 := advertised.ParseRate(f[2])
+	use, err3 := strconv.Atoi(f[3])
+	waitMS, err4 := strconv.ParseInt(f[4], 10, 64)
+	s = serverNotice{
+		Lifetime: directory.Lifetime{Instance: f[0], StartedMS: startedMS}, Limit: limit, Use: use, Wait: time.Duration(waitMS) * time.Millisecond,
+	}
+	return s, err1 == nil && (err2 == nil || f[2] == "") && err3 == nil && err4 == nil
+}
+
 // parseReply parses a value of headerReply. The error is a *ProtocolError.
 func parseReply(v string) (peerReply, error) {
 	f := strings.Split(v, ",")
-	if len(f) != replyFields && len(f) != replyFields+suspectReplyFields {
+	switch len(f) {
+	case replyFields, replyFields + suspectReplyFields, replyFields + suspectReplyFields + noticeReplyFields:
+	default:
 		return peerReply{}, &ProtocolError{headerReply, v}
 	}
 	var crashedLifetime string
@@ -138,6 +185,13 @@
 		}
 		crashedLifetime, retryAfter = f[replyFields], time.Duration(ms)*time.Millisecond
 	}
+	var notice serverNotice
+	if rest := f[min(replyFields+suspectReplyFields, len(f)):]; len(rest) > 0 {
+		var ok bool
+		if notice, ok = parseNotice(rest); !ok {
+			return peerReply{}, &ProtocolError{headerReply, v}
+		}
+	}
 	var n [7]int64
 	for i := range n {
 		var err error
@@ -145,11 +199,26 @@
 			return peerReply{}, &ProtocolError{headerReply, v}
 		}
 	}
+	notice.Leaving = n[0]&8 != 0
 	return peerReply{
 		Outcome: wire.Outcome(f[0]), Reason: wire.Reason(f[1]),
 		RefusedByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0, NotListening: n[0]&4 != 0,
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
 		Slowdown: int(n[4]), Success: int(n[5]), Version: n[6],
-		CrashedLifetime: crashedLifetime, RetryAfter: retryAfter,
+		CrashedLifetime: crashedLifetime, RetryAfter: retryAfter, Notice: notice,
 	}, nil
 }
+
+// encodeKnownLimit returns the value of headerKnownLimit.
+func encodeKnownLimit(l advertised.RateLimit, instance string) string {
+	return l.String() + "," + instance
+}
+
+// parseKnownLimit parses a value of headerKnownLimit. The error is a *ProtocolError.
+func parseKnownLimit(v string) (l advertised.RateLimit, instance string, err error) {
+	rate, instance, _ := strings.Cut(v, ",")
+	if l, err = advertised.ParseRate(rate); err != nil || instance == "" {
+		return advertised.RateLimit{}, "", &ProtocolError{headerKnownLimit, v}
+	}
+	return l, instance, nil
+}
--- a/pkg/mesh/rate_limit_site_test.go
+++ b/pkg/mesh/rate_limit_site_test.go
@@ -26,6 +26,7 @@
 	limitWork        = 30 * time.Millisecond
 	limitAskedPerSec = 340.0
 	limitPerSec      = 15.5
+	limitLongestRun  = time.Second
 )
 
 // The bounds by which the tests judge, as the platform states them and as this project aims at them.
@@ -43,12 +44,15 @@
 // limitedServer is what a server of the site advertises, and which requests it got.
 type limitedServer struct {
 	mu       sync.Mutex
+	work     time.Duration
 	limit    string // value of the rate limit header; empty: none
 	leaving  bool
 	arrivals []limitArrival
 	changes  []limitChange
 	told     map[string][]time.Time // by node where a request began: when it passed on an answer that names a limit
-	leftTold map[string]time.Time   // the same, first time since the node's last start, for an answer of a leaving server
+	// toldFirst is when any node first did.
+	toldFirst time.Time
+	leftTold  map[string]time.Time // the same, first time since the node's last start, for an answer of a leaving server
 }
 
 // limitArrival is one request at a server.
@@ -90,7 +94,7 @@
 	for zone := range limitZones {
 		for range limitServers / limitZones {
 			_, f := s.add("a", fmt.Sprint("z", zone), limitSlots)
-			x := &limitedServer{told: map[string][]time.Time{}, leftTold: map[string]time.Time{}}
+			x := &limitedServer{work: limitWork, told: map[string][]time.Time{}, leftTold: map[string]time.Time{}}
 			f.handle = x.handler(f)
 			s.limited = append(s.limited, x)
 		}
@@ -103,6 +107,7 @@
 	s.store.put(desired.State{Version: 1, Routes: []desired.Route{r, urgent}})
 	s.waitUntilKnown(1)
 	time.Sleep(time.Second)
+	s.t.Cleanup(func() { time.Sleep(limitLongestRun) }) // runs whose callers have left end by themselves
 	return s
 }
 
@@ -113,8 +118,9 @@
 		origin, _, _ := strings.Cut(id, "-")
 		x.mu.Lock()
 		x.arrivals = append(x.arrivals, limitArrival{time.Now(), origin})
+		work := x.work
 		x.mu.Unlock()
-		time.Sleep(randomAround(limitWork))
+		time.Sleep(randomAround(work))
 		x.mu.Lock()
 		limit, leaving := x.limit, x.leaving
 		x.mu.Unlock()
@@ -161,6 +167,15 @@
 	}
 }
 
+// setWork sets how long the servers work on a request.
+func (s *limitSite) setWork(d time.Duration) {
+	for _, x := range s.limited {
+		x.mu.Lock()
+		x.work = d
+		x.mu.Unlock()
+	}
+}
+
 // restart halts the node beside a server, or where requests begin, and starts it again.
 func (s *limitSite) restart(node int, down time.Duration) {
 	s.nodes[node].halt()
@@ -223,22 +238,15 @@
 	defer x.mu.Unlock()
 	if h.Get(testNames.Advertised.RateLimit) != "" {
 		x.told[origin] = append(x.told[origin], time.Now())
+		if x.toldFirst.IsZero() {
+			x.toldFirst = time.Now()
+		}
 	}
 	if h.Get(testNames.Advertised.Leaving) != "" && x.leftTold[origin].IsZero() {
 		x.leftTold[origin] = time.Now()
 	}
 }
 
-// firstNamed returns when the server first advertised a limit; zero: never.
-func (x *limitedServer) firstNamed() time.Time {
-	for _, k := range x.changes {
-		if k.limited {
-			return k.at
-		}
-	}
-	return time.Time{}
-}
-
 // allowedIn returns the requests that the limits in force allow in a window, each as the server advertised it; +Inf if it
 // advertised none for a part of it.
 func (x *limitedServer) allowedIn(from, to time.Time) float64 {
@@ -273,12 +281,11 @@
 // ratio returns the requests of what is allowed.
 func (b busiestWindow) ratio() float64 { return b.got / b.allowed }
 
-// busiest returns the window with the highest ratio among those that begin at the first advertised limit or later; counts
-// tells which arrivals count.
+// busiest returns the window with the highest ratio from when the limit was first told; counts tells which arrivals count.
 func (x *limitedServer) busiest(counts func(limitArrival) bool) busiestWindow {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	first := x.firstNamed()
+	first := x.toldFirst
 	var worst busiestWindow
 	var in []limitArrival
 	for _, a := range x.arrivals {
@@ -311,7 +318,7 @@
 func (s *limitSite) checkLimits(c *qt.C) float64 {
 	highest := 0.0
 	for k, x := range s.limited {
-		if x.firstNamed().IsZero() {
+		if x.toldFirst.IsZero() {
 			continue
 		}
 		w := x.busiest(everyArrival)
--- a/pkg/mesh/rate_limit_test.go
+++ b/pkg/mesh/rate_limit_test.go
@@ -48,6 +48,19 @@
 				}
 			}, func() { s.send(9*time.Second, limitAskedPerSec, "/read/x") })
 		},
+		"slow servers, nodes beside them restarted in series": func(c *qt.C, s *limitSite) {
+			s.setWork(600 * time.Millisecond)
+			s.setLimit(limitPerSec, all...)
+			s.while(func() {
+				time.Sleep(3 * time.Second)
+				for range 4 {
+					for k := range limitServers {
+						s.restart(s.nodeOf(k), 10*time.Millisecond)
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+			}, func() { s.send(9*time.Second, limitAskedPerSec, "/read/x") })
+		},
 		"a limit that falls": func(c *qt.C, s *limitSite) {
 			s.setLimit(40, all...)
 			time.AfterFunc(5*time.Second, func() { s.setLimit(8.5, all...) })
@@ -83,7 +96,9 @@
 	c.Logf("%d sent, %d served of %.0f that the limits allow", sent, served, named)
 	c.Check(float64(served) >= limitServedGoal*named, qt.IsTrue, qt.Commentf("%d served of %.0f that the limits allow", served, named))
 	var waits []time.Duration
+	reasons := map[string]int{}
 	for _, o := range refused {
+		reasons[o.reason]++
 		waits = append(waits, o.ended.Sub(o.begun))
 		after, err := strconv.ParseFloat(o.retryAfter, 64)
 		c.Assert(err == nil && after > 0 && o.status == 503, qt.IsTrue, qt.Commentf("%+v", o))
@@ -93,6 +108,7 @@
 		return
 	}
 	slices.Sort(waits)
+	c.Logf("refused as %v", reasons)
 	c.Logf("refused after %v at the median, %v at the 99th percentile", waits[len(waits)/2], waits[len(waits)*99/100])
 	c.Check(waits[len(waits)/2] <= 10*time.Millisecond, qt.IsTrue)
 }
--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
@@ -38,15 +39,18 @@
 	n.control.reportSeq++
 	r.Seq = n.control.reportSeq
 	n.gateMu.Lock()
-	g := n.gate.Snapshot()
+	g, rate := n.gate.Snapshot(), n.gate.RateLimit(now)
 	n.gateMu.Unlock()
-	n.control.gateUtilization += utilizationGain * (float64(g.Running+g.Queued)/max(g.Limit, 1) - n.control.gateUtilization)
+	rateUse := n.rateUse(now, rate)
+	utilization := max(float64(g.Running+g.Queued)/max(g.Limit, 1), rateUse)
+	n.control.gateUtilization += utilizationGain * (utilization - n.control.gateUtilization)
 	load := overload.GateLoad{
-		RejectedShare: n.stats.rejectedShare(now), Utilization: n.control.gateUtilization, Bottleneck: n.isBottleneck(own.Service),
+		RejectedShare: max(n.stats.rejectedShare(now), shareOverRate(rateUse)), Utilization: n.control.gateUtilization, Bottleneck: n.isBottleneck(own.Service),
 	}
 	n.control.usableFraction.Observe(now, load)
 	excess := n.excessSlots(now, g)
-	r.UsableSlots = round(n.usableFraction() * max(g.Limit-excess, minUsableFraction*g.Limit))
+	slots := max(g.Limit-excess, minUsableFraction*g.Limit)
+	r.UsableSlots = round(n.usableFraction() * min(slots, rateSlots(g, rate)))
 	if r.NotListening = n.serverNotListening.Load(); r.NotListening {
 		r.UsableSlots = 0
 	}
@@ -59,6 +63,19 @@
 	n.control.reports[r.Host] = &nodeReport{Report: r, receivedAt: now, packed: body}
 }
 
+// shareOverRate returns the share of the arriving requests that a rate limit at the given use has no room for. Rejections
+// themselves tell less: a gate rejects requests that come close together although the server's rate has room for them.
+func shareOverRate(use float64) float64 { return max(1-1/max(use, 1), 0) }
+
+// rateSlots returns the slots that the server's rate limit lets it use, +Inf if it has none: the plan counts in slots.
+func rateSlots(g gate.State, rate gate.RateState) float64 {
+	if !rate.Limit.Advertised || g.HoldTime == 0 || g.Slowdown <= 0 {
+		return math.Inf(1)
+	}
+	usualHold := g.HoldTime.Seconds() / g.Slowdown // the costs in the plan are those of the usual hold times
+	return rate.PerSecond * usualHold
+}
+
 // usableFraction returns the fraction of the local backend server's slots, 0 to 1, that the plan may count on.
 func (n *Node) usableFraction() float64 {
 	if n.off[settings.UsableSlots] {
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -27,6 +27,7 @@
 	deadline       time.Time // latest time for the answer
 	cachedIdentity lazyIdentity
 	team           *desired.Team // nil: the request belongs to no team
+	knownLimit     knownLimit
 	// clientDeadline is when the client gives up; the route's timeout may set an earlier deadline.
 	clientDeadline time.Time
 }
@@ -98,6 +99,7 @@
 	}
 	delete(out, headerCall)
 	delete(out, headerReply)
+	delete(out, headerKnownLimit)
 	return out
 }
 
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -7,6 +7,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/directory"
+	"github.com/rockspoke/rockspoke/pkg/gate"
 )
 
 // serverNotices is what the local backend server has advertised in its answers; Node.gateMu guards it.
@@ -17,12 +18,79 @@
 	invalid  map[string]bool // reasons of invalid values that were logged for this lifetime
 }
 
-// of drops what an earlier lifetime advertised.
-func (s *serverNotices) of(at directory.Lifetime) {
+// noticesOf returns what a lifetime of the local backend server has advertised, and drops what an earlier one did; gateMu must
+// be held.
+func (b *backend) noticesOf(at directory.Lifetime) *serverNotices {
+	s := &b.notices
 	if !s.lifetime.SameAs(at) {
 		*s = serverNotices{}
+		b.n.gate.SetRateLimit(b.n.clock.Now(), advertised.RateLimit{})
 	}
-	s.lifetime = at
+	s.lifetime = s.lifetime.MoreKnown(at)
+	return s
+}
+
+// knownLimit is the rate limit of a server as the sender of a request knows it; the zero value is none.
+type knownLimit struct {
+	limit    advertised.RateLimit
+	instance string // of the server
+}
+
+// readKnownLimit reads the rate limit that the sender of a request knows.
+func (n *Node) readKnownLimit(q *request, r *http.Request) {
+	v := r.Header.Get(headerKnownLimit)
+	if v == "" {
+		return
+	}
+	var err error
+	if q.knownLimit.limit, q.knownLimit.instance, err = parseKnownLimit(v); err != nil {
+		n.callLog.Warn("invalid peer request", "err", err, "peer", r.RemoteAddr)
+	}
+}
+
+// adoptLimit takes over the rate limit that another node knows of the local backend server. It counts only while this process
+// has seen no answer of the server.
+func (b *backend) adoptLimit(own directory.Record, k knownLimit) {
+	if !k.limit.Advertised || k.instance != own.Instance {
+		return
+	}
+	now := b.n.clock.Now()
+	b.n.gateMu.Lock()
+	s := b.noticesOf(own.Lifetime())
+	before := s.limit.Limit()
+	changed := s.limit.Adopt(now, k.limit)
+	if changed {
+		b.n.gate.SetRateLimit(now, k.limit)
+	}
+	b.n.gateMu.Unlock()
+	if changed {
+		b.logLimit(own, before, k.limit, "peer")
+	}
+}
+
+// notice returns what other nodes have to know of the local backend server if it limits its rate or leaves.
+func (b *backend) notice() serverNotice {
+	now := b.n.clock.Now()
+	b.n.gateMu.Lock()
+	rate := b.n.gate.RateLimit(now)
+	at, leaving := b.notices.lifetime, b.notices.leaving
+	b.n.gateMu.Unlock()
+	if !rate.Limit.Advertised && !leaving {
+		return serverNotice{}
+	}
+	return serverNotice{Lifetime: at, Limit: rate.Limit, Use: int(100 * b.n.rateUse(now, rate)), Wait: rate.Wait, Leaving: leaving}
+}
+
+// maxRateUse bounds the use of a rate limit.
+const maxRateUse = 100.0
+
+// rateUse returns the requests that arrive for the local backend server, rejected ones included, relative to its rate limit; it
+// is 0 if the server has none.
+func (n *Node) rateUse(now time.Time, rate gate.RateState) float64 {
+	if !rate.Limit.Advertised {
+		return 0
+	}
+	return min(n.stats.gateArrivalRate(now)/rate.PerSecond, maxRateUse)
 }
 
 // noteHeader applies the header of an answer that the local backend server gives to the request q, sent at sent.
@@ -54,9 +122,12 @@
 func (b *backend) observeLimit(own directory.Record, sent time.Time, limit advertised.RateLimit) {
 	now := b.n.clock.Now()
 	b.n.gateMu.Lock()
-	b.notices.of(own.Lifetime())
-	before := b.notices.limit.Limit()
-	changed := b.notices.limit.Observe(sent, now, limit)
+	s := b.noticesOf(own.Lifetime())
+	before := s.limit.Limit()
+	changed := s.limit.Observe(sent, now, limit)
+	if changed {
+		b.n.gate.SetRateLimit(now, limit)
+	}
 	b.n.gateMu.Unlock()
 	if changed {
 		b.logLimit(own, before, limit, "answer")
@@ -70,6 +141,16 @@
 		"before", before.String(), "from", source)
 }
 
+// logRateRejection logs that the gate rejected a request because of the server's rate limit.
+func (b *backend) logRateRejection(q *request, own directory.Record, d gate.Decision) {
+	now := b.n.clock.Now()
+	b.n.gateMu.Lock()
+	limit, age := b.notices.limit.Limit(), b.notices.limit.Age(now)
+	b.n.gateMu.Unlock()
+	b.n.callLog.Info("local backend server is at its rate limit", "request", q.id, "instance", own.Instance, "limit", limit.String(),
+		"confirmed", age, "retry_after", d.RetryAfter)
+}
+
 // milliPerSecond returns a rate limit in thousandths of a request a second, or -1 for none.
 func milliPerSecond(l advertised.RateLimit) int64 {
 	if !l.Advertised {
@@ -81,9 +162,9 @@
 // noteLeaving applies an answer by which the local backend server says that it is leaving.
 func (b *backend) noteLeaving(q *request, own directory.Record) {
 	b.n.gateMu.Lock()
-	b.notices.of(own.Lifetime())
-	known := b.notices.leaving
-	b.notices.leaving = true
+	s := b.noticesOf(own.Lifetime())
+	known := s.leaving
+	s.leaving = true
 	b.n.gateMu.Unlock()
 	if !known {
 		b.n.callLog.Info("local backend server is leaving by its answer", "instance", own.Instance, "request", q.id)
@@ -98,13 +179,13 @@
 	}
 	b.n.metrics.count("server_headers_invalid_total")
 	b.n.gateMu.Lock()
-	b.notices.of(own.Lifetime())
-	if b.notices.invalid == nil {
-		b.notices.invalid = map[string]bool{}
+	s := b.noticesOf(own.Lifetime())
+	if s.invalid == nil {
+		s.invalid = map[string]bool{}
 	}
 	key := v.Header + ": " + v.Reason
-	logged := b.notices.invalid[key]
-	b.notices.invalid[key] = true
+	logged := s.invalid[key]
+	s.invalid[key] = true
 	b.n.gateMu.Unlock()
 	if !logged {
 		b.n.callLog.Warn("invalid header of the local backend server", "instance", own.Instance, "request", q.id, "err", err)
--- a/pkg/mesh/server_notices_test.go
+++ b/pkg/mesh/server_notices_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
 // advertise makes all servers answer with the given headers, by pairs of name and value.
@@ -77,3 +80,155 @@
 	c.Assert(metricsText(s.nodes[0]), qt.Contains, "rockspoke_server_headers_invalid_total 18")
 	c.Assert(s.nodes[0].backend.notices.limit.Limit().Advertised, qt.IsFalse)
 }
+
+// newLimitedServerSite returns a site of one server whose answers say what the returned function sets: status, body and the
+// rate limit.
+func newLimitedServerSite(t *testing.T) (s *site, answer func(status int, limit string)) {
+	s = newSite(t)
+	s.add("a", "z", 10)
+	s.store.put(desiredReads("a"))
+	s.waitUntilKnown(1)
+	return s, func(status int, limit string) {
+		s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) {
+			if limit != "" {
+				w.Header().Set(testNames.Advertised.RateLimit, limit)
+			}
+			w.WriteHeader(status)
+		})
+	}
+}
+
+// limitInForce returns the rate limit at a node's gate.
+func (s *site) limitInForce(i int) string {
+	n := s.nodes[i]
+	n.gateMu.Lock()
+	defer n.gateMu.Unlock()
+	return n.gate.RateLimit(n.clock.Now()).Limit.String()
+}
+
+// Every whole answer that belongs to its request speaks for the server, a failure and a refusal too. A broken one, one of
+// another request and one of another server don't end a limit.
+func TestOnlyWholeAnswersOfTheServerEndItsRateLimit(t *testing.T) {
+	c := qt.New(t)
+	s, answer := newLimitedServerSite(t)
+	ask := func(id string) int {
+		status, _, _ := s.request(0, http.MethodGet, "/read/x", id, time.Second)
+		return status
+	}
+	limited := func(id string) {
+		answer(http.StatusOK, "500")
+		c.Assert(ask(id), qt.Equals, http.StatusOK)
+		c.Assert(s.limitInForce(0), qt.Equals, "500")
+	}
+	for name, handle := range map[string]func(w http.ResponseWriter){
+		"broken": func(w http.ResponseWriter) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: broken\r\nContent-Length: 9\r\n\r\nhalf", testNames.AttemptID)
+			conn.Close()
+		},
+		"of another request": func(w http.ResponseWriter) { w.Header().Set(testNames.AttemptID, "other") },
+		"of another server":  func(w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) },
+		"without an id": func(w http.ResponseWriter) {
+			w.Header().Del(testNames.AttemptID)
+			w.Header().Set(testNames.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		limited("before " + name)
+		s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) { handle(w) })
+		c.Assert(ask("broken") != http.StatusOK, qt.IsTrue, qt.Commentf("%s", name))
+		c.Assert(s.limitInForce(0), qt.Equals, "500", qt.Commentf("%s", name))
+	}
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+		limited(fmt.Sprint("limited", status))
+		answer(status, "")
+		ask(fmt.Sprint("end", status))
+		c.Assert(s.limitInForce(0), qt.Equals, "none", qt.Commentf("%d", status))
+	}
+	limited("before refusal")
+	s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testNames.NotRun, "1")
+		w.Header().Set(testNames.Advertised.RateLimit, "300")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	ask("refused")
+	c.Assert(s.limitInForce(0), qt.Equals, "300")
+}
+
+// A refusal for the rate limit is told apart from others in its reason, the logs and the metrics, and says when to return.
+func TestRefusalForTheRateLimitIsExplained(t *testing.T) {
+	c := qt.New(t)
+	log := &logBuffer{}
+	s, answer := newLimitedServerSite(t)
+	s.logTo(log)
+	answer(http.StatusOK, "0.2")
+	s.request(0, http.MethodGet, "/read/x", "first", time.Second)
+	for _, id := range []string{"before the gate", "at the gate"} {
+		if id == "at the gate" {
+			p := s.nodes[0].peer(s.servers[0].ip)
+			p.mu.Lock()
+			p.notices.fullUntil = time.Time{} // as for a node that hasn't heard of it
+			p.mu.Unlock()
+		}
+		status, _, h := s.request(0, http.MethodGet, "/read/x", id, 6*time.Second)
+		c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(h.Get(wire.HeaderReason), qt.Equals, string(wire.ReasonRateLimit))
+		after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+		c.Assert(err, qt.IsNil)
+		c.Assert(after > 0.5 && after <= 2, qt.IsTrue, qt.Commentf("%v s; the gate lets one through each second", after))
+	}
+	lines := log.linesOf(c, "at the gate")
+	c.Assert(hasLine(lines, "call: local backend server is at its rate limit", "limit", "0.2"), qt.IsTrue)
+	c.Assert(hasLine(lines, "call: not served", "reason", "rate-limit"), qt.IsTrue)
+	c.Assert(hasLine(log.linesOf(c, "before the gate"), "call: no server within its rate limit is left", "servers", "1"), qt.IsTrue)
+	text := metricsText(s.nodes[0])
+	c.Assert(text, qt.Contains, `rockspoke_arrivals_total{service="a",outcome="not-run",reason="rate-limit"} 1`)
+	c.Assert(text, qt.Contains, "rockspoke_server_rate_limit 200")
+}
+
+// A limit that the server's node has forgotten in a restart comes back with the next request of a node that knows it, and ends
+// with the server's next answer.
+func TestRateLimitOutlivesTheNodeBesideTheServer(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.add("a", "z", 10)
+	s.add("b", "z", 10)
+	s.store.put(desiredReads("a"))
+	s.waitUntilKnown(1)
+	names := testNames.Advertised
+	s.advertise(names.RateLimit, "400")
+	s.request(1, http.MethodGet, "/read/x", "told", time.Second)
+	s.nodes[0].halt()
+	s.start(0)
+	s.waitUntilKnown(1)
+	c.Assert(s.limitInForce(0), qt.Equals, "none")
+	inForce := make(chan string, 1)
+	s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) { inForce <- s.limitInForce(0) })
+	s.waitFor("the node is reached again", func() bool {
+		status, _, _ := s.request(1, http.MethodGet, "/read/x", "again", time.Second)
+		return status == http.StatusOK
+	})
+	c.Assert(<-inForce, qt.Equals, "400")
+	c.Assert(s.limitInForce(0), qt.Equals, "none")
+}
+
+// The next lifetime of a server at the same address has no limit and isn't leaving until it says so.
+func TestNextLifetimeStartsWithoutNotices(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.add("a", "z", 10)
+	s.add("b", "z", 10)
+	s.store.put(desiredReads("a"))
+	s.waitUntilKnown(1)
+	names := testNames.Advertised
+	s.advertise(names.RateLimit, "400")
+	s.request(1, http.MethodGet, "/read/x", "told", time.Second)
+	s.advertise()
+	s.servers[0].instance += "-next"
+	s.heartbeat(0, false)
+	s.waitFor("the next lifetime is served", func() bool {
+		status, _, _ := s.request(1, http.MethodGet, "/read/x", "next", time.Second)
+		return status == http.StatusOK
+	})
+	c.Assert(s.limitInForce(0), qt.Equals, "none")
+}
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -75,7 +75,9 @@
 	d.q.Stages = decision.Stages
 	switch decision.Treatment {
 	case poison.Free:
-		return chooseServer(now, servers, d.tried, d.n.comparisonSettings()), nil
+		options := d.n.comparisonSettings()
+		options.internal = d.q.Internal
+		return chooseServer(now, servers, d.tried, options), nil
 	case poison.Quarantined:
 		return nil, d.n.quarantineRefusal(d.q, decision)
 	default:
--- a/pkg/mesh/traffic_at_gate.go
+++ b/pkg/mesh/traffic_at_gate.go
@@ -29,6 +29,13 @@
 	return s.rejectedRequests.PerSecond(now) / arrived
 }
 
+// gateArrivalRate returns the requests per second that arrive at the gate first, rejected ones included.
+func (s *trafficStats) gateArrivalRate(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gateArrivals.PerSecond(now)
+}
+
 // rejectedCallRate returns the internal calls per second that the gate rejects.
 func (s *trafficStats) rejectedCallRate(now time.Time) float64 {
 	s.mu.Lock()
--- a/pkg/wire/outcome.go
+++ b/pkg/wire/outcome.go
@@ -21,6 +21,7 @@
 	ReasonNone          Reason = ""
 	ReasonBelowLevel    Reason = "level"          // below the admission level
 	ReasonQueue         Reason = "queue"          // waited too long in the queue, or evicted by a higher priority
+	ReasonRateLimit     Reason = "rate-limit"     // the backend server accepts no more requests a second for now
 	ReasonDeadline      Reason = "deadline"       // too little time left
 	ReasonLeaving       Reason = "leaving"        // the backend server is leaving
 	ReasonNoServer      Reason = "no-server"      // no backend server matches the policy
@@ -46,7 +47,7 @@
 // OtherServerMayAccept reports whether the refusal concerns a single backend server, so that another may be tried.
 func (r Reason) OtherServerMayAccept() bool {
 	switch r {
-	case ReasonLeaving, ReasonQueue, ReasonServerRefused, ReasonBelowLevel, ReasonNotOwner:
+	case ReasonLeaving, ReasonQueue, ReasonRateLimit, ReasonServerRefused, ReasonBelowLevel, ReasonNotOwner:
 		return true
 	default:
 		return false
