Mesh: a server that says in its answers that it leaves gets no more requests

What servers saw: requests to the end of their lives, 608 and 626 at three servers later than drain after a node had passed the word on.

Cause: nothing read the header; only heartbeats and deregistrations told. And what was known could be lost: after a restart of the node beside the server its record, fresh from a heartbeat, replaced the later phase that other nodes held.

Change - The gate closes before the first such answer is passed on, and the record goes to draining, which all nodes get and the store keeps. - A node that has seen such an answer never chooses that lifetime of the server: not as the last resort, not for a second try, not for a call. It also raises the phase in its own copy of the record, so that others learn of it from it. - Records merge to the later phase of one lifetime, in any order; the server's own node takes the later phase over too.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -20,7 +20,11 @@
 		if r.Check() != nil {
 			continue // no node writes such a record
 		}
-		if old, ok := d.records[r.Host]; ok && !r.supersedes(old) {
+		old, known := d.records[r.Host]
+		if known {
+			r = old.mergedWith(r)
+		}
+		if known && r == old {
 			continue
 		}
 		d.records[r.Host] = r
@@ -29,6 +33,31 @@
 	return updates
 }
 
+// mergedWith returns the newer of two records of a host, at the later phase if both are of one lifetime: a node that has
+// restarted doesn't know that its server was leaving.
+func (r Record) mergedWith(received Record) Record {
+	next, other := r, received
+	if received.supersedes(r) {
+		next, other = received, r
+	}
+	if other.isLaterPhaseOf(next) {
+		next.Phase = other.Phase
+	}
+	return next
+}
+
+// MarkDraining records that the server of a VM has said that it is leaving; it returns the record and whether it changed. The
+// generation stays: the server's own node raises it once it learns of the change.
+func (d *Directory) MarkDraining(host string, at Lifetime) (Record, bool) {
+	r, ok := d.records[host]
+	if !ok || r.Phase != Serving || !r.Lifetime().SameAs(at) {
+		return r, false
+	}
+	r.Phase = Draining
+	d.records[host] = r
+	return r, true
+}
+
 // All returns every record in order of host.
 func (d *Directory) All() []Record {
 	all := make([]Record, 0, len(d.records))
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -119,3 +119,46 @@
 	e.Merge(b)
 	c.Assert(d.Digest() == e.Digest(), qt.IsFalse)
 }
+
+// A node that has restarted doesn't know that its server is leaving. It sends the record as it was, and peers that know must
+// not forget it.
+func TestRestartOfANodeDoesntUndoDraining(t *testing.T) {
+	c := qt.New(t)
+	serving := Record{Host: "h", Generation: 4, FirstGeneration: 3, Instance: "a", Service: "s", Slots: 5, Phase: Serving, StartedMS: 200}
+	var d Directory
+	d.Merge(serving)
+	draining, changed := d.MarkDraining("h", Lifetime{"a", 200})
+	c.Assert(changed, qt.IsTrue)
+	newer := serving
+	newer.Generation, newer.FirstGeneration = 6, 5
+	d.Merge(newer)
+	c.Assert(d.All()[0].Phase, qt.Equals, Draining)
+	c.Assert(d.All()[0].Generation, qt.Equals, int64(6))
+
+	o := LocalServer{Host: "h"}
+	o.Heartbeat(start, lifetimeBeat("a", 200, 9, false))
+	o.Restore(draining)
+	c.Assert(o.Record().Phase, qt.Equals, Draining, qt.Commentf("the server's own node learns of it"))
+	c.Assert(o.Record().Generation > draining.Generation, qt.IsTrue)
+	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 200, 10, false)), qt.IsFalse)
+
+	next := newer
+	next.Generation, next.FirstGeneration, next.StartedMS = 8, 8, 300
+	d.Merge(next)
+	c.Assert(d.All()[0].Phase, qt.Equals, Serving, qt.Commentf("the next lifetime"))
+	_, changed = d.MarkDraining("h", Lifetime{"a", 200})
+	c.Assert(changed, qt.IsFalse)
+	_, changed = d.MarkDraining("unknown", Lifetime{"a", 200})
+	c.Assert(changed, qt.IsFalse)
+}
+
+func TestServerThatSaysItLeavesDrainsOnce(t *testing.T) {
+	c := qt.New(t)
+	o := LocalServer{Host: "h"}
+	o.Heartbeat(start, lifetimeBeat("a", 200, 1, false))
+	c.Assert(o.Drain(Lifetime{"a", 100}), qt.IsFalse, qt.Commentf("an earlier lifetime"))
+	c.Assert(o.Drain(Lifetime{"a", 200}), qt.IsTrue)
+	c.Assert(o.Drain(Lifetime{"a", 200}), qt.IsFalse)
+	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 200, 2, false)), qt.IsFalse)
+	c.Assert(o.Record().Phase, qt.Equals, Draining)
+}
--- a/pkg/directory/local_server.go
+++ b/pkg/directory/local_server.go
@@ -135,6 +135,16 @@
 	return 0
 }
 
+// Drain records that a lifetime has said that it is leaving and reports whether the Record changed.
+func (o *LocalServer) Drain(at Lifetime) bool {
+	if o.record.Phase != Serving || !o.record.Lifetime().SameAs(at) {
+		return false
+	}
+	o.record.Phase = Draining
+	o.record.Generation++
+	return true
+}
+
 // Leave records that a lifetime has left and reports whether the Record changed. A lifetime of the current instance is taken for the
 // current one if the start time of either is unknown.
 func (o *LocalServer) Leave(at Lifetime) bool {
@@ -181,6 +191,11 @@
 		o.record = r // the replica holds exactly what the server reported
 		return true
 	}
+	if o.registered && r.isLaterPhaseOf(o.record) {
+		o.record.Phase = r.Phase // another node has seen the server say that it is leaving
+		o.record.Generation = r.Generation + 1
+		return true
+	}
 	if o.registered || slices.Contains(o.left, r.Lifetime()) {
 		if r.Generation >= o.record.Generation {
 			o.record.Generation = r.Generation + 1
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -102,6 +102,14 @@
 	return r.Lifetime() == old.Lifetime() && r.Phase > old.Phase
 }
 
+// isLaterPhaseOf reports whether r is a later phase of the lifetime that other describes.
+func (r Record) isLaterPhaseOf(other Record) bool {
+	if r.Phase <= other.Phase || r.Instance != other.Instance {
+		return false
+	}
+	return r.LifetimeID() == other.LifetimeID() || (r.StartedMS > 0 && r.StartedMS == other.StartedMS)
+}
+
 // RecordError reports a record that no node would write.
 type RecordError struct {
 	Field string
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -102,6 +102,9 @@
 // began to stop a short while ago count too. A peer that has been stopping for longer refuses requests and soon closes
 // its connections, and a request that crosses the close would count as lost.
 func (p *peer) acceptsRequests(now time.Time, lastResort bool) bool {
+	if p.isLeaving() {
+		return false
+	}
 	since, stopping := p.stoppingFor(now)
 	if lastResort {
 		return !stopping || since < peerServingTime
@@ -114,7 +117,7 @@
 func shortestFullTime(now time.Time, list []*peer) time.Duration {
 	var shortest time.Duration
 	for _, p := range list {
-		if wait, full := p.fullFor(now); full && (shortest == 0 || wait < shortest) {
+		if wait, full := p.fullFor(now); full && !p.isLeaving() && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -180,7 +180,7 @@
 	r := n.control.localServer.Record()
 	n.gateMu.Lock()
 	n.backend.noticesOf(r.Lifetime())
-	if r.Phase == directory.Serving {
+	if r.Phase == directory.Serving && !n.backend.isLeaving(r.Lifetime()) {
 		n.gate.Open(r.Slots, newLifetime)
 	} else {
 		n.gate.Close()
--- a/pkg/mesh/peer_notices.go
+++ b/pkg/mesh/peer_notices.go
@@ -52,6 +52,16 @@
 // noticesApply reports whether the notices are about the lifetime that the server's record names; p.mu must be held.
 func (p *peer) noticesApply() bool { return p.notices.lifetime.SameAs(p.serverLifetime) }
 
+// isLeaving reports whether the peer's server has said that it is leaving, in an answer that this node has seen.
+func (p *peer) isLeaving() bool {
+	if !p.hasNotice.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notices.leaving && p.noticesApply()
+}
+
 // fullFor reports whether the peer's server is at its rate limit, and for how long the rate allows no further request.
 func (p *peer) fullFor(now time.Time) (wait time.Duration, full bool) {
 	if !p.hasNotice.Load() {
@@ -96,4 +106,15 @@
 		return
 	}
 	d.n.callLog.Info("server is leaving by its answer", "peer", p.host, "instance", notice.Lifetime.Instance, "request", d.q.id)
+	d.n.enqueue(func() { d.n.markDraining(p.host, notice.Lifetime) })
+}
+
+// markDraining records that the server of another VM is leaving, so that all nodes learn of it even if its own node restarts.
+func (n *Node) markDraining(host string, at directory.Lifetime) {
+	r, changed := n.control.directory.MarkDraining(host, at)
+	if !changed {
+		return
+	}
+	n.control.recentRecords.add(n.clock.Now(), r)
+	n.publishView()
 }
--- a/pkg/mesh/peer_notices_test.go
+++ b/pkg/mesh/peer_notices_test.go
@@ -22,6 +22,19 @@
 
 var limit15 = advertised.RateLimit{Advertised: true, PerSecond: 15}
 
+// A server that says it is leaving isn't sent to, not even as the last resort, for a second try or for a call.
+func TestLeavingServerIsNeverChosen(t *testing.T) {
+	c := qt.New(t)
+	leaving, other := noticedPeer("l", serverNotice{Leaving: true}), testPeer("o", true, 0, 100, 100)
+	for _, o := range []comparisonOptions{{}, {internal: true}} {
+		c.Assert(chooseServer(chooseTime, []*peer{leaving}, nil, o), qt.IsNil)
+		c.Assert(chooseServer(chooseTime.Add(time.Minute), []*peer{leaving}, nil, o), qt.IsNil)
+		c.Assert(chooseServer(chooseTime, []*peer{leaving, other}, []*peer{other}, o), qt.IsNil)
+	}
+	leaving.updateFromRecord(chooseTime, directory.Record{Host: "l", Instance: "next", Slots: 20, Phase: directory.Serving}, "")
+	c.Assert(chooseServer(chooseTime, []*peer{leaving}, nil, comparisonOptions{}), qt.Equals, leaving)
+}
+
 func TestServerAtItsRateLimitIsFullHoweverManySlotsAreFree(t *testing.T) {
 	c := qt.New(t)
 	full := noticedPeer("n", serverNotice{Limit: limit15, Wait: 50 * time.Millisecond, Use: 120})
--- a/pkg/mesh/rate_limit_test.go
+++ b/pkg/mesh/rate_limit_test.go
@@ -148,27 +148,49 @@
 // Servers that said only in their answers that they leave got requests until their end.
 func TestServersThatAreLeavingByTheirAnswersGetNoRequests(t *testing.T) {
 	t.Parallel()
-	for name, restarts := range map[string]int{"nodes stay up": 0, "nodes beside them restarted in turn": 2} {
+	leaving := []int{0, 3, 6}
+	for name, disturb := range map[string]func(s *limitSite){
+		"nodes stay up": func(*limitSite) {},
+		"nodes beside them restarted in turn": func(s *limitSite) {
+			for range 2 {
+				for _, k := range leaving {
+					time.Sleep(500 * time.Millisecond)
+					s.restart(s.nodeOf(k), 100*time.Millisecond)
+				}
+			}
+		},
+		"nodes beside them restarted at the first answer that says so, without the store": func(s *limitSite) {
+			s.store.setDown(true)
+			for _, k := range leaving {
+				x := s.limited[k]
+				s.waitFor("an answer says so", func() bool {
+					x.mu.Lock()
+					defer x.mu.Unlock()
+					return len(x.leftTold) > 0
+				})
+				s.restart(s.nodeOf(k), 10*time.Millisecond)
+			}
+		},
+		"nodes beside them restarted long after, without the store": func(s *limitSite) {
+			time.Sleep(limitDrainBound + time.Second)
+			s.store.setDown(true)
+			for _, k := range leaving {
+				s.restart(s.nodeOf(k), 10*time.Millisecond)
+			}
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				s := newLimitSite(t)
 				s.send(2*time.Second, limitAskedPerSec, "/read/x")
-				leaving := []int{0, 3, 6}
 				for _, k := range leaving {
 					x := s.limited[k]
 					x.mu.Lock()
 					x.leaving = true
 					x.mu.Unlock()
 				}
-				s.while(func() {
-					for range restarts {
-						for _, k := range leaving {
-							time.Sleep(500 * time.Millisecond)
-							s.restart(s.nodeOf(k), 100*time.Millisecond)
-						}
-					}
-				}, func() { s.send(8*time.Second, limitAskedPerSec, "/read/x") })
+				s.while(func() { disturb(s) }, func() { s.send(8*time.Second, limitAskedPerSec, "/read/x") })
 				s.checkLeaving(c)
 				sent, served, refused := s.servedSince(time.Time{}, time.Now())
 				c.Check(served, qt.Equals, sent, qt.Commentf("%v", head(refused)))
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -159,16 +159,31 @@
 	return int64(l.PerSecond * 1000)
 }
 
-// noteLeaving applies an answer by which the local backend server says that it is leaving.
+// noteLeaving applies an answer by which the local backend server says that it is leaving: the gate closes before the answer is
+// passed on, and all nodes learn of it by the server's record.
 func (b *backend) noteLeaving(q *request, own directory.Record) {
 	b.n.gateMu.Lock()
 	s := b.noticesOf(own.Lifetime())
 	known := s.leaving
 	s.leaving = true
-	b.n.gateMu.Unlock()
 	if !known {
-		b.n.callLog.Info("local backend server is leaving by its answer", "instance", own.Instance, "request", q.id)
+		b.n.gate.Close()
+	}
+	b.n.gateMu.Unlock()
+	if known {
+		return
 	}
+	b.n.callLog.Info("local backend server is leaving by its answer", "instance", own.Instance, "request", q.id)
+	b.n.enqueue(func() {
+		if b.n.control.localServer.Drain(own.Lifetime()) {
+			b.n.localServerChanged(false)
+		}
+	})
+}
+
+// isLeaving reports whether a lifetime of the local backend server has said that it is leaving; gateMu must be held.
+func (b *backend) isLeaving(at directory.Lifetime) bool {
+	return b.notices.leaving && b.notices.lifetime.SameAs(at)
 }
 
 // noteInvalid logs an unusable header of the local backend server, once for each lifetime and reason.
--- a/pkg/mesh/server_notices_test.go
+++ b/pkg/mesh/server_notices_test.go
@@ -221,8 +221,10 @@
 	s.store.put(desiredReads("a"))
 	s.waitUntilKnown(1)
 	names := testNames.Advertised
-	s.advertise(names.RateLimit, "400")
+	s.advertise(names.RateLimit, "400", names.Leaving, "1")
 	s.request(1, http.MethodGet, "/read/x", "told", time.Second)
+	status, _, _ := s.request(1, http.MethodGet, "/read/x", "refused", 300*time.Millisecond)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	s.advertise()
 	s.servers[0].instance += "-next"
 	s.heartbeat(0, false)
