Mesh: the plan goes by the calls that a rate limit rejects, not by its use

Change: calls rejected at the rate limit count as excess, in proportion and with no memory; the queue, which a rate limit always has, doesn't.

--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -53,7 +53,7 @@
 	b.adoptLimit(own, q.knownLimit)
 	d := b.waitAtGate(ctx, q)
 	if !q.RejectedElsewhere {
-		b.n.stats.noteGateArrival(b.n.clock.Now(), q.Internal, d.Reason == wire.ReasonQueue)
+		b.n.stats.noteGateArrival(b.n.clock.Now(), q.Internal, d.Reason)
 	}
 	if !d.Start {
 		if d.Reason == wire.ReasonRateLimit {
--- a/pkg/mesh/exchange_period_test.go
+++ b/pkg/mesh/exchange_period_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rockspoke/rockspoke/pkg/wire"
+
 	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
@@ -51,7 +53,7 @@
 	pass := func(rate int) (sooner int) {
 		for range 100 {
 			for range rate / 5 {
-				n.stats.noteGateArrival(now, false, false)
+				n.stats.noteGateArrival(now, false, wire.ReasonNone)
 			}
 			now = now.Add(planPeriod)
 			n.updateUrgency(now, false)
--- a/pkg/mesh/rate_limit_site_test.go
+++ b/pkg/mesh/rate_limit_site_test.go
@@ -39,6 +39,8 @@
 	limitGoalRatio  = 1.1
 	limitServedGoal = 0.95
 	limitDrainBound = 2 * time.Second
+	// limitUrgentMargin is how much less often an urgent kind may be served than a less urgent one.
+	limitUrgentMargin = 0.05
 )
 
 // limitedServer is what a server of the site advertises, and which requests it got.
@@ -80,6 +82,7 @@
 
 // limitOutcome is how a request ended for its client.
 type limitOutcome struct {
+	path         string
 	begun, ended time.Time
 	status       int
 	retryAfter   string
@@ -99,12 +102,14 @@
 			s.limited = append(s.limited, x)
 		}
 		s.origins = append(s.origins, len(s.nodes))
-		s.add("b", fmt.Sprint("z", zone), limitSlots)
+		_, f := s.add("b", fmt.Sprint("z", zone), limitSlots)
+		f.calls = []string{"/part/x", "/part/x", "/part/x"}
+		s.t.Cleanup(f.client.CloseIdleConnections)
 	}
 	r := route("read", desired.Repeatable, "a")
 	r.Priority = 1
 	urgent := route("urgent", desired.Repeatable, "a")
-	s.store.put(desired.State{Version: 1, Routes: []desired.Route{r, urgent}})
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{r, urgent, route("page", desired.Repeatable, "b"), route("part", desired.Repeatable, "a")}})
 	s.waitUntilKnown(1)
 	time.Sleep(time.Second)
 	s.t.Cleanup(func() { time.Sleep(limitLongestRun) }) // runs whose callers have left end by themselves
@@ -115,7 +120,7 @@
 func (x *limitedServer) handler(f *fakeServer) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(testNames.AttemptID)
-		origin, _, _ := strings.Cut(id, "-")
+		origin, _, _ := strings.Cut(id, "-") // a call begins with the id of its request
 		x.mu.Lock()
 		x.arrivals = append(x.arrivals, limitArrival{time.Now(), origin})
 		work := x.work
@@ -219,7 +224,7 @@
 // sendOne sends one request that begins at a node, and records what its client saw.
 func (s *limitSite) sendOne(i int, path string) {
 	origin := s.servers[i].ip
-	o := limitOutcome{begun: time.Now()}
+	o := limitOutcome{path: path, begun: time.Now()}
 	id := fmt.Sprintf("%s-%d", origin, rand.Uint64())
 	status, _, h := s.request(i, http.MethodGet, path, id, 6*time.Second)
 	o.ended, o.status = time.Now(), status
@@ -371,6 +376,23 @@
 	return sent, served, refused
 }
 
+// servedShare returns the share of the requests for a path, sent in a time span, that were served.
+func (s *limitSite) servedShare(path string, from, to time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent, served := 0.0, 0.0
+	for _, o := range s.outcomes {
+		if o.path != path || o.begun.Before(from) || !o.begun.Before(to) {
+			continue
+		}
+		sent++
+		if o.status == http.StatusOK {
+			served++
+		}
+	}
+	return served / max(sent, 1)
+}
+
 // arrivalsIn returns how many requests some servers got in a time span.
 func (s *limitSite) arrivalsIn(from, to time.Time, servers ...int) int {
 	sum := 0
--- a/pkg/mesh/rate_limit_test.go
+++ b/pkg/mesh/rate_limit_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -96,23 +97,54 @@
 	c.Logf("%d sent, %d served of %.0f that the limits allow", sent, served, named)
 	c.Check(float64(served) >= limitServedGoal*named, qt.IsTrue, qt.Commentf("%d served of %.0f that the limits allow", served, named))
 	var waits []time.Duration
-	reasons := map[string]int{}
 	for _, o := range refused {
-		reasons[o.reason]++
 		waits = append(waits, o.ended.Sub(o.begun))
 		after, err := strconv.ParseFloat(o.retryAfter, 64)
-		c.Assert(err == nil && after > 0 && o.status == 503, qt.IsTrue, qt.Commentf("%+v", o))
+		c.Assert(err == nil && after > 0 && o.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%+v", o))
 	}
+	urgent, usual := s.servedShare("/urgent/x", from, to), s.servedShare("/read/x", from, to)
+	c.Logf("%.2f of the urgent requests served, %.2f of the others", urgent, usual)
+	c.Check(urgent >= usual-limitUrgentMargin, qt.IsTrue)
 	if len(waits) == 0 {
 		c.Error("none was refused")
 		return
 	}
 	slices.Sort(waits)
-	c.Logf("refused as %v", reasons)
 	c.Logf("refused after %v at the median, %v at the 99th percentile", waits[len(waits)/2], waits[len(waits)*99/100])
 	c.Check(waits[len(waits)/2] <= 10*time.Millisecond, qt.IsTrue)
 }
 
+// Requests whose calls reach servers at their rate limit are refused at their entry; those let in are served whole.
+func TestRequestsWhoseCallsExceedRateLimitsAreRefusedAtTheirEntry(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newLimitSite(t)
+		const pagesPerSec = 100.0
+		s.origins = nil
+		for i := range s.nodes {
+			s.origins = append(s.origins, i)
+		}
+		s.send(4*time.Second, pagesPerSec/4, "/page/x")
+		s.setLimit(limitPerSec, allLimited()...)
+		from := time.Now().Add(3 * time.Second)
+		s.send(25*time.Second, pagesPerSec, "/page/x")
+		to := time.Now().Add(-time.Second)
+		sent, served, refused := s.servedSince(from, to)
+		allowed := limitServers * limitPerSec / 3 * to.Sub(from).Seconds()
+		broken := 0
+		for _, o := range refused {
+			if o.status != http.StatusServiceUnavailable {
+				broken++
+			}
+		}
+		t.Logf("%d sent, %d served of %.0f that the limits allow, %d failed half-way", sent, served, allowed, broken)
+		c.Check(float64(served) >= limitServedGoal*allowed, qt.IsTrue, qt.Commentf("%d served of %.0f that the limits allow", served, allowed))
+		c.Check(broken < served/10, qt.IsTrue, qt.Commentf("%d failed half-way", broken))
+		s.checkLimits(c)
+	})
+}
+
 // head returns the first few outcomes.
 func head(all []limitOutcome) []limitOutcome { return all[:min(len(all), 3)] }
 
--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -41,16 +41,15 @@
 	n.gateMu.Lock()
 	g, rate := n.gate.Snapshot(), n.gate.RateLimit(now)
 	n.gateMu.Unlock()
-	rateUse := n.rateUse(now, rate)
-	utilization := max(float64(g.Running+g.Queued)/max(g.Limit, 1), rateUse)
+	utilization := max(float64(g.Running+g.Queued)/max(g.Limit, 1), min(n.rateUse(now, rate), 1))
 	n.control.gateUtilization += utilizationGain * (utilization - n.control.gateUtilization)
 	load := overload.GateLoad{
-		RejectedShare: max(n.stats.rejectedShare(now), shareOverRate(rateUse)), Utilization: n.control.gateUtilization, Bottleneck: n.isBottleneck(own.Service),
+		RejectedShare: n.stats.rejectedShare(now), Utilization: n.control.gateUtilization, Bottleneck: n.isBottleneck(own.Service),
 	}
 	n.control.usableFraction.Observe(now, load)
-	excess := n.excessSlots(now, g)
-	slots := max(g.Limit-excess, minUsableFraction*g.Limit)
-	r.UsableSlots = round(n.usableFraction() * min(slots, rateSlots(g, rate)))
+	excess := n.excessSlots(now, g, rate)
+	slots := min(g.Limit, rateSlots(g, rate))
+	r.UsableSlots = round(n.usableFraction() * max(slots-excess, minUsableFraction*slots))
 	if r.NotListening = n.serverNotListening.Load(); r.NotListening {
 		r.UsableSlots = 0
 	}
@@ -63,10 +62,6 @@
 	n.control.reports[r.Host] = &nodeReport{Report: r, receivedAt: now, packed: body}
 }
 
-// shareOverRate returns the share of the arriving requests that a rate limit at the given use has no room for. Rejections
-// themselves tell less: a gate rejects requests that come close together although the server's rate has room for them.
-func shareOverRate(use float64) float64 { return max(1-1/max(use, 1), 0) }
-
 // rateSlots returns the slots that the server's rate limit lets it use, +Inf if it has none: the plan counts in slots.
 func rateSlots(g gate.State, rate gate.RateState) float64 {
 	if !rate.Limit.Advertised || g.HoldTime == 0 || g.Slowdown <= 0 {
@@ -85,9 +80,13 @@
 }
 
 // excessSlots returns the slots by which the load of the local backend server exceeds the plan: queued requests have to be
-// processed, and calls that the gate rejects belong to root requests that were admitted.
-func (n *Node) excessSlots(now time.Time, g gate.State) float64 {
+// processed, and calls that the gate rejects belong to root requests that were admitted. At a rate limit a short queue is
+// usual and no backlog: it keeps the rate used.
+func (n *Node) excessSlots(now time.Time, g gate.State, rate gate.RateState) float64 {
 	queuedRate := float64(g.Queued) / backlogDrainTime.Seconds()
+	if rate.Limit.Advertised {
+		queuedRate = 0
+	}
 	return (queuedRate + rejectedWeight*n.stats.rejectedCallRate(now)) * g.HoldTime.Seconds()
 }
 
--- a/pkg/mesh/traffic_at_gate.go
+++ b/pkg/mesh/traffic_at_gate.go
@@ -1,19 +1,23 @@
 package mesh
 
-import "time"
+import (
+	"time"
 
-// noteGateArrival counts a request at the first gate where it arrives, and whether that gate rejected it for lack of slots.
-// A rejected request may try all servers of a service. If each gate counted it, the rejected share would grow with the
-// number of servers, and reduce their usable slots.
-func (s *trafficStats) noteGateArrival(now time.Time, internal, rejected bool) {
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// noteGateArrival counts a request at the first gate where it arrives, and whether that gate rejected it since its server was
+// full. A rejected request may try all servers of a service. If each gate counted it, the rejected share would grow with the
+// number of servers, and reduce their usable slots. Rejections for the rate limit don't count in that share: requests that
+// come close together are rejected by it although the limits have room for them.
+func (s *trafficStats) noteGateArrival(now time.Time, internal bool, rejected wire.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gateArrivals.Add(now, 1)
-	if !rejected {
-		return
+	if rejected == wire.ReasonQueue {
+		s.rejectedRequests.Add(now, 1)
 	}
-	s.rejectedRequests.Add(now, 1)
-	if internal {
+	if internal && isFull(rejected) {
 		s.rejectedCalls.Add(now, 1)
 	}
 }
--- a/pkg/mesh/traffic_stats.go
+++ b/pkg/mesh/traffic_stats.go
@@ -18,8 +18,8 @@
 	maxTimeLeft      map[string]*recentMax
 	learner          callgraph.Learner     // of the calls that the local backend server makes
 	gateArrivals     overload.DecayingRate // all requests that arrive at the gate
-	rejectedCalls    overload.DecayingRate // internal calls that the gate rejected for lack of slots
-	rejectedRequests overload.DecayingRate // the same, root requests included
+	rejectedCalls    overload.DecayingRate // internal calls that the gate rejected since the server was full
+	rejectedRequests overload.DecayingRate // requests that it rejected for lack of slots
 }
 
 // init prepares the counts for use.
