--- a/pkg/node/backend_client.go
+++ b/pkg/node/backend_client.go
@@ -12,9 +12,6 @@
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
-// headerDrain is the header that a draining backend server sets to "true".
-const headerDrain = "Rockspoke-Drain"
-
 // backendIdleTimeout is the time after which an unused connection to the backend server is closed.
 const backendIdleTimeout = 30 * time.Second
 
@@ -69,9 +66,7 @@
 		return backendErrorAnswer(err)
 	}
 	a := &answer{meta: wire.Answer{Outcome: wire.Ran}, status: resp.StatusCode, header: resp.Header}
-	if resp.Header.Get(headerDrain) == "true" {
-		n.Leave("backend server drains")
-	}
+	n.heedBackendHeaders(resp.Header)
 	wire.StripHopByHop(a.header)
 	wire.StripInternal(a.header)
 	if err := a.readBody(resp.Body); err != nil {
@@ -80,6 +75,17 @@
 	return a
 }
 
+// heedBackendHeaders applies what an answer of the local backend server says of the server itself.
+func (n *Node) heedBackendHeaders(h http.Header) {
+	leaving, err := wire.BackendHeaders.ParseLeaving(h)
+	if err != nil {
+		n.log.leave.Warn("invalid header of the backend server", "err", err)
+	}
+	if leaving {
+		n.Leave("backend server drains")
+	}
+}
+
 // backendErrorAnswer returns "not run" if no connection was made, else "unknown", since the answer was lost.
 func backendErrorAnswer(err error) *answer {
 	var op *net.OpError
--- a/pkg/node/control_leaving.go
+++ b/pkg/node/control_leaving.go
@@ -40,9 +40,7 @@
 		return
 	}
 	_ = resp.Body.Close() // only the header matters
-	if resp.Header.Get(headerDrain) == "true" {
-		n.Leave("backend server drains")
-	}
+	n.heedBackendHeaders(resp.Header)
 }
 
 // leave sends the leaving state to the neighbors and retries until all key ranges are handed over.
