Mesh: a node of the release before gets no header that it would pass on to its server

Cause: a new node learns a limit from the server's own header, also through a node of the release before, and sent its knowledge along; that node doesn't know the header Rs-L and would have passed it on to its backend server.

Change: the limit is sent only to a node that tells of its server itself. Tests: that, and that clients refused for a rate limit return when it allows them, spread over the time that they will wait.

--- a/pkg/mesh/peer_notices.go
+++ b/pkg/mesh/peer_notices.go
@@ -19,6 +19,7 @@
 	allowedAt time.Time // the rate allows no further request before
 	fullUntil time.Time // no request is sent before, even if the limit is lifted meanwhile
 	leaving   bool
+	fromNode  bool // the peer's node tells of its server itself, so it reads headerKnownLimit
 }
 
 // maxFullTime bounds how long a server isn't sent to because of its rate limit, which may be lifted meanwhile.
@@ -34,12 +35,13 @@
 	return &p.notices
 }
 
-// receivedNotice records what the reply to a request, sent at sent, tells of the peer's server. It reports whether the server
-// is now known to be leaving and wasn't before.
-func (p *peer) receivedNotice(sent, now time.Time, r serverNotice) (startsLeaving bool) {
+// receivedNotice records what the reply to a request, sent at sent, tells of the peer's server; fromNode says that the peer's
+// node told it and not the server's header alone. It reports whether the server is now known to be leaving and wasn't before.
+func (p *peer) receivedNotice(sent, now time.Time, r serverNotice, fromNode bool) (startsLeaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.noticesOf(r.Lifetime)
+	s.fromNode = fromNode
 	s.limit.Observe(sent, now, r.Limit)
 	s.use, s.usedAt = float64(r.Use)/100, now
 	s.allowedAt, s.fullUntil = now.Add(r.Wait), now.Add(min(r.Wait, maxFullTime))
@@ -83,10 +85,16 @@
 	return p.notices.use
 }
 
-// knownLimit returns the rate limit of the peer's server as this node knows it.
+// knownLimit returns the rate limit of the peer's server as this node knows it, if the peer's node reads it.
 func (p *peer) knownLimit() knownLimit {
+	if !p.hasNotice.Load() {
+		return knownLimit{}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.notices.fromNode {
+		return knownLimit{}
+	}
 	return knownLimit{p.notices.limit.Limit(), p.notices.lifetime.Instance}
 }
 
@@ -94,7 +102,8 @@
 // the server's own header, which is all that there is to tell of a server without a limit.
 func (d *delivery) noteNotice(p *peer, sent time.Time, r peerReply, h http.Header) {
 	notice := r.Notice
-	if notice.Lifetime.Instance == "" {
+	fromNode := notice.Lifetime.Instance != ""
+	if !fromNode {
 		if r.Outcome != wire.Ran {
 			return
 		}
@@ -102,7 +111,7 @@
 		notice.Limit, _ = d.n.names.Advertised.ParseRateLimit(h) // the node beside the server logs unusable values
 		notice.Leaving, _ = d.n.names.Advertised.ParseLeaving(h) // likewise
 	}
-	if !p.receivedNotice(sent, d.n.clock.Now(), notice) {
+	if !p.receivedNotice(sent, d.n.clock.Now(), notice, fromNode) {
 		return
 	}
 	d.n.callLog.Info("server is leaving by its answer", "peer", p.host, "instance", notice.Lifetime.Instance, "request", d.q.id)
--- a/pkg/mesh/peer_notices_test.go
+++ b/pkg/mesh/peer_notices_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/advertised"
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -16,7 +17,7 @@
 	p := testPeer(host, true, 0, 100, 100)
 	p.serverLifetime = directory.Lifetime{Instance: "i-" + host}
 	r.Lifetime = p.serverLifetime
-	p.receivedNotice(chooseTime, chooseTime, r)
+	p.receivedNotice(chooseTime, chooseTime, r, true)
 	return p
 }
 
@@ -47,7 +48,7 @@
 	used := noticedPeer("u", serverNotice{Limit: limit15, Use: 90})
 	c.Assert(choicesOf(busy, used, busy), qt.Equals, 1000, qt.Commentf("nearly at its limit"))
 	lifted := noticedPeer("l", serverNotice{Limit: limit15, Use: 90, Wait: time.Second})
-	lifted.receivedNotice(chooseTime.Add(1), chooseTime.Add(2), serverNotice{Lifetime: lifted.serverLifetime})
+	lifted.receivedNotice(chooseTime.Add(1), chooseTime.Add(2), serverNotice{Lifetime: lifted.serverLifetime}, true)
 	c.Assert(choicesOf(lifted, lifted, busy), qt.Equals, 1000)
 }
 
@@ -65,6 +66,39 @@
 	c.Assert(peerReply{Outcome: wire.NotRun, Reason: wire.ReasonRateLimit, RetryAfter: time.Second}.encode(), qt.Equals, "not-run,rate-limit,0,0,0,0,0,0,0,,1000")
 }
 
+// A node of the release before passes on the server's own header, and would pass headerKnownLimit on to its server.
+func TestNodesOfTheReleaseBeforeGetNoKnownLimit(t *testing.T) {
+	c := qt.New(t)
+	p := noticedPeer("n", serverNotice{Limit: limit15})
+	c.Assert(p.knownLimit(), qt.Equals, knownLimit{limit15, "i-n"})
+	p.receivedNotice(chooseTime, chooseTime, serverNotice{Lifetime: p.serverLifetime, Limit: limit15}, false)
+	c.Assert(p.knownLimit(), qt.Equals, knownLimit{})
+	c.Assert(p.notices.limit.Limit(), qt.Equals, limit15)
+}
+
+// Clients refused for a rate limit return when it allows them, one after the other and not all at once.
+func TestClientsRefusedForARateLimitReturnSpreadOut(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	n := &Node{clock: clock.NewManual(now)}
+	q := &request{clientDeadline: now.Add(6 * time.Second)}
+	delays := func(wait time.Duration) (least, most time.Duration) {
+		a := notRunAnswer(wire.ReasonRateLimit)
+		a.retryAfter = wait
+		least = time.Hour
+		for range 2000 {
+			d := n.retryDelay(q, a)
+			least, most = min(least, d), max(most, d)
+		}
+		return least, most
+	}
+	least, most := delays(100 * time.Millisecond)
+	c.Assert(least >= 100*time.Millisecond && least < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", least))
+	c.Assert(most > 1900*time.Millisecond && most <= 2*time.Second, qt.IsTrue, qt.Commentf("%v: clients return within a third of their time", most))
+	least, most = delays(5 * time.Second)
+	c.Assert(least >= 5*time.Second && most <= 6250*time.Millisecond, qt.IsTrue, qt.Commentf("%v to %v", least, most))
+}
+
 func TestNoticesRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	for _, s := range []serverNotice{
