Mesh: late answers of an earlier server don't count for the next one at its address

What callers would see: 503 (leaving) from a server that has just started. The answer of a server that was leaving arrives when the next one has begun; it reset what is known of the next one, closed its gate and marked it as leaving at the node where the request began.

Change: what a server advertises counts only for the lifetime that the request was sent to, and only while that is the current one, both at its own node and at the nodes where requests begin. Only a new record begins a lifetime.

The test failed before, at both ends.

--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -179,7 +179,7 @@
 func (n *Node) localServerChanged(newLifetime bool) {
 	r := n.control.localServer.Record()
 	n.gateMu.Lock()
-	n.backend.noticesOf(r.Lifetime())
+	n.backend.startLifetime(n.clock.Now(), r.Lifetime())
 	if r.Phase == directory.Serving && !n.backend.isLeaving(r.Lifetime()) {
 		n.gate.Open(r.Slots, newLifetime)
 	} else {
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -134,8 +134,8 @@
 
 // send sends the request to one server through its node, and returns the answer.
 func (d *delivery) send(ctx context.Context, p *peer) *answer {
-	lifetime, sent := p.knownLifetime(), d.n.clock.Now()
-	usual := p.recordSend(sent, d.n.slotHoldTime(d.route.Name))
+	lifetime, sent := p.knownLifetime(), sending{at: d.n.clock.Now(), server: p.knownServer()}
+	usual := p.recordSend(sent.at, d.n.slotHoldTime(d.route.Name))
 	defer p.inflight.Add(-1)
 	if p.local {
 		a := d.n.backend.serve(ctx, d.q)
@@ -144,7 +144,7 @@
 		d.noteNotice(p, sent, r, a.header)
 		return a
 	}
-	left := d.q.deadline.Sub(sent)
+	left := d.q.deadline.Sub(sent.at)
 	if left <= 0 {
 		return notRunAnswer(wire.ReasonDeadline)
 	}
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -36,12 +36,11 @@
 	unansweredSends unansweredSends
 	failures        int
 	backedOffUntil  time.Time
-	lifetime        string             // of the server, as its record says
-	knownSince      time.Time          // when this lifetime became known
-	crashedLifetime string             // the lifetime that crashed
-	crashedUntil    time.Time          // until when the crash counts
-	stoppingSince   time.Time          // when its planned stop became known; zero: it isn't stopping
-	serverLifetime  directory.Lifetime // as its record says
+	lifetime        string    // of the server, as its record says
+	knownSince      time.Time // when this lifetime became known
+	crashedLifetime string    // the lifetime that crashed
+	crashedUntil    time.Time // until when the crash counts
+	stoppingSince   time.Time // when its planned stop became known; zero: it isn't stopping
 	notices         peerNotices
 }
 
@@ -103,7 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.zone = r.Zone
-	p.serverLifetime = r.Lifetime()
+	p.startLifetime(r.Lifetime())
 	if lifetime := r.LifetimeID(); p.lifetime != lifetime {
 		p.lifetime, p.knownSince = lifetime, now
 		p.load = serverLoad{} // the load of the previous lifetime doesn't apply to the new one
@@ -124,13 +123,6 @@
 	return p.lifetime
 }
 
-// knownServer returns the lifetime of the peer's server, as its record says.
-func (p *peer) knownServer() directory.Lifetime {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.serverLifetime
-}
-
 // markServerCrashed notes that a lifetime of the peer's server has crashed.
 func (p *peer) markServerCrashed(now time.Time, lifetime string) {
 	p.mu.Lock()
--- a/pkg/mesh/peer_notices.go
+++ b/pkg/mesh/peer_notices.go
@@ -12,7 +12,7 @@
 // peerNotices is what a node knows of another VM's server that limits its rate or leaves; peer.mu guards it. The node beside
 // the server may forget it in a restart, so each node goes by what it has seen itself.
 type peerNotices struct {
-	lifetime  directory.Lifetime
+	lifetime  directory.Lifetime // as the server's record says
 	limit     advertised.Tracker
 	use       float64   // requests a second that arrive for the server, relative to the limit
 	usedAt    time.Time // when use was reported
@@ -25,14 +25,21 @@
 // maxFullTime bounds how long a server isn't sent to because of its rate limit, which may be lifted meanwhile.
 const maxFullTime = 500 * time.Millisecond
 
-// noticesOf returns what is known of a lifetime of the peer's server, and drops what is known of an earlier one; p.mu must be
-// held.
-func (p *peer) noticesOf(at directory.Lifetime) *peerNotices {
-	if !p.notices.lifetime.SameAs(at) {
-		p.notices = peerNotices{}
+// startLifetime drops what is known of an earlier lifetime of the peer's server; p.mu must be held.
+func (p *peer) startLifetime(at directory.Lifetime) {
+	if p.notices.lifetime.SameAs(at) {
+		p.notices.lifetime = p.notices.lifetime.MoreKnown(at)
+		return
 	}
-	p.notices.lifetime = p.notices.lifetime.MoreKnown(at)
-	return &p.notices
+	p.notices = peerNotices{lifetime: at}
+	p.hasNotice.Store(false)
+}
+
+// knownServer returns the lifetime of the peer's server, as its record says.
+func (p *peer) knownServer() directory.Lifetime {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notices.lifetime
 }
 
 // receivedNotice records what the reply to a request, sent at sent, tells of the peer's server; fromNode says that the peer's
@@ -40,7 +47,10 @@
 func (p *peer) receivedNotice(sent, now time.Time, r serverNotice, fromNode bool) (startsLeaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.noticesOf(r.Lifetime)
+	s := &p.notices
+	if !s.lifetime.SameAs(r.Lifetime) {
+		return false // that lifetime has ended, or its record hasn't arrived yet
+	}
 	s.fromNode = fromNode
 	s.limit.Observe(sent, now, r.Limit)
 	s.use, s.usedAt = float64(r.Use)/100, now
@@ -51,9 +61,6 @@
 	return startsLeaving
 }
 
-// noticesApply reports whether the notices are about the lifetime that the server's record names; p.mu must be held.
-func (p *peer) noticesApply() bool { return p.notices.lifetime.SameAs(p.serverLifetime) }
-
 // isLeaving reports whether the peer's server has said that it is leaving, in an answer that this node has seen.
 func (p *peer) isLeaving() bool {
 	if !p.hasNotice.Load() {
@@ -61,7 +68,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.notices.leaving && p.noticesApply()
+	return p.notices.leaving
 }
 
 // fullFor reports whether the peer's server is at its rate limit, and for how long the rate allows no further request.
@@ -71,7 +78,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.noticesApply() || !p.notices.limit.Limit().Advertised {
+	if !p.notices.limit.Limit().Advertised {
 		return 0, false
 	}
 	return p.notices.allowedAt.Sub(now), now.Before(p.notices.fullUntil)
@@ -79,7 +86,7 @@
 
 // rateUse returns the use of the server's rate limit, 0 if it has none or the use isn't known; p.mu must be held.
 func (p *peer) rateUse(now time.Time) float64 {
-	if !p.noticesApply() || !p.notices.limit.Limit().Advertised || now.Sub(p.notices.usedAt) >= maxLoadAge {
+	if !p.notices.limit.Limit().Advertised || now.Sub(p.notices.usedAt) >= maxLoadAge {
 		return 0
 	}
 	return p.notices.use
@@ -98,20 +105,26 @@
 	return knownLimit{p.notices.limit.Limit(), p.notices.lifetime.Instance}
 }
 
-// noteNotice applies what the reply r to a request, sent at sent, tells of the peer's server. Nodes that send no notice pass on
-// the server's own header, which is all that there is to tell of a server without a limit.
-func (d *delivery) noteNotice(p *peer, sent time.Time, r peerReply, h http.Header) {
+// sending is when a request was sent, and to which lifetime of the peer's server as far as this node knew.
+type sending struct {
+	at     time.Time
+	server directory.Lifetime
+}
+
+// noteNotice applies what the reply r to a request tells of the peer's server. Nodes that send no notice pass on the server's own
+// header, which is all that there is to tell of a server without a limit.
+func (d *delivery) noteNotice(p *peer, sent sending, r peerReply, h http.Header) {
 	notice := r.Notice
 	fromNode := notice.Lifetime.Instance != ""
 	if !fromNode {
 		if r.Outcome != wire.Ran {
 			return
 		}
-		notice.Lifetime = p.knownServer()
+		notice.Lifetime = sent.server
 		notice.Limit, _ = d.n.names.Advertised.ParseRateLimit(h) // the node beside the server logs unusable values
 		notice.Leaving, _ = d.n.names.Advertised.ParseLeaving(h) // likewise
 	}
-	if !p.receivedNotice(sent, d.n.clock.Now(), notice, fromNode) {
+	if !p.receivedNotice(sent.at, d.n.clock.Now(), notice, fromNode) {
 		return
 	}
 	d.n.callLog.Info("server is leaving by its answer", "peer", p.host, "instance", notice.Lifetime.Instance, "request", d.q.id)
--- a/pkg/mesh/peer_notices_test.go
+++ b/pkg/mesh/peer_notices_test.go
@@ -15,8 +15,8 @@
 // noticedPeer returns an idle peer of whose server the notice is known.
 func noticedPeer(host string, r serverNotice) *peer {
 	p := testPeer(host, true, 0, 100, 100)
-	p.serverLifetime = directory.Lifetime{Instance: "i-" + host}
-	r.Lifetime = p.serverLifetime
+	p.startLifetime(directory.Lifetime{Instance: "i-" + host})
+	r.Lifetime = p.knownServer()
 	p.receivedNotice(chooseTime, chooseTime, r, true)
 	return p
 }
@@ -48,7 +48,7 @@
 	used := noticedPeer("u", serverNotice{Limit: limit15, Use: 90})
 	c.Assert(choicesOf(busy, used, busy), qt.Equals, 1000, qt.Commentf("nearly at its limit"))
 	lifted := noticedPeer("l", serverNotice{Limit: limit15, Use: 90, Wait: time.Second})
-	lifted.receivedNotice(chooseTime.Add(1), chooseTime.Add(2), serverNotice{Lifetime: lifted.serverLifetime}, true)
+	lifted.receivedNotice(chooseTime.Add(1), chooseTime.Add(2), serverNotice{Lifetime: lifted.knownServer()}, true)
 	c.Assert(choicesOf(lifted, lifted, busy), qt.Equals, 1000)
 }
 
@@ -71,7 +71,7 @@
 	c := qt.New(t)
 	p := noticedPeer("n", serverNotice{Limit: limit15})
 	c.Assert(p.knownLimit(), qt.Equals, knownLimit{limit15, "i-n"})
-	p.receivedNotice(chooseTime, chooseTime, serverNotice{Lifetime: p.serverLifetime, Limit: limit15}, false)
+	p.receivedNotice(chooseTime, chooseTime, serverNotice{Lifetime: p.knownServer(), Limit: limit15}, false)
 	c.Assert(p.knownLimit(), qt.Equals, knownLimit{})
 	c.Assert(p.notices.limit.Limit(), qt.Equals, limit15)
 }
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -18,16 +18,24 @@
 	invalid  map[string]bool // reasons of invalid values that were logged for this lifetime
 }
 
-// noticesOf returns what a lifetime of the local backend server has advertised, and drops what an earlier one did; gateMu must
-// be held.
-func (b *backend) noticesOf(at directory.Lifetime) *serverNotices {
-	s := &b.notices
-	if !s.lifetime.SameAs(at) {
-		*s = serverNotices{}
-		b.n.gate.SetRateLimit(b.n.clock.Now(), advertised.RateLimit{})
+// startLifetime drops what an earlier lifetime of the local backend server has advertised; gateMu must be held.
+func (b *backend) startLifetime(now time.Time, at directory.Lifetime) {
+	if b.notices.lifetime.SameAs(at) {
+		b.notices.lifetime = b.notices.lifetime.MoreKnown(at)
+		return
+	}
+	b.notices = serverNotices{lifetime: at}
+	b.n.gate.SetRateLimit(now, advertised.RateLimit{})
+}
+
+// withNotices calls f with what a lifetime of the local backend server has advertised, under gateMu. It does nothing if that
+// lifetime has ended: its last answers may arrive when the next one has begun.
+func (b *backend) withNotices(at directory.Lifetime, f func(s *serverNotices)) {
+	b.n.gateMu.Lock()
+	defer b.n.gateMu.Unlock()
+	if b.notices.lifetime.SameAs(at) {
+		f(&b.notices)
 	}
-	s.lifetime = s.lifetime.MoreKnown(at)
-	return s
 }
 
 // knownLimit is the rate limit of a server as the sender of a request knows it; the zero value is none.
@@ -55,17 +63,7 @@
 		return
 	}
 	now := b.n.clock.Now()
-	b.n.gateMu.Lock()
-	s := b.noticesOf(own.Lifetime())
-	before := s.limit.Limit()
-	changed := s.limit.Adopt(now, k.limit)
-	if changed {
-		b.n.gate.SetRateLimit(now, k.limit)
-	}
-	b.n.gateMu.Unlock()
-	if changed {
-		b.logLimit(own, before, k.limit, "peer")
-	}
+	b.updateLimit(own, "peer", func(t *advertised.Tracker) bool { return t.Adopt(now, k.limit) })
 }
 
 // notice returns what other nodes have to know of the local backend server if it limits its rate or leaves.
@@ -121,21 +119,24 @@
 // observeLimit applies the rate limit in an answer to a request sent at sent.
 func (b *backend) observeLimit(own directory.Record, sent time.Time, limit advertised.RateLimit) {
 	now := b.n.clock.Now()
-	b.n.gateMu.Lock()
-	s := b.noticesOf(own.Lifetime())
-	before := s.limit.Limit()
-	changed := s.limit.Observe(sent, now, limit)
-	if changed {
-		b.n.gate.SetRateLimit(now, limit)
-	}
-	b.n.gateMu.Unlock()
-	if changed {
-		b.logLimit(own, before, limit, "answer")
+	b.updateLimit(own, "answer", func(t *advertised.Tracker) bool { return t.Observe(sent, now, limit) })
+}
+
+// updateLimit applies an update of the rate limit, which reports whether it changed the limit, at the gate; source is what the
+// limit was learned from.
+func (b *backend) updateLimit(own directory.Record, source string, update func(t *advertised.Tracker) bool) {
+	var before, limit advertised.RateLimit
+	changed := false
+	b.withNotices(own.Lifetime(), func(s *serverNotices) {
+		before = s.limit.Limit()
+		if changed = update(&s.limit); changed {
+			limit = s.limit.Limit()
+			b.n.gate.SetRateLimit(b.n.clock.Now(), limit)
+		}
+	})
+	if !changed {
+		return
 	}
-}
-
-// logLimit logs a change of the rate limit in force; source is what it was learned from.
-func (b *backend) logLimit(own directory.Record, before, limit advertised.RateLimit, source string) {
 	b.n.metrics.gauge(milliPerSecond(limit), "server_rate_limit")
 	b.n.callLog.Info("rate limit of the local backend server changed", "instance", own.Instance, "limit", limit.String(),
 		"before", before.String(), "from", source)
@@ -162,15 +163,14 @@
 // noteLeaving applies an answer by which the local backend server says that it is leaving: the gate closes before the answer is
 // passed on, and all nodes learn of it by the server's record.
 func (b *backend) noteLeaving(q *request, own directory.Record) {
-	b.n.gateMu.Lock()
-	s := b.noticesOf(own.Lifetime())
-	known := s.leaving
-	s.leaving = true
-	if !known {
-		b.n.gate.Close()
-	}
-	b.n.gateMu.Unlock()
-	if known {
+	begins := false
+	b.withNotices(own.Lifetime(), func(s *serverNotices) {
+		if begins = !s.leaving; begins {
+			s.leaving = true
+			b.n.gate.Close()
+		}
+	})
+	if !begins {
 		return
 	}
 	b.n.callLog.Info("local backend server is leaving by its answer", "instance", own.Instance, "request", q.id)
@@ -193,16 +193,16 @@
 		return
 	}
 	b.n.metrics.count("server_headers_invalid_total")
-	b.n.gateMu.Lock()
-	s := b.noticesOf(own.Lifetime())
-	if s.invalid == nil {
-		s.invalid = map[string]bool{}
-	}
-	key := v.Header + ": " + v.Reason
-	logged := s.invalid[key]
-	s.invalid[key] = true
-	b.n.gateMu.Unlock()
-	if !logged {
+	isNew := false
+	b.withNotices(own.Lifetime(), func(s *serverNotices) {
+		if s.invalid == nil {
+			s.invalid = map[string]bool{}
+		}
+		key := v.Header + ": " + v.Reason
+		isNew = !s.invalid[key]
+		s.invalid[key] = true
+	})
+	if isNew {
 		b.n.callLog.Warn("invalid header of the local backend server", "instance", own.Instance, "request", q.id, "err", err)
 	}
 }
--- a/pkg/mesh/server_notices_test.go
+++ b/pkg/mesh/server_notices_test.go
@@ -226,3 +226,41 @@
 	})
 	c.Assert(s.limitInForce(0), qt.Equals, "none")
 }
+
+// The answer of a server that was leaving arrives after the next one has started at its address. It closed the gate before the
+// next one for good.
+func TestLateAnswerOfAnEarlierLifetimeDoesntCloseTheGate(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.add("a", "z", 10)
+	s.add("b", "z", 10)
+	s.store.put(desiredReads("a"))
+	s.waitUntilKnown(1)
+	begun, proceed := make(chan struct{}), make(chan struct{})
+	s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-proceed
+		w.Header().Set(testNames.Advertised.RateLimit, "3")
+		w.Header().Set(testNames.Advertised.Leaving, "1")
+	})
+	late := make(chan int)
+	go func() {
+		status, _, _ := s.request(1, http.MethodGet, "/read/x", "late", 5*time.Second)
+		late <- status
+	}()
+	<-begun
+	s.servers[0].instance += "-next"
+	s.heartbeat(0, false)
+	s.waitFor("the next lifetime is known", func() bool {
+		list := s.nodes[1].view.Load().services["a"]
+		return len(list) == 1 && list[0].knownServer().Instance == s.servers[0].instance
+	})
+	close(proceed)
+	c.Assert(<-late, qt.Equals, http.StatusOK)
+	s.advertise()
+	for i := range 10 {
+		status, _, _ := s.request(1, http.MethodGet, "/read/x", fmt.Sprint("next", i), time.Second)
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	c.Assert(s.limitInForce(0), qt.Equals, "none")
+}
