--- a/pkg/mesh/peer_notices.go
+++ b/pkg/mesh/peer_notices.go
@@ -22,7 +22,8 @@
 	fromNode  bool // the peer's node tells of its server itself, so it reads headerKnownLimit
 }
 
-// maxFullTime bounds how long a server isn't sent to because of its rate limit, which may be lifted meanwhile.
+// maxFullTime bounds how long a reply counts that shows a server at its rate limit, or near it: the limit may be lifted at any
+// time, which shows only in an answer.
 const maxFullTime = 500 * time.Millisecond
 
 // startLifetime drops what is known of an earlier lifetime of the peer's server; p.mu must be held.
@@ -86,7 +87,7 @@
 
 // rateUse returns the use of the server's rate limit, 0 if it has none or the use isn't known; p.mu must be held.
 func (p *peer) rateUse(now time.Time) float64 {
-	if !p.notices.limit.Limit().Advertised || now.Sub(p.notices.usedAt) >= maxLoadAge {
+	if !p.notices.limit.Limit().Advertised || now.Sub(p.notices.usedAt) >= maxFullTime {
 		return 0
 	}
 	return p.notices.use
