--- a/pkg/mesh/rate_limit_site_test.go
+++ b/pkg/mesh/rate_limit_site_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,8 +33,6 @@
 // The bounds by which the tests judge, as the platform states them and as this project aims at them.
 const (
 	limitWindow     = 4 * time.Second
-	limitContact    = 3 * time.Second // after the first naming of a limit
-	limitToldBefore = 500 * time.Millisecond
 	limitRuleRatio  = 1.5
 	limitRuleSlack  = 5.0
 	limitGoalRatio  = 1.1
@@ -52,18 +49,12 @@
 	limit    string // value of the rate limit header; empty: none
 	named    string // the same, in the last answer
 	leaving  bool
-	arrivals []limitArrival
+	arrivals []time.Time
 	changes  []limitChange
-	told     map[string][]time.Time // by node where a request began: when it passed on an answer that names a limit
-	// toldFirst is when any node first did.
+	// toldFirst is when a node first passed on an answer that names a limit.
 	toldFirst time.Time
-	leftTold  map[string]time.Time // the same, first time since the node's last start, for an answer of a leaving server
-}
-
-// limitArrival is one request at a server.
-type limitArrival struct {
-	at     time.Time
-	origin string // node where it began
+	// leftTold is, by node where a request began, when it first passed on an answer of the leaving server since its last start.
+	leftTold map[string]time.Time
 }
 
 // limitChange is a limit from a time on, or none.
@@ -80,7 +71,6 @@
 	origins  []int            // nodes where requests begin
 	mu       sync.Mutex
 	outcomes []limitOutcome
-	restarts map[string][]time.Time // by node's address
 }
 
 // limitOutcome is how a request ended for its client.
@@ -95,12 +85,12 @@
 // newLimitSite starts the site in simulated time. Servers without slots to spare show nothing of a rate limit, so each has
 // several times those that it needs.
 func newLimitSite(t *testing.T) *limitSite {
-	s := &limitSite{site: newMemorySite(t), restarts: map[string][]time.Time{}}
+	s := &limitSite{site: newMemorySite(t)}
 	s.seeds = []string{s.at(s.base+"1", 2), s.at(s.base+"5", 2)}
 	for zone := range limitZones {
 		for range limitServers / limitZones {
 			_, f := s.add("a", fmt.Sprint("z", zone), limitSlots)
-			x := &limitedServer{work: limitWork, told: map[string][]time.Time{}, leftTold: map[string]time.Time{}}
+			x := &limitedServer{work: limitWork, leftTold: map[string]time.Time{}}
 			f.handle = x.handler(f)
 			s.limited = append(s.limited, x)
 		}
@@ -121,11 +111,9 @@
 
 // handler answers requests after limitWork, with the headers that the server advertises at that time.
 func (x *limitedServer) handler(f *fakeServer) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get(testNames.AttemptID)
-		origin, _, _ := strings.Cut(id, "-") // a call begins with the id of its request
+	return func(w http.ResponseWriter, _ *http.Request) {
 		x.mu.Lock()
-		x.arrivals = append(x.arrivals, limitArrival{time.Now(), origin})
+		x.arrivals = append(x.arrivals, time.Now())
 		work := x.work
 		x.mu.Unlock()
 		time.Sleep(randomAround(work))
@@ -199,12 +187,8 @@
 func (s *limitSite) restart(node int, down time.Duration) {
 	s.nodes[node].halt()
 	time.Sleep(down)
-	s.mu.Lock()
-	s.restarts[s.servers[node].ip] = append(s.restarts[s.servers[node].ip], time.Now())
-	s.mu.Unlock()
 	for _, x := range s.limited {
 		x.mu.Lock()
-		delete(x.told, s.servers[node].ip)
 		delete(x.leftTold, s.servers[node].ip)
 		x.mu.Unlock()
 	}
@@ -255,11 +239,8 @@
 func (x *limitedServer) noteTold(origin string, h http.Header) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if h.Get(testNames.Advertised.RateLimit) != "" {
-		x.told[origin] = append(x.told[origin], time.Now())
-		if x.toldFirst.IsZero() {
-			x.toldFirst = time.Now()
-		}
+	if h.Get(testNames.Advertised.RateLimit) != "" && x.toldFirst.IsZero() {
+		x.toldFirst = time.Now()
 	}
 	if h.Get(testNames.Advertised.Leaving) != "" && x.leftTold[origin].IsZero() {
 		x.leftTold[origin] = time.Now()
@@ -300,24 +281,24 @@
 // ratio returns the requests of what is allowed.
 func (b busiestWindow) ratio() float64 { return b.got / b.allowed }
 
-// busiest returns the window with the highest ratio from when the limit was first told; counts tells which arrivals count.
-func (x *limitedServer) busiest(counts func(limitArrival) bool) busiestWindow {
+// busiest returns the window with the highest ratio from when the limit was first told.
+func (x *limitedServer) busiest() busiestWindow {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	first := x.toldFirst
 	var worst busiestWindow
-	var in []limitArrival
+	var in []time.Time
 	for _, a := range x.arrivals {
-		if !first.IsZero() && !a.at.Before(first) && counts(a) {
+		if !first.IsZero() && !a.Before(first) {
 			in = append(in, a)
 		}
 	}
 	begin := 0
 	for end, a := range in {
-		for a.at.Sub(in[begin].at) >= limitWindow {
+		for a.Sub(in[begin]) >= limitWindow {
 			begin++
 		}
-		from := a.at.Add(-limitWindow)
+		from := a.Add(-limitWindow)
 		if from.Before(first) {
 			from = first
 		}
@@ -329,18 +310,15 @@
 	return worst
 }
 
-// everyArrival counts all arrivals.
-func everyArrival(limitArrival) bool { return true }
-
-// checkLimits checks the windows of all servers that advertised a limit, and returns the highest ratio. A request that isn't
-// whole counts in the goal's favour.
+// checkLimits checks the windows of all servers that advertised a limit, and returns the highest ratio. What is allowed is
+// rounded up to whole requests.
 func (s *limitSite) checkLimits(c *qt.C) float64 {
 	highest := 0.0
 	for k, x := range s.limited {
 		if x.toldFirst.IsZero() {
 			continue
 		}
-		w := x.busiest(everyArrival)
+		w := x.busiest()
 		highest = max(highest, w.ratio())
 		c.Check(w.got <= math.Ceil(limitGoalRatio*w.allowed), qt.IsTrue,
 			qt.Commentf("server %d got %v in 4 s, %.1f are allowed (%.2f times)", k, w.got, w.allowed, w.ratio()))
@@ -362,7 +340,7 @@
 			}
 		}
 		for _, a := range x.arrivals {
-			if !first.IsZero() && a.at.Sub(first) > limitDrainBound {
+			if !first.IsZero() && a.Sub(first) > limitDrainBound {
 				late++
 			}
 		}
@@ -414,7 +392,7 @@
 		x := s.limited[k]
 		x.mu.Lock()
 		for _, a := range x.arrivals {
-			if !a.at.Before(from) && a.at.Before(to) {
+			if !a.Before(from) && a.Before(to) {
 				sum++
 			}
 		}
