Mesh: an answer's rate limit is parsed once, and a reply locks the gate once

Cause: each answer of the server had its limit header parsed twice, and each reply took the gate's lock twice, on the path of every request.

Change: noteHeader reports that no limit is named, and the whole answer applies that; the load and the notice of a reply are read under one lock. No change of behaviour; the tests of limits, notices and leaving passed with the race detector.

--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
@@ -211,10 +212,10 @@
 		_ = drainBody(res) // another server answered, and its text isn't used
 		return b.shedAnswer(res), gate.Shed
 	}
-	b.noteHeader(q, own, sent, res.Header)
+	unlimited := b.noteHeader(q, own, sent, res.Header)
 	if notExecuted(res, b.n.names) {
-		if drainBody(res) == nil { // only the refusal counts; its text isn't used
-			b.noteWholeAnswer(own, sent, res.Header)
+		if drainBody(res) == nil && unlimited { // only the header counts; the text isn't used
+			b.observeLimit(own, sent, advertised.RateLimit{})
 		}
 		return b.shedAnswer(res), gate.Shed
 	}
@@ -222,7 +223,9 @@
 	if err := a.bufferBody(res); err != nil {
 		return b.failedAnswer(err)
 	}
-	b.noteWholeAnswer(own, sent, res.Header)
+	if unlimited {
+		b.observeLimit(own, sent, advertised.RateLimit{})
+	}
 	if a.status >= http.StatusInternalServerError {
 		return a, gate.Failed
 	}
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -87,14 +87,16 @@
 
 // replyHeader returns the metadata for an answer, with the current load of this VM's server.
 func (n *Node) replyHeader(a *answer) peerReply {
+	now := n.clock.Now()
 	n.gateMu.Lock()
-	g := n.gate.Snapshot()
+	g, rate := n.gate.Snapshot(), n.gate.RateLimit(now)
+	at, leaving := n.backend.notices.lifetime, n.backend.notices.leaving
 	n.gateMu.Unlock()
 	return peerReply{
 		Outcome: a.outcome, Reason: a.reason, RefusedByServer: a.arrived,
 		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5),
 		Success: int(g.SuccessShare*(1-g.ShedShare)*100 + 0.5), Stopping: n.stop.stopping(), NotListening: a.notListening, Version: n.stateVersion(),
-		CrashedLifetime: a.crashedLifetime, RetryAfter: a.retryAfter, Notice: n.backend.notice(),
+		CrashedLifetime: a.crashedLifetime, RetryAfter: a.retryAfter, Notice: n.newNotice(now, at, rate, leaving),
 	}
 }
 
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -66,17 +66,12 @@
 	b.updateLimit(own, "peer", func(t *advertised.Tracker) bool { return t.Adopt(now, k.limit) })
 }
 
-// notice returns what other nodes have to know of the local backend server if it limits its rate or leaves.
-func (b *backend) notice() serverNotice {
-	now := b.n.clock.Now()
-	b.n.gateMu.Lock()
-	rate := b.n.gate.RateLimit(now)
-	at, leaving := b.notices.lifetime, b.notices.leaving
-	b.n.gateMu.Unlock()
+// newNotice returns the notice of a lifetime of the local backend server: the zero value unless it limits its rate or leaves.
+func (n *Node) newNotice(now time.Time, at directory.Lifetime, rate gate.RateState, leaving bool) serverNotice {
 	if !rate.Limit.Advertised && !leaving {
 		return serverNotice{}
 	}
-	return serverNotice{Lifetime: at, Limit: rate.Limit, Use: int(100 * b.n.rateUse(now, rate)), Wait: rate.Wait, Leaving: leaving}
+	return serverNotice{Lifetime: at, Limit: rate.Limit, Use: int(100 * n.rateUse(now, rate)), Wait: rate.Wait, Leaving: leaving}
 }
 
 // maxRateUse bounds the use of a rate limit.
@@ -91,12 +86,14 @@
 	return min(n.stats.gateArrivalRate(now)/rate.PerSecond, maxRateUse)
 }
 
-// noteHeader applies the header of an answer that the local backend server gives to the request q, sent at sent.
-func (b *backend) noteHeader(q *request, own directory.Record, sent time.Time, h http.Header) {
+// noteHeader applies the header of an answer that the local backend server gives to the request q, sent at sent. It reports
+// whether the header names no rate limit, which ends a limit once the answer has arrived whole.
+func (b *backend) noteHeader(q *request, own directory.Record, sent time.Time, h http.Header) (unlimited bool) {
 	limit, err := b.n.names.Advertised.ParseRateLimit(h)
 	if err != nil {
 		b.noteInvalid(q, own, err)
 	}
+	unlimited = err == nil && !limit.Advertised
 	if limit.Advertised {
 		b.observeLimit(own, sent, limit)
 	}
@@ -107,13 +104,7 @@
 	if leaving {
 		b.noteLeaving(q, own)
 	}
-}
-
-// noteWholeAnswer applies the absence of a rate limit, which only an answer that arrived whole shows.
-func (b *backend) noteWholeAnswer(own directory.Record, sent time.Time, h http.Header) {
-	if limit, err := b.n.names.Advertised.ParseRateLimit(h); err == nil && !limit.Advertised {
-		b.observeLimit(own, sent, limit)
-	}
+	return unlimited
 }
 
 // observeLimit applies the rate limit in an answer to a request sent at sent.
