--- a/pkg/mesh/peer_notices.go
+++ b/pkg/mesh/peer_notices.go
@@ -19,7 +19,7 @@
 	allowedAt time.Time // the rate allows no further request before
 	fullUntil time.Time // no request is sent before, even if the limit is lifted meanwhile
 	leaving   bool
-	fromNode  bool // the peer's node tells of its server itself, so it reads headerKnownLimit
+	fromNode  bool // the peer's node sends notices, so it reads headerKnownLimit
 }
 
 // maxFullTime bounds how long a reply counts that shows a server at its rate limit, or near it: the limit may be lifted at any
@@ -43,8 +43,8 @@
 	return p.notices.lifetime
 }
 
-// receivedNotice records what the reply to a request, sent at sent, tells of the peer's server; fromNode says that the peer's
-// node told it and not the server's header alone. It reports whether the server is now known to be leaving and wasn't before.
+// receivedNotice records what the reply to a request, sent at sent, tells of the peer's server; fromNode is set if the peer's
+// node reported it, not only the server's header. It reports whether the server is now known to be leaving and wasn't before.
 func (p *peer) receivedNotice(sent, now time.Time, r serverNotice, fromNode bool) (startsLeaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -65,7 +65,7 @@
 	Notice          serverNotice
 }
 
-// serverNotice is what the server's node tells of a server that limits its rate or leaves; the zero value tells nothing.
+// serverNotice is what the server's node reports of a server that limits its rate or leaves; the zero value is for any other.
 type serverNotice struct {
 	Lifetime directory.Lifetime
 	Limit    advertised.RateLimit
--- a/pkg/mesh/rate_limit_site_test.go
+++ b/pkg/mesh/rate_limit_site_test.go
@@ -164,7 +164,7 @@
 }
 
 // noteNamed records that the server names a limit, or none, in an answer; x.mu must be held. A change counts from the first
-// answer on that has it: nobody can know of it before.
+// answer on that has it: no node has seen it before.
 func (x *limitedServer) noteNamed(limit string) {
 	if limit == x.named {
 		return
@@ -235,7 +235,7 @@
 	}
 }
 
-// noteTold records that the node of a client passed on an answer of the server.
+// noteTold records that the node where a request began passed on an answer of the server.
 func (x *limitedServer) noteTold(origin string, h http.Header) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -281,7 +281,7 @@
 // ratio returns the requests of what is allowed.
 func (b busiestWindow) ratio() float64 { return b.got / b.allowed }
 
-// busiest returns the window with the highest ratio from when the limit was first told.
+// busiest returns the window with the highest ratio since a node first passed on the limit.
 func (x *limitedServer) busiest() busiestWindow {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/pkg/mesh/rate_limit_test.go
+++ b/pkg/mesh/rate_limit_test.go
@@ -114,7 +114,7 @@
 	c.Check(waits[len(waits)/2] <= 10*time.Millisecond, qt.IsTrue)
 }
 
-// Requests whose calls reach servers at their rate limit are refused at their entry; those let in are served whole.
+// Requests whose calls reach servers at their rate limit are refused at their entry; the admitted ones are served whole.
 func TestRequestsWhoseCallsExceedRateLimitsAreRefusedAtTheirEntry(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -62,7 +62,7 @@
 	n.control.reports[r.Host] = &nodeReport{Report: r, receivedAt: now, packed: body}
 }
 
-// rateSlots returns the slots that the server's rate limit lets it use, +Inf if it has none: the plan counts in slots.
+// rateSlots returns the slots that the server can use within its rate limit, +Inf if it has none: the plan counts in slots.
 func rateSlots(g gate.State, rate gate.RateState) float64 {
 	if !rate.Limit.Advertised || g.HoldTime == 0 || g.Slowdown <= 0 {
 		return math.Inf(1)
--- a/pkg/mesh/server_notices_test.go
+++ b/pkg/mesh/server_notices_test.go
@@ -81,6 +81,16 @@
 	c.Assert(s.nodes[0].backend.notices.limit.Limit().Advertised, qt.IsFalse)
 }
 
+// newServerAndClientSite returns a site with a server of service a at the first node; the second node sends requests to it.
+func newServerAndClientSite(t *testing.T) *site {
+	s := newSite(t)
+	s.add("a", "z", 10)
+	s.add("b", "z", 10)
+	s.store.put(desiredReads("a"))
+	s.waitUntilKnown(1)
+	return s
+}
+
 // newLimitedServerSite returns a site of one server whose answers say what the returned function sets: status, body and the
 // rate limit.
 func newLimitedServerSite(t *testing.T) (s *site, answer func(status int, limit string)) {
@@ -155,7 +165,7 @@
 	c.Assert(s.limitInForce(0), qt.Equals, "300")
 }
 
-// A refusal for the rate limit is told apart from others in its reason, the logs and the metrics, and says when to return.
+// A refusal for the rate limit differs from others in its reason, the logs and the metrics, and has a Retry-After.
 func TestRefusalForTheRateLimitIsExplained(t *testing.T) {
 	c := qt.New(t)
 	log := &logBuffer{}
@@ -182,11 +192,7 @@
 // with the server's next answer.
 func TestRateLimitOutlivesTheNodeBesideTheServer(t *testing.T) {
 	c := qt.New(t)
-	s := newSite(t)
-	s.add("a", "z", 10)
-	s.add("b", "z", 10)
-	s.store.put(desiredReads("a"))
-	s.waitUntilKnown(1)
+	s := newServerAndClientSite(t)
 	names := testNames.Advertised
 	s.advertise(names.RateLimit, "400")
 	s.request(1, http.MethodGet, "/read/x", "told", time.Second)
@@ -207,11 +213,7 @@
 // The next lifetime of a server at the same address has no limit and isn't leaving until it says so.
 func TestNextLifetimeStartsWithoutNotices(t *testing.T) {
 	c := qt.New(t)
-	s := newSite(t)
-	s.add("a", "z", 10)
-	s.add("b", "z", 10)
-	s.store.put(desiredReads("a"))
-	s.waitUntilKnown(1)
+	s := newServerAndClientSite(t)
 	names := testNames.Advertised
 	s.advertise(names.RateLimit, "400", names.Leaving, "1")
 	s.request(1, http.MethodGet, "/read/x", "told", time.Second)
@@ -231,11 +233,7 @@
 // next one for good.
 func TestLateAnswerOfAnEarlierLifetimeDoesntCloseTheGate(t *testing.T) {
 	c := qt.New(t)
-	s := newSite(t)
-	s.add("a", "z", 10)
-	s.add("b", "z", 10)
-	s.store.put(desiredReads("a"))
-	s.waitUntilKnown(1)
+	s := newServerAndClientSite(t)
 	begun, proceed := make(chan struct{}), make(chan struct{})
 	s.handleAll(func(_ *fakeServer, w http.ResponseWriter, _ *http.Request) {
 		close(begun)
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -167,7 +167,7 @@
 	c.Assert(checkPlannedWork(h, testTime), qt.HasLen, 1)
 }
 
-// A restart or pause of the node where a request began excuses it, one of another node doesn't, and a word passed on after it
+// A restart or pause of the node where a request began excuses it, one of another node doesn't, and a notice passed on after it
 // binds again.
 func TestOutagesExcuseOnlyTheNodeWhereRequestsBegin(t *testing.T) {
 	c := qt.New(t)
@@ -183,7 +183,7 @@
 	c.Assert(checkLeavingByAnswers(h, testTime), qt.HasLen, 1)
 }
 
-// A limit that fell counts as before for limitTold, and a lifted one binds no longer.
+// A limit that fell counts as before for limitTold, and a lifted one no longer binds.
 func TestLimitsAllowWhatWasAdvertised(t *testing.T) {
 	c := qt.New(t)
 	limits := []advertisedLimit{
