--- a/pkg/awaited/awaited_test.go
+++ b/pkg/awaited/awaited_test.go
@@ -47,7 +47,7 @@
 	c.Assert(table.StartQuery(after(time.Hour)), qt.HasLen, 0)
 }
 
-// In any order of events, a request that is in progress at the peer at every query is never aborted, and one that never is there is aborted.
+// In any order of events, a request that is in progress at the peer at every query is never aborted, and one that the peer never has in progress is aborted.
 func TestOnlyLostRequestsAreAborted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var table Table
--- a/pkg/lab/cluster_test.go
+++ b/pkg/lab/cluster_test.go
@@ -116,7 +116,7 @@
 		c.Assert(rep.outcome, qt.Equals, wire.Unknown, qt.Commentf("%+v", rep))
 		c.Assert(cl.runsOf(fmt.Sprint("k", i), "front"), qt.Equals, 1)
 	}
-	// Work without a key of the caller's own goes on by tokens, as soon as the entry has heard of the new lives.
+	// Work without a key of the caller's own goes on by tokens, as soon as the entry knows the new lifetimes.
 	for range 100 {
 		if cl.ask(1, "billing", "", nil).status == http.StatusOK {
 			return
