Node: the log tells why an attempt got no answer and how long key ranges were closed

Cause: the error of an attempt between daemons, and of a call to the backend server, was dropped; nothing told for how long a handover keeps key ranges closed, nor what the home of a once-only request answered before the last attempt. A failing test of the lab printed only the caller's view.

Change: an answer carries the cause of its loss, which is logged; so are attempts that the home didn't run, with the time left, and the time closed. Tests of the lab print their daemons' logs when they fail.

--- a/pkg/lab/cluster_test.go
+++ b/pkg/lab/cluster_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,12 +41,47 @@
 		},
 	}
 	opts.Seed = 1
+	if opts.Log == nil {
+		opts.Log = logOfFailure(t)
+	}
 	c, err := StartRockspoke(context.Background(), g, opts)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = c.Stop() })
 	return c
 }
 
+// logOfFailure returns a writer whose lines are printed if the test fails.
+func logOfFailure(t *testing.T) io.Writer {
+	t.Helper()
+	w := &lockedBuffer{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.String())
+		}
+	})
+	return w
+}
+
+// lockedBuffer is a buffer that several daemons may write to at once.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write appends the bytes; it never fails.
+func (w *lockedBuffer) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(p)
+}
+
+// String returns all that was written.
+func (w *lockedBuffer) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.String()
+}
+
 // ask sends one request of a caller through an entry.
 func (c *Cluster) ask(entry int, class, key string, more http.Header) reply {
 	cl := c.Graph.class(class)
--- a/pkg/node/backend_client.go
+++ b/pkg/node/backend_client.go
@@ -51,7 +51,7 @@
 	u := &url.URL{Scheme: "http", Host: n.cfg.Backend.Address}
 	req, err := http.NewRequestWithContext(ctx, q.method, u.String()+q.uri, &nonRewindableBody{data: q.body})
 	if err != nil {
-		return notRunAnswer(wire.ReasonBadRequest, 0)
+		return notRunAnswer(wire.ReasonBadRequest, 0).withCause(err)
 	}
 	req.ContentLength = int64(len(q.body))
 	req.Header = q.header.Clone()
@@ -70,7 +70,7 @@
 	wire.StripHopByHop(a.header)
 	wire.StripInternal(a.header)
 	if err := a.readBody(resp.Body); err != nil {
-		return unknownAnswer(wire.ReasonAnswerLost)
+		return unknownAnswer(wire.ReasonAnswerLost).withCause(err)
 	}
 	return a
 }
@@ -90,9 +90,9 @@
 func backendErrorAnswer(err error) *answer {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return notRunAnswer(wire.ReasonServerRefused, 0)
+		return notRunAnswer(wire.ReasonServerRefused, 0).withCause(err)
 	}
-	return unknownAnswer(wire.ReasonAnswerLost)
+	return unknownAnswer(wire.ReasonAnswerLost).withCause(err)
 }
 
 // isServerRefusal tells whether the answer is the backend server's documented refusal: status 503 or 429 with a
--- a/pkg/node/call_answer.go
+++ b/pkg/node/call_answer.go
@@ -23,6 +23,7 @@
 	body       []byte
 	rest       io.ReadCloser // what follows body, or nil
 	fromDaemon bool          // false if the attempt never arrived or its answer was lost
+	cause      error         // why no answer of a daemon arrived, nil if one did
 }
 
 // notRunAnswer returns an answer for a call that certainly didn't run, with the time after which the client may retry.
@@ -35,6 +36,12 @@
 	return &answer{meta: wire.Answer{Outcome: wire.Unknown, Reason: reason}}
 }
 
+// withCause sets why no answer arrived and returns the answer.
+func (a *answer) withCause(err error) *answer {
+	a.cause = err
+	return a
+}
+
 // readBody reads the start of the body, and closes it if that is all; otherwise rest streams what follows.
 func (a *answer) readBody(body io.ReadCloser) error {
 	buf := make([]byte, 0, 512)
--- a/pkg/node/call_runner.go
+++ b/pkg/node/call_runner.go
@@ -35,6 +35,10 @@
 		return notRunAnswer(wire.ReasonDeadline, 0)
 	}
 	a := n.callBackend(ctx, in, q)
+	if a.cause != nil {
+		n.log.call.Info("backend server gave no answer", "request", in.call.RootID, "outcome", a.meta.Outcome, "reason", a.meta.Reason,
+			"held", n.clock.Now().Sub(started), "err", a.cause)
+	}
 	if a.rest != nil {
 		a.rest = &slotReader{ReadCloser: a.rest, releaseSlot: func() { n.releaseSlot(in, started, false) }}
 	} else {
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -217,6 +217,9 @@
 // recordAttempt records an attempt's result for the server: the state that its answer carries, or a failure.
 func (n *Node) recordAttempt(ctx context.Context, srv *routing.Server, a *answer) {
 	now := n.clock.Now()
+	if a.cause != nil {
+		n.log.call.Info("attempt got no answer", "to", srv.VM, "outcome", a.meta.Outcome, "reason", a.meta.Reason, "err", a.cause)
+	}
 	switch {
 	case a.fromDaemon:
 		srv.ObserveAnswer(now, a.meta)
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -31,6 +31,10 @@
 			return n.noHomeAnswer(s)
 		}
 		a := n.attemptWithLoan(ctx, s, srv)
+		if a.meta.Outcome != wire.Ran {
+			n.log.once.Info("attempt at the home didn't run", "request", s.call.RootID, "home", srv.VM, "outcome", a.meta.Outcome,
+				"reason", a.meta.Reason, "left", s.deadline.Sub(n.clock.Now()))
+		}
 		s.otherAttempts = s.otherAttempts || a.meta.Outcome == wire.Unknown
 		switch {
 		case ctx.Err() != nil || !n.clock.Now().Before(s.deadline):
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -202,6 +202,10 @@
 		return &HandoverError{to.VM + " isn't in the list of VMs"}
 	}
 	n.home.with(func(h *onceonly.Home) { h.CloseRanges(ranges) })
+	closed := n.clock.Now()
+	defer func() {
+		n.log.once.Info("key ranges were closed for a handover", "to", to.VM, "ranges", len(ranges), "for", n.clock.Now().Sub(closed))
+	}()
 	n.awaitRuns(ctx, ranges)
 	me := onceonly.Owner{VM: n.cfg.VM, Incarnation: n.incarnation}
 	next := onceonly.Owner{VM: to.VM, Incarnation: to.Incarnation}
--- a/pkg/node/peer_client.go
+++ b/pkg/node/peer_client.go
@@ -176,23 +176,23 @@
 func (p *peerClients) call(ctx context.Context, srv *routing.Server, call wire.Call, q *request) *answer {
 	c, err := p.get(ctx, srv.VM, srv.Peer)
 	if err != nil {
-		return notRunAnswer(wire.ReasonNoServer, 0)
+		return notRunAnswer(wire.ReasonNoServer, 0).withCause(err)
 	}
 	req, err := http.NewRequestWithContext(ctx, q.method, "https://"+srv.Peer+q.uri, bytes.NewReader(q.body))
 	if err != nil {
-		return notRunAnswer(wire.ReasonBadRequest, 0)
+		return notRunAnswer(wire.ReasonBadRequest, 0).withCause(err)
 	}
 	req.Host = q.host
 	req.Header = q.header.Clone()
 	wire.EncodeCall(req.Header, call)
 	resp, err := c.client.RoundTrip(req)
 	if err != nil {
-		return unknownAnswer(wire.ReasonAnswerLost)
+		return unknownAnswer(wire.ReasonAnswerLost).withCause(err)
 	}
 	meta, err := wire.DecodeAnswer(resp.Header)
 	if err != nil {
 		_ = resp.Body.Close() // not a daemon's answer
-		return unknownAnswer(wire.ReasonAnswerLost)
+		return unknownAnswer(wire.ReasonAnswerLost).withCause(err)
 	}
 	a := &answer{meta: meta, header: resp.Header, fromDaemon: true}
 	if meta.Outcome == wire.Ran {
@@ -200,7 +200,7 @@
 	}
 	wire.StripInternal(a.header)
 	if err := a.readBody(resp.Body); err != nil {
-		return unknownAnswer(wire.ReasonAnswerLost)
+		return unknownAnswer(wire.ReasonAnswerLost).withCause(err)
 	}
 	return a
 }
