Once-only: key ranges are served while their owner changes

Callers saw: a once-only request answered 504, unknown, not-owner after 4.8 s, while an edit of labels moved all key ranges.

Cause: a handover closed the ranges, waited for their runs, sent the memory and then committed the row. Nobody served the ranges until the commit was known; with a store beyond its timeout that has no bound.

Change: the next owner is told first, then the row changes, then the memory follows, one range at a time, each closed for one message. Runs in progress go along as running and their records follow. Attempts at the next owner go on to the previous one until then. Nodes of an earlier version get their ranges in the former order.

Why it works: no commit and no run lies between the closing and the opening of a range any more.

The property test fails if a range opens by the row alone (mutation tried).

--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -38,6 +39,7 @@
 	hash      onceonly.KeyHash
 	provenNew bool
 	refused   *answer // set if this node can't handle the key
+	previous  string  // the VM that still serves the key's range, if it was announced to this node
 }
 
 // checkHomeKey checks that this node is the key's home, and that a token is valid and either recent or in memory.
@@ -45,8 +47,12 @@
 	check := keyCheck{hash: onceonly.HashKey(n.cfg.Service, key)}
 	if !onceonly.IsToken(key) {
 		n.home.with(func(h *onceonly.Home) {
-			if !h.Owns(check.hash.Range()) {
-				check.refused = notRunAnswer(wire.ReasonNotOwner, 0)
+			if h.Owns(check.hash.Range()) {
+				return
+			}
+			check.refused = notRunAnswer(wire.ReasonNotOwner, 0)
+			if o, ok := h.Previous(check.hash.Range()); ok {
+				check.previous = o.VM
 			}
 		})
 		return check
@@ -79,6 +85,9 @@
 func (n *Node) serveHome(ctx context.Context, in *inbound, q *request) *answer {
 	now := n.clock.Now()
 	check := n.checkHomeKey(now, in.call.Key)
+	if check.previous != "" {
+		return n.forwardToPrevious(ctx, in, q, check)
+	}
 	if check.refused != nil {
 		return check.refused
 	}
@@ -115,6 +124,23 @@
 	}
 }
 
+// forwardToPrevious sends an attempt to the owner that still serves the key's range, or refuses it if that VM isn't listed.
+func (n *Node) forwardToPrevious(ctx context.Context, in *inbound, q *request, check keyCheck) *answer {
+	vm, ok := n.snapshot.Load().vms[check.previous]
+	if !ok {
+		return check.refused
+	}
+	return n.forward(ctx, in, q, in.call, n.pool.Get(vm))
+}
+
+// forward sends a call on to one server, with a part of its retry tokens lent.
+func (n *Node) forward(ctx context.Context, in *inbound, q *request, call wire.Call, s *routing.Server) *answer {
+	call.RetryTokens = in.ledger.Lend()
+	a := n.attempt(ctx, s, call, in.deadline, q)
+	n.settleLoan(in.ledger, call.RetryTokens, a)
+	return a
+}
+
 // awaitRecord waits for the run in progress under the key and returns its answer.
 func awaitRecord(ctx context.Context, done <-chan onceonly.Record) *answer {
 	select {
@@ -124,6 +150,8 @@
 			return answerFromRecord(rec.Answer)
 		case onceonly.Closed:
 			return notRunAnswer(wire.ReasonKeyClosed, 0)
+		case onceonly.Running:
+			return notRunAnswer(wire.ReasonNotOwner, 0) // the range left while the attempt waited for a run elsewhere
 		default:
 			return unknownAnswer(wire.ReasonAnswerLost)
 		}
@@ -146,10 +174,14 @@
 		a := n.runOrDelegate(runCtx, in, q)
 		rec := a.toRecorded()
 		now := n.clock.Now()
+		late := false
 		n.home.with(func(h *onceonly.Home) {
-			h.Memory.Finish(now, key, a.meta.Outcome, rec, now.Add(n.keyCloseDuration(in.call, q)))
+			late = h.Memory.Finish(now, key, a.meta.Outcome, rec, now.Add(n.keyCloseDuration(in.call, q)))
 		})
 		result <- a
+		if late {
+			n.sendLateRecord(n.ctx, key)
+		}
 	}()
 	select {
 	case a := <-result:
@@ -204,16 +236,15 @@
 		now := n.clock.Now()
 		s, found := n.pickServer(now, t, in.call.Priority, tried)
 		if found != routing.Picked {
+			n.log.once.Info("no server to delegate to", "request", in.call.RootID, "tried", len(tried), "version", n.snapshot.Load().version(),
+				"reason", a.meta.Reason)
 			return a
 		}
 		tried = append(tried, s)
 		n.metrics.Inc("once_delegated")
 		call := in.call
 		call.Delegated = true
-		lent := in.ledger.Lend()
-		call.RetryTokens = lent
-		a = n.attempt(ctx, s, call, in.deadline, q)
-		n.settleLoan(in.ledger, lent, a)
+		a = n.forward(ctx, in, q, call, s)
 		if a.meta.Outcome != wire.NotRun {
 			return a
 		}
@@ -257,11 +288,24 @@
 // errHomeUnavailable reports that a key's home isn't known or listed.
 var errHomeUnavailable = errors.New("the home of the key can't be asked")
 
+// settleAtPrevious asks the owner that still serves the key's range.
+func (n *Node) settleAtPrevious(ctx context.Context, vm member.VM, in settleRequest) settleReply {
+	var out settleReply
+	if err := n.peers.control(ctx, vm.Name, vm.Peer, pathSettle, in, &out); err != nil {
+		n.log.once.Debug("previous owner can't settle a key", "vm", vm.Name, "err", err)
+		return settleReply{Outcome: wire.Unknown, Reason: wire.ReasonNotOwner}
+	}
+	return out
+}
+
 // settleKey returns what this home knows of a key that an entry is about to refuse; it closes an unknown key, so that
 // the refusal holds for all attempts.
-func (n *Node) settleKey(in settleRequest) settleReply {
+func (n *Node) settleKey(ctx context.Context, in settleRequest) settleReply {
 	now := n.clock.Now()
 	check := n.checkHomeKey(now, in.Key)
+	if vm, ok := n.snapshot.Load().vms[check.previous]; ok && in.Service == n.cfg.Service {
+		return n.settleAtPrevious(ctx, vm, in)
+	}
 	if check.refused != nil || in.Service != n.cfg.Service {
 		return settleReply{Outcome: wire.Unknown, Reason: wire.ReasonNotOwner}
 	}
--- a/pkg/node/control_leaving.go
+++ b/pkg/node/control_leaving.go
@@ -70,9 +70,9 @@
 	if err != nil {
 		return false
 	}
-	mine := v.row.OwnedBy(n.cfg.VM, n.incarnation)
+	mine := n.idleRanges(v)
 	if len(mine) == 0 {
-		return true
+		return !n.ownsKeyRanges()
 	}
 	nodes := slices.DeleteFunc(v.nodes, func(o onceonly.Node) bool { return o.VM == n.cfg.VM })
 	if len(nodes) == 0 {
@@ -122,13 +122,9 @@
 	}
 }
 
-// ownsKeyRanges tells whether this node owns any key range, by the newest row.
-func (n *Node) ownsKeyRanges() bool {
-	owns := false
-	n.home.with(func(h *onceonly.Home) {
-		row := h.Row()
-		owns = len(row.OwnedBy(n.cfg.VM, n.incarnation)) > 0
-	})
+// ownsKeyRanges tells whether this node owns any key range by the newest row, or still serves one.
+func (n *Node) ownsKeyRanges() (owns bool) {
+	n.home.with(func(h *onceonly.Home) { owns = h.OwnsAny() })
 	return owns
 }
 
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/routing"
 	"github.com/rockspoke/rockspoke/pkg/store"
@@ -95,6 +96,7 @@
 	switch {
 	case !v.hasRow:
 		n.createRow(ctx, v)
+	case n.openLostRanges(ctx):
 	case n.reclaimRanges(ctx, v):
 	case n.moveLostRanges(ctx, v):
 	default:
@@ -165,7 +167,7 @@
 
 // handOverSurplus hands over all of this node's ranges if no policy targets it, else those above its fair share.
 func (n *Node) handOverSurplus(ctx context.Context, v rangeView) {
-	mine := v.row.OwnedBy(n.cfg.VM, n.incarnation)
+	mine := n.idleRanges(v)
 	if len(mine) == 0 || len(v.nodes) == 0 || n.leaving.Load() {
 		return
 	}
@@ -181,6 +183,13 @@
 	n.handOverRanges(ctx, v.row, mine[fair:], others)
 }
 
+// idleRanges returns the ranges that this node owns, whose memory it has and which it doesn't hand over yet.
+func (n *Node) idleRanges(v rangeView) (ranges []int) {
+	mine := v.row.OwnedBy(n.cfg.VM, n.incarnation)
+	n.home.with(func(h *onceonly.Home) { ranges = h.Idle(mine) })
+	return ranges
+}
+
 // handOverRanges hands ranges over to the nodes that own the fewest; it reports whether all of them were accepted.
 func (n *Node) handOverRanges(ctx context.Context, row onceonly.OwnerRow, ranges []int, nodes []onceonly.Node) bool {
 	all := true
@@ -193,41 +202,73 @@
 	return all
 }
 
-// handOverTo closes ranges, sends their memory to the next owner and then changes the row. This node stays the owner
-// until the row is known to have changed, and the ranges stay closed while that is unknown. The error is a
-// *HandoverError, or that of the message or the commit.
+// handOverTo hands ranges over to another node, which is told first. Then the row changes, and the memory follows; until it is at the next
+// owner, this node serves the ranges, however long the commit takes. The error is a *HandoverError, or that of a message or the commit.
 func (n *Node) handOverTo(ctx context.Context, ranges []int, to onceonly.Node) error {
 	vm, ok := n.snapshot.Load().vms[to.VM]
 	if !ok {
 		return &HandoverError{to.VM + " isn't in the list of VMs"}
 	}
-	n.home.with(func(h *onceonly.Home) { h.CloseRanges(ranges) })
+	msg := onceonly.Handover{
+		Service: n.cfg.Service, From: n.owner(), Ranges: ranges,
+		To: onceonly.Owner{VM: to.VM, Incarnation: to.Incarnation},
+	}
+	n.home.with(func(h *onceonly.Home) { ok = h.BeginHandover(ranges, msg.To) })
+	if !ok {
+		return &HandoverError{"another handover of the ranges is in progress"}
+	}
+	err := n.announceHandover(ctx, vm, msg)
+	if err == nil {
+		return n.handOverAnnounced(ctx, vm, msg)
+	}
+	n.home.with(func(h *onceonly.Home) { h.EndHandover(ranges) })
+	if isUnknownMessage(err) {
+		return n.handOverClosed(ctx, vm, msg)
+	}
+	return err
+}
+
+// handOverClosed hands ranges over to a node of an earlier version, which knows no announcements: it closes the ranges, sends their memory
+// and then changes the row. This node stays the owner until the row is known to have changed, and the ranges stay closed while that is
+// unknown.
+func (n *Node) handOverClosed(ctx context.Context, vm member.VM, msg onceonly.Handover) error {
+	n.home.with(func(h *onceonly.Home) { h.CloseRanges(msg.Ranges) })
 	closed := n.clock.Now()
-	defer func() {
-		n.log.once.Info("key ranges were closed for a handover", "to", to.VM, "ranges", len(ranges), "for", n.clock.Now().Sub(closed))
-	}()
-	n.awaitRuns(ctx, ranges)
-	me := onceonly.Owner{VM: n.cfg.VM, Incarnation: n.incarnation}
-	next := onceonly.Owner{VM: to.VM, Incarnation: to.Incarnation}
-	msg := onceonly.Handover{Service: n.cfg.Service, From: me, To: next, Ranges: ranges}
+	defer func() { n.logClosed(msg, closed) }()
+	n.awaitRuns(ctx, msg.Ranges)
 	var row onceonly.OwnerRow
 	n.home.with(func(h *onceonly.Home) {
 		msg = h.Memory.Export(n.clock.Now(), msg)
 		row = h.Row()
 	})
-	cctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	var reply handoverReply
-	err := n.peers.control(cctx, to.VM, vm.Peer, pathHandover, msg, &reply)
-	cancel()
-	if err != nil {
-		n.home.with(func(h *onceonly.Home) { h.ReopenRanges(ranges) })
+	if err := n.sendHandover(ctx, vm, pathHandover, msg); err != nil {
+		n.home.with(func(h *onceonly.Home) { h.ReopenRanges(msg.Ranges) })
 		return err
 	}
-	changed, ok := row.HandOver(ranges, me, next)
+	changed, ok := row.HandOver(msg.Ranges, msg.From, msg.To)
 	if !ok {
+		n.home.with(func(h *onceonly.Home) { h.ReopenRanges(msg.Ranges) })
 		return &HandoverError{"the ranges now have another owner"}
 	}
-	return n.commitHandover(ctx, changed, ranges)
+	return n.commitHandover(ctx, changed, msg.Ranges)
+}
+
+// logClosed logs for how long ranges were closed for their handover.
+func (n *Node) logClosed(msg onceonly.Handover, since time.Time) {
+	n.log.once.Info("key ranges were closed for a handover", "to", msg.To.VM, "ranges", len(msg.Ranges), "for", n.clock.Now().Sub(since))
+}
+
+// sendHandover sends a message of a handover to the next owner; the error is that of the message.
+func (n *Node) sendHandover(ctx context.Context, vm member.VM, path string, msg onceonly.Handover) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var reply handoverReply
+	return n.peers.control(ctx, vm.Name, vm.Peer, path, msg, &reply)
+}
+
+// owner returns this node as the owner of ranges.
+func (n *Node) owner() onceonly.Owner {
+	return onceonly.Owner{VM: n.cfg.VM, Incarnation: n.incarnation}
 }
 
 // commitHandover commits the changed row and retries until it is known what the table holds. It reopens the ranges here
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -34,6 +34,7 @@
 	platform    store.Platform
 	keys        *keys.Store
 	network     Network
+	unknown     func(path string) bool
 	metrics     *metric.Set
 	log         logs
 
@@ -92,7 +93,7 @@
 	}
 	n := &Node{
 		cfg: cfg, clock: opts.Clock, platform: opts.Platform, keys: opts.Keys,
-		network: opts.Network.withDefaults(), metrics: opts.Metrics,
+		network: opts.Network.withDefaults(), unknown: opts.Unknown, metrics: opts.Metrics,
 		log: logs{
 			call: logger("call"), control: logger("control"), peer: logger("peer"),
 			leave: logger("leave"), once: logger("once-only"),
--- a/pkg/node/peer_server.go
+++ b/pkg/node/peer_server.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,11 +18,15 @@
 
 // The paths of control messages between daemons. A request with a call header is a call, whatever its path.
 const (
-	pathExchange   = "/.rockspoke/exchange"
-	pathSettle     = "/.rockspoke/settle"
-	pathHandover   = "/.rockspoke/handover"
-	pathRetryNotes = "/.rockspoke/repeats"
-	pathVMs        = "/.rockspoke/vms"
+	pathExchange = "/.rockspoke/exchange"
+	pathSettle   = "/.rockspoke/settle"
+	pathHandover = "/.rockspoke/handover"
+	// The messages of a handover in which the memory follows the change of the row.
+	pathAnnounce    = "/.rockspoke/handover/announce"
+	pathTransfer    = "/.rockspoke/handover/transfer"
+	pathLateRecords = "/.rockspoke/handover/late"
+	pathRetryNotes  = "/.rockspoke/repeats"
+	pathVMs         = "/.rockspoke/vms"
 )
 
 // startPeers binds the peer socket, which both serves other daemons and connects to them.
@@ -62,13 +65,23 @@
 		n.servePeerCall(w, r)
 		return
 	}
+	if n.unknown != nil && n.unknown(r.URL.Path) {
+		http.NotFound(w, r)
+		return
+	}
 	switch r.URL.Path {
 	case pathExchange:
 		serveControl(n, w, r, func(in exchange) (exchange, error) { return n.handleExchange(r.Context(), in) })
 	case pathSettle:
-		serveControl(n, w, r, func(in settleRequest) (settleReply, error) { return n.settleKey(in), nil })
+		serveControl(n, w, r, func(in settleRequest) (settleReply, error) { return n.settleKey(r.Context(), in), nil })
 	case pathHandover:
 		serveControl(n, w, r, n.handleHandover)
+	case pathAnnounce:
+		serveControl(n, w, r, n.handleAnnounce)
+	case pathTransfer:
+		serveControl(n, w, r, func(in onceonly.Handover) (handoverReply, error) { return n.handleTransfer(r.Context(), in) })
+	case pathLateRecords:
+		serveControl(n, w, r, n.handleLateRecords)
 	case pathRetryNotes:
 		serveControl(n, w, r, n.handleRetryNotes)
 	case pathVMs:
@@ -149,27 +162,3 @@
 
 // Error gives the reason.
 func (e *HandoverError) Error() string { return "hand-over refused: " + e.Reason }
-
-// handoverReply reports the number of records that a hand-over imported.
-type handoverReply struct {
-	Taken int `json:"taken"`
-}
-
-// handleHandover imports the memory of key ranges from their owner; the error contains a *HandoverError.
-func (n *Node) handleHandover(h onceonly.Handover) (handoverReply, error) {
-	switch {
-	case h.Service != n.cfg.Service:
-		return handoverReply{}, &HandoverError{"this node serves " + n.cfg.Service}
-	case !h.To.Is(n.cfg.VM, n.incarnation):
-		return handoverReply{}, &HandoverError{"it is meant for another life of this node"}
-	case n.leaving.Load():
-		return handoverReply{}, &HandoverError{"this node is leaving"}
-	}
-	var err error
-	n.home.with(func(home *onceonly.Home) { err = home.Memory.Import(n.clock.Now(), h) })
-	if err != nil {
-		return handoverReply{}, errors.Join(&HandoverError{"malformed"}, err)
-	}
-	n.log.once.Info("key range memory imported", "from", h.From.VM, "ranges", len(h.Ranges), "keys", len(h.Records))
-	return handoverReply{Taken: len(h.Records)}, nil
-}
--- a/pkg/onceonly/key_expiry.go
+++ b/pkg/onceonly/key_expiry.go
@@ -33,9 +33,12 @@
 // expireRecord replaces a record by an expired key if its time has passed; a closed key is dropped.
 func (m *KeyMemory) expireRecord(now time.Time, key KeyHash) {
 	rec, ok := m.recent[key]
-	if !ok || rec.State == Running || rec.Until.After(now) {
+	if !ok || rec.runsHere() || rec.Until.After(now) {
 		return
 	}
+	if rec.State == Running {
+		rec.lose()
+	}
 	delete(m.recent, key)
 	if rec.Answer != nil && rec.Answer.Complete {
 		m.answerBytes -= len(rec.Answer.Body)
--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -15,6 +15,10 @@
 	QuietMS map[int]int64     `json:"quiet,omitempty"` // remaining quiet window in milliseconds, by range
 	Records []HandoverRecord  `json:"records"`
 	Expired []HandoverExpired `json:"past,omitempty"`
+	// Live says that runs in progress stay so in the message; their records follow when they end. Otherwise they are Uncertain.
+	Live bool `json:"live,omitempty"`
+	// Row is the row that gives the ranges to their next owner, if the message follows its commit.
+	Row *OwnerRow `json:"row,omitempty"`
 }
 
 // HandoverRecord is one key's record. Its end is sent as the remaining milliseconds, because clocks differ between nodes.
@@ -36,8 +40,8 @@
 // Error shows the malformed hash.
 func (e *KeyHashError) Error() string { return fmt.Sprintf("key hash %q is malformed", e.Key) }
 
-// Export returns h with the keys of its ranges added. A running key is exported as Uncertain, because it must not run again; keys of
-// tokens are left out, as they belong to this home.
+// Export returns h with the keys of its ranges added. Unless h is live, a running key is exported as Uncertain, because it must not run
+// again; keys of tokens are left out, as they belong to this home.
 func (m *KeyMemory) Export(now time.Time, h Handover) Handover {
 	inRanges := rangeSet(h.Ranges)
 	h.QuietMS = map[int]int64{}
@@ -50,10 +54,10 @@
 		if !inRanges[key.Range()] || rec.Pinned {
 			continue
 		}
-		out := Record{State: rec.State, Fingerprint: rec.Fingerprint, Answer: rec.Answer}
+		out := Record{State: rec.State, Fingerprint: rec.Fingerprint, Answer: rec.Answer, RunAt: rec.RunAt}
 		left := rec.Until.Sub(now)
 		if rec.State == Running {
-			out.State = Uncertain
+			out = m.exportRunning(rec, h)
 			left = m.window()
 		}
 		h.Records = append(h.Records, HandoverRecord{hex.EncodeToString(key[:]), out, left.Milliseconds() + 1})
@@ -68,6 +72,19 @@
 	return h
 }
 
+// exportRunning returns the record of a run in progress for the message.
+func (m *KeyMemory) exportRunning(rec *Record, h Handover) Record {
+	if !h.Live {
+		return Record{State: Uncertain, Fingerprint: rec.Fingerprint}
+	}
+	out := Record{State: Running, Fingerprint: rec.Fingerprint, RunAt: rec.RunAt}
+	if out.RunAt == (Owner{}) {
+		out.RunAt = h.From
+		rec.exported = true
+	}
+	return out
+}
+
 // Import adds the keys of a handover; on an error, a *KeyHashError, nothing is added.
 func (m *KeyMemory) Import(now time.Time, h Handover) error {
 	keys := make([]KeyHash, len(h.Records))
@@ -89,16 +106,10 @@
 	for i, hr := range h.Records {
 		rec := hr.Record
 		rec.Until = now.Add(time.Duration(hr.LeftMS) * time.Millisecond)
-		m.put(keys[i], &rec)
-		m.expiries = append(m.expiries, expiry{rec.Until, keys[i]})
+		m.importRecord(keys[i], rec, h.To)
 	}
-	if len(h.Expired) > 0 {
-		g := map[KeyHash]State{}
-		for i, hp := range h.Expired {
-			g[expiredKeys[i]] = hp.State
-		}
-		m.expired = append([]map[KeyHash]State{g}, m.expired...)
-		m.expiredKeys += len(g)
+	for i, hp := range h.Expired {
+		m.importExpired(expiredKeys[i], hp.State)
 	}
 	for r, ms := range h.QuietMS {
 		if r >= 0 && r < NumRanges {
@@ -108,11 +119,41 @@
 	return nil
 }
 
-// Drop removes the records of the ranges after their handover, except those of running calls and of tokens.
+// importRecord adds one record of a handover to the given owner. A run that this node itself started before the range had left it is
+// known better here.
+func (m *KeyMemory) importRecord(key KeyHash, rec Record, to Owner) {
+	if rec.State == Running && rec.RunAt == to {
+		if _, ok := m.recent[key]; ok {
+			return
+		}
+		rec.State = Uncertain
+		rec.RunAt = Owner{}
+	}
+	if rec.State == Running {
+		m.noteRunElsewhere(key)
+	}
+	m.put(key, &rec)
+	m.expiries = append(m.expiries, expiry{rec.Until, key})
+}
+
+// importExpired adds an expired key to the oldest generation, so that many handovers make no more generations than are held.
+func (m *KeyMemory) importExpired(key KeyHash, st State) {
+	if len(m.expired) == 0 {
+		m.expired = append(m.expired, map[KeyHash]State{})
+	}
+	if _, ok := m.expired[0][key]; !ok {
+		m.expiredKeys++
+	}
+	m.expired[0][key] = st
+}
+
+// Drop removes the records of the ranges after their handover, except those of calls that run here and of tokens. Attempts that wait for
+// a run elsewhere are released with its record as it is, still running.
 func (m *KeyMemory) Drop(ranges []int) {
 	inRanges := rangeSet(ranges)
 	for key, rec := range m.recent {
-		if inRanges[key.Range()] && rec.State != Running && !rec.Pinned {
+		if inRanges[key.Range()] && !rec.runsHere() && !rec.Pinned {
+			rec.release()
 			if rec.Answer != nil && rec.Answer.Complete {
 				m.answerBytes -= len(rec.Answer.Body)
 			}
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -44,8 +44,23 @@
 	Answer      *RecordedAnswer `json:"answer,omitempty"`
 	Until       time.Time       `json:"until"` // end of the retry window, or of a closed key's refusals
 	Pinned      bool            `json:"-"`     // the key is a token: it belongs to this home and isn't handed over with its range
+	// RunAt is the earlier owner of the range at which a Running key runs; zero if it runs at this home.
+	RunAt Owner `json:"run_at,omitzero"`
 
-	waiters []func(Record)
+	exported bool // the run was in progress when its range was handed over
+	waiters  []func(Record)
+}
+
+// runsHere reports whether the key's run is in progress at this node.
+func (rec *Record) runsHere() bool { return rec.State == Running && rec.RunAt == Owner{} }
+
+// release calls the waiting functions with the record.
+func (rec *Record) release() {
+	waiters := rec.waiters
+	rec.waiters = nil
+	for _, fn := range waiters {
+		fn(*rec)
+	}
 }
 
 // Action is how the home handles an attempt.
@@ -81,6 +96,7 @@
 	expiredKeys        int
 	answerBytes        int
 	quietUntil         [NumRanges]time.Time
+	elsewhere          map[KeyHash]struct{} // keys that were Running at an earlier owner when last looked at
 }
 
 // expiry is the time at which a key's record may expire.
@@ -171,11 +187,11 @@
 }
 
 // Finish records how a run ended. If it certainly didn't run, the key is closed until closedUntil, when every attempt in flight has
-// passed its deadline.
-func (m *KeyMemory) Finish(now time.Time, key KeyHash, outcome wire.Outcome, answer *RecordedAnswer, closedUntil time.Time) {
+// passed its deadline. It reports true if the key's range was handed over meanwhile, so that the record must follow.
+func (m *KeyMemory) Finish(now time.Time, key KeyHash, outcome wire.Outcome, answer *RecordedAnswer, closedUntil time.Time) bool {
 	rec, ok := m.recent[key]
 	if !ok || rec.State != Running {
-		return
+		return false
 	}
 	rec.Until = now.Add(m.window())
 	switch outcome {
@@ -189,11 +205,8 @@
 		rec.State = Uncertain
 	}
 	m.expiries = append(m.expiries, expiry{rec.Until, key})
-	waiters := rec.waiters
-	rec.waiters = nil
-	for _, fn := range waiters {
-		fn(*rec)
-	}
+	rec.release()
+	return rec.exported
 }
 
 // recordAnswer returns the answer to record: an empty one for nil, and only the status if the body is too large or there is no space
--- /dev/null
+++ b/pkg/onceonly/range_handover_test.go
@@ -0,0 +1,250 @@
+package onceonly
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/rockspoke/rockspoke/pkg/wire"
+)
+
+// announcedHandover is a handover in progress between two homes of a simulation, whose messages may be lost, late or repeated.
+type announcedHandover struct {
+	from, to  *Home
+	msg       Handover
+	committed bool
+	sent      []Handover
+}
+
+// handoverSimulation is a simulation with handovers whose memory follows the row.
+type handoverSimulation struct {
+	simulation
+	handovers []*announcedHandover
+	running   map[KeyHash]*Home
+}
+
+// me returns a home as an owner.
+func (h *Home) me() Owner { return Owner{VM: h.VM, Incarnation: h.Incarnation} }
+
+// announce starts a handover of the key's range.
+func (s *handoverSimulation) announce(from, to *Home, r int) {
+	msg := Handover{Service: service, From: from.me(), To: to.me(), Ranges: []int{r}, Live: true}
+	if from == to || !from.BeginHandover(msg.Ranges, msg.To) {
+		return
+	}
+	if to.Announce(to.NotAnnounced(msg.Ranges, msg.From), msg.From) != nil {
+		from.EndHandover(msg.Ranges)
+		return
+	}
+	s.handovers = append(s.handovers, &announcedHandover{from: from, to: to, msg: msg})
+}
+
+// commit changes the row if the owner knows its newest version; the owner hears of it later.
+func (s *handoverSimulation) commit(h *announcedHandover) {
+	row := h.from.Row()
+	changed, ok := row.HandOver(h.msg.Ranges, h.msg.From, h.msg.To)
+	if h.committed || row.Version != s.row.Version || !ok {
+		return
+	}
+	s.row = changed
+	h.committed = true
+}
+
+// send exports the memory of a range whose row has changed.
+func (s *handoverSimulation) send(h *announcedHandover) {
+	if len(h.from.Unsent(h.msg.Ranges, h.msg.To)) == 0 {
+		return
+	}
+	h.from.CloseRanges(h.msg.Ranges)
+	msg := h.msg
+	row := h.from.Row()
+	msg.Row = &row
+	h.sent = append(h.sent, h.from.Memory.Export(s.now, msg))
+}
+
+// deliver delivers a message that was sent, once more perhaps, and maybe its reply.
+func (s *handoverSimulation) deliver(h *announcedHandover, i int, replied bool) {
+	if len(h.sent) == 0 {
+		return
+	}
+	msg := h.sent[i%len(h.sent)]
+	h.to.Adopt(s.now, *msg.Row)
+	if h.to.Receive(s.now, msg) == nil && replied && len(h.from.Unsent(msg.Ranges, msg.To)) > 0 {
+		h.from.Release(msg.Ranges)
+	}
+}
+
+// begin sends a key to a home; a run that starts goes on.
+func (s *handoverSimulation) begin(h *Home, k KeyHash) {
+	if !h.Owns(k.Range()) || h.Memory.Begin(s.now, k, 1, false).Action != Run {
+		return
+	}
+	s.ran[k]++
+	s.running[k] = h
+}
+
+// finish ends the key's run, and delivers its late record.
+func (s *handoverSimulation) finish(k KeyHash, homes []*Home) {
+	h := s.running[k]
+	if h == nil {
+		return
+	}
+	delete(s.running, k)
+	if !h.Memory.Finish(s.now, k, wire.Ran, nil, time.Time{}) {
+		return
+	}
+	msg, ok := h.Memory.ExportLate(s.now, k, Handover{From: h.me()})
+	for _, to := range homes {
+		if ok && to != h {
+			_ = to.Memory.ImportLate(s.now, msg) // the keys are well formed
+		}
+	}
+}
+
+// TestKeyRunsOnceWhileItsRangeIsHandedOver guards against two homes that accept attempts for a range at once, and against keys
+// that their next home doesn't know.
+func TestKeyRunsOnceWhileItsRangeIsHandedOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 3
+		s := &handoverSimulation{running: map[KeyHash]*Home{}}
+		s.simulation = simulation{homes: make([]*Home, n), ran: map[KeyHash]int{}, now: startTime}
+		for i := range n {
+			s.start(i)
+		}
+		s.row = NewOwnerRow(service, []Node{s.node(0), s.node(1), s.node(2)})
+		keys := make([]KeyHash, 4)
+		for i := range keys {
+			keys[i] = HashKey(service, fmt.Sprint(i))
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			h := s.homes[rapid.IntRange(0, n-1).Draw(t, "home")]
+			k := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "key")]
+			var hand *announcedHandover
+			if len(s.handovers) > 0 {
+				hand = s.handovers[len(s.handovers)-1-rapid.IntRange(0, min(3, len(s.handovers)-1)).Draw(t, "handover")]
+			}
+			s.step(t, rapid.IntRange(0, 9).Draw(t, "what"), h, k, hand)
+			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			for r := range NumRanges {
+				owners := 0
+				for _, h := range s.homes {
+					if h.Owns(r) && h.Row().Version == s.row.Version {
+						owners++
+					}
+				}
+				if owners > 1 {
+					t.Fatalf("%d homes accept attempts for range %d", owners, r)
+				}
+			}
+		}
+		for k, times := range s.ran {
+			if times > 1 {
+				t.Fatalf("key %x ran %d times", k[:2], times)
+			}
+		}
+	})
+}
+
+// step makes one random step.
+func (s *handoverSimulation) step(t *rapid.T, what int, h *Home, k KeyHash, hand *announcedHandover) {
+	switch {
+	case what <= 1:
+		s.begin(h, k)
+	case what == 2:
+		s.finish(k, s.homes)
+	case what == 3:
+		h.Adopt(s.now, s.row)
+	case what == 4:
+		s.announce(h, s.homes[rapid.IntRange(0, len(s.homes)-1).Draw(t, "to")], k.Range())
+	case what == 9:
+		s.restart(h)
+	case hand == nil:
+	case what == 5:
+		s.commit(hand)
+	case what == 6:
+		s.send(hand)
+	case what == 7:
+		s.deliver(hand, rapid.IntRange(0, 9).Draw(t, "message"), rapid.Bool().Draw(t, "replied"))
+	case what == 8 && hand.committed && !hand.from.Owns(k.Range()):
+		hand.to.OpenLost(s.now, func(o Owner) bool { return s.lost(o) })
+	}
+}
+
+// restart starts a home anew without its memory, and gives its ranges back to it; its runs are lost.
+func (s *handoverSimulation) restart(h *Home) {
+	for i := range s.homes {
+		if s.homes[i] != h {
+			continue
+		}
+		s.start(i)
+		if row, moved := s.row.Reclaim(s.node(i)); moved {
+			s.row = row
+			s.homes[i].Adopt(s.now, row)
+		}
+	}
+	for k, at := range s.running {
+		if at == h {
+			delete(s.running, k)
+		}
+	}
+}
+
+// lost tells whether no home lives on in the owner's incarnation.
+func (s *handoverSimulation) lost(o Owner) bool {
+	for _, h := range s.homes {
+		if h.me() == o {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRangeIsServedWhileItsOwnerChanges(t *testing.T) {
+	c := qt.New(t)
+	s := &handoverSimulation{running: map[KeyHash]*Home{}}
+	s.simulation = simulation{homes: make([]*Home, 2), ran: map[KeyHash]int{}, now: startTime}
+	s.start(0)
+	s.start(1)
+	from, to := s.homes[0], s.homes[1]
+	s.row = NewOwnerRow(service, []Node{s.node(0)})
+	from.Adopt(startTime, s.row)
+	k := HashKey(service, "k")
+	s.announce(from, to, k.Range())
+	s.commit(s.handovers[0])
+	from.Adopt(startTime, s.row)
+	to.Adopt(startTime, s.row)
+	c.Assert(from.Owns(k.Range()), qt.IsTrue)
+	c.Assert(to.Owns(k.Range()), qt.IsFalse)
+	previous, ok := to.Previous(k.Range())
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(previous, qt.Equals, from.me())
+	s.begin(from, k)
+	s.send(s.handovers[0])
+	s.deliver(s.handovers[0], 0, true)
+	c.Assert(from.Owns(k.Range()), qt.IsFalse)
+	c.Assert(to.Owns(k.Range()), qt.IsTrue)
+	c.Assert(to.Memory.Begin(startTime, k, 1, false).Action, qt.Equals, Join)
+	joined := false
+	to.Memory.Wait(k, func(rec Record) { joined = rec.State == Finished })
+	s.finish(k, s.homes)
+	c.Assert(joined, qt.IsTrue)
+	s.deliver(s.handovers[0], 0, true) // once more
+	c.Assert(to.Memory.Begin(startTime, k, 1, false).Action, qt.Equals, Replay)
+}
+
+func TestRunOfALostOwnerIsUncertain(t *testing.T) {
+	c := qt.New(t)
+	k := HashKey(service, "k")
+	a, b := Owner{VM: "a", Incarnation: "1"}, Owner{VM: "b", Incarnation: "1"}
+	var from, to KeyMemory
+	from.Begin(startTime, k, 1, false)
+	msg := from.Export(startTime, Handover{From: a, To: b, Ranges: []int{k.Range()}, Live: true})
+	c.Assert(to.Import(startTime, msg), qt.IsNil)
+	c.Assert(to.LoseRuns(startTime, func(Owner) bool { return false }), qt.Equals, 0)
+	c.Assert(to.Begin(startTime, k, 1, false).Action, qt.Equals, Join)
+	c.Assert(to.LoseRuns(startTime, func(o Owner) bool { return o == a }), qt.Equals, 1)
+	c.Assert(to.Begin(startTime, k, 1, false).Outcome, qt.Equals, wire.Unknown)
+}
--- a/pkg/onceonly/range_home.go
+++ b/pkg/onceonly/range_home.go
@@ -9,36 +9,62 @@
 	Incarnation string
 	Memory      KeyMemory
 
-	row     OwnerRow
-	owned   [NumRanges]bool
-	closing [NumRanges]bool
+	row      OwnerRow
+	owned    [NumRanges]bool
+	closing  [NumRanges]bool
+	next     [NumRanges]Owner // to which this node hands the range over; zero if to none
+	previous [NumRanges]Owner // which announced that it hands the range over to this node; zero if none did
+	received [NumRanges]Owner // whose memory of the range this node imported when it opened it; zero if nobody's
 }
 
 // Adopt applies a newer row, and reports false for a row that isn't newer. A range whose previous owner's memory was lost starts with a
-// quiet window; the records of ranges that the node no longer owns are dropped.
+// quiet window; the records of ranges that the node no longer owns are dropped. A range whose handover was announced changes hands when
+// its memory does, not with the row.
 func (h *Home) Adopt(now time.Time, row OwnerRow) bool {
 	if row.Version <= h.row.Version {
 		return false
 	}
 	for r, o := range row.Owners {
-		mine := o.Is(h.VM, h.Incarnation)
-		switch {
-		case mine && !h.owned[r]:
-			h.owned[r] = true
-			h.closing[r] = false
-			if o.Lossy {
-				h.Memory.SetQuiet(r, now.Add(h.Memory.window()))
-			}
-		case !mine && h.owned[r]:
-			h.owned[r] = false
-			h.closing[r] = false
-			h.Memory.Drop([]int{r})
+		if o.Is(h.VM, h.Incarnation) {
+			h.adoptOwned(now, r, o)
+		} else if h.next[r] != o {
+			h.release(r)
 		}
 	}
 	h.row = row
 	return true
 }
 
+// adoptOwned opens a range that a row gives to this node, unless its previous owner still serves it.
+func (h *Home) adoptOwned(now time.Time, r int, o Owner) {
+	if h.owned[r] || (h.previous[r] != Owner{} && !o.Lossy) {
+		return
+	}
+	h.open(r)
+	if o.Lossy {
+		h.Memory.SetQuiet(r, now.Add(h.Memory.window()))
+	}
+}
+
+// open makes this node the home of the range.
+func (h *Home) open(r int) {
+	h.owned[r] = true
+	h.closing[r] = false
+	h.previous[r] = Owner{}
+}
+
+// release ends this node's being the home of the range, if it is.
+func (h *Home) release(r int) {
+	if !h.owned[r] {
+		return
+	}
+	h.owned[r] = false
+	h.closing[r] = false
+	h.next[r] = Owner{}
+	h.received[r] = Owner{}
+	h.Memory.Drop([]int{r})
+}
+
 // Row returns the newest row applied.
 func (h *Home) Row() OwnerRow { return h.row }
 
