Node: a call isn't refused by a configuration that was just replaced

Cause: the home took the treatment from one configuration and the servers from the next. By the old one the work belongs to another VM, by the new one only to this VM, which had been left out already.

Evidence: the line 'no server to delegate to' (new) of version 3 at a VM that version 3 targets. A test whose clock replaces the configuration at that moment failed each time before: not-run, leaving.

The same for a call that is about to be sent: its treatment is resolved by the newest plan.

Why it works: the answer 'no server' is given only by the configuration in force.

--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -208,37 +208,50 @@
 	return longest + keyCloseMargin
 }
 
-// runOrDelegate runs once-only work here, or delegates it to another backend server if this one can't admit it.
+// runOrDelegate runs once-only work here, or delegates it to another backend server if this one can't admit it. If no server was found by a
+// configuration or list of VMs that changed meanwhile, it decides again by the newest.
 func (n *Node) runOrDelegate(ctx context.Context, in *inbound, q *request) *answer {
-	plan := n.snapshot.Load().plan
-	if plan == nil {
-		return notRunAnswer(wire.ReasonNoServer, 0)
+	for {
+		snap := n.snapshot.Load()
+		a, foundServer := n.runOrDelegateBy(ctx, snap, in, q)
+		if foundServer || n.snapshot.Load() == snap || ctx.Err() != nil {
+			return a
+		}
+	}
+}
+
+// runOrDelegateBy decides by one snapshot whether the work runs here; it reports whether there was a server that might run it.
+func (n *Node) runOrDelegateBy(ctx context.Context, snap *snapshot, in *inbound, q *request) (a *answer, foundServer bool) {
+	if snap.plan == nil {
+		return notRunAnswer(wire.ReasonNoServer, 0), true
 	}
-	t := plan.CallTreatment(n.cfg.Service, q.match())
-	a := notRunAnswer(wire.ReasonLeaving, 0)
-	if n.snapshot.Load().localTargets[t] {
+	t := snap.plan.CallTreatment(n.cfg.Service, q.match())
+	targeted := snap.localTargets[t]
+	a = notRunAnswer(wire.ReasonLeaving, 0)
+	if targeted {
 		a = n.runLocal(ctx, in, q)
 	}
 	if a.meta.Outcome != wire.NotRun || !a.meta.Reason.OtherServerMayAccept() {
-		return a
+		return a, true
 	}
-	return n.delegate(ctx, in, q, t, a)
+	a, delegated := n.delegate(ctx, in, q, t, a)
+	return a, targeted || delegated
 }
 
 // maxDelegates limits the other servers to which a home sends one run.
 const maxDelegates = 2
 
 // delegate sends a run to other backend servers, one after the other, as long as each certainly didn't run it. It
-// returns the last answer, or a if there is no other server.
-func (n *Node) delegate(ctx context.Context, in *inbound, q *request, t *config.Treatment, a *answer) *answer {
+// returns the last answer, or a if there is no other server, and reports whether there was one.
+func (n *Node) delegate(ctx context.Context, in *inbound, q *request, t *config.Treatment, a *answer) (last *answer, found bool) {
 	tried := n.localServers()
-	for range maxDelegates {
+	for i := range maxDelegates {
 		now := n.clock.Now()
-		s, found := n.pickServer(now, t, in.call.Priority, tried)
-		if found != routing.Picked {
+		s, outcome := n.pickServer(now, t, in.call.Priority, tried)
+		if outcome != routing.Picked {
 			n.log.once.Info("no server to delegate to", "request", in.call.RootID, "tried", len(tried), "version", n.snapshot.Load().version(),
 				"reason", a.meta.Reason)
-			return a
+			return a, i > 0
 		}
 		tried = append(tried, s)
 		n.metrics.Inc("once_delegated")
@@ -246,10 +259,10 @@
 		call.Delegated = true
 		a = n.forward(ctx, in, q, call, s)
 		if a.meta.Outcome != wire.NotRun {
-			return a
+			return a, true
 		}
 	}
-	return a
+	return a, true
 }
 
 // localServers returns the local backend server as a list, empty if its VM isn't listed.
--- a/pkg/node/call_request.go
+++ b/pkg/node/call_request.go
@@ -57,6 +57,11 @@
 	return config.Match{Host: q.host, Method: q.method, Path: q.path}
 }
 
+// callTreatment returns the treatment by the plan of a call from a backend server, whose host names the service, or nil if that doesn't exist.
+func (q *request) callTreatment(p *config.Plan) *config.Treatment {
+	return p.CallTreatment(q.host, q.match())
+}
+
 // signature returns a hash of the request's content and the service, by which retries are recognized.
 func (q *request) signature(service string) uint64 {
 	d := xxhash.New()
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -16,6 +16,7 @@
 // outgoingCall is a call that this node sends, with the state of all its attempts.
 type outgoingCall struct {
 	treatment *config.Treatment
+	resolve   func(*config.Plan) *config.Treatment // returns the call's treatment by a plan, or nil
 	call      wire.Call
 	deadline  time.Time
 	req       *request
@@ -84,7 +85,7 @@
 	}()
 	for first := true; ; first = false {
 		now := n.clock.Now()
-		srv, found := n.pickServer(now, s.treatment, s.call.Priority.AtDepth(s.call.Depth+1), tried)
+		srv, found := n.pickForCall(now, s, tried)
 		if found != routing.Picked {
 			if first && found == routing.BelowLevel {
 				a = notRunAnswer(wire.ReasonBelowLevel, 0)
@@ -106,6 +107,30 @@
 	}
 }
 
+// pickForCall chooses a server for a call. If there is none by a treatment of a plan that is no longer in force, it chooses by the newest.
+func (n *Node) pickForCall(now time.Time, s *outgoingCall, tried []*routing.Server) (*routing.Server, routing.Outcome) {
+	p := s.call.Priority.AtDepth(s.call.Depth + 1)
+	srv, found := n.pickServer(now, s.treatment, p, tried)
+	if found == routing.NoServer && n.resolveAnew(s) {
+		return n.pickServer(now, s.treatment, p, tried)
+	}
+	return srv, found
+}
+
+// resolveAnew replaces a call's treatment by that of the plan in force; it reports whether that is another one.
+func (n *Node) resolveAnew(s *outgoingCall) bool {
+	plan := n.snapshot.Load().plan
+	if plan == nil || s.resolve == nil {
+		return false
+	}
+	t := s.resolve(plan)
+	if t == nil || t == s.treatment || t.Service != s.treatment.Service || t.OnceOnly != s.treatment.OnceOnly {
+		return false
+	}
+	s.treatment = t
+	return true
+}
+
 // takeRetryTokens takes one retry token of the request and one of the server; it reports false unless both have one.
 func (n *Node) takeRetryTokens(s *outgoingCall, srv *routing.Server) bool {
 	if s.ledger.Balance() == 0 || !srv.TakeRetry() || !s.ledger.Spend() {
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -134,6 +134,10 @@
 	}
 	s := &outgoingCall{
 		treatment: t, deadline: deadline, req: q, ledger: e.Ledger,
+		resolve: func(p *config.Plan) *config.Treatment {
+			t, _ := p.RequestTreatment(q.match())
+			return t
+		},
 		onAttempt: func() { n.guard.MarkForwarded(e) },
 		call: wire.Call{
 			RootID: root, Service: t.Service, Class: t.Class,
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -60,7 +60,7 @@
 	// The call ends when the backend server cancels it or when the inbound call ends.
 	ctx, cancel := context.WithCancel(ctx)
 	defer context.AfterFunc(in.ctx, cancel)()
-	s := &outgoingCall{treatment: t, deadline: in.deadline, req: q, ledger: in.ledger, call: in.call}
+	s := &outgoingCall{treatment: t, resolve: q.callTreatment, deadline: in.deadline, req: q, ledger: in.ledger, call: in.call}
 	s.call.Service, s.call.Class, s.call.Delegated, s.call.Key = t.Service, t.Class, false, ""
 	var a *answer
 	if ok := n.setChildKey(in, s, signature); ok {
@@ -110,7 +110,7 @@
 	key := q.header.Get(wire.HeaderIdempotencyKey)
 	root := uuid.NewString()
 	s := &outgoingCall{
-		treatment: t, deadline: now.Add(t.Timeout), req: q, ledger: ledger.New(t.Retries),
+		treatment: t, resolve: q.callTreatment, deadline: now.Add(t.Timeout), req: q, ledger: ledger.New(t.Retries),
 		call: wire.Call{
 			RootID: root, Service: t.Service, Class: t.Class,
 			Priority: priority.New(t.Tier, root, now),
