Node: a node that knows no servers yet refuses calls, so that others serve them

Callers saw: a read answered 502 after the node beside a server had been started anew during an outage of the platform, though other servers could have answered.

Cause: such a node gets the configuration and the list of VMs from its peers by two messages. Between them its server was sent calls, whose own calls found no server; the server's 502 is an answer of a run, which nobody repeats.

Why it works: no run begins at a server whose own calls can't find a server.

--- a/pkg/node/call_runner.go
+++ b/pkg/node/call_runner.go
@@ -17,6 +17,9 @@
 	if n.leaving.Load() {
 		return notRunAnswer(wire.ReasonLeaving, 0)
 	}
+	if !n.knowsServers() {
+		return notRunAnswer(wire.ReasonStarting, 0)
+	}
 	arrived := n.clock.Now()
 	route := "run/" + in.call.Class
 	if in.deadline.Sub(arrived) < n.latencyFloors.floor(route) {
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -246,6 +246,8 @@
 		n.log.call.Info("attempt got no answer", "to", srv.VM, "outcome", a.meta.Outcome, "reason", a.meta.Reason, "err", a.cause)
 	}
 	switch {
+	case a.fromDaemon && a.meta.Reason == wire.ReasonStarting:
+		srv.ObserveFailure(now, true)
 	case a.fromDaemon:
 		srv.ObserveAnswer(now, a.meta)
 		if a.meta.ConfigVersion > n.snapshot.Load().version() {
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return badRequestAnswer(err)
 	}
+	n.awaitServers(r.Context())
 	plan := n.snapshot.Load().plan
 	if plan == nil {
 		return notRunAnswer(wire.ReasonNoServer, time.Second)
--- a/pkg/node/control_platform.go
+++ b/pkg/node/control_platform.go
@@ -218,6 +218,7 @@
 	}
 	n.enqueueControl(func(s *controlState) {
 		if s.roster.Refresh(list.VMs) {
+			n.log.control.Info("list of VMs taken from a peer", "peer", addr, "vms", len(list.VMs))
 			n.publishSnapshot(s)
 		}
 	})
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -29,6 +29,7 @@
 		n.writeToCaller(w, badRequestAnswer(err))
 		return
 	}
+	n.awaitServers(r.Context())
 	plan := n.snapshot.Load().plan
 	if plan == nil {
 		n.writeToCaller(w, notRunAnswer(wire.ReasonNoServer, time.Second))
--- a/pkg/wire/outcome.go
+++ b/pkg/wire/outcome.go
@@ -25,6 +25,7 @@
 	ReasonDeadline      Reason = "deadline"       // too little time left
 	ReasonLeaving       Reason = "leaving"        // the backend server is leaving
 	ReasonNoServer      Reason = "no-server"      // no backend server matches the policy
+	ReasonStarting      Reason = "starting"       // the node beside the backend server has just started and knows no servers yet
 	ReasonServerRefused Reason = "server-refused" // the backend server itself refused the request
 	ReasonNotOwner      Reason = "not-owner"      // this node isn't the home node of the key
 	ReasonHistoryLost   Reason = "quiet-window"   // the key's history was lost, and it may have run
@@ -47,7 +48,7 @@
 // OtherServerMayAccept reports whether the refusal concerns a single backend server, so that another may be tried.
 func (r Reason) OtherServerMayAccept() bool {
 	switch r {
-	case ReasonLeaving, ReasonQueue, ReasonRateLimit, ReasonServerRefused, ReasonBelowLevel, ReasonNotOwner:
+	case ReasonLeaving, ReasonStarting, ReasonQueue, ReasonRateLimit, ReasonServerRefused, ReasonBelowLevel, ReasonNotOwner:
 		return true
 	default:
 		return false
