Mesh: random draws of nodes come from a source that tests can seed; suspects' choices are logged

Cause: choices of servers, targets of updates and pauses were drawn from the global source, so that a failed play of the known failures couldn't be repeated, and nothing told where the copies of a suspect were sent.

Change: Options.Random, nil for the global source; tests with poison requests seed it per node and their own draws per play, and log the seed (-draws plays it again; without it every play has another one, as before). Line 'suspect sent'.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/overload"
@@ -42,10 +41,10 @@
 		if a.reason == wire.ReasonRateLimit {
 			spread = max(spread, maxDelay-a.retryAfter) // the rate allows them one by one
 		}
-		return a.retryAfter + rand.N(max(spread, 1))
+		return a.retryAfter + n.randomDuration(max(spread, 1))
 	}
 	if !a.overloaded {
 		maxDelay = min(maxDelay, 2*minRetryDelay)
 	}
-	return max(maxDelay/2+rand.N(max(maxDelay/2, 1)), time.Millisecond)
+	return max(maxDelay/2+n.randomDuration(max(maxDelay/2, 1)), time.Millisecond)
 }
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,12 +26,24 @@
 // comparisonOptions says which factors a comparison of servers ignores; the zero value ignores none.
 type comparisonOptions struct {
 	ignoreZone, ignoreSlowdown, ignoreSuccess bool
-	asksFull                                  bool // a server at its rate limit may be chosen if there is no other
+	asksFull                                  bool       // a server at its rate limit may be chosen if there is no other
+	random                                    *rand.Rand // nil: the global source
+}
+
+// rnd returns the source of random numbers.
+func (c comparisonOptions) rnd() *rand.Rand {
+	if c.random == nil {
+		return globalRandom
+	}
+	return c.random
 }
 
 // comparisonSettings returns the factors that this node's settings switch off.
 func (n *Node) comparisonSettings() comparisonOptions {
-	return comparisonOptions{ignoreZone: n.off[settings.PreferOwnZone], ignoreSlowdown: n.off[settings.SlowdownFactor], ignoreSuccess: n.off[settings.SuccessRate]}
+	return comparisonOptions{
+		ignoreZone: n.off[settings.PreferOwnZone], ignoreSlowdown: n.off[settings.SlowdownFactor], ignoreSuccess: n.off[settings.SuccessRate],
+		random: n.random,
+	}
 }
 
 // baseline is the best success share and slowdown factor of any server of a service. Servers are scored relative to it.
@@ -148,11 +161,11 @@
 		if _, full := p.fullFor(now); full && !(lastResort && s.asksFull) {
 			continue
 		}
-		sample.add(p)
+		sample.add(s.rnd(), p)
 	}
 	var best *peer
 	var bestScore float64
-	for _, p := range sample.shuffled() {
+	for _, p := range sample.shuffled(s.rnd()) {
 		if score := s.score(p.loadEstimate(now)); best == nil || score < bestScore {
 			best, bestScore = p, score
 		}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -136,7 +136,7 @@
 	if now.Before(n.control.nextExchange) {
 		return
 	}
-	n.control.nextExchange = now.Add(jitter(n.exchangePeriod()))
+	n.control.nextExchange = now.Add(n.jitter(n.exchangePeriod()))
 	n.gossip(ctx)
 }
 
--- a/pkg/mesh/deep_site_test.go
+++ b/pkg/mesh/deep_site_test.go
@@ -105,6 +105,11 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(d))
 }
 
+// randomAround is the same with the draws of the site.
+func (s *site) randomAround(d time.Duration) time.Duration {
+	return time.Duration((0.5 + s.draws.Float64()) * float64(d))
+}
+
 // clientLoad is a set of clients that send each request once.
 type clientLoad struct {
 	mu          sync.Mutex
--- a/pkg/mesh/exchange_peers.go
+++ b/pkg/mesh/exchange_peers.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"math/rand/v2"
 	"net"
 )
 
@@ -28,7 +27,7 @@
 			targets = append(targets, exchangeTarget{host: h})
 		}
 	}
-	return randomTargets(targets, fanout)
+	return n.randomTargets(targets, fanout)
 }
 
 // knownTargets returns all known peers in the scope.
@@ -43,8 +42,8 @@
 }
 
 // randomTargets shuffles the targets in place and returns up to count of them.
-func randomTargets(targets []exchangeTarget, count int) []exchangeTarget {
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+func (n *Node) randomTargets(targets []exchangeTarget, count int) []exchangeTarget {
+	n.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	return targets[:min(count, len(targets))]
 }
 
--- a/pkg/mesh/exchange_period.go
+++ b/pkg/mesh/exchange_period.go
@@ -52,7 +52,7 @@
 	n.control.smoothedArrivalRate += arrivalRateGain * (rate - n.control.smoothedArrivalRate)
 	begins := urgent && !n.control.urgentUpdates
 	n.control.urgentUpdates = urgent
-	if next := now.Add(jitter(n.exchangePeriod())); begins && next.Before(n.control.nextExchange) {
+	if next := now.Add(n.jitter(n.exchangePeriod())); begins && next.Before(n.control.nextExchange) {
 		n.control.nextExchange = next
 	}
 }
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -63,7 +63,7 @@
 		}
 		next = nil
 		n.noteFollowFailure(err)
-		t.sleep(ctx, jitter(wait.next(followRetryBounds(chosen))))
+		t.sleep(ctx, n.jitter(wait.next(followRetryBounds(chosen))))
 	}
 }
 
--- a/pkg/mesh/freshness_proof.go
+++ b/pkg/mesh/freshness_proof.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -87,7 +86,7 @@
 
 // randomReachableHost returns a random reachable host other than this node, or "".
 func (n *Node) randomReachableHost(hosts []string) string {
-	for _, i := range rand.Perm(len(hosts)) {
+	for _, i := range n.random.Perm(len(hosts)) {
 		if h := hosts[i]; h != n.ip && n.peer(h).reachable() {
 			return h
 		}
--- a/pkg/mesh/harmless_kinds_test.go
+++ b/pkg/mesh/harmless_kinds_test.go
@@ -111,7 +111,7 @@
 		p.work.Go(func() {
 			end := time.Now().Add(span)
 			for i := 0; ; i++ {
-				time.Sleep(time.Duration(rand.ExpFloat64() / k.rate * float64(time.Second)))
+				time.Sleep(time.Duration(p.draws.ExpFloat64() / k.rate * float64(time.Second)))
 				if !time.Now().Before(end) {
 					return
 				}
@@ -128,12 +128,12 @@
 // sendPoison sends the poison request for the time span at the rate.
 func (p *harmlessPlay) sendPoison(span time.Duration, perS float64) {
 	p.work.Go(func() {
-		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(randomAround(time.Duration(float64(time.Second) / perS))) {
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(p.randomAround(time.Duration(float64(time.Second) / perS))) {
 			p.mu.Lock()
 			p.sent = append(p.sent, time.Now())
 			p.mu.Unlock()
 			p.work.Go(func() {
-				p.request(rand.N(poisonEntries), http.MethodGet, poisonPath, fmt.Sprint("p", rand.Uint64()), 2*time.Second)
+				p.request(p.draws.IntN(poisonEntries), http.MethodGet, poisonPath, fmt.Sprint("p", p.draws.Uint64()), 2*time.Second)
 			})
 		}
 	})
@@ -159,7 +159,7 @@
 // sendKind sends one harmless request of the kind and records its outcome.
 func (p *harmlessPlay) sendKind(k *harmlessKind, path string) {
 	sent := time.Now()
-	status, _, h := p.request(rand.N(poisonEntries), http.MethodGet, path, fmt.Sprint("s", rand.Uint64()), 2*time.Second)
+	status, _, h := p.request(p.draws.IntN(poisonEntries), http.MethodGet, path, fmt.Sprint("s", p.draws.Uint64()), 2*time.Second)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k.record(sent, status, wire.Reason(h.Get(wire.HeaderReason)))
@@ -182,7 +182,7 @@
 			for _, i := range p.rnd.Perm(len(servers))[:2+p.rnd.IntN(2)] {
 				f := servers[i]
 				p.work.Go(func() {
-					time.Sleep(rand.N(100 * time.Millisecond))
+					time.Sleep(time.Duration(p.draws.Int64N(int64(100 * time.Millisecond))))
 					p.crashServer(f, f.lifetimeNumber.Load())
 				})
 			}
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -84,7 +84,9 @@
 	Control func(n *Node) http.Handler
 	Clock   clock.Clock
 	Network Network
-	Logger  func(part string) *slog.Logger
+	// Random returns random numbers and is safe for concurrent use; nil: the global source.
+	Random func() uint64
+	Logger func(part string) *slog.Logger
 }
 
 // Limits of connections.
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -33,6 +33,7 @@
 	decode  func([]byte) (*desired.State, error)
 	clock   clock.Clock
 	network Network
+	random  *rand.Rand                  // safe for concurrent use
 	off     map[settings.Mechanism]bool // mechanisms that are switched off; never changed
 	ip      string
 	epoch   int64 // identifies this process among earlier ones of the node
@@ -95,7 +96,8 @@
 	}
 	n := &Node{
 		cfg: o.Settings, names: o.Names, store: o.Store, decode: o.Decode, clock: o.Clock, network: o.Network,
-		off: o.Settings.Mesh.DisabledMechanisms(), ip: host, epoch: o.Clock.Now().UnixMilli(),
+		random: rand.New(randomSource{o.Random}),
+		off:    o.Settings.Mesh.DisabledMechanisms(), ip: host, epoch: o.Clock.Now().UnixMilli(),
 		callLog: o.Logger("call"), controlLog: o.Logger("control"),
 		peers:  make(map[string]*peer),
 		events: make(chan func(), eventQueueSize),
@@ -179,6 +181,3 @@
 func (n *Node) pollDuringStartup(ctx context.Context) bool {
 	return n.clock.Now().Sub(n.started) < startupWait && clock.Sleep(ctx, startupPollInterval)
 }
-
-// jitter returns a random duration in [d/2, 3d/2), so that nodes don't act in step.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -71,7 +70,7 @@
 // newPeerCall returns the metadata that is sent with a request of the route to the node of the chosen server.
 func (n *Node) newPeerCall(state *desired.State, route *desired.Route) peerCall {
 	return peerCall{
-		Service: pickTargetService(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
+		Service: n.pickTargetService(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
 		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version, ReadsNotices: true,
 	}
 }
@@ -157,7 +156,7 @@
 		h.Set(n.names.AttemptID, id)
 	}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", formatRetryAfter(jitter(retryDelayFor(reason))))
+		h.Set("Retry-After", formatRetryAfter(n.jitter(retryDelayFor(reason))))
 	}
 	if n.stop.stopping() {
 		h.Set("Connection", "close")
@@ -167,7 +166,7 @@
 }
 
 // pickTargetService returns one of the route's target services, chosen at random by weight.
-func pickTargetService(r *desired.Route) string {
+func (n *Node) pickTargetService(r *desired.Route) string {
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Service
 	}
@@ -175,7 +174,7 @@
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	k := rand.IntN(total)
+	k := n.random.IntN(total)
 	for _, t := range r.Targets {
 		if k -= t.Weight; k < 0 {
 			return t.Service
--- a/pkg/mesh/peer_sample.go
+++ b/pkg/mesh/peer_sample.go
@@ -13,21 +13,21 @@
 }
 
 // add offers one more peer to the sample.
-func (s *peerSample) add(p *peer) {
+func (s *peerSample) add(rnd *rand.Rand, p *peer) {
 	s.added++
 	if s.added <= peerSampleSize {
 		s.sampled[s.added-1] = p
 		return
 	}
-	if i := rand.IntN(s.added); i < peerSampleSize {
+	if i := rnd.IntN(s.added); i < peerSampleSize {
 		s.sampled[i] = p
 	}
 }
 
 // shuffled returns the sampled peers in random order. Their order in the sample depends on where they stood in the
 // list, and the first of equal peers is chosen.
-func (s *peerSample) shuffled() []*peer {
+func (s *peerSample) shuffled(rnd *rand.Rand) []*peer {
 	list := s.sampled[:min(s.added, peerSampleSize)]
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -30,6 +31,9 @@
 	popularPath = "/read/popular"
 )
 
+// drawsSeed is the seed of the random draws of nodes and tests of this site; 0: another one for each play.
+var drawsSeed = flag.Uint64("draws", 0, "seed of the draws of a play with poison requests; 0: a random one, which is logged")
+
 // poisonSite is that site, with counts of crashes and served reads.
 type poisonSite struct {
 	*site
@@ -87,7 +91,25 @@
 
 // newPoisonSite starts the site with the number of servers of the service.
 func newPoisonSite(t *testing.T, servers int, crashDelay time.Duration) *poisonSite {
+	seed := *drawsSeed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return newSeededPoisonSite(t, seed, servers, crashDelay)
+}
+
+// newSeededPoisonSite is newPoisonSite with the seed of all draws.
+func newSeededPoisonSite(t *testing.T, seed uint64, servers int, crashDelay time.Duration) *poisonSite {
 	p := &poisonSite{site: newMemorySite(t), crashDelay: crashDelay, poison: map[string]*poisonRuns{}, reads: map[int]*readCount{}, from: time.Now()}
+	p.seedDraws(seed)
+	var lines lockedLog
+	p.log = &lines
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(lines.linesWith("suspect sent", "backend server crashed", "request quarantined"))
+		}
+	})
+	t.Logf("all draws from seed %d", seed)
 	p.seeds = []string{p.at(p.base+"1", 2), p.at(p.base+"2", 2), p.at(p.base+"3", 2)}
 	for i := range poisonEntries {
 		p.addFor("e", i, nil)
@@ -124,7 +146,7 @@
 		closeConnection(w) // a crashed server answers nothing, not even a copy that ran there at the same time
 		return
 	}
-	time.Sleep(randomAround(readWork))
+	time.Sleep(p.randomAround(readWork))
 	fmt.Fprint(w, "ok")
 }
 
@@ -140,7 +162,7 @@
 	f.mu.Unlock()
 	srv.Close()
 	p.work.Go(func() {
-		time.Sleep(minRestartDelay + rand.N(time.Second))
+		time.Sleep(minRestartDelay + time.Duration(p.draws.Int64N(int64(time.Second))))
 		next := &http.Server{Addr: srv.Addr, Handler: f}
 		f.mu.Lock()
 		f.srv = next
--- a/pkg/mesh/store_epoch.go
+++ b/pkg/mesh/store_epoch.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -87,5 +86,5 @@
 	n.controlLog.Warn("store restored from a backup", "from", from, "era", epoch, "before", before)
 	n.metrics.count("store_eras_total")
 	spread := rewriteSpread * time.Duration(max(n.knownNodes.Load(), 1))
-	time.AfterFunc(rand.N(spread), n.records.markLost)
+	time.AfterFunc(n.randomDuration(spread), n.records.markLost)
 }
--- a/pkg/mesh/store_learned.go
+++ b/pkg/mesh/store_learned.go
@@ -32,7 +32,7 @@
 func (n *Node) storeLearned(ctx context.Context) {
 	var stored loads.Learned
 	var epoch int64
-	for clock.Sleep(ctx, jitter(storeLearnedPeriod)) {
+	for clock.Sleep(ctx, n.jitter(storeLearnedPeriod)) {
 		if n.storeEpoch.changed(&epoch) {
 			stored = loads.Learned{} // the new epoch may have lost what was written
 		}
--- a/pkg/mesh/store_quarantined.go
+++ b/pkg/mesh/store_quarantined.go
@@ -24,7 +24,7 @@
 func (n *Node) storeQuarantined(ctx context.Context) {
 	var stored uint64
 	var epoch int64
-	for clock.Sleep(ctx, jitter(storeQuarantinePeriod)) {
+	for clock.Sleep(ctx, n.jitter(storeQuarantinePeriod)) {
 		if n.storeEpoch.changed(&epoch) {
 			stored = 0 // the store may have lost what was written
 		}
--- a/pkg/mesh/suspect_updates.go
+++ b/pkg/mesh/suspect_updates.go
@@ -106,13 +106,13 @@
 // updateTargets returns up to near random nodes of this zone and up to farOfEach of each other zone. Seeds are left
 // out: they may be the same nodes again, and other nodes would then receive a crash only with the next exchange.
 func (n *Node) updateTargets(near, farOfEach int) []exchangeTarget {
-	targets := randomTargets(n.knownTargets(localZoneOnly), near)
+	targets := n.randomTargets(n.knownTargets(localZoneOnly), near)
 	byZone := map[string][]exchangeTarget{}
 	for _, t := range n.knownTargets(otherZonesOnly) {
 		byZone[t.zone] = append(byZone[t.zone], t)
 	}
 	for _, zone := range byZone {
-		targets = append(targets, randomTargets(zone, farOfEach)...)
+		targets = append(targets, n.randomTargets(zone, farOfEach)...)
 	}
 	return targets
 }
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -124,6 +124,8 @@
 	if i < 0 {
 		return nil, nil
 	}
+	d.n.callLog.Info("suspect sent", "request", d.q.id, "treatment", decision.Treatment.String(), "stages", decision.Stages, "to", hosts[i],
+		"servers", len(hosts), "tried", len(d.tried), "ended", loggedLifetimes(decision.Crashed))
 	return available[i], nil
 }
 
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/directory"
@@ -26,7 +25,7 @@
 	var wait backoff
 	switch {
 	case n.cfg.Mesh.FirstStart:
-		n.awaitReadDue(ctx, jitter(fullReadPeriod)) // nobody has written a record yet
+		n.awaitReadDue(ctx, n.jitter(fullReadPeriod)) // nobody has written a record yet
 		if n.discoverNodes(ctx) {
 			n.awaitReadDue(ctx, n.fullReadDelay())
 		}
@@ -47,20 +46,20 @@
 			continue
 		}
 		n.records.noteFirstRead()
-		t.sleep(ctx, jitter(wait.next(storeRetryFirst, storeRetryMax)))
+		t.sleep(ctx, n.jitter(wait.next(storeRetryFirst, storeRetryMax)))
 	}
 }
 
 // fullReadDelay returns the randomized time until the next read of all records.
 func (n *Node) fullReadDelay() time.Duration {
 	nodes := max(int(n.knownNodes.Load()), fullReadNodes)
-	return jitter(fullReadPeriod * time.Duration(nodes) / fullReadNodes)
+	return n.jitter(fullReadPeriod * time.Duration(nodes) / fullReadNodes)
 }
 
 // discoverNodes reads parts of the records in random order until discoveryNodes are known; it reports false if a read
 // failed.
 func (n *Node) discoverNodes(ctx context.Context) bool {
-	for _, part := range rand.Perm(n.store.RecordParts) {
+	for _, part := range n.random.Perm(n.store.RecordParts) {
 		if n.knownNodes.Load() >= discoveryNodes {
 			break
 		}
--- a/pkg/mesh/team_quotas.go
+++ b/pkg/mesh/team_quotas.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -126,7 +125,7 @@
 		return tokens, true
 	}
 	zones := n.cfg.Mesh.Zones
-	for _, i := range rand.Perm(len(zones)) {
+	for _, i := range n.random.Perm(len(zones)) {
 		if zones[i] == n.cfg.Zone {
 			continue
 		}
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,6 +37,40 @@
 	clocks     map[string]*suspendableClock // clocks of the VMs that have their own
 	log        io.Writer
 	tune       func(m *settings.Mesh) // changes the settings of the nodes, if set
+	seed       uint64                 // 0: nodes and the test draw from the global source
+	draws      *rand.Rand             // the test's own draws; safe for concurrent use
+}
+
+// seededSource is a source of random numbers that is safe for concurrent use.
+type seededSource struct {
+	mu  sync.Mutex
+	src rand.Source
+}
+
+// Uint64 returns the next number.
+func (s *seededSource) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.src.Uint64()
+}
+
+// newSeededSource returns the source of one part of a site with the seed; part 0 is the test itself, the others are its nodes.
+func newSeededSource(seed uint64, part int) *seededSource {
+	return &seededSource{src: rand.NewPCG(seed, uint64(part))}
+}
+
+// seedDraws makes the nodes that start from now on, and the test, draw from sources with the seed.
+func (s *site) seedDraws(seed uint64) {
+	s.seed = seed
+	s.draws = rand.New(newSeededSource(seed, 0))
+}
+
+// random returns the random numbers of a node.
+func (s *site) random(i int) func() uint64 {
+	if s.seed == 0 {
+		return nil
+	}
+	return newSeededSource(s.seed, i+1).Uint64
 }
 
 var siteCount atomic.Int64
@@ -43,7 +79,7 @@
 func newSite(t testing.TB) *site {
 	k := siteCount.Add(1)
 	return &site{
-		t: t, store: newFakeStore(), base: fmt.Sprintf("127.77.%d.", k), port: 21000, log: io.Discard,
+		t: t, draws: globalRandom, store: newFakeStore(), base: fmt.Sprintf("127.77.%d.", k), port: 21000, log: io.Discard,
 		clients: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}},
 	}
 }
@@ -124,6 +160,7 @@
 	n, err := New(Options{
 		Settings: cfg, Names: testNames, Store: s.store.storeFor(f.ip), Decode: decodeTestState, Network: s.nodeNetwork(),
 		Control: func(*Node) http.Handler { return http.NotFoundHandler() }, Clock: s.clockOf(f.ip),
+		Random: s.random(i),
 		Logger: func(part string) *slog.Logger { return slog.New(slog.NewTextHandler(s.log, nil)).With("node", f.ip) },
 	})
 	qt.New(s.t).Assert(err, qt.IsNil)
--- a/pkg/mesh/write_records.go
+++ b/pkg/mesh/write_records.go
@@ -44,7 +44,7 @@
 		if n.writeRecord(ctx, t, r) {
 			continue
 		}
-		if !t.sleep(ctx, jitter(wait.next(storeRetryFirst, storeRetryMax))) {
+		if !t.sleep(ctx, n.jitter(wait.next(storeRetryFirst, storeRetryMax))) {
 			return
 		}
 	}
