Mesh: the log tells why a suspect that isn't quarantined was refused

Cause: a refusal as suspect wrote no line: whether other suspects were tried at its server, or a last server was spared, couldn't be told for the known failure of TestHarmlessKindIsNotRefusedForLong.

Change: line 'suspect refused' with the cause, the stages and the crashes that count.

--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -106,7 +106,7 @@
 	p.log = &lines
 	t.Cleanup(func() {
 		if t.Failed() {
-			t.Log(lines.linesWith("suspect sent", "backend server crashed", "request quarantined"))
+			t.Log(lines.linesWith("suspect sent", "suspect refused", "backend server crashed", "request quarantined"))
 		}
 	})
 	t.Logf("all draws from seed %d", seed)
--- a/pkg/mesh/suspect_trial.go
+++ b/pkg/mesh/suspect_trial.go
@@ -69,6 +69,7 @@
 				return b.trial.end, nil
 			}
 			if a := awaitTrial(ctx, trialDone, wait.C); a != nil {
+				b.n.logSuspectRefused(q, "trial in progress", decision)
 				return func() {}, a
 			}
 			senderStages = poison.Stages{}
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -56,6 +56,12 @@
 	return a
 }
 
+// logSuspectRefused logs that a suspect which isn't quarantined was refused, and why.
+func (n *Node) logSuspectRefused(q *request, cause string, decision poison.Decision) {
+	n.callLog.Info("suspect refused", "request", q.id, "route", q.Route, "uri", q.uri, "cause", cause, "treatment", decision.Treatment.String(),
+		"stages", decision.Stages, "sound", decision.RecentlySuccessful, "for", decision.Remaining, "ended", loggedLifetimes(decision.Crashed))
+}
+
 // loggedLifetimes are server lifetimes as a log line shows them.
 type loggedLifetimes []poison.Lifetime
 
@@ -108,6 +114,7 @@
 func (d *delivery) serverForSuspect(now time.Time, servers []*peer, decision poison.Decision) (*peer, *answer) {
 	available := filterPeers(servers, func(p *peer) bool { return p.acceptsRequests(now, false) })
 	if len(available) == 1 && len(servers) > 1 && decision.Remaining > 0 && !decision.RecentlySuccessful {
+		d.n.logSuspectRefused(d.q, "last server", decision)
 		a := notRunAnswer(wire.ReasonSuspect)
 		a.retryAfter = decision.Remaining
 		return nil, a
