Mesh: a sender judges a crashed copy like the node beside the server

Callers saw: one server more than needed crashed under a poison request, with all that ran there: 'six servers crashed, at most five may'.

Cause: after three crashes the second stage means quarantine. The reply of a crashed run raised the sender's case by one stage without that rule, so the sender sent the copy on to one more server.

Change: the reply says in which scopes the request had succeeded recently at that server, and the sender records the run by the rule of the whole report. Replies of earlier nodes are handled as before; they pass over the new flags.

Why it works: both sides decide by one function over the same evidence.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
+	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -24,6 +25,7 @@
 	// older run is still in progress.
 	connRefused     bool
 	crashedLifetime string // lifetime of the backend server that crashed while it ran the request; empty: none did
+	crashSuccess    poison.RecentSuccess
 	// retryAfter is the delay before the caller should retry; 0: the default.
 	retryAfter time.Duration
 	// overloaded reports that admission refused the request; an overload may take a while to pass.
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -33,6 +33,9 @@
 	noticeReplyFields = 5
 )
 
+// firstSuccessFlag is the reply's flag for CrashSuccess in the first scope; those of the other scopes follow.
+const firstSuccessFlag = 32
+
 // peerCall is the metadata that a node sends with a request to the chosen server's node.
 type peerCall struct {
 	Service           string
@@ -59,8 +62,12 @@
 	Success         int // percentage of good answers of the server; its own refusals don't count as good
 	Version         int64
 	Stopping        bool
-	NotListening    bool          // it hasn't run since the node's backend server isn't listening
-	CrashedLifetime string        // lifetime of the server that crashed while it ran the request; empty: none did
+	NotListening    bool   // it hasn't run since the node's backend server isn't listening
+	CrashedLifetime string // lifetime of the server that crashed while it ran the request; empty: none did
+	// CrashSuccess tells in which scopes the request had succeeded recently at the server that crashed; it is known only if HasCrashSuccess
+	// is set.
+	CrashSuccess    poison.RecentSuccess
+	HasCrashSuccess bool
 	RetryAfter      time.Duration // delay before the caller should retry; 0: the default
 	Notice          serverNotice
 }
@@ -135,7 +142,8 @@
 
 // encode returns the value of headerReply.
 func (r peerReply) encode() string {
-	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, packFlags(r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving),
+	flags := append([]bool{r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving, r.HasCrashSuccess}, r.CrashSuccess[:]...)
+	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, packFlags(flags...),
 		r.Running, r.Queued, r.Limit, r.Slowdown, r.Success, r.Version)
 	known := r.Notice.Lifetime.Instance != ""
 	if r.CrashedLifetime != "" || r.RetryAfter > 0 || known {
@@ -200,12 +208,16 @@
 		}
 	}
 	notice.Leaving = n[0]&8 != 0
+	var success poison.RecentSuccess
+	for i := range success {
+		success[i] = n[0]&(firstSuccessFlag<<i) != 0
+	}
 	return peerReply{
 		Outcome: wire.Outcome(f[0]), Reason: wire.Reason(f[1]),
 		RefusedByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0, NotListening: n[0]&4 != 0,
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
 		Slowdown: int(n[4]), Success: int(n[5]), Version: n[6],
-		CrashedLifetime: crashedLifetime, RetryAfter: retryAfter, Notice: notice,
+		CrashedLifetime: crashedLifetime, HasCrashSuccess: n[0]&16 != 0, CrashSuccess: success, RetryAfter: retryAfter, Notice: notice,
 	}, nil
 }
 
--- a/pkg/mesh/peer_protocol_test.go
+++ b/pkg/mesh/peer_protocol_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/loads"
+	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -18,6 +19,7 @@
 	r := peerReply{
 		Outcome: wire.NotRun, Reason: wire.ReasonQueue, RefusedByServer: true, Running: 3, Queued: 4, Limit: 5,
 		Slowdown: 150, Success: 99, Version: 8, Stopping: true, NotListening: true,
+		CrashedLifetime: "i", HasCrashSuccess: true, CrashSuccess: poison.RecentSuccess{true, false, true},
 	}
 	back, err := parseReply(r.encode())
 	c.Assert(err, qt.IsNil)
--- a/pkg/mesh/server_crash.go
+++ b/pkg/mesh/server_crash.go
@@ -170,6 +170,7 @@
 	case startedBeforeCrash:
 		if !b.stopAnnounced() {
 			a.crashedLifetime = r.lifetime
+			a.crashSuccess = b.recentSuccesses.Recent(b.n.clock.Now(), r.q.fingerprintInput())
 		}
 	}
 	return a
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -101,6 +101,12 @@
 	now := d.n.clock.Now()
 	at := poison.Lifetime{Host: p.host, Instance: r.CrashedLifetime}
 	p.markServerCrashed(now, r.CrashedLifetime)
+	if r.HasCrashSuccess {
+		d.n.poison.RecordRun(now, at, d.q.Service, poison.Run{
+			Identity: d.q.identity(), Stages: d.q.Stages, RecentSuccess: r.CrashSuccess, Route: d.q.Route, Request: d.q.id,
+		})
+		return
+	}
 	for i, f := range d.q.identity() {
 		d.n.poison.MergeCase(now, poison.Case{
 			Fingerprint: f, Service: d.q.Service, Route: d.q.Route, Request: d.q.id,
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -98,6 +98,19 @@
 	return true
 }
 
+// RecordRun records that a server crashed during one run, whose sender hears of it before the whole report of the crash arrives.
+func (t *Table) RecordRun(now time.Time, at Lifetime, service string, r Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slices.Contains(t.seenCrashes, at) {
+		return
+	}
+	for likeness := range ScopeCount {
+		t.addRun(now, Crash{Lifetime: at, Service: service}, r, likeness)
+	}
+	t.evictExcess()
+}
+
 // addRun records in one scope that a server crashed under a run; t.mu is held.
 func (t *Table) addRun(at time.Time, e Crash, r Run, likeness int) {
 	k := t.caseOf(r.Identity[likeness], e.Service)
--- a/pkg/poison/table_test.go
+++ b/pkg/poison/table_test.go
@@ -62,6 +62,25 @@
 	c.Assert(x.Decide(start, identityOf("/popular")).Treatment, qt.Equals, Quarantined)
 }
 
+// A run that is recorded before the whole report counts once.
+func TestARunCountsOnceWithTheReportOfItsCrash(t *testing.T) {
+	c := qt.New(t)
+	var x Table
+	for i := range 2 {
+		x.RecordCrash(start, crashOf(fmt.Sprint("h", i), 1, 0, "/bad"))
+	}
+	last := crashOf("h2", 1, 1, "/bad", "/beside")
+	x.RecordRun(start, last.Lifetime, "s", last.Runs[0])
+	c.Assert(x.Decide(start, identityOf("/bad")).Treatment, qt.Equals, Quarantined)
+	c.Assert(x.Decide(start, identityOf("/beside")).Treatment, qt.Equals, Free)
+	before := x.Decide(start, identityOf("/bad"))
+	c.Assert(x.RecordCrash(start, last), qt.IsTrue)
+	c.Assert(x.Decide(start, identityOf("/bad")), qt.DeepEquals, before)
+	c.Assert(x.Decide(start, identityOf("/beside")).Treatment, qt.Equals, Confined)
+	x.RecordRun(start, last.Lifetime, "s", last.Runs[0])
+	c.Assert(x.Decide(start, identityOf("/bad")), qt.DeepEquals, before)
+}
+
 // After its quarantine a request may run again, one at a time, and each further crash lengthens the next quarantine.
 func TestAQuarantinedRequestIsTriedAgain(t *testing.T) {
 	c := qt.New(t)
