Mesh: a crash is known at once though the server had other runs

Callers saw: the same known failure; a copy that is sent in the 10 ms after a crash crashes one server more.

Cause: the connections of all runs break in the same moment. A check that looks before the other runs were noted takes the server for running and looks again 10 ms later.

The new test, twenty reads beside the poison request, failed each of five times before.

Change: the check waits for those runs by the millisecond, up to the same 10 ms.

Why it works: runs whose server is gone end within that millisecond; a run that goes on still keeps the server from being taken for crashed.

--- a/pkg/mesh/crash_detection_test.go
+++ b/pkg/mesh/crash_detection_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -11,6 +12,26 @@
 	"github.com/rockspoke/rockspoke/pkg/poison"
 )
 
+// Other runs at the crashed server must not delay the detection, since further copies are sent meanwhile.
+func TestCrashIsKnownAtOnceThoughOtherRunsWereInProgress(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPoisonSite(t, 1, 70*time.Millisecond)
+		time.Sleep(time.Second)
+		at := p.nodes[poisonEntries]
+		p.work.Go(func() { p.request(poisonEntries, http.MethodGet, poisonPath, "p", 2*time.Second) })
+		time.Sleep(50 * time.Millisecond)
+		for i := range 20 {
+			p.work.Go(func() { p.request(poisonEntries, http.MethodGet, fmt.Sprint("/read/", i), fmt.Sprint("r", i), 2*time.Second) })
+		}
+		time.Sleep(23 * time.Millisecond)
+		c.Check(p.crashCount(), qt.Equals, 1)
+		c.Check(at.poison.AnySuspects(), qt.IsTrue)
+		p.work.Wait()
+	})
+}
+
 // The sender of a copy must treat it like the node beside the crashed server, or it sends the copy on to one more.
 func TestSenderQuarantinesACopyLikeTheNodeOfTheCrashedServer(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/mesh/server_crash.go
+++ b/pkg/mesh/server_crash.go
@@ -20,6 +20,8 @@
 	// that exits loses its listener and its connections one after the other, within some milliseconds.
 	maxCrashChecks     = 4
 	crashCheckInterval = 10 * time.Millisecond
+	// crashPollInterval is the time between looks at the runs in progress while a check waits.
+	crashPollInterval = time.Millisecond
 	// listeningChecks is how often the server has to be found listening to count as running while no run in progress
 	// shows it.
 	listeningChecks = 2
@@ -127,6 +129,20 @@
 	return false
 }
 
+// awaitEndOf waits for the interval, or for less if no run that began before the time is in progress any more: the connections of a process
+// that exits break one after the other, mostly within a fraction of a millisecond.
+func (s *serverRuns) awaitEndOf(before time.Time, interval time.Duration) {
+	waited := false
+	for range interval / crashPollInterval {
+		if s.hasRunFromBefore(before) {
+			waited = true
+		} else if waited {
+			return
+		}
+		clock.Sleep(context.Background(), crashPollInterval)
+	}
+}
+
 // finishCheck ends the crash check. It returns the runs whose connections broke meanwhile, except for those that began
 // after the first one had broken: when five servers crashed together under a popular request, some crashes were
 // detected 10 ms late, and these servers meanwhile got requests from the others.
@@ -208,7 +224,7 @@
 		if listening == listeningChecks || listening > 0 && running {
 			return false
 		}
-		clock.Sleep(context.Background(), crashCheckInterval)
+		b.runs.awaitEndOf(checkStart, crashCheckInterval)
 	}
 	return false
 }
