Mesh: a kind that was just served isn't refused to spare the last server

Callers saw: one of 63 requests of a popular kind refused, 503, as a suspect, for a crash that another request caused.

Cause: suspects aren't sent to the last available server for four seconds after a crash, unless they were recently successful. That was known only of runs at the crashed server; a kind of 5 requests a second reaches each of eight servers too seldom. The entry nodes had just received its answers from others and didn't remember.

The new test failed each of three times before: 503, suspect.

Why it works: a request that another server has just run well isn't the cause, as far as that rule can tell, and the node that would refuse it is the one that knows.

--- a/pkg/mesh/crash_detection_test.go
+++ b/pkg/mesh/crash_detection_test.go
@@ -23,7 +23,9 @@
 		p.work.Go(func() { p.request(poisonEntries, http.MethodGet, poisonPath, "p", 2*time.Second) })
 		time.Sleep(50 * time.Millisecond)
 		for i := range 20 {
-			p.work.Go(func() { p.request(poisonEntries, http.MethodGet, fmt.Sprint("/read/", i), fmt.Sprint("r", i), 2*time.Second) })
+			p.work.Go(func() {
+				p.request(poisonEntries, http.MethodGet, fmt.Sprint("/read/", i), fmt.Sprint("r", i), 2*time.Second)
+			})
 		}
 		time.Sleep(23 * time.Millisecond)
 		c.Check(p.crashCount(), qt.Equals, 1)
--- a/pkg/mesh/explain_failure_test.go
+++ b/pkg/mesh/explain_failure_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -35,6 +37,17 @@
 	return l.b.String()
 }
 
+// linesWith returns the lines that contain one of the texts.
+func (l *logBuffer) linesWith(texts ...string) string {
+	var found strings.Builder
+	for line := range strings.Lines(l.String()) {
+		if slices.ContainsFunc(texts, func(s string) bool { return strings.Contains(line, s) }) {
+			found.WriteString(line)
+		}
+	}
+	return found.String()
+}
+
 // linesOf returns the log lines about a request.
 func (l *logBuffer) linesOf(c *qt.C, id string) []trace.Line {
 	return trace.Timeline(l.lines(c), id)
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -55,6 +55,7 @@
 		}
 		d.recordAttempt(a)
 		if a.outcome == wire.Ran && !a.serverFailed() || a.canceled {
+			d.recordSuccess(a)
 			return a
 		}
 		if !d.mayRetry(a) {
--- a/pkg/mesh/harmless_kinds_test.go
+++ b/pkg/mesh/harmless_kinds_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -228,6 +229,38 @@
 	}
 }
 
+// A kind that was just served must not be refused because the server that crashed had not run it before, and a single
+// server is left.
+func TestServedKindMayGoToTheLastServer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPoisonSite(t, 3, 0)
+		time.Sleep(time.Second)
+		send := func(path string) (int, wire.Reason) {
+			status, _, h := p.request(0, http.MethodGet, path, path, 2*time.Second)
+			return status, wire.Reason(h.Get(wire.HeaderReason))
+		}
+		status, _ := send("/read/served")
+		c.Assert(status, qt.Equals, http.StatusOK)
+		n := p.nodes[0]
+		for _, f := range p.servers[poisonEntries : poisonEntries+2] {
+			crash := poison.Crash{Lifetime: poison.Lifetime{Host: f.ip, Instance: n.peer(f.ip).knownLifetime()}, Service: "a"}
+			for _, path := range []string{"/read/served", "/read/new"} {
+				content := poison.RequestContent{Service: "a", Method: http.MethodGet, Host: "h", URI: path, Caller: "e"}
+				crash.Runs = append(crash.Runs, poison.Run{Identity: content.Identity()})
+			}
+			n.poison.RecordCrash(time.Now(), crash)
+			n.markServerCrashed(crash)
+		}
+		status, reason := send("/read/new")
+		c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(reason, qt.Equals, wire.ReasonSuspect)
+		status, reason = send("/read/served")
+		c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", reason))
+	})
+}
+
 // check checks the bounds and logs one line for the table of many plays.
 func (p *harmlessPlay) check(c *qt.C) {
 	worst, longest, refused, sent, lost := 1.0, time.Duration(0), 0, 0, 0
@@ -245,6 +278,9 @@
 	r := p.runsFor(poisonPath)
 	limit := p.maxCrashes(r)
 	c.Check(len(r.crashes) <= limit, qt.IsTrue, qt.Commentf("the poison request crashed %d servers, at most %d may", len(r.crashes), limit))
+	if refused > 0 && !c.Failed() {
+		c.Log(p.lines.linesWith("suspect refused", "request quarantined", "backend server crashed"))
+	}
 	c.Logf("PLAY servers %d fuse %v: %d of %d refused as suspects, %d lost, worst kind %.3f, longest %v, culprit ended %d (at most %d)",
 		len(p.servers)-poisonEntries, p.crashDelay, refused, sent, lost, worst, longest, len(r.crashes), limit)
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -63,9 +63,10 @@
 	retryBudgetMu      sync.Mutex
 	retryBudget        overload.RetryBudget
 	poison             poison.Table
-	timeLimits         clock.Deadlines    // of requests in flight
-	peerRequests       awaited.InProgress // requests of other nodes in flight here
-	serverNotListening atomic.Bool        // the local backend server has crashed and hasn't been seen since
+	forwarded          poison.SuccessTracker // successful runs of requests that this node sent to any server
+	timeLimits         clock.Deadlines       // of requests in flight
+	peerRequests       awaited.InProgress    // requests of other nodes in flight here
+	serverNotListening atomic.Bool           // the local backend server has crashed and hasn't been seen since
 	clients            clientconns.Connections
 
 	peersMu sync.Mutex
--- a/pkg/mesh/poison_plays_test.go
+++ b/pkg/mesh/poison_plays_test.go
@@ -3,9 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"slices"
-	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,30 +35,3 @@
 		})
 	}
 }
-
-// lockedLog holds the log lines of several nodes.
-type lockedLog struct {
-	mu    sync.Mutex
-	lines []string
-}
-
-// Write appends a line; it never fails.
-func (w *lockedLog) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lines = append(w.lines, string(p))
-	return len(p), nil
-}
-
-// linesWith returns the lines that contain one of the texts.
-func (w *lockedLog) linesWith(texts ...string) string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var found strings.Builder
-	for _, line := range w.lines {
-		if slices.ContainsFunc(texts, func(s string) bool { return strings.Contains(line, s) }) {
-			found.WriteString(line)
-		}
-	}
-	return found.String()
-}
--- a/pkg/mesh/poison_site_test.go
+++ b/pkg/mesh/poison_site_test.go
@@ -46,6 +46,7 @@
 	reads  map[int]*readCount
 	from   time.Time
 	work   sync.WaitGroup
+	lines  logBuffer // of all nodes
 }
 
 // poisonRuns are the times when a poison request reached a server, and when servers crashed during it.
@@ -102,11 +103,10 @@
 func newSeededPoisonSite(t *testing.T, seed uint64, servers int, crashDelay time.Duration) *poisonSite {
 	p := &poisonSite{site: newMemorySite(t), crashDelay: crashDelay, poison: map[string]*poisonRuns{}, reads: map[int]*readCount{}, from: time.Now()}
 	p.seedDraws(seed)
-	var lines lockedLog
-	p.log = &lines
+	p.log = &p.lines
 	t.Cleanup(func() {
 		if t.Failed() {
-			t.Log(lines.linesWith("suspect sent", "suspect refused", "backend server crashed", "request quarantined"))
+			t.Log(p.lines.linesWith("suspect sent", "suspect refused", "backend server crashed", "request quarantined"))
 		}
 	})
 	t.Logf("all draws from seed %d", seed)
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -119,7 +119,7 @@
 // refused for a while so that it can serve other requests, unless they were recently successful.
 func (d *delivery) serverForSuspect(now time.Time, servers []*peer, decision poison.Decision) (*peer, *answer) {
 	available := filterPeers(servers, func(p *peer) bool { return p.acceptsRequests(now, false) })
-	if len(available) == 1 && len(servers) > 1 && decision.Remaining > 0 && !decision.RecentlySuccessful {
+	if len(available) == 1 && len(servers) > 1 && decision.Remaining > 0 && !decision.RecentlySuccessful && !d.succeededBefore(now) {
 		d.n.logSuspectRefused(d.q, "last server", decision)
 		a := notRunAnswer(wire.ReasonSuspect)
 		a.retryAfter = decision.Remaining
@@ -142,6 +142,19 @@
 	return available[i], nil
 }
 
+// recordSuccess remembers that a server ran the request and didn't fail.
+func (d *delivery) recordSuccess(a *answer) {
+	if a.outcome == wire.Ran && a.status < http.StatusInternalServerError && !d.n.off[settings.Quarantine] {
+		d.n.forwarded.RecordSuccess(d.n.clock.Now(), d.q.fingerprintInput())
+	}
+}
+
+// succeededBefore reports whether the same request, sent by this node, succeeded recently at any server. The server that crashed may not
+// have run it before.
+func (d *delivery) succeededBefore(now time.Time) bool {
+	return d.n.forwarded.Recent(now, d.q.fingerprintInput())[poison.Exact]
+}
+
 // settledPeers returns the peers whose servers all nodes know, or all peers if there are none. While the record of a
 // new server spreads, nodes would choose differently, and two copies that run at once may crash two servers.
 func settledPeers(now time.Time, list []*peer) []*peer {
