--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -31,12 +31,7 @@
 }
 
 // rnd returns the source of random numbers.
-func (c comparisonOptions) rnd() *rand.Rand {
-	if c.random == nil {
-		return globalRandom
-	}
-	return c.random
-}
+func (c comparisonOptions) rnd() *rand.Rand { return orGlobal(c.random) }
 
 // comparisonSettings returns the factors that this node's settings switch off.
 func (n *Node) comparisonSettings() comparisonOptions {
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -31,7 +31,7 @@
 // gossip starts exchanges with a few random peers.
 func (n *Node) gossip(ctx context.Context) {
 	targets := n.exchangeTargets(localZoneFanout, localZoneOnly)
-	if n.random.Float64() < min(crossZoneShare, crossZoneExchanges/float64(max(len(n.control.zoneHosts), 1))) {
+	if n.rnd().Float64() < min(crossZoneShare, crossZoneExchanges/float64(max(len(n.control.zoneHosts), 1))) {
 		targets = append(targets, n.exchangeTargets(1, otherZonesOnly)...)
 	}
 	n.exchangeWithAll(ctx, targets)
--- a/pkg/mesh/exchange_peers.go
+++ b/pkg/mesh/exchange_peers.go
@@ -43,7 +43,7 @@
 
 // randomTargets shuffles the targets in place and returns up to count of them.
 func (n *Node) randomTargets(targets []exchangeTarget, count int) []exchangeTarget {
-	n.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	n.rnd().Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	return targets[:min(count, len(targets))]
 }
 
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -174,7 +174,7 @@
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	k := n.random.IntN(total)
+	k := n.rnd().IntN(total)
 	for _, t := range r.Targets {
 		if k -= t.Weight; k < 0 {
 			return t.Service
--- a/pkg/mesh/query_peers.go
+++ b/pkg/mesh/query_peers.go
@@ -23,7 +23,7 @@
 	if n.store.RecordParts == 0 {
 		return false
 	}
-	return n.readRecords(ctx, n.storeAvailability.newAttempt(), n.random.IntN(n.store.RecordParts)) && n.queryHosts(ctx, n.hostsLocalZoneFirst)
+	return n.readRecords(ctx, n.storeAvailability.newAttempt(), n.rnd().IntN(n.store.RecordParts)) && n.queryHosts(ctx, n.hostsLocalZoneFirst)
 }
 
 // hostsLocalZoneFirst returns up to queriedPeers random known hosts, those of the local zone first.
--- a/pkg/mesh/random.go
+++ b/pkg/mesh/random.go
@@ -19,10 +19,21 @@
 // globalRandom draws from the global source.
 var globalRandom = rand.New(randomSource{})
 
+// orGlobal returns the source, or the global one for nil.
+func orGlobal(r *rand.Rand) *rand.Rand {
+	if r == nil {
+		return globalRandom
+	}
+	return r
+}
+
+// rnd returns the node's source of random numbers.
+func (n *Node) rnd() *rand.Rand { return orGlobal(n.random) }
+
 // jitter returns a random duration in [d/2, 3d/2), so that nodes don't act in step.
 func (n *Node) jitter(d time.Duration) time.Duration { return d/2 + n.randomDuration(d) }
 
 // randomDuration returns a random duration in [0, d); d must be above 0.
 func (n *Node) randomDuration(d time.Duration) time.Duration {
-	return time.Duration(n.random.Int64N(int64(d)))
+	return time.Duration(n.rnd().Int64N(int64(d)))
 }
--- a/pkg/mesh/sync_records.go
+++ b/pkg/mesh/sync_records.go
@@ -59,7 +59,7 @@
 // discoverNodes reads parts of the records in random order until discoveryNodes are known; it reports false if a read
 // failed.
 func (n *Node) discoverNodes(ctx context.Context) bool {
-	for _, part := range n.random.Perm(n.store.RecordParts) {
+	for _, part := range n.rnd().Perm(n.store.RecordParts) {
 		if n.knownNodes.Load() >= discoveryNodes {
 			break
 		}
--- a/pkg/mesh/team_quotas.go
+++ b/pkg/mesh/team_quotas.go
@@ -125,7 +125,7 @@
 		return tokens, true
 	}
 	zones := n.cfg.Mesh.Zones
-	for _, i := range n.random.Perm(len(zones)) {
+	for _, i := range n.rnd().Perm(len(zones)) {
 		if zones[i] == n.cfg.Zone {
 			continue
 		}
