Node: a token is issued by the newest configuration; clearer names

The same class as the call that was refused by a replaced configuration: a token for once-only work found no server by a treatment that is older than the list of servers. Found by reading; the new test fails without newTokenFor's second look. Options.Unknown is UnknownMessage now.

--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -51,8 +51,8 @@
 	Labels func(service string, i int) map[string]string
 	// Settings changes a daemon's settings before it starts.
 	Settings func(*settings.Settings)
-	// Unknown tells which control messages a VM's daemon doesn't know, by path; nil means none.
-	Unknown func(vm, path string) bool
+	// UnknownMessage tells which control messages a VM's daemon doesn't know, by path; nil means none.
+	UnknownMessage func(vm, path string) bool
 	// Watch names a service whose gates are written to standard error while it runs.
 	Watch string
 	// Base moves the cluster's addresses, so that two can run at once: 127.Base.zone.n.
@@ -213,9 +213,11 @@
 	n, err := node.New(node.Options{
 		Settings: v.cfg, Platform: c.platformOf(v), Keys: v.keys, Clock: clock.Real{},
 		Network: node.Network{ListenPacket: c.Fabric.ListenPacket}, Metrics: metric.NewSet(),
-		Logger:  func(part string) *slog.Logger { return logs.Logger(part).With("vm", v.Info.Name) },
-		Unknown: func(path string) bool { return c.opts.Unknown != nil && c.opts.Unknown(v.Info.Name, path) },
-		Seed:    c.opts.Seed + uint64(v.Addr.As4()[3]),
+		Logger: func(part string) *slog.Logger { return logs.Logger(part).With("vm", v.Info.Name) },
+		UnknownMessage: func(path string) bool {
+			return c.opts.UnknownMessage != nil && c.opts.UnknownMessage(v.Info.Name, path)
+		},
+		Seed: c.opts.Seed + uint64(v.Addr.As4()[3]),
 	})
 	if err != nil {
 		return err
--- a/pkg/lab/handover_test.go
+++ b/pkg/lab/handover_test.go
@@ -183,7 +183,7 @@
 // announcements.
 func TestNodeOfAnEarlierVersionTakesKeyRanges(t *testing.T) {
 	c := qt.New(t)
-	cl := startRelabeling(t, Options{Unknown: func(vm, path string) bool {
+	cl := startRelabeling(t, Options{UnknownMessage: func(vm, path string) bool {
 		return strings.HasPrefix(path, "/.rockspoke/handover/") && (vm == serverName("front", 1) || vm == serverName("back", 1))
 	}})
 	for i := range 20 {
--- a/pkg/lab/restart_test.go
+++ b/pkg/lab/restart_test.go
@@ -19,7 +19,7 @@
 func restartWithoutVMList(t *testing.T) (*Cluster, *atomic.Bool) {
 	t.Helper()
 	withheld := &atomic.Bool{}
-	cl := startSmall(t, Options{Unknown: func(_, path string) bool { return path == "/.rockspoke/vms" && withheld.Load() }})
+	cl := startSmall(t, Options{UnknownMessage: func(_, path string) bool { return path == "/.rockspoke/vms" && withheld.Load() }})
 	ctx := context.Background()
 	version := cl.Entries[0].Node.Document().Version
 	cl.Platform.SetFaults(store.Faults{Down: true})
--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -24,8 +24,8 @@
 	// connRefused reports that the backend server's address refused the connection. The server isn't listening unless an
 	// older run is still in progress.
 	connRefused     bool
-	crashedLifetime string // lifetime of the backend server that crashed while it ran the request; empty: none did
-	crashSuccess    poison.RecentSuccess
+	crashedLifetime string               // lifetime of the backend server that crashed while it ran the request; empty: none did
+	crashSuccess    poison.RecentSuccess // scopes in which the request had succeeded recently at that server
 	// retryAfter is the delay before the caller should retry; 0: the default.
 	retryAfter time.Duration
 	// overloaded reports that admission refused the request; an overload may take a while to pass.
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -138,9 +138,18 @@
 	return "", false
 }
 
+// newTokenFor is newToken for a call. If there is none by a treatment of a plan that is no longer in force, it issues one by the newest.
+func (n *Node) newTokenFor(s *outgoingCall) (string, bool) {
+	key, ok := n.newToken(s.treatment, s.call.Priority)
+	if !ok && n.resolveAnew(s) {
+		return n.newToken(s.treatment, s.call.Priority)
+	}
+	return key, ok
+}
+
 // renewToken replaces the call's token, to be used only if certainly nothing ran under the last one.
 func (n *Node) renewToken(s *outgoingCall) bool {
-	key, ok := n.newToken(s.treatment, s.call.Priority)
+	key, ok := n.newTokenFor(s)
 	if ok {
 		s.call.Key = key
 	}
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -169,7 +169,7 @@
 	s.otherAttempts = key != ""
 	if key == "" {
 		var ok bool
-		if s.call.Key, ok = n.newToken(s.treatment, s.call.Priority); !ok {
+		if s.call.Key, ok = n.newTokenFor(s); !ok {
 			return notRunAnswer(wire.ReasonNoServer, 0)
 		}
 	}
--- a/pkg/node/config_swap_test.go
+++ b/pkg/node/config_swap_test.go
@@ -102,3 +102,16 @@
 	_, found := s.n.pickForCall(time.Now(), call, nil)
 	c.Assert(found, qt.Equals, routing.Picked)
 }
+
+// TestTokenIsIssuedByTheNewestConfiguration is the same for once-only work that needs a token.
+func TestTokenIsIssuedByTheNewestConfiguration(t *testing.T) {
+	c := qt.New(t)
+	s := newSwapTest(t)
+	s.put(c, 1, "dc=old", "old", "old")
+	s.state.merge(exchange{Nodes: []member.NodeInfo{{VM: "b", Incarnation: "0000000000001-abcdefgh"}}})
+	q := &request{method: http.MethodPost, host: "front", uri: "/", path: "/", header: http.Header{}}
+	call := &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
+	s.put(c, 2, "dc=renamed", "renamed", "renamed")
+	_, ok := s.n.newTokenFor(call)
+	c.Assert(ok, qt.IsTrue)
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -28,15 +28,15 @@
 
 // Node is one running daemon.
 type Node struct {
-	cfg         settings.Settings
-	incarnation string
-	clock       clock.Clock
-	platform    store.Platform
-	keys        *keys.Store
-	network     Network
-	unknown     func(path string) bool
-	metrics     *metric.Set
-	log         logs
+	cfg            settings.Settings
+	incarnation    string
+	clock          clock.Clock
+	platform       store.Platform
+	keys           *keys.Store
+	network        Network
+	unknownMessage func(path string) bool
+	metrics        *metric.Set
+	log            logs
 
 	// Control state: only the control goroutine changes it; calls read the snapshot.
 	control  chan func(*controlState)
@@ -93,7 +93,7 @@
 	}
 	n := &Node{
 		cfg: cfg, clock: opts.Clock, platform: opts.Platform, keys: opts.Keys,
-		network: opts.Network.withDefaults(), unknown: opts.Unknown, metrics: opts.Metrics,
+		network: opts.Network.withDefaults(), unknownMessage: opts.UnknownMessage, metrics: opts.Metrics,
 		log: logs{
 			call: logger("call"), control: logger("control"), peer: logger("peer"),
 			leave: logger("leave"), once: logger("once-only"),
--- a/pkg/node/node_options.go
+++ b/pkg/node/node_options.go
@@ -47,8 +47,8 @@
 	Metrics  *metric.Set
 	// Logger returns the logger for a part of the daemon; nil discards all logs.
 	Logger func(part string) *slog.Logger
-	// Unknown reports control messages, by path, that the daemon answers like one of an earlier version; nil means none.
-	Unknown func(path string) bool
+	// UnknownMessage reports control messages, by path, that the daemon answers like one of an earlier version; nil means none.
+	UnknownMessage func(path string) bool
 	// Seed seeds the random source; 0 selects a random seed.
 	Seed uint64
 }
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -98,9 +98,7 @@
 		return true
 	}
 	var ok bool
-	s.call.Key, ok = in.onceToken(signature+uint64(successes), func() (string, bool) {
-		return n.newToken(s.treatment, s.call.Priority)
-	})
+	s.call.Key, ok = in.onceToken(signature+uint64(successes), func() (string, bool) { return n.newTokenFor(s) })
 	return ok
 }
 
--- a/pkg/node/peer_server.go
+++ b/pkg/node/peer_server.go
@@ -65,7 +65,7 @@
 		n.servePeerCall(w, r)
 		return
 	}
-	if n.unknown != nil && n.unknown(r.URL.Path) {
+	if n.unknownMessage != nil && n.unknownMessage(r.URL.Path) {
 		http.NotFound(w, r)
 		return
 	}
