Once-only: a handover sends the memory of its ranges in few messages, each of one handover

By reading: a message of an earlier handover that comes late, after the range has come back and is announced again, would have opened the range at a second home.

Change: ranges go together up to 10,000 keys; a handover has an identity, which announcement and messages carry; a repeated message adds only what is missing.

The new test fails if both handovers have one identity (tried).

--- a/pkg/lab/cluster_test.go
+++ b/pkg/lab/cluster_test.go
@@ -245,7 +245,7 @@
 		if left && r.Arrived.Before(moved) {
 			before++
 		}
-		c.Assert(left && r.Arrived.After(moved), qt.IsFalse, qt.Commentf("%s got work %v after the move: %+v", r.Server, r.Arrived.Sub(moved), r))
+		c.Assert(left && r.Arrived.After(moved), qt.IsFalse, qt.Commentf("%s got work %v after %v: %+v, attempts %+v", r.Server, r.Arrived.Sub(moved), moved, r, attemptsOf(attempts, r.Request)))
 	}
 	c.Assert(before > 0, qt.IsTrue)
 }
--- a/pkg/node/control_handover.go
+++ b/pkg/node/control_handover.go
@@ -91,19 +91,23 @@
 	return version
 }
 
-// transferRanges sends the memory of ranges to their next owner, one range after the other, so that each is closed for one message only. It
-// ends when all of it is there, or when the ranges went to yet another owner.
+// maxTransferKeys bounds the keys in one message of a handover, unless a single range has more: some megabytes, which are sent in a
+// fraction of a second.
+const maxTransferKeys = 10_000
+
+// transferRanges sends the memory of ranges to their next owner, so that each is closed for one message only. It ends when all of it is
+// there, or when the ranges went to yet another owner.
 func (n *Node) transferRanges(ctx context.Context, vm member.VM, msg onceonly.Handover) {
 	pause := handoverPauseMin
 	for {
-		var unsent []int
-		n.home.with(func(h *onceonly.Home) { unsent = h.Unsent(msg.Ranges, msg.To) })
-		if len(unsent) == 0 {
+		var batches [][]int
+		n.home.with(func(h *onceonly.Home) { batches = h.UnsentBatches(msg.Ranges, msg.To, maxTransferKeys) })
+		if len(batches) == 0 {
 			return
 		}
 		err := n.announceHandover(ctx, vm, msg) // with the ranges open, this finds out whether the next owner responds
-		for i := 0; i < len(unsent) && err == nil; i++ {
-			err = n.transferRange(ctx, vm, msg, unsent[i])
+		for i := 0; i < len(batches) && err == nil; i++ {
+			err = n.transferBatch(ctx, vm, msg, batches[i])
 		}
 		if err == nil {
 			continue
@@ -116,23 +120,20 @@
 	}
 }
 
-// transferRange closes one range and sends its memory. While it is unknown whether the next owner has the memory, the range stays closed,
-// and the next owner ignores a repeated message.
-func (n *Node) transferRange(ctx context.Context, vm member.VM, msg onceonly.Handover, r int) error {
-	var reopen bool
-	msg.Ranges, msg.Live = []int{r}, true
+// transferBatch closes ranges and sends their memory. While it is unknown whether the next owner has the memory, the ranges stay closed,
+// and the next owner passes over what it has.
+func (n *Node) transferBatch(ctx context.Context, vm member.VM, msg onceonly.Handover, batch []int) error {
+	var reopen []int
 	n.home.with(func(h *onceonly.Home) {
-		if len(h.Unsent(msg.Ranges, msg.To)) == 0 {
-			return
-		}
-		reopen = h.Owns(r)
+		msg.Ranges, msg.Live = h.Unsent(batch, msg.To), true
+		reopen = h.Open(msg.Ranges)
 		h.CloseRanges(msg.Ranges)
 		row := h.Row()
 		msg.Row = &row
 		msg = h.Memory.Export(n.clock.Now(), msg)
 	})
-	if msg.Row == nil {
-		return nil // the range went to yet another owner
+	if len(msg.Ranges) == 0 {
+		return nil // they went to yet another owner
 	}
 	closed := n.clock.Now()
 	err := n.sendHandover(ctx, vm, pathTransfer, msg)
@@ -141,8 +142,8 @@
 		n.logClosed(msg, closed)
 		return nil
 	}
-	if reopen && certainlyNotHandled(err) {
-		n.home.with(func(h *onceonly.Home) { h.ReopenRanges(msg.Ranges) })
+	if certainlyNotHandled(err) {
+		n.home.with(func(h *onceonly.Home) { h.ReopenRanges(reopen) })
 	}
 	return err
 }
--- a/pkg/node/control_handover_messages.go
+++ b/pkg/node/control_handover_messages.go
@@ -48,12 +48,12 @@
 	}
 	var err error
 	n.home.with(func(home *onceonly.Home) {
-		ranges := home.NotAnnounced(h.Ranges, h.From)
+		ranges := home.NotAnnounced(h.Ranges, h.From, h.ID)
 		if len(ranges) > 0 && n.leaving.Load() {
 			err = &HandoverError{"this node is leaving"}
 			return
 		}
-		err = home.Announce(ranges, h.From)
+		err = home.Announce(ranges, h.From, h.ID)
 	})
 	return handoverReply{}, err
 }
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
@@ -210,7 +212,7 @@
 		return &HandoverError{to.VM + " isn't in the list of VMs"}
 	}
 	msg := onceonly.Handover{
-		Service: n.cfg.Service, From: n.owner(), Ranges: ranges,
+		Service: n.cfg.Service, ID: uuid.NewString(), From: n.owner(), Ranges: ranges,
 		To: onceonly.Owner{VM: to.VM, Incarnation: to.Incarnation},
 	}
 	n.home.with(func(h *onceonly.Home) { ok = h.BeginHandover(ranges, msg.To) })
--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -15,6 +15,8 @@
 	QuietMS map[int]int64     `json:"quiet,omitempty"` // remaining quiet window in milliseconds, by range
 	Records []HandoverRecord  `json:"records"`
 	Expired []HandoverExpired `json:"past,omitempty"`
+	// ID is the same in the announcement and the messages of one handover, and no other's.
+	ID string `json:"id,omitempty"`
 	// Live says that runs in progress stay so in the message; their records follow when they end. Otherwise they are Uncertain.
 	Live bool `json:"live,omitempty"`
 	// Row is the row that gives the ranges to their next owner, if the message follows its commit.
@@ -85,7 +87,7 @@
 	return out
 }
 
-// Import adds the keys of a handover; on an error, a *KeyHashError, nothing is added.
+// Import adds the keys of a handover's ranges; on an error, a *KeyHashError, nothing is added.
 func (m *KeyMemory) Import(now time.Time, h Handover) error {
 	keys := make([]KeyHash, len(h.Records))
 	for i, hr := range h.Records {
@@ -103,16 +105,23 @@
 		}
 		expiredKeys[i] = k
 	}
+	inRanges := rangeSet(h.Ranges)
 	for i, hr := range h.Records {
+		if !inRanges[keys[i].Range()] {
+			continue
+		}
 		rec := hr.Record
 		rec.Until = now.Add(time.Duration(hr.LeftMS) * time.Millisecond)
 		m.importRecord(keys[i], rec, h.To)
 	}
 	for i, hp := range h.Expired {
+		if !inRanges[expiredKeys[i].Range()] {
+			continue
+		}
 		m.importExpired(expiredKeys[i], hp.State)
 	}
 	for r, ms := range h.QuietMS {
-		if r >= 0 && r < NumRanges {
+		if inRanges[r] && r >= 0 && r < NumRanges {
 			m.SetQuiet(r, now.Add(time.Duration(ms)*time.Millisecond))
 		}
 	}
@@ -174,6 +183,16 @@
 	return n
 }
 
+// countByRange returns the number of records in each range, tokens aside.
+func (m *KeyMemory) countByRange() (counts [NumRanges]int) {
+	for key, rec := range m.recent {
+		if !rec.Pinned {
+			counts[key.Range()]++
+		}
+	}
+	return counts
+}
+
 // rangeSet returns the ranges as a set.
 func rangeSet(ranges []int) map[int]bool {
 	inRanges := make(map[int]bool, len(ranges))
--- a/pkg/onceonly/range_handover.go
+++ b/pkg/onceonly/range_handover.go
@@ -58,6 +58,34 @@
 	return list
 }
 
+// UnsentBatches returns Unsent in parts of at most maxKeys keys each, or of one range that has more.
+func (h *Home) UnsentBatches(ranges []int, to Owner, maxKeys int) [][]int {
+	keys := h.Memory.countByRange()
+	var batches [][]int
+	size := 0
+	for _, r := range h.Unsent(ranges, to) {
+		if len(batches) == 0 || size+keys[r] > maxKeys {
+			batches = append(batches, nil)
+			size = 0
+		}
+		last := len(batches) - 1
+		batches[last] = append(batches[last], r)
+		size += keys[r]
+	}
+	return batches
+}
+
+// Open returns those of the ranges for which the node accepts attempts.
+func (h *Home) Open(ranges []int) []int {
+	var list []int
+	for _, r := range ranges {
+		if h.Owns(r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // Release ends this node's being the home of ranges whose memory is at the next owner.
 func (h *Home) Release(ranges []int) {
 	for _, r := range ranges {
@@ -75,11 +103,12 @@
 	return false
 }
 
-// NotAnnounced returns those of the ranges that this node neither awaits nor has received from the owner.
-func (h *Home) NotAnnounced(ranges []int, from Owner) []int {
+// NotAnnounced returns those of the ranges that this node neither awaits nor has received by the handover.
+func (h *Home) NotAnnounced(ranges []int, from Owner, id string) []int {
+	a := announcement{from, id}
 	var list []int
 	for _, r := range ranges {
-		if r < 0 || r >= NumRanges || (h.previous[r] != from && h.received[r] != from) {
+		if r < 0 || r >= NumRanges || (h.previous[r] != a && h.received[r] != a) {
 			list = append(list, r)
 		}
 	}
@@ -87,14 +116,14 @@
 }
 
 // Announce notes that an owner hands the ranges over to this node; the error is a *HandoverStateError if this node owns one of them.
-func (h *Home) Announce(ranges []int, from Owner) error {
+func (h *Home) Announce(ranges []int, from Owner, id string) error {
 	for _, r := range ranges {
 		if r < 0 || r >= NumRanges || h.owned[r] {
 			return &HandoverStateError{"a range is owned here already"}
 		}
 	}
 	for _, r := range ranges {
-		h.previous[r] = from
+		h.previous[r] = announcement{from, id}
 	}
 	return nil
 }
@@ -106,7 +135,7 @@
 func (h *Home) Withdraw(ranges []int) {
 	for _, r := range ranges {
 		if r >= 0 && r < NumRanges {
-			h.previous[r] = Owner{}
+			h.previous[r] = announcement{}
 		}
 	}
 }
@@ -116,32 +145,34 @@
 	if h.owned[r] || !h.row.Owners[r].Is(h.VM, h.Incarnation) {
 		return Owner{}, false
 	}
-	return h.previous[r], h.previous[r] != Owner{}
+	return h.previous[r].from, h.previous[r] != announcement{}
 }
 
-// Receive imports the memory of ranges that were announced, and makes this node their home. A repeated message has no effect. The error
-// is a *HandoverStateError or a *KeyHashError.
+// Receive imports the memory of ranges that were announced, and makes this node their home. What is repeated has no effect. The error is a *HandoverStateError or a *KeyHashError.
 func (h *Home) Receive(now time.Time, msg Handover) error {
-	received := 0
+	a := announcement{msg.From, msg.ID}
+	var missing []int
 	for _, r := range msg.Ranges {
 		switch {
 		case r < 0 || r >= NumRanges || !h.row.Owners[r].Is(h.VM, h.Incarnation):
 			return &HandoverStateError{"the row gives a range to another owner"}
-		case h.received[r] == msg.From:
-			received++
-		case h.owned[r] || h.previous[r] != msg.From:
+		case h.received[r] == a:
+			continue
+		case h.owned[r] || h.previous[r] != a:
 			return &HandoverStateError{"the handover of a range wasn't announced"}
 		}
+		missing = append(missing, r)
 	}
-	if received == len(msg.Ranges) {
+	if len(missing) == 0 {
 		return nil
 	}
+	msg.Ranges = missing
 	if err := h.Memory.Import(now, msg); err != nil {
 		return err
 	}
-	for _, r := range msg.Ranges {
+	for _, r := range missing {
 		h.open(r)
-		h.received[r] = msg.From
+		h.received[r] = a
 	}
 	return nil
 }
--- a/pkg/onceonly/range_handover_test.go
+++ b/pkg/onceonly/range_handover_test.go
@@ -31,11 +31,11 @@
 
 // announce starts a handover of the key's range.
 func (s *handoverSimulation) announce(from, to *Home, r int) {
-	msg := Handover{Service: service, From: from.me(), To: to.me(), Ranges: []int{r}, Live: true}
+	msg := Handover{Service: service, ID: fmt.Sprint(len(s.handovers)), From: from.me(), To: to.me(), Ranges: []int{r}, Live: true}
 	if from == to || !from.BeginHandover(msg.Ranges, msg.To) {
 		return
 	}
-	if to.Announce(to.NotAnnounced(msg.Ranges, msg.From), msg.From) != nil {
+	if to.Announce(to.NotAnnounced(msg.Ranges, msg.From, msg.ID), msg.From, msg.ID) != nil {
 		from.EndHandover(msg.Ranges)
 		return
 	}
@@ -248,3 +248,35 @@
 	c.Assert(to.LoseRuns(startTime, func(o Owner) bool { return o == a }), qt.Equals, 1)
 	c.Assert(to.Begin(startTime, k, 1, false).Outcome, qt.Equals, wire.Unknown)
 }
+
+// TestLateMessageOfAnEarlierHandoverOpensNoRange guards against a home that opens a range by the memory of an earlier
+// handover, while the previous owner still serves it.
+func TestLateMessageOfAnEarlierHandoverOpensNoRange(t *testing.T) {
+	c := qt.New(t)
+	s := &handoverSimulation{running: map[KeyHash]*Home{}}
+	s.simulation = simulation{homes: make([]*Home, 2), ran: map[KeyHash]int{}, now: startTime}
+	s.start(0)
+	s.start(1)
+	a, b := s.homes[0], s.homes[1]
+	s.row = NewOwnerRow(service, []Node{s.node(0)})
+	a.Adopt(startTime, s.row)
+	const r = 0
+	move := func(from, to *Home) *announcedHandover {
+		s.announce(from, to, r)
+		h := s.handovers[len(s.handovers)-1]
+		s.commit(h)
+		from.Adopt(startTime, s.row)
+		to.Adopt(startTime, s.row)
+		return h
+	}
+	first := move(a, b)
+	s.send(first)
+	s.deliver(first, 0, true)
+	back := move(b, a)
+	s.send(back)
+	s.deliver(back, 0, true)
+	move(a, b)
+	s.deliver(first, 0, false)
+	c.Assert(a.Owns(r), qt.IsTrue)
+	c.Assert(b.Owns(r), qt.IsFalse)
+}
--- a/pkg/onceonly/range_home.go
+++ b/pkg/onceonly/range_home.go
@@ -12,9 +12,15 @@
 	row      OwnerRow
 	owned    [NumRanges]bool
 	closing  [NumRanges]bool
-	next     [NumRanges]Owner // to which this node hands the range over; zero if to none
-	previous [NumRanges]Owner // which announced that it hands the range over to this node; zero if none did
-	received [NumRanges]Owner // whose memory of the range this node imported when it opened it; zero if nobody's
+	next     [NumRanges]Owner        // to which this node hands the range over; zero if to none
+	previous [NumRanges]announcement // of the owner that hands the range over to this node; zero if none does
+	received [NumRanges]announcement // by which this node opened the range; zero if by none
+}
+
+// announcement identifies a handover to this node.
+type announcement struct {
+	from Owner
+	id   string
 }
 
 // Adopt applies a newer row, and reports false for a row that isn't newer. A range whose previous owner's memory was lost starts with a
@@ -37,7 +43,7 @@
 
 // adoptOwned opens a range that a row gives to this node, unless its previous owner still serves it.
 func (h *Home) adoptOwned(now time.Time, r int, o Owner) {
-	if h.owned[r] || (h.previous[r] != Owner{} && !o.Lossy) {
+	if h.owned[r] || (h.previous[r] != announcement{} && !o.Lossy) {
 		return
 	}
 	h.open(r)
@@ -50,7 +56,7 @@
 func (h *Home) open(r int) {
 	h.owned[r] = true
 	h.closing[r] = false
-	h.previous[r] = Owner{}
+	h.previous[r] = announcement{}
 }
 
 // release ends this node's being the home of the range, if it is.
@@ -61,7 +67,7 @@
 	h.owned[r] = false
 	h.closing[r] = false
 	h.next[r] = Owner{}
-	h.received[r] = Owner{}
+	h.received[r] = announcement{}
 	h.Memory.Drop([]int{r})
 }
 
