--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -58,7 +58,7 @@
 
 // logSuspectRefused logs that a suspect which isn't quarantined was refused, and why.
 func (n *Node) logSuspectRefused(q *request, cause string, decision poison.Decision) {
-	n.callLog.Info("suspect refused", "request", q.id, "route", q.Route, "uri", q.uri, "cause", cause, "treatment", decision.Treatment.String(),
+	n.callLog.Info("suspect refused", "request", q.id, "route", q.Route, "fingerprint", q.identity().Widest(), "cause", cause, "treatment", decision.Treatment.String(),
 		"stages", decision.Stages, "sound", decision.RecentlySuccessful, "for", decision.Remaining, "ended", loggedLifetimes(decision.Crashed))
 }
 
