Mesh: the test of a refusal for the rate limit runs in made-up time

Cause: the test is about the gate's refusal of a request that follows the first one at once, in real time. Some 0.3 s later the admission plan knows the limit and refuses at the entry. Both are right.

--- a/pkg/mesh/server_notices_test.go
+++ b/pkg/mesh/server_notices_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -94,7 +95,11 @@
 // newLimitedServerSite returns a site of one server whose answers say what the returned function sets: status, body and the
 // rate limit.
 func newLimitedServerSite(t *testing.T) (s *site, answer func(status int, limit string)) {
-	s = newSite(t)
+	return limitServerOf(newSite(t))
+}
+
+// limitServerOf makes it of a site without nodes.
+func limitServerOf(s *site) (_ *site, answer func(status int, limit string)) {
 	s.add("a", "z", 10)
 	s.store.put(desiredReads("a"))
 	s.waitUntilKnown(1)
@@ -167,25 +172,28 @@
 
 // A refusal for the rate limit differs from others in its reason, the logs and the metrics, and has a Retry-After.
 func TestRefusalForTheRateLimitIsExplained(t *testing.T) {
-	c := qt.New(t)
-	log := &logBuffer{}
-	s, answer := newLimitedServerSite(t)
-	s.logTo(log)
-	answer(http.StatusOK, "0.2")
-	s.request(0, http.MethodGet, "/read/x", "first", time.Second)
-	status, _, h := s.request(0, http.MethodGet, "/read/x", "second", 6*time.Second)
-	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(h.Get(wire.HeaderReason), qt.Equals, string(wire.ReasonRateLimit))
-	after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	c.Assert(err, qt.IsNil)
-	c.Assert(after > 0.5 && after <= 2, qt.IsTrue, qt.Commentf("%v s; the gate lets one through each second", after))
-	lines := log.linesOf(c, "second")
-	c.Assert(hasLine(lines, "call: local backend server is at its rate limit", "limit", "0.2"), qt.IsTrue)
-	c.Assert(hasLine(lines, "call: no server within its rate limit is left", "servers", "1"), qt.IsTrue)
-	c.Assert(hasLine(lines, "call: not served", "reason", "rate-limit"), qt.IsTrue)
-	text := metricsText(s.nodes[0])
-	c.Assert(text, qt.Contains, `rockspoke_arrivals_total{service="a",outcome="not-run",reason="rate-limit"} 1`)
-	c.Assert(text, qt.Contains, "rockspoke_server_rate_limit 200")
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := &logBuffer{}
+		s, answer := limitServerOf(newMemorySite(t))
+		s.logTo(log)
+		answer(http.StatusOK, "0.2")
+		s.request(0, http.MethodGet, "/read/x", "first", time.Second)
+		status, _, h := s.request(0, http.MethodGet, "/read/x", "second", 6*time.Second)
+		c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(h.Get(wire.HeaderReason), qt.Equals, string(wire.ReasonRateLimit))
+		after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+		c.Assert(err, qt.IsNil)
+		c.Assert(after > 0.5 && after <= 2, qt.IsTrue, qt.Commentf("%v s; the gate lets one through each second", after))
+		lines := log.linesOf(c, "second")
+		c.Assert(hasLine(lines, "call: local backend server is at its rate limit", "limit", "0.2"), qt.IsTrue)
+		c.Assert(hasLine(lines, "call: no server within its rate limit is left", "servers", "1"), qt.IsTrue)
+		c.Assert(hasLine(lines, "call: not served", "reason", "rate-limit"), qt.IsTrue)
+		text := metricsText(s.nodes[0])
+		c.Assert(text, qt.Contains, `rockspoke_arrivals_total{service="a",outcome="not-run",reason="rate-limit"} 1`)
+		c.Assert(text, qt.Contains, "rockspoke_server_rate_limit 200")
+	})
 }
 
 // A limit that the server's node has forgotten in a restart comes back with the next request of a node that knows it, and ends
