Freshness: a node of a zone without the store queries another zone for a proof

Cause: from 0.4 of the bound on a node queried in turn a reader of its own zone and a random node of any zone. Proofs in a zone without the store are equally old, so only a node of another zone helps, and now and then all three or four random choices before the end of the proof fell on the own zone.

Change: the queries go in turn to another zone, to a reader, to any node; at least two to another zone before a proof expires.

--- a/pkg/freshness/freshness_test.go
+++ b/pkg/freshness/freshness_test.go
@@ -78,7 +78,7 @@
 				there := delay()
 				w.inFlight = append(w.inFlight, inFlightMessage{at: w.now.Add(there + delay()), to: n, sent: now, version: w.newestAt(w.now.Add(there)), own: n.own})
 			}
-		case QueryUpstream, QueryAnyNode:
+		case QueryUpstream, QueryOtherZone, QueryAnyNode:
 			if o := w.nodes[pick(len(w.nodes))]; !n.silent && !o.silent && o != n && !o.frozen.After(w.now) {
 				// The other node's proof is read now. When the query arrives it may have a younger one, and this one is still valid.
 				if oage, known := o.keeper.ProofAge(o.clock(w.now), o.own); known {
@@ -220,3 +220,20 @@
 	age, _ = k.ProofAge(start.Add(2*time.Second), 2)
 	c.Check(age, qt.Equals, time.Second)
 }
+
+// While the store rejects a whole zone, each of its nodes queries another zone more than once before its proof expires.
+func TestProofsOfAZoneRejectedByTheStoreExpireTogether(t *testing.T) {
+	c := qt.New(t)
+	for _, reads := range []bool{false, true} {
+		s, tracker := Schedule{Bound: bound}, ProofTracker{Bound: bound}
+		tracker.AddProof(Proof{Version: 1, Sent: start}, 1)
+		other := 0
+		for now := start; tracker.MayAcceptKey(now, 1); now = now.Add(50 * time.Millisecond) {
+			age, known := tracker.ProofAge(now, 1)
+			if s.Next(now, age, known, reads) == QueryOtherZone {
+				other++
+			}
+		}
+		c.Check(other >= 2, qt.IsTrue, qt.Commentf("reader: %v, %d queries", reads, other))
+	}
+}
--- a/pkg/freshness/schedule.go
+++ b/pkg/freshness/schedule.go
@@ -13,7 +13,7 @@
 	// initialQueryFactor is how many times more often a node without a proof queries: after a loss of all nodes a reader has the first proof
 	// some hundredths of a second after the others have queried it.
 	initialQueryFactor = 4
-	// widenAgeShare is the age of a proof from which nodes of all zones are queried as well.
+	// widenAgeShare is the age of a proof from which nodes other than the readers and relays of the zone are queried as well.
 	widenAgeShare = 0.4
 	// ownReadAgeShare is the age of a proof from which a node that isn't a reader queries the store itself, after minOwnReadShare more.
 	ownReadAgeShare = 0.42
@@ -28,19 +28,24 @@
 
 // The actions.
 const (
-	Wait          Action = iota
-	ReadStore            // query the store
-	QueryUpstream        // query a reader or relay
-	QueryAnyNode         // query any node
+	Wait           Action = iota
+	ReadStore             // query the store
+	QueryUpstream         // query a reader or relay
+	QueryOtherZone        // query a node of another zone, or any node if none can be reached
+	QueryAnyNode          // query any node
 )
 
+// wideQueries are the queries in turn while the proof is older than widenAgeShare. Random nodes of all zones wouldn't do: while the store
+// rejects a whole zone, its nodes' proofs are equally old.
+var wideQueries = [...]Action{QueryOtherZone, QueryUpstream, QueryAnyNode}
+
 // Schedule decides when one node queries which kind of node. It isn't safe for concurrent use.
 type Schedule struct {
 	Bound time.Duration
 
 	lastRead, lastQuery time.Time
 	ownReadInterval     time.Duration // between calls to the store of a node that isn't a reader
-	wide                bool          // the last query went to any node
+	wideCount           int           // wide queries since the proof was last young enough
 }
 
 // Next returns what to do now, given the age of the youngest proof, if one is known, and whether the node is a reader.
@@ -57,11 +62,12 @@
 		return Wait
 	}
 	s.lastQuery = now
-	s.wide = age > s.fractionOfBound(widenAgeShare) && !s.wide
-	if s.wide {
-		return QueryAnyNode
+	if age <= s.fractionOfBound(widenAgeShare) {
+		s.wideCount = 0
+		return QueryUpstream
 	}
-	return QueryUpstream
+	s.wideCount++
+	return wideQueries[(s.wideCount-1)%len(wideQueries)]
 }
 
 // readDue reports whether to query the store now.
--- a/pkg/mesh/freshness_proof.go
+++ b/pkg/mesh/freshness_proof.go
@@ -67,8 +67,10 @@
 		startUnlessBusy(&n.proofs.reading, func() { n.readProofFromStore(ctx) })
 	case freshness.QueryUpstream:
 		startUnlessBusy(&n.proofs.requesting, func() { n.requestProof(ctx, n.randomReachableHost(roles.QueryTargets(n.ip))) })
+	case freshness.QueryOtherZone:
+		startUnlessBusy(&n.proofs.requesting, func() { n.requestProof(ctx, n.randomReachableNodeOutsideZone(ctx)) })
 	case freshness.QueryAnyNode:
-		startUnlessBusy(&n.proofs.requesting, func() { n.requestProof(ctx, n.randomReachableNode(ctx)) })
+		startUnlessBusy(&n.proofs.requesting, func() { n.requestProof(ctx, n.randomReachableNode(ctx, anyZone)) })
 	case freshness.Wait:
 	}
 }
@@ -94,11 +96,19 @@
 	return ""
 }
 
-// randomReachableNode returns a random reachable node of any zone other than this one, or "".
-func (n *Node) randomReachableNode(ctx context.Context) string {
+// randomReachableNodeOutsideZone returns a random reachable node of another zone; if there is none, of this zone; or "".
+func (n *Node) randomReachableNodeOutsideZone(ctx context.Context) string {
+	if host := n.randomReachableNode(ctx, otherZonesOnly); host != "" {
+		return host
+	}
+	return n.randomReachableNode(ctx, anyZone)
+}
+
+// randomReachableNode returns a random reachable node in the scope other than this one, or "".
+func (n *Node) randomReachableNode(ctx context.Context, scope zoneScope) string {
 	var hosts []string
 	if n.enqueueAndWait(ctx, func() {
-		for _, t := range n.exchangeTargets(announceFanout, anyZone) {
+		for _, t := range n.exchangeTargets(announceFanout, scope) {
 			hosts = append(hosts, t.host)
 		}
 	}) {
