Once-only: a late record without its answer isn't replayed as an empty one

What callers saw: nothing was reported; found by reading. A retry of once-only work whose answer is longer than 4 KB, or came while the memory of answers was full, got 200 with an empty body if the work was still running when its key range was handed over.

Cause: the next home recorded the answer of a late record as if a run of its own had ended: complete, though the previous home had sent only its status.

Evidence: TestLateAnswerTooLargeToRecordIsNotReplayed, which failed before at both checks: for the attempt that waited at the next home and for a later one.

Change: importAnswer leaves an answer that isn't complete as it is. Records that move with their range, not late, had kept the flag (read: importRecord).

--- a/pkg/onceonly/key_late.go
+++ b/pkg/onceonly/key_late.go
@@ -31,9 +31,7 @@
 		rec.State = hr.Record.State
 		rec.RunAt = Owner{}
 		rec.Until = now.Add(time.Duration(hr.LeftMS) * time.Millisecond)
-		if hr.Record.Answer != nil {
-			rec.Answer = m.recordAnswer(hr.Record.Answer)
-		}
+		rec.Answer = m.importAnswer(hr.Record.Answer)
 		m.expiries = append(m.expiries, expiry{rec.Until, key})
 		rec.release()
 	}
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -224,6 +224,14 @@
 	return &recorded
 }
 
+// importAnswer returns the answer to record for one that another home has recorded, or only its status.
+func (m *KeyMemory) importAnswer(a *RecordedAnswer) *RecordedAnswer {
+	if a == nil || !a.Complete {
+		return a
+	}
+	return m.recordAnswer(a)
+}
+
 // Settle answers an entry VM that is about to refuse the key: with what is known of it, or else by closing the key until closedUntil.
 func (m *KeyMemory) Settle(now time.Time, key KeyHash, token bool, closedUntil time.Time) Decision {
 	m.expireRecords(now)
