Once-only: answers that come with a handover count towards the bound

What callers saw: nothing. The bound on recorded answers (32 MiB by default) didn't hold after handovers: a home held what came with them on top, and its count fell below zero once they expired, which let in as much more. With many large answers the memory of a node grows beyond what its settings say.

Cause: Import put records without counting their answers; Drop, Forget and the expiry subtracted them.

Change: an imported answer is recorded like a late one, with its status only when there is no space; a record that is replaced gives its bytes back. The four subtractions are one function.

--- a/pkg/onceonly/key_expiry.go
+++ b/pkg/onceonly/key_expiry.go
@@ -40,9 +40,7 @@
 		rec.lose()
 	}
 	delete(m.recent, key)
-	if rec.Answer != nil && rec.Answer.Complete {
-		m.answerBytes -= len(rec.Answer.Body)
-	}
+	m.releaseAnswer(rec)
 	if rec.State == Closed {
 		return
 	}
--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -141,6 +141,10 @@
 	if rec.State == Running {
 		m.noteRunElsewhere(key)
 	}
+	if old, ok := m.recent[key]; ok {
+		m.releaseAnswer(old)
+	}
+	rec.Answer = m.importAnswer(rec.Answer)
 	m.put(key, &rec)
 	m.expiries = append(m.expiries, expiry{rec.Until, key})
 }
@@ -163,9 +167,7 @@
 	for key, rec := range m.recent {
 		if inRanges[key.Range()] && !rec.runsHere() && !rec.Pinned {
 			rec.release()
-			if rec.Answer != nil && rec.Answer.Complete {
-				m.answerBytes -= len(rec.Answer.Body)
-			}
+			m.releaseAnswer(rec)
 			delete(m.recent, key)
 		}
 	}
--- a/pkg/onceonly/key_late.go
+++ b/pkg/onceonly/key_late.go
@@ -44,9 +44,7 @@
 	if !ok || rec.State == Running {
 		return
 	}
-	if rec.Answer != nil && rec.Answer.Complete {
-		m.answerBytes -= len(rec.Answer.Body)
-	}
+	m.releaseAnswer(rec)
 	delete(m.recent, key)
 }
 
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -232,6 +232,13 @@
 	return m.recordAnswer(a)
 }
 
+// releaseAnswer subtracts the bytes of the record's answer, which is no longer held.
+func (m *KeyMemory) releaseAnswer(rec *Record) {
+	if rec.Answer != nil && rec.Answer.Complete {
+		m.answerBytes -= len(rec.Answer.Body)
+	}
+}
+
 // Settle answers an entry VM that is about to refuse the key: with what is known of it, or else by closing the key until closedUntil.
 func (m *KeyMemory) Settle(now time.Time, key KeyHash, token bool, closedUntil time.Time) Decision {
 	m.expireRecords(now)
