--- a/pkg/onceonly/range_handover.go
+++ b/pkg/onceonly/range_handover.go
@@ -38,24 +38,12 @@
 
 // Idle returns those of the ranges that this node owns and doesn't hand over.
 func (h *Home) Idle(ranges []int) []int {
-	var list []int
-	for _, r := range ranges {
-		if h.Owns(r) && h.next[r] == (Owner{}) {
-			list = append(list, r)
-		}
-	}
-	return list
+	return filterRanges(ranges, func(r int) bool { return h.Owns(r) && h.next[r] == Owner{} })
 }
 
 // Unsent returns those of the ranges that belong to the next owner by the row while their memory is still here.
 func (h *Home) Unsent(ranges []int, to Owner) []int {
-	var list []int
-	for _, r := range ranges {
-		if h.owned[r] && h.next[r] == to && h.row.Owners[r] == to {
-			list = append(list, r)
-		}
-	}
-	return list
+	return filterRanges(ranges, func(r int) bool { return h.owned[r] && h.next[r] == to && h.row.Owners[r] == to })
 }
 
 // UnsentBatches returns Unsent in parts of at most maxKeys keys each, or of one range that has more.
@@ -76,14 +64,17 @@
 }
 
 // Open returns those of the ranges for which the node accepts attempts.
-func (h *Home) Open(ranges []int) []int {
-	var list []int
+func (h *Home) Open(ranges []int) []int { return filterRanges(ranges, h.Owns) }
+
+// filterRanges returns the ranges for which keep returns true.
+func filterRanges(ranges []int, keep func(r int) bool) []int {
+	var kept []int
 	for _, r := range ranges {
-		if h.Owns(r) {
-			list = append(list, r)
+		if keep(r) {
+			kept = append(kept, r)
 		}
 	}
-	return list
+	return kept
 }
 
 // Release ends this node's being the home of ranges whose memory is at the next owner.
@@ -106,13 +97,9 @@
 // NotAnnounced returns those of the ranges that this node neither awaits nor has received by the handover.
 func (h *Home) NotAnnounced(ranges []int, from Owner, id string) []int {
 	a := announcement{from, id}
-	var list []int
-	for _, r := range ranges {
-		if r < 0 || r >= NumRanges || (h.previous[r] != a && h.received[r] != a) {
-			list = append(list, r)
-		}
-	}
-	return list
+	return filterRanges(ranges, func(r int) bool {
+		return r < 0 || r >= NumRanges || (h.previous[r] != a && h.received[r] != a)
+	})
 }
 
 // Announce notes that an owner hands the ranges over to this node; the error is a *HandoverStateError if this node owns one of them.
