Once-only: the memory of keys is held by range

What callers saw: attempts under keys wait while their home reads its whole memory under the lock, twice for each message of a handover.

Cause: one map of all records and one map for each generation of expired keys; Export, Drop and the sizes of messages looked at each key for its range.

Change: keyTable holds the keys by range.

--- a/pkg/onceonly/key_answer_test.go
+++ b/pkg/onceonly/key_answer_test.go
@@ -52,11 +52,13 @@
 		c.Check(to.Counts().AnswerBytes, qt.Equals, kept*size)
 	}
 	complete := 0
-	for _, rec := range to.recent {
-		if rec.Answer.Complete {
-			complete++
+	for r := range NumRanges {
+		for _, rec := range to.recent.inRange(r) {
+			if rec.Answer.Complete {
+				complete++
+			}
+			c.Check(rec.Answer.Status, qt.Equals, 200)
 		}
-		c.Check(rec.Answer.Status, qt.Equals, 200)
 	}
 	c.Check(complete, qt.Equals, kept)
 	from.Drop(all)
--- a/pkg/onceonly/key_expiry.go
+++ b/pkg/onceonly/key_expiry.go
@@ -10,11 +10,11 @@
 // ensureCapacity drops the oldest generations of expired keys until one more key fits in MaxKeys, and reports whether it fits. Records
 // within their retry window are never dropped.
 func (m *KeyMemory) ensureCapacity() bool {
-	for len(m.recent)+m.expiredKeys >= m.maxKeys() && len(m.expired) > 0 {
-		m.expiredKeys -= len(m.expired[0])
+	for m.recent.size+m.expiredKeys >= m.maxKeys() && len(m.expired) > 0 {
+		m.expiredKeys -= m.expired[0].size
 		m.expired = m.expired[1:]
 	}
-	return len(m.recent)+m.expiredKeys < m.maxKeys()
+	return m.recent.size+m.expiredKeys < m.maxKeys()
 }
 
 // expireRecords replaces records whose retry window has ended by expired keys, of which only the state is held.
@@ -32,34 +32,34 @@
 
 // expireRecord replaces a record by an expired key if its time has passed; a closed key is dropped.
 func (m *KeyMemory) expireRecord(now time.Time, key KeyHash) {
-	rec, ok := m.recent[key]
+	rec, ok := m.recent.get(key)
 	if !ok || rec.runsHere() || rec.Until.After(now) {
 		return
 	}
 	if rec.State == Running {
 		rec.lose()
 	}
-	delete(m.recent, key)
+	m.recent.remove(key)
 	m.releaseAnswer(rec)
 	if rec.State == Closed {
 		return
 	}
 	if len(m.expired) == 0 || now.Sub(m.newestExpiredStart) >= time.Hour {
-		m.expired = append(m.expired, map[KeyHash]State{})
+		m.expired = append(m.expired, &keyTable[State]{})
 		m.newestExpiredStart = now
 	}
 	if len(m.expired) > maxExpiredGenerations {
-		m.expiredKeys -= len(m.expired[0])
+		m.expiredKeys -= m.expired[0].size
 		m.expired = m.expired[1:]
 	}
-	m.expired[len(m.expired)-1][key] = rec.State
+	m.expired[len(m.expired)-1].put(key, rec.State)
 	m.expiredKeys++
 }
 
 // expiredState returns the state of an expired key, and false if the key isn't among them.
 func (m *KeyMemory) expiredState(key KeyHash) (State, bool) {
 	for _, g := range m.expired {
-		if st, ok := g[key]; ok {
+		if st, ok := g.get(key); ok {
 			return st, true
 		}
 	}
@@ -76,7 +76,7 @@
 
 // Knows reports whether the memory holds a record or an expired state of the key.
 func (m *KeyMemory) Knows(key KeyHash) bool {
-	if _, ok := m.recent[key]; ok {
+	if _, ok := m.recent.get(key); ok {
 		return true
 	}
 	_, ok := m.expiredState(key)
--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -45,28 +45,18 @@
 // Export returns h with the keys of its ranges added. Unless h is live, a running key is exported as Uncertain, because it must not run
 // again; keys of tokens are left out, as they belong to this home.
 func (m *KeyMemory) Export(now time.Time, h Handover) Handover {
-	inRanges := rangeSet(h.Ranges)
 	h.QuietMS = map[int]int64{}
-	for r := range inRanges {
+	for _, r := range h.Ranges {
 		if left := m.quietUntil[r].Sub(now); left > 0 {
 			h.QuietMS[r] = left.Milliseconds() + 1
 		}
-	}
-	for key, rec := range m.recent {
-		if !inRanges[key.Range()] || rec.Pinned {
-			continue
-		}
-		out := Record{State: rec.State, Fingerprint: rec.Fingerprint, Answer: rec.Answer, RunAt: rec.RunAt}
-		left := rec.Until.Sub(now)
-		if rec.State == Running {
-			out = m.exportRunning(rec, h)
-			left = m.window()
+		for key, rec := range m.recent.inRange(r) {
+			if !rec.Pinned {
+				h.Records = append(h.Records, m.exportRecord(now, key, rec, h))
+			}
 		}
-		h.Records = append(h.Records, HandoverRecord{hex.EncodeToString(key[:]), out, left.Milliseconds() + 1})
-	}
-	for _, g := range m.expired {
-		for key, st := range g {
-			if inRanges[key.Range()] {
+		for _, g := range m.expired {
+			for key, st := range g.inRange(r) {
 				h.Expired = append(h.Expired, HandoverExpired{hex.EncodeToString(key[:]), st})
 			}
 		}
@@ -74,6 +64,17 @@
 	return h
 }
 
+// exportRecord returns a key's record for the message.
+func (m *KeyMemory) exportRecord(now time.Time, key KeyHash, rec *Record, h Handover) HandoverRecord {
+	out := Record{State: rec.State, Fingerprint: rec.Fingerprint, Answer: rec.Answer, RunAt: rec.RunAt}
+	left := rec.Until.Sub(now)
+	if rec.State == Running {
+		out = m.exportRunning(rec, h)
+		left = m.window()
+	}
+	return HandoverRecord{hex.EncodeToString(key[:]), out, left.Milliseconds() + 1}
+}
+
 // exportRunning returns the record of a run in progress for the message.
 func (m *KeyMemory) exportRunning(rec *Record, h Handover) Record {
 	if !h.Live {
@@ -132,7 +133,7 @@
 // known better here.
 func (m *KeyMemory) importRecord(key KeyHash, rec Record, to Owner) {
 	if rec.State == Running && rec.RunAt == to {
-		if _, ok := m.recent[key]; ok {
+		if _, ok := m.recent.get(key); ok {
 			return
 		}
 		rec.State = Uncertain
@@ -141,7 +142,7 @@
 	if rec.State == Running {
 		m.noteRunElsewhere(key)
 	}
-	if old, ok := m.recent[key]; ok {
+	if old, ok := m.recent.get(key); ok {
 		m.releaseAnswer(old)
 	}
 	rec.Answer = m.importAnswer(rec.Answer)
@@ -152,47 +153,47 @@
 // importExpired adds an expired key to the oldest generation, so that many handovers make no more generations than are held.
 func (m *KeyMemory) importExpired(key KeyHash, st State) {
 	if len(m.expired) == 0 {
-		m.expired = append(m.expired, map[KeyHash]State{})
-	}
-	if _, ok := m.expired[0][key]; !ok {
-		m.expiredKeys++
+		m.expired = append(m.expired, &keyTable[State]{})
 	}
-	m.expired[0][key] = st
+	before := m.expired[0].size
+	m.expired[0].put(key, st)
+	m.expiredKeys += m.expired[0].size - before
 }
 
 // Drop removes the records of the ranges after their handover, except those of calls that run here and of tokens. Attempts that wait for
 // a run elsewhere are released with its record as it is, still running.
 func (m *KeyMemory) Drop(ranges []int) {
-	inRanges := rangeSet(ranges)
-	for key, rec := range m.recent {
-		if inRanges[key.Range()] && !rec.runsHere() && !rec.Pinned {
-			rec.release()
-			m.releaseAnswer(rec)
-			delete(m.recent, key)
+	for _, r := range ranges {
+		for key, rec := range m.recent.inRange(r) {
+			if !rec.runsHere() && !rec.Pinned {
+				rec.release()
+				m.releaseAnswer(rec)
+				m.recent.remove(key)
+			}
 		}
 	}
 }
 
 // CountRunning returns the number of running calls in the ranges, tokens aside.
 func (m *KeyMemory) CountRunning(ranges []int) int {
-	inRanges := rangeSet(ranges)
 	n := 0
-	for key, rec := range m.recent {
-		if rec.State == Running && inRanges[key.Range()] && !rec.Pinned {
-			n++
+	for _, r := range ranges {
+		for _, rec := range m.recent.inRange(r) {
+			if rec.State == Running && !rec.Pinned {
+				n++
+			}
 		}
 	}
 	return n
 }
 
-// countByRange returns the number of records in each range, tokens aside.
-func (m *KeyMemory) countByRange() (counts [NumRanges]int) {
-	for key, rec := range m.recent {
-		if !rec.Pinned {
-			counts[key.Range()]++
-		}
+// countKeys returns the number of records and expired keys of the range.
+func (m *KeyMemory) countKeys(r int) int {
+	n := len(m.recent.inRange(r))
+	for _, g := range m.expired {
+		n += len(g.inRange(r))
 	}
-	return counts
+	return n
 }
 
 // rangeSet returns the ranges as a set.
--- a/pkg/onceonly/key_late.go
+++ b/pkg/onceonly/key_late.go
@@ -7,7 +7,7 @@
 
 // ExportLate returns h with the record of one key whose run ended after its range had left; it reports false if there is none.
 func (m *KeyMemory) ExportLate(now time.Time, key KeyHash, h Handover) (Handover, bool) {
-	rec, ok := m.recent[key]
+	rec, ok := m.recent.get(key)
 	if !ok || rec.State == Running {
 		return h, false
 	}
@@ -24,7 +24,7 @@
 		if err != nil {
 			return err
 		}
-		rec, ok := m.recent[key]
+		rec, ok := m.recent.get(key)
 		if !ok || rec.State != Running || rec.RunAt != h.From {
 			continue
 		}
@@ -40,19 +40,19 @@
 
 // Forget removes the record of a key whose range has left, once its next owner has it.
 func (m *KeyMemory) Forget(key KeyHash) {
-	rec, ok := m.recent[key]
+	rec, ok := m.recent.get(key)
 	if !ok || rec.State == Running {
 		return
 	}
 	m.releaseAnswer(rec)
-	delete(m.recent, key)
+	m.recent.remove(key)
 }
 
 // LoseRuns makes the records of runs uncertain that were in progress at earlier owners which are lost, and returns their number.
 func (m *KeyMemory) LoseRuns(now time.Time, lost func(Owner) bool) int {
 	n := 0
 	for key := range m.elsewhere {
-		rec, ok := m.recent[key]
+		rec, ok := m.recent.get(key)
 		if !ok || rec.State != Running || rec.RunAt == (Owner{}) {
 			delete(m.elsewhere, key)
 			continue
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -89,9 +89,9 @@
 	MaxKeys     int           // most records and expired keys together
 	AnswerBytes int           // most bytes of recorded bodies together
 
-	recent             map[KeyHash]*Record
+	recent             keyTable[*Record]
 	expiries           []expiry // oldest first
-	expired            []map[KeyHash]State
+	expired            []*keyTable[State]
 	newestExpiredStart time.Time
 	expiredKeys        int
 	answerBytes        int
@@ -139,7 +139,7 @@
 // have run.
 func (m *KeyMemory) Begin(now time.Time, key KeyHash, fingerprint uint64, token bool) Decision {
 	m.expireRecords(now)
-	if rec, ok := m.recent[key]; ok && !(rec.State == Closed && !now.Before(rec.Until)) {
+	if rec, ok := m.recent.get(key); ok && !(rec.State == Closed && !now.Before(rec.Until)) {
 		return m.decideKnown(now, rec, fingerprint)
 	}
 	if st, ok := m.expiredState(key); ok {
@@ -178,7 +178,7 @@
 
 // Wait arranges that fn is called with the record when the key's running call ends, and reports false if none is running.
 func (m *KeyMemory) Wait(key KeyHash, fn func(Record)) bool {
-	rec, ok := m.recent[key]
+	rec, ok := m.recent.get(key)
 	if !ok || rec.State != Running {
 		return false
 	}
@@ -189,7 +189,7 @@
 // Finish records how a run ended. If it certainly didn't run, the key is closed until closedUntil, when every attempt in flight has
 // passed its deadline. It reports true if the key's range was handed over meanwhile, so that the record must follow.
 func (m *KeyMemory) Finish(now time.Time, key KeyHash, outcome wire.Outcome, answer *RecordedAnswer, closedUntil time.Time) bool {
-	rec, ok := m.recent[key]
+	rec, ok := m.recent.get(key)
 	if !ok || rec.State != Running {
 		return false
 	}
@@ -242,7 +242,7 @@
 // Settle answers an entry VM that is about to refuse the key: with what is known of it, or else by closing the key until closedUntil.
 func (m *KeyMemory) Settle(now time.Time, key KeyHash, token bool, closedUntil time.Time) Decision {
 	m.expireRecords(now)
-	if rec, ok := m.recent[key]; ok {
+	if rec, ok := m.recent.get(key); ok {
 		switch rec.State {
 		case Closed:
 			if closedUntil.After(rec.Until) {
@@ -274,10 +274,7 @@
 
 // put sets the key's record.
 func (m *KeyMemory) put(key KeyHash, rec *Record) {
-	if m.recent == nil {
-		m.recent = map[KeyHash]*Record{}
-	}
-	m.recent[key] = rec
+	m.recent.put(key, rec)
 }
 
 // Counts holds the sizes of a KeyMemory.
@@ -290,10 +287,12 @@
 
 // Counts returns the numbers of keys and the bytes of recorded bodies.
 func (m *KeyMemory) Counts() Counts {
-	c := Counts{Recent: len(m.recent), Expired: m.expiredKeys, AnswerBytes: m.answerBytes}
-	for _, rec := range m.recent {
-		if rec.State == Running {
-			c.Running++
+	c := Counts{Recent: m.recent.size, Expired: m.expiredKeys, AnswerBytes: m.answerBytes}
+	for r := range NumRanges {
+		for _, rec := range m.recent.inRange(r) {
+			if rec.State == Running {
+				c.Running++
+			}
 		}
 	}
 	return c
--- a/pkg/onceonly/range_handover.go
+++ b/pkg/onceonly/range_handover.go
@@ -48,17 +48,17 @@
 
 // UnsentBatches returns Unsent in parts of at most maxKeys keys each, or of one range that has more.
 func (h *Home) UnsentBatches(ranges []int, to Owner, maxKeys int) [][]int {
-	keys := h.Memory.countByRange()
 	var batches [][]int
 	size := 0
 	for _, r := range h.Unsent(ranges, to) {
-		if len(batches) == 0 || size+keys[r] > maxKeys {
+		keys := h.Memory.countKeys(r)
+		if len(batches) == 0 || size+keys > maxKeys {
 			batches = append(batches, nil)
 			size = 0
 		}
 		last := len(batches) - 1
 		batches[last] = append(batches[last], r)
-		size += keys[r]
+		size += keys
 	}
 	return batches
 }
