Node: a retry goes to the servers of the configuration in force

What callers saw: nothing; found by a search for the class of (a decision by two configurations). After an edit of a policy's targets a server that the traffic had left got retries of calls made before, for as long as their timeout.

Cause: a call kept the treatment by which it was made; only if that named no server was it resolved again.

Evidence: TestRetryGoesToTheServersOfTheNewestConfiguration, which failed before: picked "a", the new targets are "b".

Change: pickForCall resolves the treatment by the plan in force before each attempt, some map look-ups and comparisons. A treatment of another service, or that differs in being once-only, isn't taken, as before.

--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -107,12 +107,12 @@
 	}
 }
 
-// pickForCall chooses a server for a call. If there is none by a treatment of a plan that is no longer in force, it chooses by the newest.
+// pickForCall chooses a server for an attempt by the plan in force: since the call was made or last tried, an edit may have moved its traffic.
 func (n *Node) pickForCall(now time.Time, s *outgoingCall, tried []*routing.Server) (*routing.Server, routing.Outcome) {
-	p := s.call.Priority.AtDepth(s.call.Depth + 1)
-	srv, found := n.pickServer(now, s.treatment, p, tried)
+	n.resolveAnew(s)
+	srv, found := n.pickServer(now, s.treatment, s.call.Priority.AtDepth(s.call.Depth+1), tried)
 	if found == routing.NoServer && n.resolveAnew(s) {
-		return n.pickServer(now, s.treatment, p, tried)
+		return n.pickForCall(now, s, tried)
 	}
 	return srv, found
 }
--- a/pkg/node/config_swap_test.go
+++ b/pkg/node/config_swap_test.go
@@ -103,6 +103,19 @@
 	c.Assert(found, qt.Equals, routing.Picked)
 }
 
+// TestRetryGoesToTheServersOfTheNewestConfiguration guards against attempts at servers from which an edit has moved the traffic.
+func TestRetryGoesToTheServersOfTheNewestConfiguration(t *testing.T) {
+	c := qt.New(t)
+	s := newSwapTest(t)
+	s.put(c, 1, "dc=one", "one", "two")
+	q := &request{method: http.MethodGet, host: "front", uri: "/", path: "/", header: http.Header{}}
+	call := &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
+	s.put(c, 2, "dc=two", "one", "two")
+	srv, found := s.n.pickForCall(time.Now(), call, nil)
+	c.Assert(found, qt.Equals, routing.Picked)
+	c.Assert(srv.VM, qt.Equals, "b")
+}
+
 // TestTokenIsIssuedByTheNewestConfiguration is the same for once-only work that needs a token.
 func TestTokenIsIssuedByTheNewestConfiguration(t *testing.T) {
 	c := qt.New(t)
