--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -146,7 +146,7 @@
 		m.releaseAnswer(old)
 	}
 	rec.Answer = m.importAnswer(rec.Answer)
-	m.put(key, &rec)
+	m.recent.put(key, &rec)
 	m.expiries = append(m.expiries, expiry{rec.Until, key})
 }
 
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -154,7 +154,7 @@
 	if !m.ensureCapacity() {
 		return Decision{Action: Refuse, Outcome: wire.NotRun, Reason: wire.ReasonKeyMemoryFull, RetryAfter: time.Second}
 	}
-	m.put(key, &Record{State: Running, Fingerprint: fingerprint, Pinned: token})
+	m.recent.put(key, &Record{State: Running, Fingerprint: fingerprint, Pinned: token})
 	return Decision{Action: Run}
 }
 
@@ -267,16 +267,11 @@
 	if !m.ensureCapacity() {
 		return Decision{Action: Refuse, Outcome: wire.Unknown, Reason: wire.ReasonKeyMemoryFull}
 	}
-	m.put(key, &Record{State: Closed, Until: closedUntil, Pinned: token})
+	m.recent.put(key, &Record{State: Closed, Until: closedUntil, Pinned: token})
 	m.expiries = append(m.expiries, expiry{closedUntil, key})
 	return Decision{Action: Refuse, Outcome: wire.NotRun, Reason: wire.ReasonKeyClosed, RetryAfter: closedUntil.Sub(now)}
 }
 
-// put sets the key's record.
-func (m *KeyMemory) put(key KeyHash, rec *Record) {
-	m.recent.put(key, rec)
-}
-
 // Counts holds the sizes of a KeyMemory.
 type Counts struct {
 	Recent      int `json:"recent"`
