--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -96,7 +96,8 @@
 		Outcome: a.outcome, Reason: a.reason, RefusedByServer: a.arrived,
 		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5),
 		Success: int(g.SuccessShare*(1-g.ShedShare)*100 + 0.5), Stopping: n.stop.stopping(), NotListening: a.notListening, Version: n.stateVersion(),
-		CrashedLifetime: a.crashedLifetime, HasCrashSuccess: a.crashedLifetime != "", CrashSuccess: a.crashSuccess, RetryAfter: a.retryAfter, Notice: n.newNotice(now, at, rate, leaving),
+		CrashedLifetime: a.crashedLifetime, HasCrashSuccess: a.crashedLifetime != "", CrashSuccess: a.crashSuccess,
+		RetryAfter: a.retryAfter, Notice: n.newNotice(now, at, rate, leaving),
 	}
 }
 
--- a/pkg/node/call_startup.go
+++ b/pkg/node/call_startup.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
 const (
@@ -24,9 +22,6 @@
 // awaitServers waits until this node knows the servers, at most for startupWait.
 func (n *Node) awaitServers(ctx context.Context) {
 	end := n.clock.Now().Add(startupWait)
-	for !n.knowsServers() && n.clock.Now().Before(end) {
-		if !clock.Sleep(ctx, startupPollInterval) {
-			return
-		}
+	for !n.knowsServers() && n.sleep(ctx, startupPollInterval, end) {
 	}
 }
--- a/pkg/node/config_swap_test.go
+++ b/pkg/node/config_swap_test.go
@@ -76,6 +76,12 @@
 	s.n.publishSnapshot(s.state)
 }
 
+// newCall returns a call to the service, by the configuration in force.
+func (s *swapTest) newCall(method string) *outgoingCall {
+	q := &request{method: method, host: "front", uri: "/", path: "/", header: http.Header{}}
+	return &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
+}
+
 // TestOnceOnlyRunIsNotRefusedByAReplacedConfiguration guards against a decision that takes the treatment from one
 // configuration and the servers from the next.
 func TestOnceOnlyRunIsNotRefusedByAReplacedConfiguration(t *testing.T) {
@@ -96,8 +102,7 @@
 	c := qt.New(t)
 	s := newSwapTest(t)
 	s.put(c, 1, "dc=old", "old", "old")
-	q := &request{method: http.MethodGet, host: "front", uri: "/", path: "/", header: http.Header{}}
-	call := &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
+	call := s.newCall(http.MethodGet)
 	s.put(c, 2, "dc=renamed", "renamed", "renamed")
 	_, found := s.n.pickForCall(time.Now(), call, nil)
 	c.Assert(found, qt.Equals, routing.Picked)
@@ -108,8 +113,7 @@
 	c := qt.New(t)
 	s := newSwapTest(t)
 	s.put(c, 1, "dc=one", "one", "two")
-	q := &request{method: http.MethodGet, host: "front", uri: "/", path: "/", header: http.Header{}}
-	call := &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
+	call := s.newCall(http.MethodGet)
 	s.put(c, 2, "dc=two", "one", "two")
 	srv, found := s.n.pickForCall(time.Now(), call, nil)
 	c.Assert(found, qt.Equals, routing.Picked)
@@ -122,8 +126,7 @@
 	s := newSwapTest(t)
 	s.put(c, 1, "dc=old", "old", "old")
 	s.state.merge(exchange{Nodes: []member.NodeInfo{{VM: "b", Incarnation: "0000000000001-abcdefgh"}}})
-	q := &request{method: http.MethodPost, host: "front", uri: "/", path: "/", header: http.Header{}}
-	call := &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
+	call := s.newCall(http.MethodPost)
 	s.put(c, 2, "dc=renamed", "renamed", "renamed")
 	_, ok := s.n.newTokenFor(call)
 	c.Assert(ok, qt.IsTrue)
--- a/pkg/node/control_handover.go
+++ b/pkg/node/control_handover.go
@@ -33,21 +33,24 @@
 // handOverAnnounced changes the row and starts sending the memory. The error is a *HandoverError if no range changed its owner, or that of
 // the commit.
 func (n *Node) handOverAnnounced(ctx context.Context, vm member.VM, msg onceonly.Handover) error {
-	var row onceonly.OwnerRow
-	n.home.with(func(h *onceonly.Home) { row = h.Row() })
+	row := n.row()
 	changed, ok := row.HandOver(msg.Ranges, msg.From, msg.To)
 	if !ok {
 		n.home.with(func(h *onceonly.Home) { h.EndHandover(msg.Ranges) })
 		return &HandoverError{"the ranges now have another owner"}
 	}
-	if err := n.commitAnnounced(ctx, changed, msg.Ranges); err != nil {
+	_, err := n.commitUntilKnown(ctx, changed)
+	if hadNoEffect(err) {
+		n.home.with(func(h *onceonly.Home) { h.EndHandover(msg.Ranges) })
+	}
+	if err != nil {
 		return err
 	}
 	moved := 0
 	n.home.with(func(h *onceonly.Home) {
 		unsent := h.Unsent(msg.Ranges, msg.To)
 		moved = len(unsent)
-		h.EndUnchanged(msg.Ranges)
+		h.EndHandover(msg.Ranges)
 	})
 	if moved == 0 {
 		return &HandoverError{"another change of the row came first"}
@@ -57,38 +60,39 @@
 	return nil
 }
 
-// commitAnnounced commits the changed row until it is known whether the table holds it, and adopts what it holds. This node serves the
-// ranges meanwhile. The error is that of a commit which certainly had no effect, or of the context.
-func (n *Node) commitAnnounced(ctx context.Context, changed onceonly.OwnerRow, ranges []int) error {
+// commitUntilKnown commits the changed row until it is known what the table holds, adopts that and returns it. The error is that of a commit
+// which certainly had no effect (hadNoEffect), or of the context.
+func (n *Node) commitUntilKnown(ctx context.Context, changed onceonly.OwnerRow) (onceonly.OwnerRow, error) {
 	inDoubt := false
 	for {
 		have, err := n.commitRow(ctx, changed)
 		if err == nil {
-			return n.adoptRow(ctx, have)
+			return have, n.adoptRow(ctx, have)
 		}
-		var refused *store.RefusedError
-		inDoubt = inDoubt || !errors.As(err, &refused)
+		inDoubt = inDoubt || !hadNoEffect(err)
 		if !inDoubt {
-			n.home.with(func(h *onceonly.Home) { h.EndHandover(ranges) })
-			return fmt.Errorf("row of %s: %w", changed.Service, err)
+			return have, fmt.Errorf("row of %s: %w", changed.Service, err)
 		}
 		n.log.once.Warn("unknown whether key ranges changed their owner", "version", changed.Version, "err", err)
 		if !clock.Sleep(ctx, platformRetryPause) {
-			return ctx.Err()
+			return have, ctx.Err()
 		}
-		if n.rowVersion() >= changed.Version {
-			return nil // a peer had the row
+		if row := n.row(); row.Version >= changed.Version {
+			return row, nil // a peer had the row
 		}
 	}
 }
 
-// rowVersion returns the version of the newest row of key ranges that this home applied.
-func (n *Node) rowVersion() (version int64) {
-	n.home.with(func(h *onceonly.Home) {
-		row := h.Row()
-		version = row.Version
-	})
-	return version
+// hadNoEffect tells whether the error of a commit says that it certainly had no effect.
+func hadNoEffect(err error) bool {
+	var refused *store.RefusedError
+	return errors.As(err, &refused)
+}
+
+// row returns the newest row of key ranges that this home applied.
+func (n *Node) row() (row onceonly.OwnerRow) {
+	n.home.with(func(h *onceonly.Home) { row = h.Row() })
+	return row
 }
 
 // maxTransferKeys bounds the keys in one message of a handover, unless a single range has more: some megabytes, which are sent in a
--- a/pkg/node/control_handover_messages.go
+++ b/pkg/node/control_handover_messages.go
@@ -63,7 +63,7 @@
 	if err := n.checkHandover(h); err != nil {
 		return handoverReply{}, err
 	}
-	if h.Row != nil && n.rowVersion() < h.Row.Version {
+	if h.Row != nil && n.row().Version < h.Row.Version {
 		if err := n.adoptRow(ctx, *h.Row); err != nil {
 			return handoverReply{}, err
 		}
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -13,7 +11,6 @@
 	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/routing"
-	"github.com/rockspoke/rockspoke/pkg/store"
 )
 
 // The timing of key range changes: the period of checks, the longest wait for all nodes of a new service, and how much
@@ -273,37 +270,17 @@
 	return onceonly.Owner{VM: n.cfg.VM, Incarnation: n.incarnation}
 }
 
-// commitHandover commits the changed row and retries until it is known what the table holds. It reopens the ranges here
-// only after a commit that certainly had no effect, if no commit before it is in doubt.
+// commitHandover commits the changed row and reopens the ranges here once it is known what the table holds, or that the commit had no effect.
+// The error is a *HandoverError if another change of the row came first, or that of the commit.
 func (n *Node) commitHandover(ctx context.Context, changed onceonly.OwnerRow, ranges []int) error {
-	inDoubt := false
-	for {
-		have, err := n.commitRow(ctx, changed)
-		if err == nil {
-			return n.finishHandover(ctx, have, changed, ranges)
-		}
-		var refused *store.RefusedError
-		if !errors.As(err, &refused) {
-			inDoubt = true
-		}
-		if !inDoubt {
-			n.home.with(func(h *onceonly.Home) { h.ReopenRanges(ranges) })
-			return fmt.Errorf("row of %s: %w", changed.Service, err)
-		}
-		if !clock.Sleep(ctx, platformRetryPause) {
-			return ctx.Err()
-		}
+	have, err := n.commitUntilKnown(ctx, changed)
+	if err == nil || hadNoEffect(err) {
+		n.home.with(func(h *onceonly.Home) { h.ReopenRanges(ranges) })
 	}
-}
-
-// finishHandover adopts the row in the table and reopens the ranges; the error is a *HandoverError if another change
-// of the row came first.
-func (n *Node) finishHandover(ctx context.Context, have, changed onceonly.OwnerRow, ranges []int) error {
-	if err := n.adoptRow(ctx, have); err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	n.home.with(func(h *onceonly.Home) { h.ReopenRanges(ranges) })
-	if have != changed {
+	case have != changed:
 		return &HandoverError{"another change of the row came first"}
 	}
 	n.log.once.Info("key ranges handed over", "ranges", len(ranges), "version", changed.Version)
--- a/pkg/onceonly/range_handover.go
+++ b/pkg/onceonly/range_handover.go
@@ -20,15 +20,8 @@
 	return true
 }
 
-// EndHandover takes BeginHandover back for ranges whose owner certainly didn't change.
+// EndHandover takes BeginHandover back for those of the ranges that the row still gives to this node.
 func (h *Home) EndHandover(ranges []int) {
-	for _, r := range ranges {
-		h.next[r] = Owner{}
-	}
-}
-
-// EndUnchanged takes BeginHandover back for those of the ranges that the row still gives to this node.
-func (h *Home) EndUnchanged(ranges []int) {
 	for _, r := range ranges {
 		if h.row.Owners[r].Is(h.VM, h.Incarnation) {
 			h.next[r] = Owner{}
--- a/pkg/onceonly/range_handover_test.go
+++ b/pkg/onceonly/range_handover_test.go
@@ -26,6 +26,16 @@
 	running   map[KeyHash]*Home
 }
 
+// newHandoverSimulation returns a simulation of n homes.
+func newHandoverSimulation(n int) *handoverSimulation {
+	s := &handoverSimulation{running: map[KeyHash]*Home{}}
+	s.simulation = simulation{homes: make([]*Home, n), ran: map[KeyHash]int{}, now: startTime}
+	for i := range n {
+		s.start(i)
+	}
+	return s
+}
+
 // me returns a home as an owner.
 func (h *Home) me() Owner { return Owner{VM: h.VM, Incarnation: h.Incarnation} }
 
@@ -109,11 +119,7 @@
 func TestKeyRunsOnceWhileItsRangeIsHandedOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const n = 3
-		s := &handoverSimulation{running: map[KeyHash]*Home{}}
-		s.simulation = simulation{homes: make([]*Home, n), ran: map[KeyHash]int{}, now: startTime}
-		for i := range n {
-			s.start(i)
-		}
+		s := newHandoverSimulation(n)
 		s.row = NewOwnerRow(service, []Node{s.node(0), s.node(1), s.node(2)})
 		keys := make([]KeyHash, 4)
 		for i := range keys {
@@ -204,10 +210,7 @@
 
 func TestRangeIsServedWhileItsOwnerChanges(t *testing.T) {
 	c := qt.New(t)
-	s := &handoverSimulation{running: map[KeyHash]*Home{}}
-	s.simulation = simulation{homes: make([]*Home, 2), ran: map[KeyHash]int{}, now: startTime}
-	s.start(0)
-	s.start(1)
+	s := newHandoverSimulation(2)
 	from, to := s.homes[0], s.homes[1]
 	s.row = NewOwnerRow(service, []Node{s.node(0)})
 	from.Adopt(startTime, s.row)
@@ -253,10 +256,7 @@
 // handover, while the previous owner still serves it.
 func TestLateMessageOfAnEarlierHandoverOpensNoRange(t *testing.T) {
 	c := qt.New(t)
-	s := &handoverSimulation{running: map[KeyHash]*Home{}}
-	s.simulation = simulation{homes: make([]*Home, 2), ran: map[KeyHash]int{}, now: startTime}
-	s.start(0)
-	s.start(1)
+	s := newHandoverSimulation(2)
 	a, b := s.homes[0], s.homes[1]
 	s.row = NewOwnerRow(service, []Node{s.node(0)})
 	a.Adopt(startTime, s.row)
