--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -247,7 +247,7 @@
 	tried := n.localServers()
 	for i := range maxDelegates {
 		now := n.clock.Now()
-		s, outcome := n.pickServer(now, t, in.call.Priority, tried)
+		s, outcome := n.pickServer(n.snapshot.Load(), now, t, in.call.Priority, tried)
 		if outcome != routing.Picked {
 			n.log.once.Info("no server to delegate to", "request", in.call.RootID, "tried", len(tried), "version", n.snapshot.Load().version(),
 				"reason", a.meta.Reason)
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -109,17 +109,13 @@
 
 // pickForCall chooses a server for an attempt by the plan in force: since the call was made or last tried, an edit may have moved its traffic.
 func (n *Node) pickForCall(now time.Time, s *outgoingCall, tried []*routing.Server) (*routing.Server, routing.Outcome) {
-	n.resolveAnew(s)
-	srv, found := n.pickServer(now, s.treatment, s.call.Priority.AtDepth(s.call.Depth+1), tried)
-	if found == routing.NoServer && n.resolveAnew(s) {
-		return n.pickForCall(now, s, tried)
-	}
-	return srv, found
+	snap := n.snapshot.Load()
+	s.resolveBy(snap.plan)
+	return n.pickServer(snap, now, s.treatment, s.call.Priority.AtDepth(s.call.Depth+1), tried)
 }
 
-// resolveAnew replaces a call's treatment by that of the plan in force; it reports whether that is another one.
-func (n *Node) resolveAnew(s *outgoingCall) bool {
-	plan := n.snapshot.Load().plan
+// resolveBy replaces the call's treatment by that of the plan; it reports whether that is another one.
+func (s *outgoingCall) resolveBy(plan *config.Plan) bool {
 	if plan == nil || s.resolve == nil {
 		return false
 	}
@@ -191,9 +187,9 @@
 	n.levels.Observe(n.clock.Now(), s.levelRoute(), a.meta.LevelBelow)
 }
 
-// pickServer chooses a server for a call of priority p among those that aren't in tried.
-func (n *Node) pickServer(now time.Time, t *config.Treatment, p priority.Priority, tried []*routing.Server) (s *routing.Server, o routing.Outcome) {
-	groups := n.serverGroups(t)
+// pickServer chooses a server for a call of priority p among those of the snapshot that aren't in tried.
+func (n *Node) pickServer(snap *snapshot, now time.Time, t *config.Treatment, p priority.Priority, tried []*routing.Server) (s *routing.Server, o routing.Outcome) {
+	groups := snap.groupsOf(n.choice(), &n.pool, t)
 	n.withRand(func(r *rand.Rand) { s, o = routing.Pick(now, r, groups, p, tried) })
 	return s, o
 }
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -120,7 +120,7 @@
 	snap := n.snapshot.Load()
 	var tried []*routing.Server
 	for range 3 {
-		srv, found := n.pickServer(now, t, p, tried)
+		srv, found := n.pickServer(n.snapshot.Load(), now, t, p, tried)
 		if found != routing.Picked {
 			return "", false
 		}
@@ -141,7 +141,7 @@
 // newTokenFor is newToken for a call. If there is none by a treatment of a plan that is no longer in force, it issues one by the newest.
 func (n *Node) newTokenFor(s *outgoingCall) (string, bool) {
 	key, ok := n.newToken(s.treatment, s.call.Priority)
-	if !ok && n.resolveAnew(s) {
+	if !ok && s.resolveBy(n.snapshot.Load().plan) {
 		return n.newToken(s.treatment, s.call.Priority)
 	}
 	return key, ok
