Once-only: the log tells which runs delay a handover, and which record is gone

Nothing told which runs a closed handover had waited for.

Two lines more: a closed handover that goes on with runs in progress says how many run here and how many at earlier owners; a node that has no record to send for a run that ended after its range had left says so.

No change of logic.

--- a/pkg/node/control_handover_messages.go
+++ b/pkg/node/control_handover_messages.go
@@ -134,7 +134,10 @@
 		msg, found = h.Memory.ExportLate(n.clock.Now(), key, msg)
 	})
 	switch {
-	case owns || !found:
+	case owns:
+		return nil
+	case !found:
+		n.log.once.Warn("late record is no longer held, so the key's home won't get it", "to", msg.To.VM)
 		return nil
 	case inTransit || msg.To == n.owner():
 		return errRangeInTransit
--- a/pkg/node/control_ranges.go
+++ b/pkg/node/control_ranges.go
@@ -291,9 +291,13 @@
 func (n *Node) awaitRuns(ctx context.Context, ranges []int) {
 	end := n.clock.Now().Add(rangeCloseTimeout)
 	for {
-		running := 0
-		n.home.with(func(h *onceonly.Home) { running = h.Memory.CountRunning(ranges) })
-		if running == 0 || !n.sleep(ctx, 10*time.Millisecond, end) {
+		var here, elsewhere int
+		n.home.with(func(h *onceonly.Home) { here, elsewhere = h.Memory.CountRunning(ranges) })
+		if here+elsewhere == 0 {
+			return
+		}
+		if !n.sleep(ctx, 10*time.Millisecond, end) {
+			n.log.once.Warn("key ranges are handed over with runs in progress", "here", here, "elsewhere", elsewhere)
 			return
 		}
 	}
--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -174,17 +174,20 @@
 	}
 }
 
-// CountRunning returns the number of running calls in the ranges, tokens aside.
-func (m *KeyMemory) CountRunning(ranges []int) int {
-	n := 0
+// CountRunning returns the numbers of calls of the ranges that run at this home and at earlier owners, tokens aside.
+func (m *KeyMemory) CountRunning(ranges []int) (here, elsewhere int) {
 	for _, r := range ranges {
 		for _, rec := range m.recent.inRange(r) {
-			if rec.State == Running && !rec.Pinned {
-				n++
+			switch {
+			case rec.State != Running || rec.Pinned:
+			case rec.runsHere():
+				here++
+			default:
+				elsewhere++
 			}
 		}
 	}
-	return n
+	return here, elsewhere
 }
 
 // countKeys returns the number of records and expired keys of the range.
