Once-only: a run that ends while its key range is sent keeps its record

Cause: the memory of a range is sent with a run as running, and the run's record follows when it ends. If it ended between the message and its reply, Release dropped the record as one of a finished run; sendLateRecord, which waits while the range is in transit, found nothing 50 ms later. The next home waited for that run for the window of two minutes; a handover in the former order, with its ranges closed, the whole 5 s.

Change: a record that was sent as running isn't dropped with its range; Forget removes it once the next home has it, and leaves a record that came back by a handover in the meantime; if the range is back, the record needn't follow.

TestRunThatEndsWhileItsRangeIsSentIsRecordedAtTheNextHome failed before.

--- a/pkg/node/control_handover_messages.go
+++ b/pkg/node/control_handover_messages.go
@@ -131,6 +131,9 @@
 		msg.To.Lossy = false
 		owns = h.Owns(key.Range())
 		inTransit = !owns && h.Holds(key.Range())
+		if owns {
+			h.Memory.KeepLate(key)
+		}
 		msg, found = h.Memory.ExportLate(n.clock.Now(), key, msg)
 	})
 	switch {
--- a/pkg/onceonly/key_handover.go
+++ b/pkg/onceonly/key_handover.go
@@ -160,12 +160,12 @@
 	m.expiredKeys += m.expired[0].size - before
 }
 
-// Drop removes the records of the ranges after their handover, except those of calls that run here and of tokens. Attempts that wait for
-// a run elsewhere are released with its record as it is, still running.
+// Drop removes the records of the ranges after their handover, except those of tokens and those that must follow it: of calls that run
+// here, or ended after the memory was sent. Attempts that wait for a run elsewhere are released with its record as it is, still running.
 func (m *KeyMemory) Drop(ranges []int) {
 	for _, r := range ranges {
 		for key, rec := range m.recent.inRange(r) {
-			if !rec.runsHere() && !rec.Pinned {
+			if !rec.runsHere() && !rec.Pinned && !rec.exported {
 				rec.release()
 				m.releaseAnswer(rec)
 				m.recent.remove(key)
--- a/pkg/onceonly/key_late.go
+++ b/pkg/onceonly/key_late.go
@@ -38,16 +38,23 @@
 	return nil
 }
 
-// Forget removes the record of a key whose range has left, once its next owner has it.
+// Forget removes the record of a run whose range has left, once its next home has it.
 func (m *KeyMemory) Forget(key KeyHash) {
 	rec, ok := m.recent.get(key)
-	if !ok || rec.State == Running {
+	if !ok || rec.State == Running || !rec.exported {
 		return
 	}
 	m.releaseAnswer(rec)
 	m.recent.remove(key)
 }
 
+// KeepLate notes that the record of a run needn't follow its range, which is back here.
+func (m *KeyMemory) KeepLate(key KeyHash) {
+	if rec, ok := m.recent.get(key); ok && rec.State != Running {
+		rec.exported = false
+	}
+}
+
 // LoseRuns makes the records of runs uncertain that were in progress at earlier owners which are lost, and returns their number.
 func (m *KeyMemory) LoseRuns(now time.Time, lost func(Owner) bool) int {
 	n := 0
--- a/pkg/onceonly/key_memory.go
+++ b/pkg/onceonly/key_memory.go
@@ -47,7 +47,7 @@
 	// RunAt is the earlier owner of the range at which a Running key runs; zero if it runs at this home.
 	RunAt Owner `json:"run_at,omitzero"`
 
-	exported bool // the run was in progress when its range was handed over
+	exported bool // the run was in progress when its range's memory was sent: the record follows when it has ended
 	waiters  []func(Record)
 }
 
--- a/pkg/onceonly/range_handover_test.go
+++ b/pkg/onceonly/range_handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,13 @@
 	simulation
 	handovers []*announcedHandover
 	running   map[KeyHash]*Home
+	late      []lateRecord
+}
+
+// lateRecord is the record of a run that ended after its range had been sent on.
+type lateRecord struct {
+	at  *Home
+	key KeyHash
 }
 
 // newHandoverSimulation returns a simulation of n homes.
@@ -96,26 +104,61 @@
 	s.running[k] = h
 }
 
-// finish ends the key's run, and delivers its late record.
-func (s *handoverSimulation) finish(k KeyHash, homes []*Home) {
+// finish ends the key's run, and notes its record if that must follow the range.
+func (s *handoverSimulation) finish(k KeyHash) {
 	h := s.running[k]
 	if h == nil {
 		return
 	}
 	delete(s.running, k)
-	if !h.Memory.Finish(s.now, k, wire.Ran, nil, time.Time{}) {
-		return
+	if h.Memory.Finish(s.now, k, wire.Ran, nil, time.Time{}) {
+		s.late = append(s.late, lateRecord{h, k})
+	}
+}
+
+// sendLate sends the noted records on to the homes of their ranges, as far as these take them.
+func (s *handoverSimulation) sendLate() {
+	s.late = slices.DeleteFunc(s.late, s.trySendLate)
+}
+
+// trySendLate sends one record, and reports whether it needn't be sent again.
+func (s *handoverSimulation) trySendLate(l lateRecord) bool {
+	r := l.key.Range()
+	if l.at.Owns(r) {
+		l.at.Memory.KeepLate(l.key)
+		return true
+	}
+	i := slices.IndexFunc(s.homes, func(h *Home) bool { return h != l.at && h.Owns(r) })
+	msg, ok := l.at.Memory.ExportLate(s.now, l.key, Handover{From: l.at.me()})
+	if l.at.Holds(r) || i < 0 || !ok {
+		return s.lost(l.at.me())
+	}
+	_ = s.homes[i].Memory.ImportLate(s.now, msg) // the keys are well formed
+	l.at.Memory.Forget(l.key)
+	return true
+}
+
+// settle delivers all that is under way: the row, the memory of ranges, and late records.
+func (s *handoverSimulation) settle() {
+	s.reclaim()
+	for _, h := range s.homes {
+		h.Adopt(s.now, s.row)
 	}
-	msg, ok := h.Memory.ExportLate(s.now, k, Handover{From: h.me()})
-	for _, to := range homes {
-		if ok && to != h {
-			_ = to.Memory.ImportLate(s.now, msg) // the keys are well formed
+	for _, h := range s.handovers {
+		if h.committed {
+			s.send(h)
+			s.deliver(h, len(h.sent)-1, true)
 		}
 	}
+	for _, h := range s.homes {
+		h.OpenLost(s.now, s.lost)
+		h.Memory.LoseRuns(s.now, s.lost)
+	}
+	s.sendLate()
 }
 
 // TestKeyRunsOnceWhileItsRangeIsHandedOver guards against two homes that accept attempts for a range at once, and against keys
-// that their next home doesn't know.
+// that their next home doesn't know or whose end it never learns.
 func TestKeyRunsOnceWhileItsRangeIsHandedOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const n = 3
@@ -132,7 +175,7 @@
 			if len(s.handovers) > 0 {
 				hand = s.handovers[len(s.handovers)-1-rapid.IntRange(0, min(3, len(s.handovers)-1)).Draw(t, "handover")]
 			}
-			s.step(t, rapid.IntRange(0, 9).Draw(t, "what"), h, k, hand)
+			s.step(t, rapid.IntRange(0, 10).Draw(t, "what"), h, k, hand)
 			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
 			for r := range NumRanges {
 				owners := 0
@@ -151,22 +194,38 @@
 				t.Fatalf("key %x ran %d times", k[:2], times)
 			}
 		}
+		for range len(s.handovers) + 1 {
+			s.settle()
+		}
+		for _, k := range keys {
+			if s.running[k] == nil && s.homeOf(k).Memory.Begin(s.now, k, 1, false).Action == Join {
+				t.Fatalf("the home of key %x waits for a run that has ended", k[:2])
+			}
+		}
 	})
 }
 
+// homeOf returns the home of the key's range by the row.
+func (s *handoverSimulation) homeOf(k KeyHash) *Home {
+	i := slices.IndexFunc(s.homes, func(h *Home) bool { return h.me().Is(s.row.Owners[k.Range()].VM, s.row.Owners[k.Range()].Incarnation) })
+	return s.homes[i]
+}
+
 // step makes one random step.
 func (s *handoverSimulation) step(t *rapid.T, what int, h *Home, k KeyHash, hand *announcedHandover) {
 	switch {
 	case what <= 1:
 		s.begin(h, k)
 	case what == 2:
-		s.finish(k, s.homes)
+		s.finish(k)
 	case what == 3:
 		h.Adopt(s.now, s.row)
 	case what == 4:
 		s.announce(h, s.homes[rapid.IntRange(0, len(s.homes)-1).Draw(t, "to")], k.Range())
 	case what == 9:
 		s.restart(h)
+	case what == 10:
+		s.sendLate()
 	case hand == nil:
 	case what == 5:
 		s.commit(hand)
@@ -198,6 +257,15 @@
 	}
 }
 
+// reclaim gives each home the ranges that the row gives to an earlier incarnation of it.
+func (s *handoverSimulation) reclaim() {
+	for i := range s.homes {
+		if row, moved := s.row.Reclaim(s.node(i)); moved {
+			s.row = row
+		}
+	}
+}
+
 // lost tells whether no home lives on in the owner's incarnation.
 func (s *handoverSimulation) lost(o Owner) bool {
 	for _, h := range s.homes {
@@ -232,12 +300,35 @@
 	c.Assert(to.Memory.Begin(startTime, k, 1, false).Action, qt.Equals, Join)
 	joined := false
 	to.Memory.Wait(k, func(rec Record) { joined = rec.State == Finished })
-	s.finish(k, s.homes)
+	s.finish(k)
+	s.sendLate()
 	c.Assert(joined, qt.IsTrue)
 	s.deliver(s.handovers[0], 0, true) // once more
 	c.Assert(to.Memory.Begin(startTime, k, 1, false).Action, qt.Equals, Replay)
 }
 
+// TestRunThatEndsWhileItsRangeIsSentIsRecordedAtTheNextHome guards against a record that is dropped before it was sent.
+func TestRunThatEndsWhileItsRangeIsSentIsRecordedAtTheNextHome(t *testing.T) {
+	c := qt.New(t)
+	s := newHandoverSimulation(2)
+	from, to := s.homes[0], s.homes[1]
+	s.row = NewOwnerRow(service, []Node{s.node(0)})
+	from.Adopt(startTime, s.row)
+	k := HashKey(service, "k")
+	s.begin(from, k)
+	s.announce(from, to, k.Range())
+	s.commit(s.handovers[0])
+	from.Adopt(startTime, s.row)
+	s.send(s.handovers[0])
+	s.finish(k)
+	s.sendLate() // too early
+	s.deliver(s.handovers[0], 0, true)
+	s.sendLate()
+	c.Assert(to.Memory.Begin(startTime, k, 1, false).Action, qt.Equals, Replay)
+	_, found := from.Memory.ExportLate(startTime, k, Handover{})
+	c.Assert(found, qt.IsFalse)
+}
+
 func TestRunOfALostOwnerIsUncertain(t *testing.T) {
 	c := qt.New(t)
 	k := HashKey(service, "k")
