Once-only: a home that waits for runs elsewhere takes their late records

Cause: a handover in the former order closes its ranges and waits for the runs in progress, those at earlier owners included. The records of these come by a message, which a node refuses for a range that it has closed. So it waited for what it refused, up to rangeCloseTimeout, and handed the runs over as uncertain.

Change: late records are taken while the memory hasn't been sent on; after that they go to the next owner as before. A range that is closed for its message has a next owner noted, one that is closed in the former order hasn't.

TestLateRecordIsTakenByAHomeThatWaitsForItsRun failed before.

--- a/pkg/node/control_handover_messages.go
+++ b/pkg/node/control_handover_messages.go
@@ -91,7 +91,7 @@
 	var err error
 	n.home.with(func(home *onceonly.Home) {
 		for _, r := range h.Ranges {
-			if !home.Owns(r) {
+			if !home.AcceptsLate(r) {
 				err = &HandoverError{"this node isn't the home of the range"}
 				return
 			}
--- a/pkg/onceonly/range_handover.go
+++ b/pkg/onceonly/range_handover.go
@@ -111,6 +111,10 @@
 // Holds reports whether the range's memory is here, whether or not the node accepts attempts for it.
 func (h *Home) Holds(r int) bool { return h.owned[r] }
 
+// AcceptsLate reports whether this node completes records of runs that were in progress when the range came. Once the memory was sent on,
+// late records go to the next owner; while this node only waits for the end of such runs, they come here.
+func (h *Home) AcceptsLate(r int) bool { return h.owned[r] && (!h.closing[r] || h.next[r] == Owner{}) }
+
 // Withdraw forgets the announcements for the ranges, which are handed over without one.
 func (h *Home) Withdraw(ranges []int) {
 	for _, r := range ranges {
--- a/pkg/onceonly/range_handover_test.go
+++ b/pkg/onceonly/range_handover_test.go
@@ -128,7 +128,7 @@
 		l.at.Memory.KeepLate(l.key)
 		return true
 	}
-	i := slices.IndexFunc(s.homes, func(h *Home) bool { return h != l.at && h.Owns(r) })
+	i := slices.IndexFunc(s.homes, func(h *Home) bool { return h != l.at && h.AcceptsLate(r) })
 	msg, ok := l.at.Memory.ExportLate(s.now, l.key, Handover{From: l.at.me()})
 	if l.at.Holds(r) || i < 0 || !ok {
 		return s.lost(l.at.me())
@@ -329,6 +329,26 @@
 	c.Assert(found, qt.IsFalse)
 }
 
+// TestLateRecordIsTakenByAHomeThatWaitsForItsRun guards against a home that closes a range until its runs have ended, and refuses
+// to hear of their end.
+func TestLateRecordIsTakenByAHomeThatWaitsForItsRun(t *testing.T) {
+	c := qt.New(t)
+	s := newHandoverSimulation(2)
+	from, to := s.homes[0], s.homes[1]
+	s.row = NewOwnerRow(service, []Node{s.node(0)})
+	from.Adopt(startTime, s.row)
+	k := HashKey(service, "k")
+	s.begin(from, k)
+	s.announce(from, to, k.Range())
+	s.commit(s.handovers[0])
+	s.settle()
+	to.CloseRanges([]int{k.Range()})
+	s.finish(k)
+	s.sendLate()
+	here, elsewhere := to.Memory.CountRunning([]int{k.Range()})
+	c.Assert(here+elsewhere, qt.Equals, 0)
+}
+
 func TestRunOfALostOwnerIsUncertain(t *testing.T) {
 	c := qt.New(t)
 	k := HashKey(service, "k")
