Node: a call that arrives after an edit of labels is sent on to a server of the new targets

What was seen: TestLabelsMoveTrafficWithoutAFailedRequest, beside load: a server got work 11 and 232 ms after the 200 ms that the test allows since the edit was in force everywhere (2 of 8 failures of 180 plays, not traced until now).

Cause: a node ran whatever call reached it, though by its own newer configuration such calls belong elsewhere.

Evidence: a scratch copy wrote down, for each run, choice, sending and arrival with the version in force. Eight copies on five processors: 7 of 96 plays with such a run; in all seven the message took 1 to 1.9 s and the node knew the newer version when it came. The moment alone, without load: an entry's packets to the left server are dropped during the edit: 40 of 40 reads on their way ran there.

Change: a call names the version by which its server was chosen; a node with a newer one that targets others only sends the call on. Each such step needs a newer version, so there are no circles. Nodes of an earlier version don't name it; theirs run where they arrive.

--- a/pkg/metric/metric_table.go
+++ b/pkg/metric/metric_table.go
@@ -45,6 +45,7 @@
 	{"retries", Counter, "calls", "Attempts beyond the first that this daemon made."},
 	{"retries_denied", Counter, "calls", "Retries not made because the retry tokens or the target's retry share were used up."},
 	{"lost_answers", Counter, "calls", "Attempts whose response was lost."},
+	{"calls_sent_on", Counter, "calls", "Calls of peers that this node sent on to a server that the newest configuration targets."},
 	{"once_runs", Counter, "runs", "Runs of once-only calls started by this home node."},
 	{"once_joined", Counter, "attempts", "Retries joined to a call in flight."},
 	{"once_replayed", Counter, "attempts", "Retries answered from the recorded response."},
--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -247,9 +247,10 @@
 	tried := n.localServers()
 	for i := range maxDelegates {
 		now := n.clock.Now()
-		s, outcome := n.pickServer(n.snapshot.Load(), now, t, in.call.Priority, tried)
+		snap := n.snapshot.Load()
+		s, outcome := n.pickServer(snap, now, t, in.call.Priority, tried)
 		if outcome != routing.Picked {
-			n.log.once.Info("no server to delegate to", "request", in.call.RootID, "tried", len(tried), "version", n.snapshot.Load().version(),
+			n.log.once.Info("no server to delegate to", "request", in.call.RootID, "tried", len(tried), "version", snap.version(),
 				"reason", a.meta.Reason)
 			return a, i > 0
 		}
@@ -257,6 +258,7 @@
 		n.metrics.Inc("once_delegated")
 		call := in.call
 		call.Delegated = true
+		call.ConfigVersion = snap.version()
 		a = n.forward(ctx, in, q, call, s)
 		if a.meta.Outcome != wire.NotRun {
 			return a, true
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -111,6 +111,7 @@
 func (n *Node) pickForCall(now time.Time, s *outgoingCall, tried []*routing.Server) (*routing.Server, routing.Outcome) {
 	snap := n.snapshot.Load()
 	s.resolveBy(snap.plan)
+	s.call.ConfigVersion = snap.version()
 	return n.pickServer(snap, now, s.treatment, s.call.Priority.AtDepth(s.call.Depth+1), tried)
 }
 
--- a/pkg/node/config_swap_test.go
+++ b/pkg/node/config_swap_test.go
@@ -131,3 +131,25 @@
 	_, ok := s.n.newTokenFor(call)
 	c.Assert(ok, qt.IsTrue)
 }
+
+// TestCallIsSentOnOnlyByANewerConfiguration guards against calls that go in circles, and against calls that a node which is behind the
+// sender sends back.
+func TestCallIsSentOnOnlyByANewerConfiguration(t *testing.T) {
+	c := qt.New(t)
+	s := newSwapTest(t)
+	s.put(c, 4, "dc=old", "old", "new")
+	q := s.newCall(http.MethodGet).req
+	sentOn := func(chosenBy int64) bool {
+		srv, ok := s.n.newTarget(s.n.snapshot.Load(), wire.Call{Service: "front", ConfigVersion: chosenBy}, q)
+		return ok && srv.VM == "b"
+	}
+	s.put(c, 5, "dc=new", "old", "new")
+	c.Check(sentOn(4), qt.IsTrue)
+	c.Check(sentOn(5), qt.IsFalse)
+	c.Check(sentOn(6), qt.IsFalse)
+	c.Check(sentOn(0), qt.IsFalse) // of a node that doesn't say
+	s.put(c, 6, "dc=new", "new", "new")
+	c.Check(sentOn(5), qt.IsFalse)
+	s.put(c, 7, "dc=none", "new", "new")
+	c.Check(sentOn(6), qt.IsFalse)
+}
--- a/pkg/node/peer_server.go
+++ b/pkg/node/peer_server.go
@@ -139,7 +139,7 @@
 	if call.Key != "" && !call.Delegated {
 		a = n.serveHome(ctx, in, q)
 	} else {
-		a = n.runLocal(ctx, in, q)
+		a = n.runTargeted(ctx, in, q)
 	}
 	defer a.discardRest()
 	tokens := 0
--- a/pkg/wire/header.go
+++ b/pkg/wire/header.go
@@ -47,6 +47,8 @@
 	Key         string            `json:"k,omitempty"` // key of once-only work
 	Depth       int               `json:"n"`           // hops from the entry
 	Delegated   bool              `json:"g,omitempty"` // the key's home node has delegated this run
+	// ConfigVersion is the configuration version by which the server was chosen; 0 if that isn't known.
+	ConfigVersion int64 `json:"v,omitempty"`
 }
 
 // Answer describes the result of a call to the node that sent it, and the state of the backend server.
