Node: the log tells why a call is refused as too late

A once-only request of TestLabelsMoveTrafficWithoutAFailedRequest was answered 502 beside load (four in one play of 30): its call below was refused before an attempt. Nothing told by which bound. No change of logic.

--- a/pkg/node/call_runner.go
+++ b/pkg/node/call_runner.go
@@ -22,8 +22,9 @@
 	}
 	arrived := n.clock.Now()
 	route := "run/" + in.call.Class
-	if in.deadline.Sub(arrived) < n.latencyFloors.floor(route) {
+	if floor := n.latencyFloors.floor(route); in.deadline.Sub(arrived) < floor {
 		n.metrics.Inc("refused_deadline")
+		n.log.call.Info("too little time is left for a run", "request", in.call.RootID, "route", route, "left", in.deadline.Sub(arrived), "floor", floor)
 		return notRunAnswer(wire.ReasonDeadline, 0)
 	}
 	reason := n.gate.enter(ctx, arrived, in.call.Priority.AtDepth(in.call.Depth), in.deadline)
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -40,8 +40,9 @@
 func (n *Node) send(ctx context.Context, s *outgoingCall) *answer {
 	now := n.clock.Now()
 	route := s.latencyRoute()
-	if s.deadline.Sub(now) < n.latencyFloors.floor(route) {
+	if floor := n.latencyFloors.floor(route); s.deadline.Sub(now) < floor {
 		n.metrics.Inc("refused_deadline")
+		n.log.call.Info("too little time is left for a call", "request", s.call.RootID, "route", route, "left", s.deadline.Sub(now), "floor", floor)
 		return n.refuseBeforeAttempt(ctx, s, wire.ReasonDeadline)
 	}
 	if lvl := n.routeLevel(now, s); s.call.Priority.AtDepth(s.call.Depth+1) < lvl {
