Gate: an idle server gets a call though it was slow

What callers would see: calls refused with reason deadline by the node of a server that was slow for a while and is fast and idle again; they go to other servers, or fail where there are none.

Cause: a gate refuses a call if half of its kind's hold time times the server's slowdown is more than the time left, and the slowdown is learned from answered runs alone.

Evidence: in made-up time, after a spell of a fourfold hold time, 1,200 of 1,200 calls of a minute refused.

Change: while nothing runs there, a call goes all the same if it would be in time at a usual server.

TestGateOfAServerThatWasSlowServesAgain failed before.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -92,7 +92,7 @@
 		return Decision{Reason: wire.ReasonLeaving}
 	}
 	left := t.Deadline.Sub(now)
-	if g.tooLate(t, now) {
+	if g.tooLate(t, now) && !g.mayProbe(t, left) {
 		return Decision{Reason: wire.ReasonDeadline}
 	}
 	t.arrived, t.fifo = now, g.FIFO
