--- a/pkg/node/call_moved.go
+++ b/pkg/node/call_moved.go
@@ -31,6 +31,6 @@
 	if t == nil || snap.localTargets[t] {
 		return nil, false
 	}
-	s, outcome := n.pickServer(snap, n.clock.Now(), t, call.Priority, n.localServers())
+	s, outcome := n.pickServer(snap, n.clock.Now(), t, call.Priority.AtDepth(call.Depth), n.localServers())
 	return s, outcome == routing.Picked
 }
