--- a/pkg/gate/ticket_wait.go
+++ b/pkg/gate/ticket_wait.go
@@ -45,10 +45,10 @@
 	return t.Deadline.Sub(now) <= g.expectedHold(t)/2
 }
 
-// mayProbe reports whether a ticket may start although the server seems too slow for its request. While nothing runs, only such a run can
-// show that the server is fast again.
+// mayProbe reports whether a ticket may start although the server seems too slow for its request, which would end in time at a usual one.
+// While nothing runs, only such a run can show that the server is fast again.
 func (g *Gate) mayProbe(t *Ticket, left time.Duration) bool {
-	return g.running == 0 && left > t.TypicalHold/2
+	return g.running == 0 && t.TypicalHold > 0 && left > t.TypicalHold/2
 }
 
 // maxWait returns how long the ticket may wait: a root for a short time, a call longer, and neither so long that it
