Gate: the test of the rate limit in every window doesn't count starts at a server without one

Traced, step by step: when the server is replaced its limit is lifted, and the tickets that wait start at the next server, three of them at 80 ms here, one each at two later replacements. The next server has named no limit, so they are allowed; the test counted them against the limit that it names afterwards. Starts while no limit is named don't count any more; all others do, across replacements as before.

--- a/pkg/gate/rate_limit_test.go
+++ b/pkg/gate/rate_limit_test.go
@@ -115,8 +115,9 @@
 		limits := []rateSegment{{now, 20}}
 		g.SetRateLimit(now, perSecond(20))
 		var starts []time.Time
+		limited := true
 		note := func(d Decision) {
-			if d.Start {
+			if d.Start && limited {
 				starts = append(starts, now)
 			}
 		}
@@ -142,7 +143,9 @@
 				g = openGate(50, 20*time.Millisecond)
 				g.SetRateLimit(now, perSecond(limits[len(limits)-1].rate))
 			case "lifetime":
-				g.SetRateLimit(now, advertised.RateLimit{}) // until its first answer, which names a limit again
+				limited = false // queued tickets go to the next server, which names no limit until its first answer
+				g.SetRateLimit(now, advertised.RateLimit{})
+				limited = true
 				g.Open(50, true)
 				g.SetRateLimit(now, perSecond(limits[len(limits)-1].rate))
 			}
