Node: a once-only call that names an ended call doesn't run under a new token

Cause: the key of such a call is derived from the root request of the call in progress that the server names. If that has ended, since its caller gave up, the call was taken for one of the server's own jobs and ran under a new token, beside the one of the caller's retry.

Change: it is refused, not run, deadline, unless it has a key of the server's own. Calls without the header go as before, and repeatable ones.

TestOnceOnlyCallOfAnEndedCallDoesNotRun failed before.

--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -41,9 +41,15 @@
 		return
 	}
 	var a *answer
-	if x, ok := n.inbounds.Load(id); ok {
+	x, inProgress := n.inbounds.Load(id)
+	switch {
+	case inProgress:
 		a = n.sendChild(r.Context(), x.(*inbound), t, q)
-	} else {
+	case id != "" && t.OnceOnly && q.header.Get(wire.HeaderIdempotencyKey) == "":
+		// A retry of the call that it belonged to makes the same call, under a key that can no longer be derived here.
+		n.log.call.Info("once-only call of a call that has ended", "id", id, "service", t.Service)
+		a = notRunAnswer(wire.ReasonDeadline, 0)
+	default:
 		a = n.sendRootFromBackend(r.Context(), t, q)
 	}
 	defer a.discardRest()
