--- a/pkg/lab/handover_test.go
+++ b/pkg/lab/handover_test.go
@@ -121,9 +121,7 @@
 func TestOnceOnlyRequestIsNotRefusedForALongRunInItsRange(t *testing.T) {
 	cl := startRelabeling(t, Options{})
 	ctx := context.Background()
-	for _, v := range cl.serversOf("front") {
-		v.Backend.Slow(1500) // 1.5 s before the call below, and after it
-	}
+	cl.slowService("front", 1500) // 1.5 s before the call below, and after it
 	done := cl.startLoad(6 * time.Second)
 	clock.Sleep(ctx, 2*time.Second)
 	cl.swap()
@@ -136,9 +134,7 @@
 func TestRetryDuringAHandoverGetsTheAnswerOfTheRun(t *testing.T) {
 	c := qt.New(t)
 	cl := startRelabeling(t, Options{})
-	for _, v := range cl.serversOf("front") {
-		v.Backend.Slow(1000) // 1 s before the call below, and after it
-	}
+	cl.slowService("front", 1000) // 1 s before the call below, and after it
 	const requests = 20
 	first := make(chan reply, requests)
 	for i := range requests {
@@ -191,9 +187,7 @@
 		t.Run(fmt.Sprint(swaps, " edits"), func(t *testing.T) {
 			cl := startRelabeling(t, Options{UnknownMessage: knowsNoAnnouncements})
 			ctx := context.Background()
-			for _, v := range cl.serversOf("front") {
-				v.Backend.Slow(1200) // 1.2 s before the call below, and after it
-			}
+			cl.slowService("front", 1200) // 1.2 s before the call below, and after it
 			done := cl.startLoad(6 * time.Second)
 			clock.Sleep(ctx, 2*time.Second)
 			for range swaps {
@@ -230,9 +224,7 @@
 func TestLeavingNodeHandsKeyRangesToANodeOfAnEarlierVersion(t *testing.T) {
 	cl := startRelabeling(t, Options{UnknownMessage: knowsNoAnnouncements})
 	ctx := context.Background()
-	for _, v := range cl.serversOf("front") {
-		v.Backend.Slow(500) // 0.5 s before the call below, and after it
-	}
+	cl.slowService("front", 500) // 0.5 s before the call below, and after it
 	done := cl.startLoad(6 * time.Second)
 	clock.Sleep(ctx, 2*time.Second)
 	cl.swap()
--- a/pkg/mesh/harmless_kinds_test.go
+++ b/pkg/mesh/harmless_kinds_test.go
@@ -216,17 +216,12 @@
 // of its runs were, by chance, in progress at three crashes.
 func TestHarmlessKindIsNotRefusedForLong(t *testing.T) {
 	t.Parallel()
-	for i := range *harmlessPlays {
-		seed := *harmlessSeed + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				p := newHarmlessPlay(t, seed)
-				p.run()
-				p.check(c)
-			})
-		})
-	}
+	playSeeds(t, *harmlessPlays, *harmlessSeed, func(t *testing.T, seed uint64) {
+		c := qt.New(t)
+		p := newHarmlessPlay(t, seed)
+		p.run()
+		p.check(c)
+	})
 }
 
 // A kind that was just served must not be refused because the server that crashed had not run it before, and a single
--- a/pkg/mesh/poison_plays_test.go
+++ b/pkg/mesh/poison_plays_test.go
@@ -20,18 +20,23 @@
 // crash both.
 func TestCopiesOfASuspectCrashOneServerAtATime(t *testing.T) {
 	t.Parallel()
-	for i := range *poisonPlays {
-		seed := *poisonSeed + uint64(i)
+	playSeeds(t, *poisonPlays, *poisonSeed, func(t *testing.T, seed uint64) {
+		p := newSeededPoisonSite(t, seed, *poisonServers, 70*time.Millisecond)
+		p.from = time.Now()
+		p.work.Go(func() { p.sendReads(2*time.Second, differentReads) })
+		time.Sleep(time.Second)
+		p.sendPoison(time.Second, 40, 0, 1, 2)
+		p.finish()
+		p.poison[poisonPath].checkQuarantined(qt.New(t))
+	})
+}
+
+// playSeeds plays as many seeds, from the first one on, each in made-up time of its own.
+func playSeeds(t *testing.T, plays int, first uint64, play func(t *testing.T, seed uint64)) {
+	for i := range plays {
+		seed := first + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newSeededPoisonSite(t, seed, *poisonServers, 70*time.Millisecond)
-				p.from = time.Now()
-				p.work.Go(func() { p.sendReads(2*time.Second, differentReads) })
-				time.Sleep(time.Second)
-				p.sendPoison(time.Second, 40, 0, 1, 2)
-				p.finish()
-				p.poison[poisonPath].checkQuarantined(qt.New(t))
-			})
+			synctest.Test(t, func(t *testing.T) { play(t, seed) })
 		})
 	}
 }
--- a/pkg/node/call_latency_floor.go
+++ b/pkg/node/call_latency_floor.go
@@ -60,24 +60,17 @@
 // tooLate reports whether a call with that time left would be answered too late, and the route's minimum latency. One call per minimum latency
 // is let through: if all answers that were seen waited for something that is over, only further calls can show it.
 func (t *latencyFloorTable) tooLate(now time.Time, route string, left time.Duration) (floor time.Duration, late bool) {
-	floor = t.floor(route)
-	switch {
-	case left <= 0:
-		return floor, true
-	case left >= floor:
-		return floor, false
-	default:
-		return floor, !t.startProbe(now, route, floor)
-	}
-}
-
-// startProbe reports whether a call below the route's minimum latency may go, and notes that it goes.
-func (t *latencyFloorTable) startProbe(now time.Time, route string, period time.Duration) bool {
 	x, ok := t.routes.Load(route)
 	if !ok {
-		return true
+		return 0, left <= 0
 	}
 	rl := x.(*routeLatency)
+	floor = time.Duration(rl.floor.Load())
+	return floor, left <= 0 || left < floor && !rl.startProbe(now, floor)
+}
+
+// startProbe reports whether a call below the minimum latency may go, and notes that it goes.
+func (rl *routeLatency) startProbe(now time.Time, period time.Duration) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	if now.Sub(rl.lastProbe) < period {
--- a/pkg/node/config_swap_test.go
+++ b/pkg/node/config_swap_test.go
@@ -82,6 +82,13 @@
 	return &outgoingCall{treatment: q.callTreatment(s.n.snapshot.Load().plan), resolve: q.callTreatment, req: q}
 }
 
+// pickAfter makes a call by the configuration in force, changes that, and picks a server for the call.
+func (s *swapTest) pickAfter(change func()) (*routing.Server, routing.Outcome) {
+	call := s.newCall(http.MethodGet)
+	change()
+	return s.n.pickForCall(time.Now(), call, nil)
+}
+
 // TestOnceOnlyRunIsNotRefusedByAReplacedConfiguration guards against a decision that takes the treatment from one
 // configuration and the servers from the next.
 func TestOnceOnlyRunIsNotRefusedByAReplacedConfiguration(t *testing.T) {
@@ -102,9 +109,7 @@
 	c := qt.New(t)
 	s := newSwapTest(t)
 	s.put(c, 1, "dc=old", "old", "old")
-	call := s.newCall(http.MethodGet)
-	s.put(c, 2, "dc=renamed", "renamed", "renamed")
-	_, found := s.n.pickForCall(time.Now(), call, nil)
+	_, found := s.pickAfter(func() { s.put(c, 2, "dc=renamed", "renamed", "renamed") })
 	c.Assert(found, qt.Equals, routing.Picked)
 }
 
@@ -113,9 +118,7 @@
 	c := qt.New(t)
 	s := newSwapTest(t)
 	s.put(c, 1, "dc=one", "one", "two")
-	call := s.newCall(http.MethodGet)
-	s.put(c, 2, "dc=two", "one", "two")
-	srv, found := s.n.pickForCall(time.Now(), call, nil)
+	srv, found := s.pickAfter(func() { s.put(c, 2, "dc=two", "one", "two") })
 	c.Assert(found, qt.Equals, routing.Picked)
 	c.Assert(srv.VM, qt.Equals, "b")
 }
--- a/pkg/onceonly/key_answer_test.go
+++ b/pkg/onceonly/key_answer_test.go
@@ -13,10 +13,8 @@
 func TestLateAnswerTooLargeToRecordIsNotReplayed(t *testing.T) {
 	c := qt.New(t)
 	k := HashKey(service, "k")
-	a, b := Owner{VM: "a", Incarnation: "1"}, Owner{VM: "b", Incarnation: "1"}
-	var from, to KeyMemory
-	from.Begin(startTime, k, 1, false)
-	c.Assert(to.Import(startTime, from.Export(startTime, Handover{From: a, To: b, Ranges: []int{k.Range()}, Live: true})), qt.IsNil)
+	a := Owner{VM: "a", Incarnation: "1"}
+	from, to := handedOverRun(c, k, a)
 	var joined Record
 	c.Assert(to.Wait(k, func(rec Record) { joined = rec }), qt.IsTrue)
 	c.Assert(from.Finish(startTime, k, wire.Ran, &RecordedAnswer{Status: 200, Body: make([]byte, MaxRecordedAnswer+1)}, time.Time{}), qt.IsTrue)
--- a/pkg/onceonly/range_handover_test.go
+++ b/pkg/onceonly/range_handover_test.go
@@ -276,13 +276,18 @@
 	return true
 }
 
+// newPairSimulation returns a simulation of two homes, of which the first owns all ranges, and a key.
+func newPairSimulation() (*handoverSimulation, KeyHash) {
+	s := newHandoverSimulation(2)
+	s.row = NewOwnerRow(service, []Node{s.node(0)})
+	s.homes[0].Adopt(startTime, s.row)
+	return s, HashKey(service, "k")
+}
+
 func TestRangeIsServedWhileItsOwnerChanges(t *testing.T) {
 	c := qt.New(t)
-	s := newHandoverSimulation(2)
+	s, k := newPairSimulation()
 	from, to := s.homes[0], s.homes[1]
-	s.row = NewOwnerRow(service, []Node{s.node(0)})
-	from.Adopt(startTime, s.row)
-	k := HashKey(service, "k")
 	s.announce(from, to, k.Range())
 	s.commit(s.handovers[0])
 	from.Adopt(startTime, s.row)
@@ -310,11 +315,8 @@
 // TestRunThatEndsWhileItsRangeIsSentIsRecordedAtTheNextHome guards against a record that is dropped before it was sent.
 func TestRunThatEndsWhileItsRangeIsSentIsRecordedAtTheNextHome(t *testing.T) {
 	c := qt.New(t)
-	s := newHandoverSimulation(2)
+	s, k := newPairSimulation()
 	from, to := s.homes[0], s.homes[1]
-	s.row = NewOwnerRow(service, []Node{s.node(0)})
-	from.Adopt(startTime, s.row)
-	k := HashKey(service, "k")
 	s.begin(from, k)
 	s.announce(from, to, k.Range())
 	s.commit(s.handovers[0])
@@ -333,11 +335,8 @@
 // to hear of their end.
 func TestLateRecordIsTakenByAHomeThatWaitsForItsRun(t *testing.T) {
 	c := qt.New(t)
-	s := newHandoverSimulation(2)
+	s, k := newPairSimulation()
 	from, to := s.homes[0], s.homes[1]
-	s.row = NewOwnerRow(service, []Node{s.node(0)})
-	from.Adopt(startTime, s.row)
-	k := HashKey(service, "k")
 	s.begin(from, k)
 	s.announce(from, to, k.Range())
 	s.commit(s.handovers[0])
@@ -349,14 +348,20 @@
 	c.Assert(here+elsewhere, qt.Equals, 0)
 }
 
+// handedOverRun returns the memory of an owner at which the key runs, and that of the next owner, which has its range.
+func handedOverRun(c *qt.C, k KeyHash, owner Owner) (from, to *KeyMemory) {
+	from, to = &KeyMemory{}, &KeyMemory{}
+	from.Begin(startTime, k, 1, false)
+	msg := Handover{From: owner, To: Owner{VM: "b", Incarnation: "1"}, Ranges: []int{k.Range()}, Live: true}
+	c.Assert(to.Import(startTime, from.Export(startTime, msg)), qt.IsNil)
+	return from, to
+}
+
 func TestRunOfALostOwnerIsUncertain(t *testing.T) {
 	c := qt.New(t)
 	k := HashKey(service, "k")
-	a, b := Owner{VM: "a", Incarnation: "1"}, Owner{VM: "b", Incarnation: "1"}
-	var from, to KeyMemory
-	from.Begin(startTime, k, 1, false)
-	msg := from.Export(startTime, Handover{From: a, To: b, Ranges: []int{k.Range()}, Live: true})
-	c.Assert(to.Import(startTime, msg), qt.IsNil)
+	a := Owner{VM: "a", Incarnation: "1"}
+	_, to := handedOverRun(c, k, a)
 	c.Assert(to.LoseRuns(startTime, func(Owner) bool { return false }), qt.Equals, 0)
 	c.Assert(to.Begin(startTime, k, 1, false).Action, qt.Equals, Join)
 	c.Assert(to.LoseRuns(startTime, func(o Owner) bool { return o == a }), qt.Equals, 1)
@@ -367,10 +372,8 @@
 // handover, while the previous owner still serves it.
 func TestLateMessageOfAnEarlierHandoverOpensNoRange(t *testing.T) {
 	c := qt.New(t)
-	s := newHandoverSimulation(2)
+	s, _ := newPairSimulation()
 	a, b := s.homes[0], s.homes[1]
-	s.row = NewOwnerRow(service, []Node{s.node(0)})
-	a.Adopt(startTime, s.row)
 	const r = 0
 	move := func(from, to *Home) *announcedHandover {
 		s.announce(from, to, r)
