Call learner: slices in place of maps, deadlines compared as integers

Each call allocated a map of its possible callers, and the updates ten times a second went through the maps of all calls of three seconds. The candidates of recent calls are now in one slice per called route, and time limits are compared as durations in a slice per route. The test that attributes calls itself names them by their statistics instead of by a string.

--- a/pkg/callgraph/attribute_call.go
+++ b/pkg/callgraph/attribute_call.go
@@ -19,21 +19,31 @@
 
 // callStats holds the statistics of the calls of one route.
 type callStats struct {
-	callers     map[*routeStats]*callerStats
+	route       string
+	callers     []*callerStats
 	recent      []recentCall
+	recentRuns  []callerRuns  // the runs that may have made the recent calls, in the order of the calls
 	longestLeft time.Duration // longest time left of the recent calls: the route's own limit, where runs have more left
 }
 
 // callerStats holds the calls that the runs of one route make by estimate.
 type callerStats struct {
-	rate float64 // calls a second of one run in progress
+	stats    *routeStats
+	rate     float64    // calls a second of one run in progress
+	expected candidates // recent calls that the runs have made by the current rates; only updateRates uses it
 }
 
-// recentCall is a call with the runs that may have made it, by route.
+// recentCall is a call; its runs are the next callers entries of recentRuns.
 type recentCall struct {
-	at              time.Time
-	left            time.Duration
-	possibleCallers map[*routeStats]candidates
+	at      time.Time
+	left    time.Duration
+	callers int
+}
+
+// callerRuns are the runs of one route that may have made a call.
+type callerRuns struct {
+	caller *callerStats
+	candidates
 }
 
 // candidates is how many runs of a route may have made a call, weighted by their time limits.
@@ -48,42 +58,44 @@
 func (l *Learner) ObserveCall(now time.Time, route string, deadline time.Time) {
 	c := l.calls[route]
 	if c == nil {
-		c = &callStats{callers: map[*routeStats]*callerStats{}}
+		c = &callStats{route: route}
 		if l.calls == nil {
 			l.calls = map[string]*callStats{}
 		}
 		l.calls[route] = c
 	}
 	left := deadline.Sub(now)
-	call := recentCall{at: now, left: left, possibleCallers: make(map[*routeStats]candidates, len(l.routes))}
+	at := l.sinceOrigin(deadline)
 	w := l.weightsFor(c, left)
-	sum := 0.0
-	for _, s := range l.routes {
-		for _, r := range s.running {
-			l.lateness.observe(now, r, deadline)
-		}
-		if runs := w.candidates(s.running, deadline); runs.total() > 0 {
-			call.possibleCallers[s] = runs
-			sum += runs.total() * c.caller(s).rate
+	first, sum := len(c.recentRuns), 0.0
+	for _, s := range l.byIndex {
+		if runs := w.candidates(l.compareDeadlines(now, s, at)); runs.total() > 0 {
+			k := c.caller(s)
+			c.recentRuns = append(c.recentRuns, callerRuns{k, runs})
+			sum += runs.total() * k.rate
 		}
 	}
 	if sum <= 0 {
+		c.recentRuns = c.recentRuns[:first]
 		return // no known run lasts as long as the call
 	}
-	for s := range call.possibleCallers {
-		w.attribute(s.running, route, deadline, c.caller(s).rate/sum)
+	for _, runs := range c.recentRuns[first:] {
+		w.attribute(runs.caller.stats, c, at, runs.caller.rate/sum)
 	}
 	if len(c.recent) < maxRecentCalls {
-		c.recent = append(c.recent, call)
+		c.recent = append(c.recent, recentCall{at: now, left: left, callers: len(c.recentRuns) - first})
+	} else {
+		c.recentRuns = c.recentRuns[:first]
 	}
 }
 
 // HasPossibleCaller reports whether a run is in progress that lasts at least until a time limit, so that it can have made a
 // call with that limit.
 func (l *Learner) HasPossibleCaller(deadline time.Time) bool {
-	for _, s := range l.routes {
-		for _, r := range s.running {
-			if end := r.compareDeadline(deadline); end == runEndsTogether || end == runEndsLater {
+	at := l.sinceOrigin(deadline)
+	for _, s := range l.byIndex {
+		for _, d := range s.deadlines {
+			if end := compareDeadline(d - at); end == runEndsTogether || end == runEndsLater {
 				return true
 			}
 		}
@@ -93,11 +105,13 @@
 
 // caller returns the statistics of the calls by a route's runs; a new caller begins with a rate of 1.
 func (c *callStats) caller(s *routeStats) *callerStats {
-	k := c.callers[s]
-	if k == nil {
-		k = &callerStats{rate: 1}
-		c.callers[s] = k
+	for _, k := range c.callers {
+		if k.stats == s {
+			return k
+		}
 	}
+	k := &callerStats{stats: s, rate: 1}
+	c.callers = append(c.callers, k)
 	return k
 }
 
@@ -111,9 +125,9 @@
 	runEndsLater
 )
 
-// compareDeadline compares the time limit of the run with that of a call.
-func (r *Run) compareDeadline(deadline time.Time) deadlineOrder {
-	switch d := r.deadline.Sub(deadline); {
+// compareDeadline compares the time limit of a run with that of a call that ends d earlier.
+func compareDeadline(d time.Duration) deadlineOrder {
+	switch {
 	case d < -maxLateness:
 		return runEndsEarlier
 	case d < -deadlineTolerance:
@@ -143,26 +157,39 @@
 	}
 }
 
-// candidates returns how many of the runs may have made the call, by weight.
-func (w weights) candidates(runs []*Run, deadline time.Time) (n candidates) {
-	for _, r := range runs {
-		switch end := r.compareDeadline(deadline); end {
-		case runEndsTogether, runEndsSlightlyEarlier:
-			n.sameDeadline += w[end]
-		case runEndsLater:
-			n.laterDeadline += w[end]
-		case runEndsEarlier:
+// runCounts holds by deadlineOrder the number of runs of a route.
+type runCounts [runEndsLater + 1]int
+
+// compareDeadlines counts the runs of a route by their time limits relative to a call's, and has the lateness of the call
+// observed.
+func (l *Learner) compareDeadlines(now time.Time, s *routeStats, deadline time.Duration) (n runCounts) {
+	for i, d := range s.deadlines {
+		d -= deadline
+		n[compareDeadline(d)]++
+		if -maxLateness <= d && d <= maxLateness {
+			l.lateness.observe(now, s.running[i], d)
 		}
 	}
 	return n
 }
 
+// candidates returns how many of the runs may have made the call, by weight.
+func (w weights) candidates(runs runCounts) candidates {
+	return candidates{
+		sameDeadline:  w[runEndsTogether]*float64(runs[runEndsTogether]) + w[runEndsSlightlyEarlier]*float64(runs[runEndsSlightlyEarlier]),
+		laterDeadline: w[runEndsLater] * float64(runs[runEndsLater]),
+	}
+}
+
 // attribute adds a call's shares to the runs of one route; rate is the calls a second of one of them, divided by the
 // weighted rates of all candidates.
-func (w weights) attribute(runs []*Run, route string, deadline time.Time, rate float64) {
-	for _, r := range runs {
-		if share := w[r.compareDeadline(deadline)] * rate; share > 0 {
-			r.add(route, share)
+func (w weights) attribute(s *routeStats, c *callStats, deadline time.Duration, rate float64) {
+	for i := range w {
+		w[i] *= rate
+	}
+	for i, d := range s.deadlines {
+		if share := w[compareDeadline(d-deadline)]; share > 0 {
+			s.running[i].add(c, share)
 		}
 	}
 }
--- a/pkg/callgraph/calls_per_run.go
+++ b/pkg/callgraph/calls_per_run.go
@@ -1,5 +1,7 @@
 package callgraph
 
+import "time"
+
 // Parameters of the calls per run.
 const (
 	// minSucceededRuns is the number of succeeded runs from which only these count: a failed run may not have made all of its
@@ -15,10 +17,12 @@
 
 // routeStats holds the statistics of the runs of one route.
 type routeStats struct {
-	running    []*Run
-	runSeconds float64 // seconds in progress of all runs, in the current interval
-	succeeded  runSums
-	all        runSums
+	running       []*Run
+	deadlines     []time.Duration // time limits of running, since Learner.origin
+	runSeconds    float64         // seconds in progress of all runs, in the current interval
+	windowSeconds float64         // the same within the window; only Update uses it
+	succeeded     runSums
+	all           runSums
 	// restored are the calls of one run as known before the start; they count as restoredRuns runs.
 	restored     Rates
 	restoredRuns float64
@@ -37,7 +41,7 @@
 		s.calls = Rates{}
 	}
 	for _, c := range calls {
-		s.calls[c.route] += c.count
+		s.calls[c.to.route] += c.count
 	}
 }
 
--- a/pkg/callgraph/forget_old_evidence.go
+++ b/pkg/callgraph/forget_old_evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -50,15 +51,33 @@
 // forget drops a route and all references to it.
 func (l *Learner) forget(route string, s *routeStats) {
 	delete(l.routes, route)
-	for _, seen := range l.intervals {
-		delete(seen.runSeconds, s)
+	l.byIndex = slices.DeleteFunc(l.byIndex, func(x *routeStats) bool { return x == s })
+	for i := range l.intervals {
+		seen := &l.intervals[i].runSeconds
+		*seen = slices.DeleteFunc(*seen, func(r routeSeconds) bool { return r.stats == s })
 	}
 	for name, c := range l.calls {
-		for _, r := range c.recent {
-			delete(r.possibleCallers, s)
-		}
-		if delete(c.callers, s); len(c.callers) == 0 {
+		if c.forgetCaller(s); len(c.callers) == 0 {
 			delete(l.calls, name)
 		}
 	}
 }
+
+// forgetCaller drops a route from the callers.
+func (c *callStats) forgetCaller(s *routeStats) {
+	all := c.recentRuns
+	c.recentRuns = all[:0]
+	for i := range c.recent {
+		r := &c.recent[i]
+		callers := r.callers
+		for _, runs := range all[:callers] {
+			if runs.caller.stats == s {
+				r.callers--
+			} else {
+				c.recentRuns = append(c.recentRuns, runs)
+			}
+		}
+		all = all[callers:]
+	}
+	c.callers = slices.DeleteFunc(c.callers, func(k *callerStats) bool { return k.stats == s })
+}
--- a/pkg/callgraph/late_calls.go
+++ b/pkg/callgraph/late_calls.go
@@ -27,12 +27,12 @@
 	endAfter  float64 // that end up to maxLateness after it
 }
 
-// observe compares a run's time limit with that of a call.
-func (t *lateness) observe(now time.Time, r *Run, deadline time.Time) {
+// observe counts a run whose time limit is d after that of a call.
+func (t *lateness) observe(now time.Time, r *Run, d time.Duration) {
 	if now.Sub(r.start) <= maxLateness {
 		return
 	}
-	switch d := r.deadline.Sub(deadline); {
+	switch {
 	case d < -maxLateness || d > maxLateness:
 	case d < -deadlineTolerance:
 		t.endBefore++
--- a/pkg/callgraph/learner.go
+++ b/pkg/callgraph/learner.go
@@ -16,6 +16,8 @@
 	NoLateCalls bool
 
 	routes       map[string]*routeStats
+	byIndex      []*routeStats // the values of routes, as they are gone through on each call
+	origin       time.Time     // of the time limits in routeStats.deadlines
 	calls        map[string]*callStats
 	restored     map[string]Rates // of routes that haven't run since the start
 	intervals    []interval       // of the last seconds
@@ -29,10 +31,10 @@
 func (l *Learner) Update(now time.Time) {
 	l.accrueRunTime(now)
 	l.endInterval(now)
-	runSeconds := l.runSecondsInWindow()
+	l.sumRunSeconds()
 	for _, c := range l.calls {
 		c.dropBefore(now.Add(-window))
-		c.updateRates(runSeconds)
+		c.updateRates()
 	}
 	l.decay(now)
 }
--- a/pkg/callgraph/learner_test.go
+++ b/pkg/callgraph/learner_test.go
@@ -146,14 +146,15 @@
 func TestARareRouteDoesntHideTheCallsOfOthers(t *testing.T) {
 	c := qt.New(t)
 	var l Learner
+	check := &callStats{route: "check"}
 	for i := range 50 {
 		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
 		r := l.BeginRun(now, "read", now.Add(second))
-		r.add("check", 0.9)
+		r.add(check, 0.9)
 		l.EndRun(now.Add(10*time.Millisecond), r, true)
 	}
 	rare := l.BeginRun(start, "rare", start.Add(second))
-	rare.add("check", 8)
+	rare.add(check, 8)
 	l.EndRun(start.Add(second), rare, true)
 	c.Assert(near(l.CallsPerRun("read")["check"], 0.9, 0.01), qt.IsTrue, qt.Commentf("%v", l.CallsPerRun("read")))
 }
--- a/pkg/callgraph/rates_by_expectation_maximization.go
+++ b/pkg/callgraph/rates_by_expectation_maximization.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -19,49 +18,59 @@
 )
 
 // updateRates attributes the recent calls by the current rates, and computes new rates from that.
-func (c *callStats) updateRates(runSeconds map[*routeStats]float64) {
-	expected := c.expectedCalls()
-	average := c.averageRate(runSeconds)
-	for s, k := range c.callers {
-		running := max(runSeconds[s]/window.Seconds(), 1)
+func (c *callStats) updateRates() {
+	c.attributeRecent()
+	average := c.averageRate()
+	for _, k := range c.callers {
+		runSeconds := k.stats.windowSeconds
+		running := max(runSeconds/window.Seconds(), 1)
 		chance := chanceCallsFactor * math.Sqrt(float64(len(c.recent))*running)
-		rate := (expected[s].sameDeadline + max(expected[s].laterDeadline-chance, 0)) / (runSeconds[s] + priorRunSeconds)
+		rate := (k.expected.sameDeadline + max(k.expected.laterDeadline-chance, 0)) / (runSeconds + priorRunSeconds)
 		k.rate = max(rate, average*minRateShare, math.SmallestNonzeroFloat32)
 	}
 }
 
-// expectedCalls returns how many of the recent calls each route's runs have made by the current rates.
-func (c *callStats) expectedCalls() map[*routeStats]candidates {
-	expected := map[*routeStats]candidates{}
+// attributeRecent sets how many of the recent calls each route's runs have made by the current rates.
+func (c *callStats) attributeRecent() {
+	for _, k := range c.callers {
+		k.expected = candidates{}
+	}
+	all := c.recentRuns
 	for _, r := range c.recent {
+		runs := all[:r.callers]
+		all = all[r.callers:]
 		sum := 0.0
-		for s, w := range r.possibleCallers {
-			sum += w.total() * c.caller(s).rate
+		for i := range runs {
+			sum += runs[i].total() * runs[i].caller.rate
 		}
-		for s, w := range r.possibleCallers {
-			m := expected[s]
-			m.sameDeadline += w.sameDeadline * c.caller(s).rate / sum
-			m.laterDeadline += w.laterDeadline * c.caller(s).rate / sum
-			expected[s] = m
+		for i := range runs {
+			k := runs[i].caller
+			share := k.rate / sum
+			k.expected.sameDeadline += runs[i].sameDeadline * share
+			k.expected.laterDeadline += runs[i].laterDeadline * share
 		}
 	}
-	return expected
 }
 
 // averageRate returns the calls a second of one run in progress, averaged over all runs.
-func (c *callStats) averageRate(runSeconds map[*routeStats]float64) float64 {
+func (c *callStats) averageRate() float64 {
 	all := priorRunSeconds
-	for s := range c.callers {
-		all += runSeconds[s]
+	for _, k := range c.callers {
+		all += k.stats.windowSeconds
 	}
 	return float64(len(c.recent)) / all
 }
 
 // dropBefore drops the recent calls from before a time.
 func (c *callStats) dropBefore(before time.Time) {
-	c.recent = slices.DeleteFunc(c.recent, func(r recentCall) bool { return r.at.Before(before) })
-	c.longestLeft = 0
-	for _, r := range c.recent {
-		c.longestLeft = max(c.longestLeft, r.left)
+	calls, runs := c.recent, c.recentRuns
+	c.recent, c.recentRuns, c.longestLeft = calls[:0], runs[:0], 0
+	for _, r := range calls {
+		if !r.at.Before(before) {
+			c.recent = append(c.recent, r)
+			c.recentRuns = append(c.recentRuns, runs[:r.callers]...)
+			c.longestLeft = max(c.longestLeft, r.left)
+		}
+		runs = runs[r.callers:]
 	}
 }
--- a/pkg/callgraph/runs_in_progress.go
+++ b/pkg/callgraph/runs_in_progress.go
@@ -20,42 +20,60 @@
 
 // attributedCalls is the number of calls of a route attributed to a run, in shares.
 type attributedCalls struct {
-	route string
+	to    *callStats
 	count float64
 }
 
+// initialCalls is the number of called routes for which a run has room at first: few routes call more.
+const initialCalls = 4
+
 // add attributes a share of a call to the run.
-func (r *Run) add(route string, share float64) {
+func (r *Run) add(to *callStats, share float64) {
 	for i := range r.calls {
-		if r.calls[i].route == route {
+		if r.calls[i].to == to {
 			r.calls[i].count += share
 			return
 		}
 	}
-	r.calls = append(r.calls, attributedCalls{route, share})
+	if r.calls == nil {
+		r.calls = make([]attributedCalls, 0, initialCalls)
+	}
+	r.calls = append(r.calls, attributedCalls{to, share})
 }
 
 // interval is the time between two updates, with the seconds in progress of each route's runs.
 type interval struct {
 	end        time.Time
-	runSeconds map[*routeStats]float64
+	runSeconds []routeSeconds
+}
+
+// routeSeconds are the seconds in progress of one route's runs.
+type routeSeconds struct {
+	stats   *routeStats
+	seconds float64
 }
 
+// sinceOrigin returns a time limit as a duration: durations are compared faster than times.
+func (l *Learner) sinceOrigin(deadline time.Time) time.Duration { return deadline.Sub(l.origin) }
+
 // BeginRun notes that a run begins, with the time limit given to the server.
 func (l *Learner) BeginRun(now time.Time, route string, deadline time.Time) *Run {
 	if l.routes == nil {
 		l.routes = map[string]*routeStats{}
+		l.origin = deadline
 	}
 	s := l.routes[route]
 	if s == nil {
 		s = &routeStats{}
 		l.routes[route] = s
+		l.byIndex = append(l.byIndex, s)
 		s.restore(l.restored[route])
 		delete(l.restored, route)
 	}
 	l.accrueRunTime(now)
 	r := &Run{stats: s, index: len(s.running), start: now, deadline: deadline}
 	s.running = append(s.running, r)
+	s.deadlines = append(s.deadlines, l.sinceOrigin(deadline))
 	return r
 }
 
@@ -76,10 +94,13 @@
 // removeRun removes a run from those in progress.
 func (l *Learner) removeRun(now time.Time, r *Run) {
 	l.accrueRunTime(now)
-	all := r.stats.running
-	last := all[len(all)-1]
-	all[r.index], last.index = last, r.index
-	r.stats.running = all[:len(all)-1]
+	s := r.stats
+	end := len(s.running) - 1
+	last := s.running[end]
+	s.running[r.index], s.deadlines[r.index] = last, s.deadlines[end]
+	last.index = r.index
+	s.running[end] = nil
+	s.running, s.deadlines = s.running[:end], s.deadlines[:end]
 }
 
 // accrueRunTime adds up the time in progress of all runs until now.
@@ -89,29 +110,33 @@
 		d = 0
 	}
 	l.accruedUntil = now
-	for _, s := range l.routes {
+	for _, s := range l.byIndex {
 		s.runSeconds += float64(len(s.running)) * d
 	}
 }
 
 // endInterval begins a new interval, and drops those older than the window.
 func (l *Learner) endInterval(now time.Time) {
-	s := interval{end: now, runSeconds: map[*routeStats]float64{}}
-	for _, r := range l.routes {
-		s.runSeconds[r], r.runSeconds = r.runSeconds, 0
+	s := interval{end: now}
+	for _, r := range l.byIndex {
+		if r.runSeconds > 0 {
+			s.runSeconds = append(s.runSeconds, routeSeconds{r, r.runSeconds})
+		}
+		r.runSeconds = 0
 	}
 	l.intervals = append(l.intervals, s)
 	old := now.Add(-window)
 	l.intervals = slices.DeleteFunc(l.intervals, func(s interval) bool { return s.end.Before(old) })
 }
 
-// runSecondsInWindow returns the seconds in progress of each route's runs within the window.
-func (l *Learner) runSecondsInWindow() map[*routeStats]float64 {
-	inTime := map[*routeStats]float64{}
+// sumRunSeconds sets windowSeconds of each route.
+func (l *Learner) sumRunSeconds() {
+	for _, s := range l.byIndex {
+		s.windowSeconds = 0
+	}
 	for _, s := range l.intervals {
-		for r, t := range s.runSeconds {
-			inTime[r] += t
+		for _, r := range s.runSeconds {
+			r.stats.windowSeconds += r.seconds
 		}
 	}
-	return inTime
 }
