--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -94,24 +94,48 @@
 
 // encode returns the value of headerCall.
 func (c peerCall) encode() string {
-	s := fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, packFlags(c.Internal, c.Once, c.RejectedElsewhere, c.ReadsNotices), c.Version)
+	b := make([]byte, 0, peerHeaderBytes)
+	b = appendFields(b, c.Service, c.Route, c.Caller)
+	b = appendNumbers(b, int64(c.Priority), packFlags(c.Internal, c.Once, c.RejectedElsewhere, c.ReadsNotices), c.Version)
 	if c.Stages.Suspected() {
 		for _, stage := range c.Stages {
-			s += "," + strconv.Itoa(stage)
+			b = appendNumbers(b, int64(stage))
 		}
 	}
-	return s
+	return string(b)
 }
 
-// packFlags returns up to ten booleans as a decimal bit mask, the first in the lowest bit.
-func packFlags(bits ...bool) string {
-	n := 0
+// peerHeaderBytes is the length up to which the two headers are built on the stack; most are shorter.
+const peerHeaderBytes = 160
+
+// appendFields appends texts, each after a comma unless it is the first field.
+func appendFields(b []byte, texts ...string) []byte {
+	for i, s := range texts {
+		if i > 0 || len(b) > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, s...)
+	}
+	return b
+}
+
+// appendNumbers appends numbers, each after a comma.
+func appendNumbers(b []byte, numbers ...int64) []byte {
+	for _, n := range numbers {
+		b = strconv.AppendInt(append(b, ','), n, 10)
+	}
+	return b
+}
+
+// packFlags returns up to ten booleans as a bit mask, the first in the lowest bit.
+func packFlags(bits ...bool) int64 {
+	n := int64(0)
 	for i, b := range bits {
 		if b {
 			n |= 1 << i
 		}
 	}
-	return strconv.Itoa(n)
+	return n
 }
 
 // parseCall parses a value of headerCall. The error is a *ProtocolError.
@@ -142,17 +166,20 @@
 
 // encode returns the value of headerReply.
 func (r peerReply) encode() string {
-	flags := append([]bool{r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving, r.HasCrashSuccess}, r.CrashSuccess[:]...)
-	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, packFlags(flags...),
-		r.Running, r.Queued, r.Limit, r.Slowdown, r.Success, r.Version)
+	flags := packFlags(r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving, r.HasCrashSuccess)
+	flags |= firstSuccessFlag * packFlags(r.CrashSuccess[:]...)
+	b := make([]byte, 0, peerHeaderBytes)
+	b = appendFields(b, string(r.Outcome), string(r.Reason))
+	b = appendNumbers(b, flags, int64(r.Running), int64(r.Queued), int64(r.Limit), int64(r.Slowdown), int64(r.Success), r.Version)
 	known := r.Notice.Lifetime.Instance != ""
 	if r.CrashedLifetime != "" || r.RetryAfter > 0 || known {
-		s += fmt.Sprintf(",%s,%d", r.CrashedLifetime, r.RetryAfter.Milliseconds())
+		b = appendFields(b, r.CrashedLifetime)
+		b = appendNumbers(b, r.RetryAfter.Milliseconds())
 	}
 	if known {
-		s += r.Notice.encode()
+		b = append(b, r.Notice.encode()...)
 	}
-	return s
+	return string(b)
 }
 
 // encode returns the fields of the notice, each after a comma; Leaving is among the reply's flags.
