Node: a request's headers are sent without copying them

Each hop cloned all headers to set two or three of its own. The connection now writes these in place of the headers of the same name, and no longer sorts the headers. Names and values are still checked as http.Header.Write does.

--- a/pkg/headerpack/packer.go
+++ b/pkg/headerpack/packer.go
@@ -22,17 +22,41 @@
 	NeverIndexed map[string]bool
 }
 
-// Pack returns the header block as base64 text.
-func (p *Packer) Pack(h http.Header) string {
+// Field is a header with a single value.
+type Field struct{ Name, Value string }
+
+// Pack returns the header block as base64 text. The fields replace headers of the same name in h.
+func (p *Packer) Pack(h http.Header, fields ...Field) string {
 	if p.enc == nil {
 		p.enc = hpack.NewEncoder(&p.buf)
 	}
 	p.buf.Reset()
 	for name, values := range h {
+		if HasField(fields, name) {
+			continue
+		}
 		for _, v := range values {
-			// Writing to a bytes.Buffer never fails.
-			_ = p.enc.WriteField(hpack.HeaderField{Name: name, Value: v, Sensitive: p.NeverIndexed[name]})
+			p.write(name, v)
 		}
 	}
+	for _, f := range fields {
+		p.write(f.Name, f.Value)
+	}
 	return coding.EncodeToString(p.buf.Bytes())
 }
+
+// write packs one header into the buffer.
+func (p *Packer) write(name, value string) {
+	// Writing to a bytes.Buffer never fails.
+	_ = p.enc.WriteField(hpack.HeaderField{Name: name, Value: value, Sensitive: p.NeverIndexed[name]})
+}
+
+// HasField reports whether one of the fields has the name.
+func HasField(fields []Field, name string) bool {
+	for _, f := range fields {
+		if f.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -20,7 +20,8 @@
 	URI          string // path and query, as received
 	Host         string
 	Header       http.Header
-	PackHeader   bool // the headers are sent packed, to a node that unpacks them and packs those of its answer
+	Fields       []headerpack.Field // further headers, which replace those of the same canonical name in Header
+	PackHeader   bool               // the headers are sent packed, to a node that unpacks them and packs those of its answer
 	Body         []byte
 	Stream       io.Reader
 	StreamLength int64
--- a/pkg/httpconn/send_request.go
+++ b/pkg/httpconn/send_request.go
@@ -6,7 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/rockspoke/rockspoke/pkg/headerpack"
 )
@@ -15,9 +19,7 @@
 func (x *exchange) send(req *Request) error {
 	w := x.conn.bw
 	writeRequestLine(w, req)
-	if err := x.writeHeader(w, req); err != nil {
-		return err
-	}
+	x.writeHeader(w, req)
 	switch {
 	case req.Stream == nil:
 		if len(req.Body) > 0 || hasBody(req.Method) {
@@ -40,14 +42,35 @@
 }
 
 // writeHeader writes the headers, packed if the request asks for it.
-func (x *exchange) writeHeader(w *bufio.Writer, req *Request) error {
-	if !req.PackHeader {
-		return req.Header.Write(w)
+func (x *exchange) writeHeader(w *bufio.Writer, req *Request) {
+	if req.PackHeader {
+		writeHeaderLine(w, headerpack.HeaderName, x.conn.packer.Pack(req.Header, req.Fields...))
+		return
+	}
+	for name, values := range req.Header {
+		if !httpguts.ValidHeaderFieldName(name) || headerpack.HasField(req.Fields, name) {
+			continue // a peer may have packed a name that isn't valid in HTTP/1.1
+		}
+		for _, v := range values {
+			writeHeaderLine(w, name, v)
+		}
 	}
-	for _, s := range [...]string{headerpack.HeaderName, ": ", x.conn.packer.Pack(req.Header), "\r\n"} {
+	for _, f := range req.Fields {
+		writeHeaderLine(w, f.Name, f.Value)
+	}
+}
+
+// lineBreaks replaces line breaks in header values, which would end the line.
+var lineBreaks = strings.NewReplacer("\n", " ", "\r", " ")
+
+// writeHeaderLine writes one header.
+func writeHeaderLine(w io.StringWriter, name, value string) {
+	if strings.ContainsAny(value, "\r\n") {
+		value = lineBreaks.Replace(value)
+	}
+	for _, s := range [...]string{name, ": ", textproto.TrimString(value), "\r\n"} {
 		_, _ = w.WriteString(s) // Flush returns the error
 	}
-	return nil
 }
 
 // hasBody reports whether servers expect a Content-Length with the method, even for an empty body.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -11,6 +11,7 @@
 	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/headerpack"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -190,12 +191,13 @@
 	if left < time.Millisecond {
 		return notRunAnswer(wire.ReasonDeadline), gate.Abandoned
 	}
-	h := q.header.Clone()
-	h.Set(b.n.names.Instance, own.Instance)
-	h.Set(b.n.names.Caller, q.Caller)
-	h.Set(b.n.names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+	fields := []headerpack.Field{
+		{Name: b.n.names.Instance, Value: own.Instance},
+		{Name: b.n.names.Caller, Value: q.Caller},
+		{Name: b.n.names.TimeLeft, Value: strconv.FormatInt(left.Milliseconds(), 10)},
+	}
 	res, err := b.pool.Do(ctx, &httpconn.Request{
-		Method: q.method, URI: q.uri, Host: q.host, Header: h,
+		Method: q.method, URI: q.uri, Host: q.host, Header: q.header, Fields: fields,
 		Body: q.body, Stream: q.stream, StreamLength: q.streamLength, ExpectedResponseTime: b.expectedAnswerTime(q),
 	})
 	if err != nil {
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/headerpack"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -149,14 +150,15 @@
 	if left <= 0 {
 		return notRunAnswer(wire.ReasonDeadline)
 	}
-	h := d.q.header.Clone()
-	h.Set(headerCall, d.q.encode())
+	fields := []headerpack.Field{
+		{Name: headerCall, Value: d.q.encode()},
+		{Name: d.n.names.TimeLeft, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
+	}
 	if k := p.knownLimit(); k.limit.Advertised {
-		h.Set(headerKnownLimit, encodeKnownLimit(k.limit, k.instance))
+		fields = append(fields, headerpack.Field{Name: headerKnownLimit, Value: encodeKnownLimit(k.limit, k.instance)})
 	}
-	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	res, err := d.roundTrip(ctx, p, usual, &httpconn.Request{
-		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
+		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: d.q.header, Fields: fields, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
 		Body: d.q.body, Stream: d.q.stream, StreamLength: d.q.streamLength, ReceivedSince: d.receivedSince, ExpectedResponseTime: d.n.expectedResponseTime(usual),
 	})
 	if err != nil {
