Node: a once-only call over the retry budget is unknown while an earlier one may run

Cause: the ledger refuses a backend server's repeat of a once-only call before its key is looked at, and the answer was not-run, though the earlier call has the same key and may have run or be running.

Change: the answer is unknown, as it is to callers at an entry. A repeatable call is still told not-run, which speaks of the attempt alone.

TestChildCallOverTheRetryBudgetIsUnknownWhileAnEarlierOneMayRun failed before in both of its cases, and passes.

--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -61,6 +61,10 @@
 	signature := q.signature(t.Service)
 	if !in.ledger.BeginCall(signature) {
 		n.metrics.Inc("retries_denied")
+		if t.OnceOnly {
+			// The earlier call has the same key and may have run; its outcome isn't looked up.
+			return unknownAnswer(wire.ReasonRetryBudget)
+		}
 		return notRunAnswer(wire.ReasonRetryBudget, 0)
 	}
 	in.beginOutbound(n.clock.Now())
