Node: a retry over the customer's share is unknown if an attempt was sent

Cause: an entry refuses a retry beyond its customer's share without looking at what was sent before, and said not-run for repeatable requests. The first attempt's call was handled after its caller had given it up, beside the retry.

TestRetryOverTheCustomersShareIsUnknownIfAnAttemptWasSent failed before and passes.

--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -121,8 +121,8 @@
 	case repeat.OverRetryShare, repeat.BudgetSpent:
 		n.metrics.Inc("entry_repeats_refused")
 		a := notRunAnswer(wire.ReasonRetryBudget, n.jitter(2*defaultRetryAfter))
-		if t.OnceOnly || v == repeat.BudgetSpent {
-			// The outcome of earlier attempts isn't looked up for a retry over the budget.
+		if _, sent := n.guard.TokensLeft(e); t.OnceOnly || sent {
+			// An earlier attempt may have run or be on its way; its outcome isn't looked up for a retry over the budget.
 			a.meta.Outcome = wire.Unknown
 		}
 		return a
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/repeat"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -49,3 +51,31 @@
 		c.Check(a.meta.Outcome, qt.Equals, wire.Unknown)
 	}
 }
+
+// TestRetryOverTheCustomersShareIsUnknownIfAnAttemptWasSent guards against "not run" for a repeatable request whose earlier attempt is
+// still on its way.
+func TestRetryOverTheCustomersShareIsUnknownIfAnAttemptWasSent(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		c := qt.New(t)
+		n := newOnceTest(t, "", 0).n
+		now := time.Now()
+		_, e, _ := n.guard.Begin(now, repeat.Attempt{Key: "k", Customer: "c"})
+		if sent {
+			n.guard.MarkForwarded(e)
+		}
+		n.guard.End(now, e, nil)
+		for i := 0; ; i++ {
+			key := strconv.Itoa(i)
+			_, first, _ := n.guard.Begin(now, repeat.Attempt{Key: key, Customer: "c"})
+			n.guard.End(now, first, nil)
+			v, retry, _ := n.guard.Begin(now, repeat.Attempt{Key: key, Customer: "c"})
+			if v == repeat.OverRetryShare {
+				break
+			}
+			n.guard.End(now, retry, nil)
+		}
+		a := n.sendGuarded(context.Background(), &config.Treatment{Service: "front"}, &request{}, "k", "c", time.Second)
+		c.Check(a.meta.Reason, qt.Equals, wire.ReasonRetryBudget)
+		c.Check(a.meta.Outcome, qt.Equals, map[bool]wire.Outcome{false: wire.NotRun, true: wire.Unknown}[sent])
+	}
+}
