Node: a repeated call of once-only work keeps the token of the call before

Cause: a once-only call made by once-only work has a token that its repeats share, but a repeat was sent like the first call under it: refused as not-run without asking the token's home, and, with that home out of reach, given a new token under which the work could run a second time. A token that replaced one wasn't noted, so a repeat went back to the first.

Change: a repeat counts as an attempt beside others; a token is replaced only while no repeat uses it, and for later repeats too; one under which certainly nothing ran is dropped.

--- a/pkg/node/call_inbound.go
+++ b/pkg/node/call_inbound.go
@@ -21,8 +21,8 @@
 	detached bool // the run continues after its caller left, and ends the inbound call when it ends
 
 	mu           sync.Mutex
-	successes    map[uint64]int    // number of calls that ran, by signature
-	tokens       map[uint64]string // tokens of once-only calls made by once-only work, by signature and successCount
+	successes    map[uint64]int         // number of calls that ran, by signature
+	tokens       map[uint64]*childToken // by signature and successCount
 	openOutbound int
 	openSince    time.Time
 	waited       time.Duration
@@ -83,25 +83,6 @@
 	return in.successes[signature]
 }
 
-// onceToken returns the once-only token for the signature. The first use takes it from issue; the result is false if that
-// issued none.
-func (in *inbound) onceToken(signature uint64, issue func() (string, bool)) (string, bool) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if t, ok := in.tokens[signature]; ok {
-		return t, true
-	}
-	t, ok := issue()
-	if !ok {
-		return "", false
-	}
-	if in.tokens == nil {
-		in.tokens = map[uint64]string{}
-	}
-	in.tokens[signature] = t
-	return t, true
-}
-
 // callStats summarizes the outbound calls of an inbound call.
 type callStats struct {
 	waited    time.Duration
--- a/pkg/node/call_sender.go
+++ b/pkg/node/call_sender.go
@@ -23,6 +23,7 @@
 	ledger    *ledger.Ledger
 	// otherAttempts says that attempts under the key may exist besides the current one.
 	otherAttempts bool
+	token         *childToken // of a call made by once-only work; nil for others
 	// onAttempt, if set, is called before each attempt.
 	onAttempt func()
 }
--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -147,13 +147,15 @@
 	return key, ok
 }
 
-// renewToken replaces the call's token, to be used only if certainly nothing ran under the last one.
+// renewToken replaces the call's token, to be used only if certainly nothing ran under the last one. It reports false if there is none,
+// or if a repeat of the call uses the last one.
 func (n *Node) renewToken(s *outgoingCall) bool {
 	key, ok := n.newTokenFor(s)
-	if ok {
-		s.call.Key = key
+	if !ok || !s.token.replace(key) {
+		return false
 	}
-	return ok
+	s.call.Key = key
+	return true
 }
 
 // settleTimeout is the longest time that an entry waits for a home to settle a refusal.
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/config"
+	"github.com/rockspoke/rockspoke/pkg/member"
 	"github.com/rockspoke/rockspoke/pkg/repeat"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -27,6 +28,9 @@
 	c := qt.New(t)
 	s := newSwapTest(t)
 	s.put(c, 1, "dc=b", "a", "b")
+	s.state.merge(exchange{Nodes: []member.NodeInfo{{VM: "b", Incarnation: "0000000000001-abcdefgh"}}})
+	s.n.publishSnapshot(s.state)
+	s.n.peers = newPeerClients(nil, s.n.keys, nil, s.n.metrics)
 	call := wire.Call{RootID: "root", Service: "front", Key: key, RetryTokens: tokens}
 	return &onceTest{
 		swapTest: s,
@@ -79,3 +83,36 @@
 		c.Check(a.meta.Outcome, qt.Equals, map[bool]wire.Outcome{false: wire.NotRun, true: wire.Unknown}[sent])
 	}
 }
+
+// TestChildCallIsNotRepeatedUnderAnotherToken guards against once-only work that a repeat of the backend server's call runs a second time, or
+// is told not run, since it has another token than the call that may have run.
+func TestChildCallIsNotRepeatedUnderAnotherToken(t *testing.T) {
+	c := qt.New(t)
+	s := newOnceTest(t, "parent", 2)
+	call := func() *outgoingCall {
+		return &outgoingCall{treatment: s.t, req: s.q, ledger: s.in.ledger, deadline: s.in.deadline, call: wire.Call{Service: "front"}}
+	}
+	signature := s.q.signature("front")
+	first := call()
+	c.Assert(s.n.setChildKey(s.in, first, signature), qt.IsTrue)
+	c.Assert(s.n.renewToken(first), qt.IsTrue)
+	again := call()
+	c.Assert(s.n.setChildKey(s.in, again, signature), qt.IsTrue)
+	c.Check(again.call.Key, qt.Equals, first.call.Key, qt.Commentf("the token that the first call used last"))
+	c.Check(s.n.renewToken(first), qt.IsFalse, qt.Commentf("the repeat may run under the token"))
+
+	a := s.n.sendChild(context.Background(), s.in, s.t, s.q) // its home can't be reached
+	c.Check(a.meta.Outcome, qt.Equals, wire.Unknown, qt.Commentf("%+v", a.meta))
+	a = s.n.settleToken(first, notRunAnswer(wire.ReasonNoServer, 0))
+	c.Check(a.meta.Outcome, qt.Equals, wire.Unknown)
+}
+
+// TestRepeatOfAChildCallThatDidNotRunHasAnotherHome guards against a repeat that goes to the home that couldn't be reached.
+func TestRepeatOfAChildCallThatDidNotRunHasAnotherHome(t *testing.T) {
+	c := qt.New(t)
+	s := newOnceTest(t, "parent", 0)
+	a := s.n.sendChild(context.Background(), s.in, s.t, s.q)
+	c.Check(a.meta.Reason, qt.Equals, wire.ReasonNoServer)
+	c.Check(a.meta.Outcome, qt.Equals, wire.NotRun)
+	c.Check(s.in.tokens, qt.HasLen, 0)
+}
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -75,7 +75,7 @@
 	s.call.Service, s.call.Class, s.call.Delegated, s.call.Key = t.Service, t.Class, false, ""
 	var a *answer
 	if ok := n.setChildKey(in, s, signature); ok {
-		a = n.send(ctx, s)
+		a = n.settleToken(s, n.send(ctx, s))
 	} else {
 		a = notRunAnswer(wire.ReasonNoServer, 0)
 	}
@@ -108,10 +108,22 @@
 		return true
 	}
 	var ok bool
-	s.call.Key, ok = in.onceToken(signature+uint64(successes), func() (string, bool) { return n.newTokenFor(s) })
+	s.token, s.otherAttempts, ok = in.childToken(signature+uint64(successes), func() (string, bool) { return n.newTokenFor(s) })
+	if ok {
+		s.call.Key = s.token.key
+	}
 	return ok
 }
 
+// settleToken drops the token of a call that certainly didn't run. If a repeat under the token began meanwhile, that one may run.
+func (n *Node) settleToken(s *outgoingCall, a *answer) *answer {
+	if s.token == nil || s.otherAttempts || a.meta.Outcome != wire.NotRun || s.token.forget() {
+		return a
+	}
+	s.otherAttempts = true
+	return n.outcomeForKey(s, a)
+}
+
 // sendRootFromBackend sends a call that belongs to no inbound one, such as one of the backend server's own jobs, as a
 // root request.
 func (n *Node) sendRootFromBackend(ctx context.Context, t *config.Treatment, q *request) *answer {
