Node: a home that can't reach a range's previous owner doesn't refuse the key

Cause: until the memory of keys has come, the next owner of a range sends attempts on to the previous one. If it couldn't connect, its own not-run, no-server was taken for a refusal by the key's home, which holds for the key, though the previous owner may have run it.

Change: it answers not-owner, as where the previous owner isn't listed; the sender tries again, and ends with unknown if another attempt may exist.

--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -124,13 +124,18 @@
 	}
 }
 
-// forwardToPrevious sends an attempt to the owner that still serves the key's range, or refuses it if that VM isn't listed.
+// forwardToPrevious sends an attempt to the owner that still serves the key's range. It refuses the attempt as not the key's home if that VM
+// isn't listed or can't be reached, since only that owner knows whether the key has run.
 func (n *Node) forwardToPrevious(ctx context.Context, in *inbound, q *request, check keyCheck) *answer {
 	vm, ok := n.snapshot.Load().vms[check.previous]
 	if !ok {
 		return check.refused
 	}
-	return n.forward(ctx, in, q, in.call, n.pool.Get(vm))
+	a := n.forward(ctx, in, q, in.call, n.pool.Get(vm))
+	if a.meta.Outcome == wire.NotRun && !a.fromDaemon {
+		return check.refused
+	}
+	return a
 }
 
 // forward sends a call on to one server, with a part of its retry tokens lent.
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/config"
 	"github.com/rockspoke/rockspoke/pkg/member"
+	"github.com/rockspoke/rockspoke/pkg/onceonly"
 	"github.com/rockspoke/rockspoke/pkg/repeat"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -116,3 +117,21 @@
 	c.Check(a.meta.Outcome, qt.Equals, wire.NotRun)
 	c.Check(s.in.tokens, qt.HasLen, 0)
 }
+
+// TestHomeThatCannotReachThePreviousOwnerDoesNotRefuseTheKey guards against "not run" for a key that the previous owner of its range may
+// have run.
+func TestHomeThatCannotReachThePreviousOwnerDoesNotRefuseTheKey(t *testing.T) {
+	c := qt.New(t)
+	s := newOnceTest(t, "k", 0)
+	n := s.n
+	previous := onceonly.Owner{VM: "b", Incarnation: "0000000000001-abcdefgh"}
+	r := onceonly.HashKey("front", "k").Range()
+	n.home.with(func(h *onceonly.Home) {
+		c.Assert(h.Announce([]int{r}, previous, "id"), qt.IsNil)
+		h.Adopt(time.Now(), onceonly.NewOwnerRow("front", []onceonly.Node{{VM: "a", Incarnation: n.incarnation}}))
+	})
+	a := n.serveHome(context.Background(), s.in, s.q)
+	c.Check(a.meta.Reason, qt.Equals, wire.ReasonNotOwner, qt.Commentf("the sender tries again"))
+	a.fromDaemon = true // as the sender gets it
+	c.Check(n.outcomeForKey(&outgoingCall{otherAttempts: true}, a).meta.Outcome, qt.Equals, wire.Unknown)
+}
