Node: a refused key stays closed until the call's deadline

Cause: a refusal before the first attempt is settled at the key's home, which closes the key for the timeout of the call's class and 250 ms, while an attempt in flight of a call made by another lives until that one's deadline. Such an attempt could arrive after the key had opened again, and run what was told not-run.

Change: the key is closed for the longer of the class's timeout and the time that the call has left.

TestSettledRefusalHoldsUntilTheCallsDeadline failed before and passes.

--- a/pkg/node/call_sender_once.go
+++ b/pkg/node/call_sender_once.go
@@ -170,14 +170,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	in := settleRequest{Service: s.call.Service, Key: s.call.Key, CloseMS: s.treatment.Timeout.Milliseconds()}
 	var out settleReply
-	if err := n.peers.control(ctx, srv.VM, srv.Peer, pathSettle, in, &out); err != nil {
+	if err := n.peers.control(ctx, srv.VM, srv.Peer, pathSettle, n.newSettleRequest(s), &out); err != nil {
 		return settleReply{}, err
 	}
 	return out, nil
 }
 
+// newSettleRequest returns the message that settles the call's key. An unknown key is closed for as long as another attempt may take to arrive:
+// that of a root request at most its class's timeout, that of a call made by another the time that its caller has left.
+func (n *Node) newSettleRequest(s *outgoingCall) settleRequest {
+	closeFor := max(s.treatment.Timeout, s.deadline.Sub(n.clock.Now()))
+	return settleRequest{Service: s.call.Service, Key: s.call.Key, CloseMS: closeFor.Milliseconds()}
+}
+
 // marshal encodes a control message as JSON.
 func marshal(v any) []byte {
 	b, err := json.Marshal(v)
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -135,3 +135,20 @@
 	a.fromDaemon = true // as the sender gets it
 	c.Check(n.outcomeForKey(&outgoingCall{otherAttempts: true}, a).meta.Outcome, qt.Equals, wire.Unknown)
 }
+
+// TestSettledRefusalHoldsUntilTheCallsDeadline guards against "not run" for a key of which an attempt arrives later. A call made by
+// another has the time that its caller has left, which may be more than its own class allows.
+func TestSettledRefusalHoldsUntilTheCallsDeadline(t *testing.T) {
+	c := qt.New(t)
+	s := newOnceTest(t, "", 0)
+	n := s.n
+	n.home.with(func(h *onceonly.Home) {
+		h.Adopt(time.Now(), onceonly.NewOwnerRow("front", []onceonly.Node{{VM: "a", Incarnation: n.incarnation}}))
+	})
+	call := &outgoingCall{treatment: s.t, deadline: s.in.deadline, call: wire.Call{Service: "front", Key: "k"}}
+	c.Assert(n.settleKey(context.Background(), n.newSettleRequest(call)).Outcome, qt.Equals, wire.NotRun)
+	n.home.with(func(h *onceonly.Home) {
+		d := h.Memory.Begin(s.in.deadline, onceonly.HashKey("front", "k"), 1, false)
+		c.Check(d.Reason, qt.Equals, wire.ReasonKeyClosed)
+	})
+}
