Node: a home doesn't settle a key whose range has just closed

Cause: settling a refusal checked that this node is the key's home, and looked the key up under another lock. If the range closed and its records left in between, the key seemed unknown, and the refusal not-run, though the work might have run.

Change: ownership is checked again under the lock of the decision, as for attempts; otherwise the reply is unknown, not-owner. The time is read between the two.

TestRangeThatClosesIsNotSettledHere closes the range when the time is read: it failed without the second check and passes.

--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -321,19 +321,27 @@
 // settleKey returns what this home knows of a key that an entry is about to refuse; it closes an unknown key, so that
 // the refusal holds for all attempts.
 func (n *Node) settleKey(ctx context.Context, in settleRequest) settleReply {
-	now := n.clock.Now()
-	check := n.checkHomeKey(now, in.Key)
+	check := n.checkHomeKey(n.clock.Now(), in.Key)
 	if vm, ok := n.snapshot.Load().vms[check.previous]; ok && in.Service == n.cfg.Service {
 		return n.settleAtPrevious(ctx, vm, in)
 	}
 	if check.refused != nil || in.Service != n.cfg.Service {
 		return settleReply{Outcome: wire.Unknown, Reason: wire.ReasonNotOwner}
 	}
+	now := n.clock.Now()
 	var d onceonly.Decision
+	owner := true
 	n.home.with(func(h *onceonly.Home) {
+		// Check ownership again, as in serveHome.
+		if owner = onceonly.IsToken(in.Key) || h.Owns(check.hash.Range()); !owner {
+			return
+		}
 		closeFor := time.Duration(in.CloseMS)*time.Millisecond + keyCloseMargin
 		d = h.Memory.Settle(now, check.hash, check.provenNew, now.Add(closeFor))
 	})
+	if !owner {
+		return settleReply{Outcome: wire.Unknown, Reason: wire.ReasonNotOwner}
+	}
 	if d.Action == onceonly.Replay {
 		return settleReply{Outcome: wire.Ran}
 	}
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -152,3 +152,21 @@
 		c.Check(d.Reason, qt.Equals, wire.ReasonKeyClosed)
 	})
 }
+
+// TestRangeThatClosesIsNotSettledHere guards against "not run" for a key whose record leaves with its range while the home decides.
+func TestRangeThatClosesIsNotSettledHere(t *testing.T) {
+	c := qt.New(t)
+	s := newOnceTest(t, "", 0)
+	n := s.n
+	n.home.with(func(h *onceonly.Home) {
+		h.Adopt(time.Now(), onceonly.NewOwnerRow("front", []onceonly.Node{{VM: "a", Incarnation: n.incarnation}}))
+	})
+	closeRange := func() {
+		n.home.with(func(h *onceonly.Home) { h.CloseRanges([]int{onceonly.HashKey("front", "k").Range()}) })
+	}
+	checked := func() { s.clock.onNow.Store(&closeRange) }
+	s.clock.onNow.Store(&checked)
+	reply := n.settleKey(context.Background(), settleRequest{Service: "front", Key: "k", CloseMS: 1000})
+	c.Check(reply.Outcome, qt.Equals, wire.Unknown, qt.Commentf("%+v", reply))
+	c.Check(reply.Reason, qt.Equals, wire.ReasonNotOwner)
+}
