Node: a keyed request without configuration or route is unknown

Cause: a node that has no configuration yet, or none with a route for the request, refused it as not-run before it looked at the key. The request may be a retry of once-only work that ran through another entry, or by an earlier configuration.

Change: with a key the answer is unknown, for callers and for a backend server's own calls; without one it is not-run, as before.

TestKeyedRequestWithoutConfigurationOrRouteIsUnknown failed before for each request with a key, and passes.

--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -91,11 +91,11 @@
 	n.awaitServers(r.Context())
 	plan := n.snapshot.Load().plan
 	if plan == nil {
-		return notRunAnswer(wire.ReasonNoServer, time.Second)
+		return refuseUntreated(key, wire.ReasonNoServer, time.Second)
 	}
 	t, _ := plan.RequestTreatment(q.match())
 	if t == nil {
-		return notRunAnswer(wire.ReasonNoRoute, 0)
+		return refuseUntreated(key, wire.ReasonNoRoute, 0)
 	}
 	if timeout == 0 || timeout > t.Timeout {
 		timeout = t.Timeout
@@ -104,6 +104,16 @@
 	return n.sendGuarded(r.Context(), t, q, key, customerOf(r), timeout)
 }
 
+// refuseUntreated returns the refusal of a request for which this node has no treatment. Under a key it may be once-only work that ran
+// through another entry, or by an earlier configuration, so the refusal can't say "not run".
+func refuseUntreated(key string, reason wire.Reason, after time.Duration) *answer {
+	a := notRunAnswer(reason, after)
+	if key != "" {
+		a.meta.Outcome = wire.Unknown
+	}
+	return a
+}
+
 // sendGuarded sends a root request unless it is a retry by the caller that joins an attempt in flight or exceeds the
 // retry budget.
 func (n *Node) sendGuarded(ctx context.Context, t *config.Treatment, q *request, key, customer string, timeout time.Duration) *answer {
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -170,3 +171,29 @@
 	c.Check(reply.Outcome, qt.Equals, wire.Unknown, qt.Commentf("%+v", reply))
 	c.Check(reply.Reason, qt.Equals, wire.ReasonNotOwner)
 }
+
+// TestKeyedRequestWithoutConfigurationOrRouteIsUnknown guards against "not run" for once-only work that ran through another entry, or by an
+// earlier configuration.
+func TestKeyedRequestWithoutConfigurationOrRouteIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // the node doesn't wait for its configuration
+	ask := func(n *Node, key string) wire.Outcome {
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/charge", http.NoBody)
+		r.Header.Set(wire.HeaderIdempotencyKey, key)
+		return n.handleCaller(r).meta.Outcome
+	}
+	call := func(n *Node, key string) string {
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://none/charge", http.NoBody)
+		r.Header.Set(wire.HeaderIdempotencyKey, key)
+		w := httptest.NewRecorder()
+		n.serveOutbound(w, r)
+		return w.Header().Get(wire.HeaderOutcome)
+	}
+	for _, n := range []*Node{newSwapTest(t).n, newOnceTest(t, "", 0).n} {
+		c.Check(ask(n, "k"), qt.Equals, wire.Unknown)
+		c.Check(ask(n, ""), qt.Equals, wire.NotRun)
+		c.Check(call(n, "k"), qt.Equals, string(wire.Unknown))
+		c.Check(call(n, ""), qt.Equals, string(wire.NotRun))
+	}
+}
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -31,13 +31,14 @@
 	}
 	n.awaitServers(r.Context())
 	plan := n.snapshot.Load().plan
+	key := q.header.Get(wire.HeaderIdempotencyKey)
 	if plan == nil {
-		n.writeToCaller(w, notRunAnswer(wire.ReasonNoServer, time.Second))
+		n.writeToCaller(w, refuseUntreated(key, wire.ReasonNoServer, time.Second))
 		return
 	}
 	t := plan.CallTreatment(q.host, q.match())
 	if t == nil {
-		n.writeToCaller(w, notRunAnswer(wire.ReasonNoRoute, 0))
+		n.writeToCaller(w, refuseUntreated(key, wire.ReasonNoRoute, 0))
 		return
 	}
 	var a *answer
@@ -45,7 +46,7 @@
 	switch {
 	case inProgress:
 		a = n.sendChild(r.Context(), x.(*inbound), t, q)
-	case id != "" && t.OnceOnly && q.header.Get(wire.HeaderIdempotencyKey) == "":
+	case id != "" && t.OnceOnly && key == "":
 		// A retry of the call that it belonged to makes the same call, under a key that can no longer be derived here.
 		n.log.call.Info("once-only call of a call that has ended", "id", id, "service", t.Service)
 		a = notRunAnswer(wire.ReasonDeadline, 0)
