Node: a home doesn't begin an attempt that its sender has given up

Cause: once-only work goes on when its caller leaves, and so it also began for an attempt that had been given up before it was handled. A refused key is closed for the time that attempts may take, and 250 ms; on a starved machine a call may be handled later than that, and run what was told not-run.

Change: the home looks at the attempt's context under the lock of the decision, and begins nothing if it has ended.

TestAttemptThatItsSenderGaveUpDoesNotBegin failed before and passes.

--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -99,6 +99,10 @@
 		if owner = onceonly.IsToken(in.call.Key) || h.Owns(check.hash.Range()); !owner {
 			return
 		}
+		// A key that was refused opens again when its attempts have been given up, so none of these may begin afterwards.
+		if ctx.Err() != nil {
+			return
+		}
 		d = h.Memory.Begin(now, check.hash, fingerprint(q), check.provenNew)
 		if d.Action == onceonly.Join {
 			h.Memory.Wait(check.hash, func(rec onceonly.Record) { done <- rec })
@@ -108,6 +112,8 @@
 		return notRunAnswer(wire.ReasonNotOwner, 0)
 	}
 	switch d.Action {
+	case 0: // the sender gave the attempt up
+		return unknownAnswer(wire.ReasonDeadline)
 	case onceonly.Run:
 		return n.runOnce(ctx, in, q, check.hash)
 	case onceonly.Join:
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -197,3 +197,19 @@
 		c.Check(call(n, ""), qt.Equals, string(wire.NotRun))
 	}
 }
+
+// TestAttemptThatItsSenderGaveUpDoesNotBegin guards against once-only work that begins after its key was refused and opened again, by an
+// attempt that was on its way for that long.
+func TestAttemptThatItsSenderGaveUpDoesNotBegin(t *testing.T) {
+	c := qt.New(t)
+	s := newOnceTest(t, "k", 0)
+	n := s.n
+	n.home.with(func(h *onceonly.Home) {
+		h.Adopt(time.Now(), onceonly.NewOwnerRow("front", []onceonly.Node{{VM: "a", Incarnation: n.incarnation}}))
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	a := n.serveHome(ctx, s.in, s.q)
+	c.Check(a.meta.Outcome, qt.Equals, wire.Unknown)
+	c.Check(n.hasRecord(onceonly.HashKey("front", "k")), qt.IsFalse)
+}
