Node: a refused retry is unknown if an earlier attempt may run

Cause: not-run for repeatable work spoke of the attempt alone, while an earlier attempt under the same key was still on its way in the starved process.

After attempts that were refused or answered it says not-run, as before.

TestRefusedRetryIsUnknownIfAnEarlierAttemptMayRun failed before, through the same entry and another, and passes.

--- a/pkg/node/caller_retry_notes.go
+++ b/pkg/node/caller_retry_notes.go
@@ -28,7 +28,7 @@
 		return
 	}
 	select {
-	case n.notes <- repeat.RetryNotice{Key: key, TokensLeft: left}:
+	case n.notes <- repeat.RetryNotice{Key: key, TokensLeft: left, Uncertain: n.guard.Uncertain(e)}:
 	default:
 		n.log.call.Warn("retry note dropped: the queue is full")
 	}
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -157,6 +157,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(n.clock.Now()))
 	a := n.sendRoot(ctx, s, key)
+	switch {
+	case a.meta.Outcome == wire.Unknown:
+		n.guard.MarkUncertain(e)
+	case a.meta.Outcome == wire.NotRun && !t.OnceOnly && n.guard.Uncertain(e):
+		a.meta.Outcome = wire.Unknown // an earlier attempt may run yet
+	}
 	if a.rest != nil {
 		a.rest = &cancelReader{ReadCloser: a.rest, cancel: cancel}
 		n.guard.End(n.clock.Now(), e, nil)
--- a/pkg/node/once_outcome_test.go
+++ b/pkg/node/once_outcome_test.go
@@ -213,3 +213,26 @@
 	c.Check(a.meta.Outcome, qt.Equals, wire.Unknown)
 	c.Check(n.hasRecord(onceonly.HashKey("front", "k")), qt.IsFalse)
 }
+
+// TestRefusedRetryIsUnknownIfAnEarlierAttemptMayRun guards against "not run" for a repeatable request whose earlier attempt, through this
+// entry or another, was given up and runs later.
+func TestRefusedRetryIsUnknownIfAnEarlierAttemptMayRun(t *testing.T) {
+	c := qt.New(t)
+	n := newOnceTest(t, "", 0).n
+	attempt := repeat.Attempt{Key: "here", Customer: "c", RetryTokens: 1}
+	_, e, _ := n.guard.Begin(time.Now(), attempt)
+	n.guard.MarkUncertain(e)
+	n.guard.End(time.Now(), e, nil)
+	_, err := n.handleRetryNotes(retryNotes{[]repeat.RetryNotice{
+		{Key: "elsewhere", TokensLeft: 1, Uncertain: true}, {Key: "refused elsewhere", TokensLeft: 1},
+	}})
+	c.Assert(err, qt.IsNil)
+	treatment := &config.Treatment{Service: "front"} // its servers can't be reached
+	for key, want := range map[string]wire.Outcome{
+		"here": wire.Unknown, "elsewhere": wire.Unknown, "refused elsewhere": wire.NotRun, "new": wire.NotRun, "": wire.NotRun,
+	} {
+		a := n.sendGuarded(context.Background(), treatment, &request{method: http.MethodGet, uri: "/"}, key, "c", time.Second)
+		c.Check(a.meta.Outcome, qt.Equals, want, qt.Commentf("%q: %+v", key, a.meta))
+		c.Check(a.meta.Reason, qt.Equals, wire.ReasonNoServer)
+	}
+}
--- a/pkg/repeat/repeat_guard.go
+++ b/pkg/repeat/repeat_guard.go
@@ -42,6 +42,7 @@
 
 	running   int
 	forwarded bool
+	uncertain bool // an attempt ended whose outcome is unknown
 	ended     time.Time
 	inFlight  *InFlight
 }
@@ -125,10 +126,25 @@
 	e.forwarded = true
 }
 
+// MarkUncertain records that the outcome of an attempt is unknown: it may run after it has ended here.
+func (g *Guard) MarkUncertain(e *Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e.uncertain = true
+}
+
+// Uncertain reports whether the outcome of an attempt is unknown, here or at another entry that told of it.
+func (g *Guard) Uncertain(e *Record) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return e.uncertain
+}
+
 // RetryNotice tells another entry node about a request that its client is likely to retry there.
 type RetryNotice struct {
 	Key        string `json:"k"`
 	TokensLeft int    `json:"l"` // retry tokens left
+	Uncertain  bool   `json:"u,omitempty"`
 }
 
 // ApplyNotice records a notice from another entry node: the request was forwarded there, and at most n.TokensLeft of its retry
@@ -146,6 +162,7 @@
 		g.keys[n.Key] = e
 	}
 	e.forwarded = true
+	e.uncertain = e.uncertain || n.Uncertain
 	e.Ledger.Cap(n.TokensLeft)
 }
 
