--- a/pkg/node/call_home.go
+++ b/pkg/node/call_home.go
@@ -99,6 +99,10 @@
 		if owner = onceonly.IsToken(in.call.Key) || h.Owns(check.hash.Range()); !owner {
 			return
 		}
+		// A key that was refused opens again when its attempts have been given up, so none of these may begin afterwards.
+		if ctx.Err() != nil {
+			return
+		}
 		d = h.Memory.Begin(now, check.hash, fingerprint(q), check.provenNew)
 		if d.Action == onceonly.Join {
 			h.Memory.Wait(check.hash, func(rec onceonly.Record) { done <- rec })
@@ -108,6 +112,8 @@
 		return notRunAnswer(wire.ReasonNotOwner, 0)
 	}
 	switch d.Action {
+	case 0: // the sender gave the attempt up
+		return unknownAnswer(wire.ReasonDeadline)
 	case onceonly.Run:
 		return n.runOnce(ctx, in, q, check.hash)
 	case onceonly.Join:
@@ -124,13 +130,18 @@
 	}
 }
 
-// forwardToPrevious sends an attempt to the owner that still serves the key's range, or refuses it if that VM isn't listed.
+// forwardToPrevious sends an attempt to the owner that still serves the key's range. It refuses the attempt as not the key's home if that VM
+// isn't listed or can't be reached, since only that owner knows whether the key has run.
 func (n *Node) forwardToPrevious(ctx context.Context, in *inbound, q *request, check keyCheck) *answer {
 	vm, ok := n.snapshot.Load().vms[check.previous]
 	if !ok {
 		return check.refused
 	}
-	return n.forward(ctx, in, q, in.call, n.pool.Get(vm))
+	a := n.forward(ctx, in, q, in.call, n.pool.Get(vm))
+	if a.meta.Outcome == wire.NotRun && !a.fromDaemon {
+		return check.refused
+	}
+	return a
 }
 
 // forward sends a call on to one server, with a part of its retry tokens lent.
@@ -316,19 +327,27 @@
 // settleKey returns what this home knows of a key that an entry is about to refuse; it closes an unknown key, so that
 // the refusal holds for all attempts.
 func (n *Node) settleKey(ctx context.Context, in settleRequest) settleReply {
-	now := n.clock.Now()
-	check := n.checkHomeKey(now, in.Key)
+	check := n.checkHomeKey(n.clock.Now(), in.Key)
 	if vm, ok := n.snapshot.Load().vms[check.previous]; ok && in.Service == n.cfg.Service {
 		return n.settleAtPrevious(ctx, vm, in)
 	}
 	if check.refused != nil || in.Service != n.cfg.Service {
 		return settleReply{Outcome: wire.Unknown, Reason: wire.ReasonNotOwner}
 	}
+	now := n.clock.Now()
 	var d onceonly.Decision
+	owner := true
 	n.home.with(func(h *onceonly.Home) {
+		// Check ownership again, as in serveHome.
+		if owner = onceonly.IsToken(in.Key) || h.Owns(check.hash.Range()); !owner {
+			return
+		}
 		closeFor := time.Duration(in.CloseMS)*time.Millisecond + keyCloseMargin
 		d = h.Memory.Settle(now, check.hash, check.provenNew, now.Add(closeFor))
 	})
+	if !owner {
+		return settleReply{Outcome: wire.Unknown, Reason: wire.ReasonNotOwner}
+	}
 	if d.Action == onceonly.Replay {
 		return settleReply{Outcome: wire.Ran}
 	}
--- a/pkg/node/caller_server.go
+++ b/pkg/node/caller_server.go
@@ -91,11 +91,11 @@
 	n.awaitServers(r.Context())
 	plan := n.snapshot.Load().plan
 	if plan == nil {
-		return notRunAnswer(wire.ReasonNoServer, time.Second)
+		return refuseUntreated(key, wire.ReasonNoServer, time.Second)
 	}
 	t, _ := plan.RequestTreatment(q.match())
 	if t == nil {
-		return notRunAnswer(wire.ReasonNoRoute, 0)
+		return refuseUntreated(key, wire.ReasonNoRoute, 0)
 	}
 	if timeout == 0 || timeout > t.Timeout {
 		timeout = t.Timeout
@@ -104,6 +104,16 @@
 	return n.sendGuarded(r.Context(), t, q, key, customerOf(r), timeout)
 }
 
+// refuseUntreated returns the refusal of a request for which this node has no treatment. Under a key it may be once-only work that ran
+// through another entry, or by an earlier configuration, so the refusal can't say "not run".
+func refuseUntreated(key string, reason wire.Reason, after time.Duration) *answer {
+	a := notRunAnswer(reason, after)
+	if key != "" {
+		a.meta.Outcome = wire.Unknown
+	}
+	return a
+}
+
 // sendGuarded sends a root request unless it is a retry by the caller that joins an attempt in flight or exceeds the
 // retry budget.
 func (n *Node) sendGuarded(ctx context.Context, t *config.Treatment, q *request, key, customer string, timeout time.Duration) *answer {
@@ -121,8 +131,8 @@
 	case repeat.OverRetryShare, repeat.BudgetSpent:
 		n.metrics.Inc("entry_repeats_refused")
 		a := notRunAnswer(wire.ReasonRetryBudget, n.jitter(2*defaultRetryAfter))
-		if t.OnceOnly || v == repeat.BudgetSpent {
-			// The outcome of earlier attempts isn't looked up for a retry over the budget.
+		if _, sent := n.guard.TokensLeft(e); t.OnceOnly || sent {
+			// An earlier attempt may have run or be on its way; its outcome isn't looked up for a retry over the budget.
 			a.meta.Outcome = wire.Unknown
 		}
 		return a
@@ -147,6 +157,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(n.clock.Now()))
 	a := n.sendRoot(ctx, s, key)
+	switch {
+	case a.meta.Outcome == wire.Unknown:
+		n.guard.MarkUncertain(e)
+	case a.meta.Outcome == wire.NotRun && !t.OnceOnly && n.guard.Uncertain(e):
+		a.meta.Outcome = wire.Unknown // an earlier attempt may run yet
+	}
 	if a.rest != nil {
 		a.rest = &cancelReader{ReadCloser: a.rest, cancel: cancel}
 		n.guard.End(n.clock.Now(), e, nil)
--- a/pkg/node/outbound_server.go
+++ b/pkg/node/outbound_server.go
@@ -31,13 +31,14 @@
 	}
 	n.awaitServers(r.Context())
 	plan := n.snapshot.Load().plan
+	key := q.header.Get(wire.HeaderIdempotencyKey)
 	if plan == nil {
-		n.writeToCaller(w, notRunAnswer(wire.ReasonNoServer, time.Second))
+		n.writeToCaller(w, refuseUntreated(key, wire.ReasonNoServer, time.Second))
 		return
 	}
 	t := plan.CallTreatment(q.host, q.match())
 	if t == nil {
-		n.writeToCaller(w, notRunAnswer(wire.ReasonNoRoute, 0))
+		n.writeToCaller(w, refuseUntreated(key, wire.ReasonNoRoute, 0))
 		return
 	}
 	var a *answer
@@ -45,7 +46,7 @@
 	switch {
 	case inProgress:
 		a = n.sendChild(r.Context(), x.(*inbound), t, q)
-	case id != "" && t.OnceOnly && q.header.Get(wire.HeaderIdempotencyKey) == "":
+	case id != "" && t.OnceOnly && key == "":
 		// A retry of the call that it belonged to makes the same call, under a key that can no longer be derived here.
 		n.log.call.Info("once-only call of a call that has ended", "id", id, "service", t.Service)
 		a = notRunAnswer(wire.ReasonDeadline, 0)
@@ -61,6 +62,10 @@
 	signature := q.signature(t.Service)
 	if !in.ledger.BeginCall(signature) {
 		n.metrics.Inc("retries_denied")
+		if t.OnceOnly {
+			// The earlier call has the same key and may have run; its outcome isn't looked up.
+			return unknownAnswer(wire.ReasonRetryBudget)
+		}
 		return notRunAnswer(wire.ReasonRetryBudget, 0)
 	}
 	in.beginOutbound(n.clock.Now())
@@ -71,7 +76,7 @@
 	s.call.Service, s.call.Class, s.call.Delegated, s.call.Key = t.Service, t.Class, false, ""
 	var a *answer
 	if ok := n.setChildKey(in, s, signature); ok {
-		a = n.send(ctx, s)
+		a = n.settleToken(s, n.send(ctx, s))
 	} else {
 		a = notRunAnswer(wire.ReasonNoServer, 0)
 	}
@@ -104,10 +109,22 @@
 		return true
 	}
 	var ok bool
-	s.call.Key, ok = in.onceToken(signature+uint64(successes), func() (string, bool) { return n.newTokenFor(s) })
+	s.token, s.otherAttempts, ok = in.childToken(signature+uint64(successes), func() (string, bool) { return n.newTokenFor(s) })
+	if ok {
+		s.call.Key = s.token.key
+	}
 	return ok
 }
 
+// settleToken drops the token of a call that certainly didn't run. If a repeat under the token began meanwhile, that one may run.
+func (n *Node) settleToken(s *outgoingCall, a *answer) *answer {
+	if s.token == nil || s.otherAttempts || a.meta.Outcome != wire.NotRun || s.token.forget() {
+		return a
+	}
+	s.otherAttempts = true
+	return n.outcomeForKey(s, a)
+}
+
 // sendRootFromBackend sends a call that belongs to no inbound one, such as one of the backend server's own jobs, as a
 // root request.
 func (n *Node) sendRootFromBackend(ctx context.Context, t *config.Treatment, q *request) *answer {
