Call learner: the main caller of a route is found without maps

A report asks five times a second for the calls per run of each route, and for each called route a map of all calls of every route was made.

--- a/pkg/callgraph/calls_per_run.go
+++ b/pkg/callgraph/calls_per_run.go
@@ -63,8 +63,8 @@
 // mainCallerRate returns the calls per run of the route whose runs make most of the calls in total.
 func (l *Learner) mainCallerRate(called string) float64 {
 	highest, rate := 0.0, 0.0
-	for _, s := range l.routes {
-		calls := s.callsPerRun()[called]
+	for _, s := range l.byIndex {
+		calls := s.callsPerRunTo(called)
 		if all := calls * (s.all.runs + s.restoredRuns); all > highest {
 			highest, rate = all, calls
 		}
@@ -72,22 +72,37 @@
 	return rate
 }
 
-// callsPerRun returns the calls of one run: by succeeded runs if there are enough, together with the restored knowledge.
+// callsPerRun returns the calls of one run, by called route.
 func (s *routeStats) callsPerRun() Rates {
-	sums := s.succeeded
-	if sums.runs < minSucceededRuns && s.restored == nil {
-		sums = s.all
-	}
-	runs := sums.runs + s.restoredRuns
+	sums, runs := s.countedRuns()
 	if runs <= 0 {
 		return nil
 	}
 	out := make(Rates, len(sums.calls)+len(s.restored))
-	for c, n := range sums.calls {
-		out[c] = n / runs
+	for c := range sums.calls {
+		out[c] = s.callsPerRunTo(c)
 	}
-	for c, n := range s.restored {
-		out[c] += n * s.restoredRuns / runs
+	for c := range s.restored {
+		out[c] = s.callsPerRunTo(c)
 	}
 	return out
 }
+
+// callsPerRunTo returns the calls of one run to one route.
+func (s *routeStats) callsPerRunTo(called string) float64 {
+	sums, runs := s.countedRuns()
+	if runs <= 0 {
+		return 0
+	}
+	return sums.calls[called]/runs + s.restored[called]*s.restoredRuns/runs
+}
+
+// countedRuns returns the runs by which the calls per run are computed, the succeeded ones if there are enough, and their
+// number together with the runs that the restored knowledge counts as.
+func (s *routeStats) countedRuns() (*runSums, float64) {
+	sums := &s.succeeded
+	if sums.runs < minSucceededRuns && s.restored == nil {
+		sums = &s.all
+	}
+	return sums, sums.runs + s.restoredRuns
+}
