Loads, success: nodes report calls lost at their own hop

The plan had no figure of what is lost after admission. An entry now says how many admitted requests were lost at their own hop (refused, unanswered, late; not when a call below failed), as its last field: old nodes skip it, new ones read 0 from old nodes.

--- a/pkg/loads/report.go
+++ b/pkg/loads/report.go
@@ -26,6 +26,9 @@
 	Returning float64 `json:"b,omitempty"` // clients' retries after a refusal
 	// WithoutCaller counts the requests that arrived while no run was in progress that can have made them.
 	WithoutCaller float64 `json:"a,omitempty"`
+	// Lost counts the admitted requests that were lost at their own hop: refused, unanswered or late. A request that failed
+	// because a call below it failed isn't counted, as that call is.
+	Lost float64 `json:"l,omitempty"`
 }
 
 // Total returns the first attempts and retries a second.
@@ -33,7 +36,9 @@
 
 // with returns the sum of both entries.
 func (e Entry) with(o Entry) Entry {
-	return Entry{Fresh: e.Fresh + o.Fresh, Returning: e.Returning + o.Returning, WithoutCaller: e.WithoutCaller + o.WithoutCaller}
+	return Entry{
+		Fresh: e.Fresh + o.Fresh, Returning: e.Returning + o.Returning, WithoutCaller: e.WithoutCaller + o.WithoutCaller, Lost: e.Lost + o.Lost,
+	}
 }
 
 // RunStats is how often a second a route runs at a server, for how many seconds a run holds a slot, and how many calls of
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -29,6 +29,15 @@
 
 // run sends the request to servers until it is answered or given up, and returns the final answer.
 func (d *delivery) run(ctx context.Context) *answer {
+	a := d.deliver(ctx)
+	if d.n.lostAtOwnHop(d.q, a) {
+		d.n.stats.noteLost(d.n.clock.Now(), d.q.kind())
+	}
+	return a
+}
+
+// deliver is run without the count of lost requests.
+func (d *delivery) deliver(ctx context.Context) *answer {
 	d.reason = wire.ReasonNoServer
 	for {
 		if ctx.Err() != nil {
--- a/pkg/mesh/traffic_entries.go
+++ b/pkg/mesh/traffic_entries.go
@@ -10,6 +10,7 @@
 type entryStats struct {
 	firstAttempts, retries overload.DecayingRate
 	standalone             overload.DecayingRate // came while no run in progress can have made them
+	lost                   overload.DecayingRate // admitted and lost at their own hop
 	maxTimeLeft            time.Duration         // longest time to the deadline that a request of this kind ever had
 	firstAllowance         overload.AdmissionBucket
 	retryAllowance         overload.AdmissionBucket
@@ -53,6 +54,13 @@
 	}
 }
 
+// noteLost counts an admitted request of a kind that was lost at its own hop.
+func (s *trafficStats) noteLost(now time.Time, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry(kind).lost.Add(now, 1)
+}
+
 // isRetry notes an attempt's time to its deadline, and reports whether it counts as a client's retry after a refusal.
 func (e *entryStats) isRetry(left time.Duration) bool {
 	e.maxTimeLeft = max(e.maxTimeLeft, left)
--- a/pkg/mesh/traffic_stats.go
+++ b/pkg/mesh/traffic_stats.go
@@ -40,7 +40,9 @@
 	for kind, e := range s.entries {
 		first, retries := e.firstAttempts.PerSecond(now), e.retries.PerSecond(now)
 		if first+retries > minReportedRate {
-			r.Entries[kind] = loads.Entry{Fresh: round(first), Returning: round(retries), WithoutCaller: round(e.standalone.PerSecond(now))}
+			r.Entries[kind] = loads.Entry{
+				Fresh: round(first), Returning: round(retries), WithoutCaller: round(e.standalone.PerSecond(now)), Lost: round(e.lost.PerSecond(now)),
+			}
 		}
 	}
 	for route, x := range s.runs {
--- a/pkg/mesh/wire_layout_test.go
+++ b/pkg/mesh/wire_layout_test.go
@@ -23,6 +23,7 @@
 			"Crashes", "Cases", "QuarantineDigest", "WantsState", "SuspectsOnly", "StoreEpoch",
 		}},
 		{loads.Report{}, []string{"Host", "Epoch", "Seq", "Service", "UsableSlots", "Entries", "Runs", "NotListening", "Leaving"}},
+		{loads.Entry{}, []string{"Fresh", "Returning", "WithoutCaller", "Lost"}},
 		{poison.Crash{}, []string{"Lifetime", "Service", "Age", "Runs"}},
 		{poison.Run{}, []string{"Identity", "Stages", "Route", "Request", "RecentSuccess"}},
 		{poison.Case{}, []string{"Fingerprint", "Service", "Route", "Request", "Stage", "Crashed", "Cleared", "Age", "RecentlySuccessful"}},
@@ -35,3 +36,22 @@
 		c.Check(names, qt.DeepEquals, x.names)
 	}
 }
+
+// Guards against a node that can't read the reports of the other release: the previous one has no count of lost requests.
+func TestEntriesOfThePreviousReleaseAreReadBothWays(t *testing.T) {
+	c := qt.New(t)
+	type previousEntry struct {
+		Fresh         float64 `json:"f,omitempty"`
+		Returning     float64 `json:"b,omitempty"`
+		WithoutCaller float64 `json:"a,omitempty"`
+	}
+	entry := loads.Entry{Fresh: 5, Returning: 4, WithoutCaller: 3, Lost: 2}
+	var old map[string]previousEntry
+	c.Assert(unpack(mustPack(map[string]loads.Entry{"a": entry, "b": entry}), &old), qt.IsNil)
+	c.Assert(old, qt.DeepEquals, map[string]previousEntry{"a": {5, 4, 3}, "b": {5, 4, 3}})
+	var now map[string]loads.Entry
+	c.Assert(unpack(mustPack(old), &now), qt.IsNil)
+	entry.Lost = 0
+	c.Assert(now, qt.DeepEquals, map[string]loads.Entry{"a": entry, "b": entry})
+	c.Logf("an entry without losses takes %d bytes, one of the previous release %d", len(mustPack(entry)), len(mustPack(old["a"])))
+}
