Overload, node: kinds are planned for by the probability that whole requests succeed

Shares of one rank go by cost divided by that probability; a kind below 0.2 is admitted for probing where one that isn't less urgent needs the service; losses of urgent kinds take slots from less urgent ones. A gate tolerates fewer rejections the more calls a request makes there. A root's retry leaves half of the budget to calls. All of it only with reported losses or more than one call a request.

--- a/pkg/mesh/admission_log.go
+++ b/pkg/mesh/admission_log.go
@@ -30,7 +30,7 @@
 	n.control.logged.nextPlanLog = now.Add(planLogPeriod)
 	demand, costs := demandAndCosts(roots)
 	n.controlLog.Info("admission", "shares", sharesByDisplayName(plan.shares), "demand", demand, "costs", costs, "capacity", capacity,
-		"without_cost", missing, "reports", len(n.control.reports), "zones", len(n.packedOtherZones(now)))
+		"success", successByDisplayName(roots), "calls", plan.callsPerRequest, "without_cost", missing, "reports", len(n.control.reports), "zones", len(n.packedOtherZones(now)))
 }
 
 // sharesByDisplayName returns the shares keyed by the display names of their kinds.
@@ -64,6 +64,31 @@
 	}
 }
 
+// successByDisplayName returns the probabilities below 1 that requests succeed, keyed by the display names of their kinds.
+func successByDisplayName(roots []overload.KindDemand) map[string]float64 {
+	shown := map[string]float64{}
+	for _, r := range roots {
+		if r.Success > 0 && r.Success < 1 {
+			shown[loads.KindLabel(r.Kind)] = round(r.Success)
+		}
+	}
+	return shown
+}
+
+// setSuccessMetrics sets the success metric of each kind whose requests lose calls now or have since the start.
+func (n *Node) setSuccessMetrics(roots []overload.KindDemand) {
+	for _, r := range roots {
+		p := r.Success
+		if p <= 0 {
+			p = 1
+		}
+		if p < 1 || n.control.logged.success[r.Kind] {
+			n.control.logged.success[r.Kind] = true
+			n.metrics.gauge(int64(p*1000), "request_success", "route", loads.KindLabel(r.Kind))
+		}
+	}
+}
+
 // demandAndCosts returns the slots of each service that all first attempts would occupy, and the slot seconds that one
 // request of each kind takes at each service.
 func demandAndCosts(roots []overload.KindDemand) (demand map[string]float64, costs map[string]map[string]float64) {
--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -18,6 +18,16 @@
 	slotHoldTimes  map[string]time.Duration      // by route: average slot hold time of one run, over all servers
 	// bottlenecks holds the services whose usable slots the admitted requests fill.
 	bottlenecks map[string]bool
+	// callsPerRequest is, by service, how many runs there one admitted request causes.
+	callsPerRequest map[string]float64
+}
+
+// callsPerRequest returns how many runs at the service one admitted request causes, or 0 if it isn't known.
+func (n *Node) callsPerRequest(service string) float64 {
+	if p := n.plan.Load(); p != nil && !n.off[settings.ChainTolerance] {
+		return p.callsPerRequest[service]
+	}
+	return 0
 }
 
 // isBottleneck reports whether the requests that the plan admits fill the service, as far as their costs are known.
@@ -48,13 +58,16 @@
 	plan := &admissionPlan{
 		internalRoutes: maps.Clone(n.control.internalRoutes.internal), runsPerRequest: make(map[string]map[string]float64), slotHoldTimes: loads.HoldTimes(places),
 	}
-	costs := callgraph.Costs(loads.CallGraph(all), places)
+	graph := loads.CallGraph(all)
+	costs := callgraph.Costs(graph, places)
 	for route, c := range costs {
 		plan.runsPerRequest[route] = c.Runs
 	}
 	roots, capacity := n.rootDemand(now, reports, plan, costs), n.capacity()
+	n.addSuccess(now, roots, reports, graph, places)
 	options := overload.Options{NoMinimumShare: n.off[settings.MinShare], EqualShares: n.off[settings.CostWeight]}
 	plan.shares = options.PlanShares(roots, capacity)
+	plan.callsPerRequest = overload.CallsPerRequest(roots, plan.shares)
 	plan.bottlenecks = overload.BottleneckServices(roots, plan.shares, capacity)
 	missing := kindsWithoutCost(roots)
 	urgent := limitsAnyKind(roots, plan) || len(missing) > 0
@@ -63,6 +76,7 @@
 		n.logPlan(now, plan, roots, capacity, missing)
 	}
 	n.setShareMetrics(plan)
+	n.setSuccessMetrics(roots)
 	n.plan.Store(plan)
 }
 
@@ -96,7 +110,9 @@
 // newKindDemand returns the demand for a kind of root request with its rank and cost, and with rates of 0.
 func (n *Node) newKindDemand(kind string, costs map[string]callgraph.Cost) *overload.KindDemand {
 	route, team := loads.SplitKind(kind)
-	return &overload.KindDemand{Kind: kind, Priority: n.state.Load().Rank(route, team), SlotSeconds: costs[route].SlotSeconds}
+	return &overload.KindDemand{
+		Kind: kind, Priority: n.state.Load().Rank(route, team), SlotSeconds: costs[route].SlotSeconds, Runs: costs[route].Runs,
+	}
 }
 
 // reportedDemand returns the demand that the reports contain, by kind of root request.
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -11,6 +11,7 @@
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
+	"github.com/rockspoke/rockspoke/pkg/success"
 )
 
 // controlState is used by the control goroutine only.
@@ -29,6 +30,7 @@
 	zoneLoads           map[string]*zoneLoad   // newest aggregate load of each other zone
 	retainedRuns        loads.RetainedRuns
 	retainedDemand      loads.RetainedDemand
+	hops                success.Hops       // calls begun and lost by route, of all nodes
 	attemptRates        map[string]float64 // first attempts a second by kind, as last counted
 	internalRoutes      internalRoutes
 	localZoneLoad       zoneLoad // aggregate load of this zone, as last sent
@@ -49,6 +51,7 @@
 	nextCallsLog  time.Time
 	calls         map[string]callgraph.Rates // calls per run, by route
 	shares        map[string]bool            // kinds with an admitted_share metric
+	success       map[string]bool            // kinds with a request_success metric
 }
 
 // tickPeriod is the time between checks for due work.
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -109,7 +109,7 @@
 	n.control.reports = make(map[string]*nodeReport)
 	n.control.expiredReports = make(map[string]*nodeReport)
 	n.control.zoneLoads = make(map[string]*zoneLoad)
-	n.control.logged = loggedLines{calls: make(map[string]callgraph.Rates), shares: make(map[string]bool)}
+	n.control.logged = loggedLines{calls: make(map[string]callgraph.Rates), shares: make(map[string]bool), success: make(map[string]bool)}
 	n.records.init()
 	n.stats.init()
 	n.stats.learner.NoLateCalls = n.off[settings.LateCalls]
--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -48,6 +48,7 @@
 	n.control.gateUtilization += utilizationGain * (utilization - n.control.gateUtilization)
 	load := overload.GateLoad{
 		RejectedShare: n.stats.rejectedShare(now), Utilization: n.control.gateUtilization, Bottleneck: n.isBottleneck(own.Service),
+		CallsPerRequest: n.callsPerRequest(own.Service),
 	}
 	n.control.usableFraction.Observe(now, load)
 	excess := n.excessSlots(now, g, rate)
--- a/pkg/mesh/retry_budget.go
+++ b/pkg/mesh/retry_budget.go
@@ -25,8 +25,12 @@
 		return false
 	}
 	runs := n.expectedRuns(q)
+	var calls map[string]float64
+	if p := n.plan.Load(); p != nil && !q.Internal && !n.off[settings.RetryReserve] {
+		calls = p.callsPerRequest
+	}
 	n.retryBudgetMu.Lock()
-	ok := n.retryBudget.TryWithdraw(n.clock.Now(), runs)
+	ok := n.retryBudget.TryWithdrawForRoot(n.clock.Now(), runs, calls)
 	n.retryBudgetMu.Unlock()
 	if ok {
 		n.metrics.count("repeats_total", "service", q.Service)
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -7,6 +7,13 @@
 	Fresh       float64            // first attempts a second
 	Returning   float64            // clients' retries a second, after a refusal
 	SlotSeconds map[string]float64 // cost of one request by service, calls included
+	Runs        map[string]float64 // runs caused by one request by service, calls included; nil: unknown
+	// Success is the probability that all calls of an admitted request succeed, 0 if it isn't known. SuccessAt is the same
+	// for the calls to each service.
+	Success   float64
+	SuccessAt map[string]float64
+	// Services are those that the request itself may run on.
+	Services []string
 }
 
 // Share is the admitted share of a kind's first attempts and of its clients' retries, each 0 to 1.
@@ -15,7 +22,7 @@
 	Returning float64
 }
 
-// TargetUtilization is the share of a service's capacity that admission fills. It is above 1 because some requests fail
+// TargetUtilization is the share of a service's capacity that admission fills, for requests that run there once. It is above 1 because some requests fail
 // before they have made all of their calls, and because a gate that rejects too many requests lowers the capacity
 // (UsableFractionController).
 const TargetUtilization = 1.1
@@ -38,6 +45,17 @@
 	for s, c := range capacity {
 		left[s] = c * TargetUtilization
 	}
+	probing := probingShares(roots, left)
+	out := o.planShares(scaledDemand(roots, probing), left)
+	for kind, p := range probing {
+		out[kind] = Share{Fresh: out[kind].Fresh * p, Returning: out[kind].Returning * p}
+	}
+	limitByUrgentKinds(roots, capacity, out)
+	return out
+}
+
+// planShares returns the shares of kinds that are planned for alike.
+func (o Options) planShares(roots []KindDemand, left map[string]float64) map[string]Share {
 	out := make(map[string]Share, len(roots))
 	flows := flowsByRank(roots)
 	if !o.NoMinimumShare {
@@ -50,6 +68,9 @@
 		} else {
 			grantWeightedShares(flows[:n], left, out)
 		}
+		if n == len(flows) || flows[n].kind.Priority != flows[0].kind.Priority {
+			reserveForLosses(roots, flows[0].kind.Priority, out, left)
+		}
 		flows = flows[n:]
 	}
 	rejectUncountedRetries(roots, out)
--- a/pkg/overload/plan_weighted_shares.go
+++ b/pkg/overload/plan_weighted_shares.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// costExponent is the power of the inverse cost by which flows of one rank are weighted: a kind that takes three quarters
+// costExponent is the power of the inverse cost of a request that succeeds by which flows of one rank are weighted: a kind that takes three quarters
 // of another's slots at the bottleneck gets more than twice its share. So more requests are served in all, and small
 // errors in learned costs don't reverse the order.
 const costExponent = 3.0
@@ -41,11 +41,11 @@
 func sharesByCost(flows []flow, service string) func(level float64) func(flow) float64 {
 	highestCost := 0.0
 	for _, f := range flows {
-		highestCost = max(highestCost, f.kind.SlotSeconds[service])
+		highestCost = max(highestCost, f.kind.costOfSuccess(service))
 	}
 	return func(level float64) func(flow) float64 {
 		return func(f flow) float64 {
-			return min(level*math.Pow(highestCost/f.kind.SlotSeconds[service], costExponent), 1)
+			return min(level*math.Pow(highestCost/f.kind.costOfSuccess(service), costExponent), 1)
 		}
 	}
 }
--- a/pkg/overload/retry_budget.go
+++ b/pkg/overload/retry_budget.go
@@ -43,11 +43,31 @@
 	}
 }
 
+// rootShare is the share of the tokens at a service that a root request's retry may use where requests make several calls.
+// A lost call loses all the work above it, a lost root none, so calls find tokens left.
+const rootShare = 0.5
+
 // TryWithdraw pays for one retry, given the runs that it causes by service. It reports false, and withdraws nothing, if a
 // service has too few tokens.
 func (b *RetryBudget) TryWithdraw(now time.Time, runs map[string]float64) bool {
+	return b.tryWithdraw(now, runs, func(string) float64 { return 1 })
+}
+
+// TryWithdrawForRoot does the same for a root request, which leaves a part of the tokens at the services to which one request
+// makes several calls.
+func (b *RetryBudget) TryWithdrawForRoot(now time.Time, runs, callsPerRequest map[string]float64) bool {
+	return b.tryWithdraw(now, runs, func(service string) float64 {
+		if callsPerRequest[service] > 1 {
+			return rootShare
+		}
+		return 1
+	})
+}
+
+// tryWithdraw withdraws the tokens if at each service they are within the usable share of what is there.
+func (b *RetryBudget) tryWithdraw(now time.Time, runs map[string]float64, usable func(service string) float64) bool {
 	for s, n := range runs {
-		if b.windowOf(now, s).balance()+b.Burst < n {
+		if usable(s)*(b.windowOf(now, s).balance()+b.Burst) < n {
 			return false
 		}
 	}
--- a/pkg/overload/usable_fraction_controller.go
+++ b/pkg/overload/usable_fraction_controller.go
@@ -23,13 +23,17 @@
 	RejectedShare float64 // share of the requests rejected because the queue was full
 	Utilization   float64 // slots in use plus queued requests, as a share of the slots
 	Bottleneck    bool    // the plan has this service as a bottleneck
+	// CallsPerRequest is the number of runs at the service that one request causes; 0 stands for 1.
+	CallsPerRequest float64
 }
 
 // Parameters of the controller.
 const (
 	// toleratedRejections is the share of rejected requests without effect: another server takes what one rejects, and since
-	// calls of old requests go first, it is new requests that fail.
+	// calls of old requests go first, it is new requests that fail. It is for requests that run at the service once.
 	toleratedRejections = 0.25
+	// maxCallsPerRequest bounds the calls that lower the tolerated share: beyond, the noise of the counts exceeds it.
+	maxCallsPerRequest = 20
 	// withholdRate is how fast usable slots are withheld, as a share a second at a gate that rejects everything. The effect
 	// shows after about a second: reports have to spread and admitted requests have to end.
 	withholdRate = 0.8
@@ -76,18 +80,36 @@
 	switch {
 	case g.Utilization < lowUtilization:
 		c.withheld = max(c.withheld-idleRestoreRate*step.Seconds(), 0)
-	case g.RejectedShare > toleratedRejections:
+	case g.RejectedShare > g.toleratedRejections():
 		left := (1 - c.withheld) * math.Exp(-withholdRate*g.RejectedShare*step.Seconds())
 		c.withheld = min(1-left, 1-minFraction)
 	default:
-		c.withheld = max(c.withheld-restoreRate*step.Seconds(), 0)
+		c.withheld = max(c.withheld-g.restoreRate()*step.Seconds(), 0)
 	}
 }
 
+// toleratedRejections returns the share of rejected calls without effect: with several calls a request, the one at which as
+// many whole requests get through as with one call.
+func (g GateLoad) toleratedRejections() float64 {
+	if g.CallsPerRequest <= 1 {
+		return toleratedRejections
+	}
+	return 1 - math.Pow(1-toleratedRejections, 1/min(g.CallsPerRequest, maxCallsPerRequest))
+}
+
+// restoreRate returns how fast withheld slots are restored. With several calls a request it falls to 0 towards the tolerated
+// share: that is soon reached, and a full rate would restore in a second what it took several to withhold.
+func (g GateLoad) restoreRate() float64 {
+	if g.CallsPerRequest <= 1 {
+		return restoreRate
+	}
+	return restoreRate * (1 - g.RejectedShare/g.toleratedRejections())
+}
+
 // adjustGain raises the usable slots while the plan has the server as full and it isn't.
 func (c *UsableFractionController) adjustGain(step time.Duration, g GateLoad) {
 	switch {
-	case !g.Bottleneck || g.RejectedShare > toleratedRejections:
+	case !g.Bottleneck || g.RejectedShare > g.toleratedRejections():
 		c.logGain *= math.Exp(-step.Seconds() / gainDecayTime.Seconds())
 	case g.Utilization < lowUtilization || g.Utilization > fullUtilization:
 		c.logGain += math.Log(fullUtilization/max(g.Utilization, minUtilization)) * step.Seconds() / gainTime.Seconds()
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -26,6 +26,9 @@
 	GateOrder         Mechanism = "gate-order"
 	KindHoldTimes     Mechanism = "kind-holds"
 	Quarantine        Mechanism = "held-back"
+	RequestSuccess    Mechanism = "request-success"
+	ChainTolerance    Mechanism = "chain-tolerance"
+	RetryReserve      Mechanism = "retry-reserve"
 )
 
 // MechanismInfo describes one mechanism.
@@ -51,6 +54,9 @@
 	{GateOrder, "a server's queue is in order of arrival"},
 	{KindHoldTimes, "whether a request can finish in time is estimated from the average slot hold time of all kinds"},
 	{Quarantine, "a request that crashes its servers is sent to further servers like any other"},
+	{RequestSuccess, "kinds are planned for as if all calls of admitted requests succeeded"},
+	{ChainTolerance, "a gate may reject as many calls of requests that make several calls there as of requests that make one"},
+	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
