--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -41,19 +41,25 @@
 
 // PlanShares returns the admitted share of each kind such that all fit into the services' capacity in slots.
 func (o Options) PlanShares(roots []KindDemand, capacity map[string]float64) map[string]Share {
-	left := make(map[string]float64, len(capacity))
-	for s, c := range capacity {
-		left[s] = c * TargetUtilization
-	}
+	left := targets(capacity)
 	probing := probingShares(roots, left)
 	out := o.planShares(scaledDemand(roots, probing), left)
 	for kind, p := range probing {
 		out[kind] = Share{Fresh: out[kind].Fresh * p, Returning: out[kind].Returning * p}
 	}
-	limitByUrgentKinds(roots, capacity, out)
+	limitByUrgentKinds(roots, probing, capacity, out)
 	return out
 }
 
+// targets returns the slots of each service that admission fills.
+func targets(capacity map[string]float64) map[string]float64 {
+	t := make(map[string]float64, len(capacity))
+	for s, c := range capacity {
+		t[s] = c * TargetUtilization
+	}
+	return t
+}
+
 // planShares returns the shares of kinds that are planned for alike.
 func (o Options) planShares(roots []KindDemand, left map[string]float64) map[string]Share {
 	out := make(map[string]Share, len(roots))
--- a/pkg/overload/plan_success.go
+++ b/pkg/overload/plan_success.go
@@ -1,6 +1,9 @@
 package overload
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Parameters of kinds whose admitted requests may fail.
 const (
@@ -128,33 +131,32 @@
 }
 
 // limitByUrgentKinds limits the kinds that would be served more often than a more urgent kind of the same service after the
-// losses at the services that both need, if they share a bottleneck.
-func limitByUrgentKinds(roots []KindDemand, capacity map[string]float64, out map[string]Share) {
+// losses at the services that both need, if they share a bottleneck. Kinds that are admitted for probing limit no others.
+func limitByUrgentKinds(roots []KindDemand, probing map[string]float64, capacity map[string]float64, out map[string]Share) {
 	if !slices.ContainsFunc(roots, func(k KindDemand) bool { return k.success() < 1 }) {
 		return
 	}
 	bottlenecks := BottleneckServices(roots, out, capacity)
 	byRank := slices.Clone(roots)
-	slices.SortStableFunc(byRank, func(a, b KindDemand) int { return a.Priority - b.Priority })
+	slices.SortStableFunc(byRank, func(a, b KindDemand) int { return cmp.Compare(a.Priority, b.Priority) })
 	for i := range byRank {
 		k := &byRank[i]
 		for j := range byRank[:i] {
 			u := &byRank[j]
-			if u.Priority == k.Priority || u.Fresh <= 0 || !sharesService(u, k, bottlenecks) || !sameOwnService(u, k) {
+			if _, probed := probing[u.Kind]; probed || u.Priority == k.Priority || u.Fresh <= 0 || !u.competesWith(k, bottlenecks) {
 				continue
 			}
 			urgent, less := sharedSuccess(u, k)
-			s := out[k.Kind]
-			s.Fresh = min(s.Fresh, out[u.Kind].Fresh*urgent/less)
-			s.Returning = min(s.Returning, s.Fresh)
-			out[k.Kind] = s
+			if most := out[u.Kind].Fresh * urgent / less; out[k.Kind].Fresh > most {
+				out[k.Kind] = Share{Fresh: most, Returning: min(out[k.Kind].Returning, most)}
+			}
 		}
 	}
 }
 
-// sameOwnService reports whether requests of both kinds may run on one service.
-func sameOwnService(a, b *KindDemand) bool {
-	return slices.ContainsFunc(a.Services, func(s string) bool { return slices.Contains(b.Services, s) })
+// competesWith reports whether both kinds run on one service and need one of the bottlenecks.
+func (k *KindDemand) competesWith(o *KindDemand, bottlenecks map[string]bool) bool {
+	return sharesService(k, o, bottlenecks) && slices.ContainsFunc(k.Services, func(s string) bool { return slices.Contains(o.Services, s) })
 }
 
 // sharedSuccess returns the probabilities that the calls of each kind to the services that both need succeed. Losses at
