Overload: targets fall with the calls a request makes, losses count where they come from load

Hopeless kinds are limited only where another kind lacks slots, and urgent kinds' losses take slots only at services in full use: while the smallest service refused half of its calls, both limits had lowered what was served.

--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -64,11 +64,11 @@
 		plan.runsPerRequest[route] = c.Runs
 	}
 	roots, capacity := n.rootDemand(now, reports, plan, costs), n.capacity()
-	n.addSuccess(now, roots, reports, graph, places)
-	options := overload.Options{NoMinimumShare: n.off[settings.MinShare], EqualShares: n.off[settings.CostWeight]}
+	n.addSuccess(now, &planInputs{reports, graph, places, roots, capacity})
+	options := overload.Options{NoMinimumShare: n.off[settings.MinShare], EqualShares: n.off[settings.CostWeight], SameTarget: n.off[settings.ChainTarget]}
 	plan.shares = options.PlanShares(roots, capacity)
 	plan.callsPerRequest = overload.CallsPerRequest(roots, plan.shares)
-	plan.bottlenecks = overload.BottleneckServices(roots, plan.shares, capacity)
+	plan.bottlenecks = options.BottleneckServices(roots, plan.shares, capacity)
 	missing := kindsWithoutCost(roots)
 	urgent := limitsAnyKind(roots, plan) || len(missing) > 0
 	n.updateUrgency(now, urgent)
--- a/pkg/overload/plan.go
+++ b/pkg/overload/plan.go
@@ -1,5 +1,7 @@
 package overload
 
+import "math"
+
 // KindDemand is the demand for one kind of root request in the whole system, and its cost.
 type KindDemand struct {
 	Kind        string
@@ -9,7 +11,7 @@
 	SlotSeconds map[string]float64 // cost of one request by service, calls included
 	Runs        map[string]float64 // runs caused by one request by service, calls included; nil: unknown
 	// Success is the probability that all calls of an admitted request succeed, 0 if it isn't known. SuccessAt is the same
-	// for the calls to each service.
+	// for the calls to each service whose losses come from load.
 	Success   float64
 	SuccessAt map[string]float64
 	// Services are those that the request itself may run on.
@@ -31,6 +33,7 @@
 type Options struct {
 	NoMinimumShare bool // kinds get no minimum before the more urgent ones are served
 	EqualShares    bool // kinds of one rank get equal shares, whatever they cost
+	SameTarget     bool // services are filled alike, however many calls a request makes there
 }
 
 // PlanShares returns the admitted share of each kind such that all fit into the services' capacity in slots, with all
@@ -41,25 +44,40 @@
 
 // PlanShares returns the admitted share of each kind such that all fit into the services' capacity in slots.
 func (o Options) PlanShares(roots []KindDemand, capacity map[string]float64) map[string]Share {
-	left := targets(capacity)
-	probing := probingShares(roots, left)
-	out := o.planShares(scaledDemand(roots, probing), left)
+	out := o.planShares(roots, o.targets(roots, capacity))
+	probing := probingShares(roots, out, o.BottleneckServices(roots, out, capacity))
+	if len(probing) > 0 {
+		out = o.planShares(scaledDemand(roots, probing), o.targets(roots, capacity))
+	}
 	for kind, p := range probing {
 		out[kind] = Share{Fresh: out[kind].Fresh * p, Returning: out[kind].Returning * p}
 	}
-	limitByUrgentKinds(roots, probing, capacity, out)
+	o.limitByUrgentKinds(roots, probing, capacity, out)
 	return out
 }
 
 // targets returns the slots of each service that admission fills.
-func targets(capacity map[string]float64) map[string]float64 {
+func (o Options) targets(roots []KindDemand, capacity map[string]float64) map[string]float64 {
+	var calls map[string]float64
+	if !o.SameTarget {
+		calls = CallsPerRequest(roots, nil)
+	}
 	t := make(map[string]float64, len(capacity))
 	for s, c := range capacity {
-		t[s] = c * TargetUtilization
+		t[s] = c * targetUtilization(calls[s])
 	}
 	return t
 }
 
+// targetUtilization returns the target for a service where one request makes n calls. It falls to 1 with n: of requests that
+// make several calls in turn nearly all fail where a tenth of the calls has no slot.
+func targetUtilization(n float64) float64 {
+	if n <= 1 {
+		return TargetUtilization
+	}
+	return 1 + (TargetUtilization-1)/math.Sqrt(n)
+}
+
 // planShares returns the shares of kinds that are planned for alike.
 func (o Options) planShares(roots []KindDemand, left map[string]float64) map[string]Share {
 	out := make(map[string]Share, len(roots))
@@ -97,8 +115,13 @@
 // the plan stops a little below the target.
 const bottleneckUtilization = 0.97
 
-// BottleneckServices returns the services whose capacity the admitted requests fill.
+// BottleneckServices returns the services whose capacity the admitted requests fill, with all mechanisms on.
 func BottleneckServices(roots []KindDemand, shares map[string]Share, capacity map[string]float64) map[string]bool {
+	return Options{}.BottleneckServices(roots, shares, capacity)
+}
+
+// BottleneckServices returns the services whose capacity the admitted requests fill.
+func (o Options) BottleneckServices(roots []KindDemand, shares map[string]Share, capacity map[string]float64) map[string]bool {
 	load := map[string]float64{}
 	for _, r := range roots {
 		admitted := r.Fresh*shares[r.Kind].Fresh + r.Returning*shares[r.Kind].Returning
@@ -107,8 +130,8 @@
 		}
 	}
 	bottlenecks := map[string]bool{}
-	for s, c := range capacity {
-		if c > 0 && load[s] >= bottleneckUtilization*c*TargetUtilization {
+	for s, target := range o.targets(roots, capacity) {
+		if target > 0 && load[s] >= bottleneckUtilization*target {
 			bottlenecks[s] = true
 		}
 	}
--- a/pkg/overload/plan_success.go
+++ b/pkg/overload/plan_success.go
@@ -15,6 +15,8 @@
 	hopefulSuccess = 0.3
 	// probingShare is the share of its demand that a hopeless kind keeps, so that the end of the losses shows.
 	probingShare = 0.05
+	// neededShare is the admitted share below which a kind needs slots: the plan leaves a little free.
+	neededShare = 0.95
 	// maxReserve bounds the slots that are kept free for an urgent kind's losses, in multiples of its cost: losses that don't
 	// come from load would otherwise leave the service idle.
 	maxReserve = 1.5
@@ -59,19 +61,16 @@
 }
 
 // probingShares returns the share of the demand that is planned for, for the kinds whose requests hardly succeed and which
-// share an overloaded service with a kind that isn't less urgent and does succeed. It returns nil if there are none.
-func probingShares(roots []KindDemand, capacity map[string]float64) map[string]float64 {
+// share a bottleneck with a kind that isn't less urgent, does succeed and isn't admitted in full. It returns nil if there are
+// none. Where the others are admitted in full, hopeless requests cost nothing that anyone needs.
+func probingShares(roots []KindDemand, out map[string]Share, bottlenecks map[string]bool) map[string]float64 {
 	var shares map[string]float64
-	var overloaded map[string]bool
 	for i := range roots {
 		k := &roots[i]
 		if k.success() >= hopefulSuccess {
 			continue
 		}
-		if overloaded == nil {
-			overloaded = overloadedServices(roots, capacity)
-		}
-		if !slices.ContainsFunc(roots, func(o KindDemand) bool { return o.needsSlotsOf(k, overloaded) }) {
+		if !slices.ContainsFunc(roots, func(o KindDemand) bool { return out[o.Kind].Fresh < neededShare && o.needsSlotsOf(k, bottlenecks) }) {
 			continue
 		}
 		if shares == nil {
@@ -83,9 +82,9 @@
 	return shares
 }
 
-// needsSlotsOf reports whether slots of an overloaded service that a hopeless kind leaves help k.
-func (k *KindDemand) needsSlotsOf(hopeless *KindDemand, overloaded map[string]bool) bool {
-	return k.Priority <= hopeless.Priority && k.success() >= hopefulSuccess && sharesService(k, hopeless, overloaded)
+// needsSlotsOf reports whether slots of a bottleneck that a hopeless kind leaves help k.
+func (k *KindDemand) needsSlotsOf(hopeless *KindDemand, bottlenecks map[string]bool) bool {
+	return k.Priority <= hopeless.Priority && k.success() >= hopefulSuccess && sharesService(k, hopeless, bottlenecks)
 }
 
 // sharesService reports whether both kinds use one of the services.
@@ -98,23 +97,6 @@
 	return false
 }
 
-// overloadedServices returns the services whose capacity the whole demand exceeds.
-func overloadedServices(roots []KindDemand, capacity map[string]float64) map[string]bool {
-	load := map[string]float64{}
-	for i := range roots {
-		for s, cost := range roots[i].SlotSeconds {
-			load[s] += cost * (roots[i].Fresh + roots[i].Returning)
-		}
-	}
-	overloaded := map[string]bool{}
-	for s, l := range load {
-		if c, known := capacity[s]; known && l > c {
-			overloaded[s] = true
-		}
-	}
-	return overloaded
-}
-
 // scaledDemand returns the kinds with the demand of some of them scaled.
 func scaledDemand(roots []KindDemand, scale map[string]float64) []KindDemand {
 	if len(scale) == 0 {
@@ -132,11 +114,11 @@
 
 // limitByUrgentKinds limits the kinds that would be served more often than a more urgent kind of the same service after the
 // losses at the services that both need, if they share a bottleneck. Kinds that are admitted for probing limit no others.
-func limitByUrgentKinds(roots []KindDemand, probing map[string]float64, capacity map[string]float64, out map[string]Share) {
+func (o Options) limitByUrgentKinds(roots []KindDemand, probing map[string]float64, capacity map[string]float64, out map[string]Share) {
 	if !slices.ContainsFunc(roots, func(k KindDemand) bool { return k.success() < 1 }) {
 		return
 	}
-	bottlenecks := BottleneckServices(roots, out, capacity)
+	bottlenecks := o.BottleneckServices(roots, out, capacity)
 	byRank := slices.Clone(roots)
 	slices.SortStableFunc(byRank, func(a, b KindDemand) int { return cmp.Compare(a.Priority, b.Priority) })
 	for i := range byRank {
--- a/pkg/overload/plan_success_test.go
+++ b/pkg/overload/plan_success_test.go
@@ -68,7 +68,8 @@
 		}
 		shares := PlanShares(roots, capacity)
 		bottlenecks := BottleneckServices(roots, shares, capacity)
-		probing := probingShares(roots, targets(capacity))
+		first := Options{}.planShares(roots, Options{}.targets(roots, capacity))
+		probing := probingShares(roots, first, BottleneckServices(roots, first, capacity))
 		for s, available := range capacity {
 			used := 0.0
 			for _, k := range roots {
--- a/pkg/overload/retry_budget.go
+++ b/pkg/overload/retry_budget.go
@@ -47,6 +47,10 @@
 // A lost call loses all the work above it, a lost root none, so calls find tokens left.
 const rootShare = 0.5
 
+// minReservedCalls is the number of calls a request from which tokens are left for calls; learned calls of a service where
+// requests make one are never exactly one.
+const minReservedCalls = 1.5
+
 // TryWithdraw pays for one retry, given the runs that it causes by service. It reports false, and withdraws nothing, if a
 // service has too few tokens.
 func (b *RetryBudget) TryWithdraw(now time.Time, runs map[string]float64) bool {
@@ -57,7 +61,7 @@
 // makes several calls.
 func (b *RetryBudget) TryWithdrawForRoot(now time.Time, runs, callsPerRequest map[string]float64) bool {
 	return b.tryWithdraw(now, runs, func(service string) float64 {
-		if callsPerRequest[service] > 1 {
+		if callsPerRequest[service] >= minReservedCalls {
 			return rootShare
 		}
 		return 1
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -28,6 +28,7 @@
 	Quarantine        Mechanism = "held-back"
 	RequestSuccess    Mechanism = "request-success"
 	ChainTolerance    Mechanism = "chain-tolerance"
+	ChainTarget       Mechanism = "chain-target"
 	RetryReserve      Mechanism = "retry-reserve"
 )
 
@@ -56,6 +57,7 @@
 	{Quarantine, "a request that crashes its servers is sent to further servers like any other"},
 	{RequestSuccess, "kinds are planned for as if all calls of admitted requests succeeded"},
 	{ChainTolerance, "a gate may reject as many calls of requests that make several calls there as of requests that make one"},
+	{ChainTarget, "admission fills a service alike, however many calls a request makes there"},
 	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
 }
 
