Node: servers tell their pace, and servers are chosen by the expected time to the end of a call

Servers of one service differ in speed by 0.5 to 1.7, and some are 2.5 times slower for 600 ms. The score by use and the square root of the slowdown hardly avoided them.

The load header of an answer is parsed, the gate expects hold times by the server's lasting speed and its pace now, replies carry the pace to senders that read it, and the plan counts slots by the work they do. Without a told pace all is as before; mesh.off: [server-pace] switches it off.

--- a/pkg/gate/doc.go
+++ b/pkg/gate/doc.go
@@ -11,9 +11,12 @@
 // A server may limit its rate as well. A token bucket then holds back the tickets
 // that have a slot, and rejects those that would wait too long for a token.
 //
+// A server may tell its pace. The Gate then expects slot hold times by the server's
+// lasting speed and its pace now (package pace), in place of the smoothed slowdown.
+//
 // gate.go holds the slots and the queue, rate_limit.go the bucket, ticket_order.go and ticket_wait.go set
-// the order of tickets and how long they may wait, and run_outcome.go records how
-// runs ended.
+// the order of tickets and how long they may wait, expected_hold.go estimates slot hold
+// times, and run_outcome.go records how runs ended.
 //
 // A Gate does no I/O, starts no goroutine and reads no clock. It differs from
 // package admission: there every request carries a priority through the whole
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/pace"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -23,6 +24,7 @@
 	Deadline    time.Time
 	Age         time.Duration  // of a call: lower bound of the time since its root's work began
 	TypicalHold time.Duration  // slot hold time of its kind over all servers; 0 if unknown
+	CallShare   float64        // share of TypicalHold that its kind waits for its own calls; 0 if unknown
 	Notify      func(Decision) // called once if the ticket was queued
 
 	arrived time.Time
@@ -38,9 +40,15 @@
 	Running      int           `json:"running"`
 	Queued       int           `json:"queued"`
 	HoldTime     time.Duration `json:"hold_ns"`
-	Slowdown     float64       `json:"pace"`    // slot hold time as a multiple of what the requests' kinds take over all servers
-	SuccessShare float64       `json:"success"` // share of successful answers among requests that ran
-	ShedShare    float64       `json:"shed"`    // share of requests that the server itself refused
+	Slowdown     float64       `json:"pace"` // slot hold time as a multiple of what the requests' kinds take over all servers, now
+	MeanSlowdown float64       `json:"-"`    // the same, averaged over recent runs
+	// ToldPace is the pace of the server now by what it told last, 0 if it has told none; PaceFactor is its factor on runs like the
+	// recent ones, and MeanFactor what that factor was in them.
+	ToldPace     float64 `json:"told_pace,omitempty"`
+	PaceFactor   float64 `json:"-"`
+	MeanFactor   float64 `json:"-"`
+	SuccessShare float64 `json:"success"` // share of successful answers among requests that ran
+	ShedShare    float64 `json:"shed"`    // share of requests that the server itself refused
 }
 
 // limitFraction is the fraction of the slots that is used: servers slow down when they are nearly full.
@@ -59,6 +67,9 @@
 	seq          int64
 	holdTime     time.Duration
 	slowdown     float64
+	told         pace.Told
+	speed        pace.Speed
+	latest       time.Time // newest time that the Gate was given; the told pace ages by it
 	successShare float64
 	shedShare    float64
 	open         bool
@@ -71,6 +82,7 @@
 		g.slots = slots
 		g.limit = float64(slots) * limitFraction
 		g.slowdown, g.successShare, g.shedShare = 1, 1, 0
+		g.told, g.speed = pace.Told{}, pace.Speed{}
 	}
 	g.open = true
 }
@@ -91,6 +103,7 @@
 	if !g.open {
 		return Decision{Reason: wire.ReasonLeaving}
 	}
+	g.latest = now
 	left := t.Deadline.Sub(now)
 	if g.tooLate(t, now) && !g.mayProbe(t, left) {
 		return Decision{Reason: wire.ReasonDeadline}
@@ -117,6 +130,7 @@
 
 // StartQueued starts queued tickets while there are free slots and the rate limit allows it.
 func (g *Gate) StartQueued(now time.Time) {
+	g.latest = now
 	for len(g.queue) > 0 && g.hasFreeSlot() {
 		t := g.queue[0]
 		late := g.tooLate(t, now)
@@ -147,5 +161,13 @@
 
 // Snapshot returns the Gate's state.
 func (g *Gate) Snapshot() State {
-	return State{Limit: g.limit, Running: g.running, Queued: len(g.queue), HoldTime: g.holdTime, Slowdown: g.slowdown, SuccessShare: g.successShare, ShedShare: g.shedShare}
+	s := State{
+		Limit: g.limit, Running: g.running, Queued: len(g.queue), HoldTime: g.holdTime, Slowdown: g.slowdown, MeanSlowdown: g.slowdown,
+		MeanFactor: g.speed.MeanFactor(), SuccessShare: g.successShare, ShedShare: g.shedShare,
+	}
+	if g.told.Known() {
+		s.ToldPace = g.told.At(g.latest)
+		s.Slowdown, s.PaceFactor = g.speed.Slowdown()*s.ToldPace, g.speed.Factor(s.ToldPace)
+	}
+	return s
 }
--- a/pkg/gate/run_outcome.go
+++ b/pkg/gate/run_outcome.go
@@ -40,16 +40,30 @@
 	return "unknown"
 }
 
+// Run is a started request that has ended.
+type Run struct {
+	Held        time.Duration // for how long it held its slot
+	TypicalHold time.Duration // as in its Ticket
+	CallShare   float64       // likewise
+	Outcome     Outcome
+}
+
 // Finish records that a started request ended with an outcome after it held its slot, and starts queued tickets. typical is
 // the slot hold time of its kind over all servers of the service, or 0 if unknown.
 func (g *Gate) Finish(now time.Time, held, typical time.Duration, o Outcome) {
+	g.FinishRun(now, Run{Held: held, TypicalHold: typical, Outcome: o})
+}
+
+// FinishRun does the same for a run of which the share of its calls may be known.
+func (g *Gate) FinishRun(now time.Time, r Run) {
+	o := r.Outcome
 	g.running--
 	if o != Abandoned {
 		g.shedShare -= outcomeWeight * g.shedShare
 	}
 	switch o {
 	case Answered:
-		g.observeHold(held, typical)
+		g.observeHold(now, r)
 		g.successShare += outcomeWeight * (1 - g.successShare)
 	case Failed:
 		g.successShare -= outcomeWeight * g.successShare
@@ -61,8 +75,9 @@
 	g.StartQueued(now)
 }
 
-// observeHold adds one run's slot hold time to the smoothed hold time and slowdown.
-func (g *Gate) observeHold(held, typical time.Duration) {
+// observeHold adds one run's slot hold time to the smoothed hold time and slowdown, and to the lasting speed.
+func (g *Gate) observeHold(now time.Time, r Run) {
+	held, typical := r.Held, r.TypicalHold
 	if g.holdTime == 0 {
 		g.holdTime = held
 	}
@@ -70,4 +85,5 @@
 	if typical > 0 {
 		g.slowdown += slowdownWeight * (min(float64(held)/float64(typical), maxSlowdown) - g.slowdown)
 	}
+	g.speed.Observe(held, typical, g.told.Mean(now.Add(-held), now), r.CallShare)
 }
--- a/pkg/gate/ticket_wait.go
+++ b/pkg/gate/ticket_wait.go
@@ -31,15 +31,6 @@
 	return time.Duration(float64(index+1) * float64(g.holdTime) / max(g.limit, 1))
 }
 
-// expectedHold returns the expected slot hold time of the ticket's request: by its kind, since one server may run kinds of
-// which one takes many times as long as another.
-func (g *Gate) expectedHold(t *Ticket) time.Duration {
-	if t.TypicalHold == 0 {
-		return g.holdTime
-	}
-	return time.Duration(float64(t.TypicalHold) * g.slowdown)
-}
-
 // tooLate reports whether the ticket's request can't end in time.
 func (g *Gate) tooLate(t *Ticket, now time.Time) bool {
 	return t.Deadline.Sub(now) <= g.expectedHold(t)/2
@@ -77,6 +68,7 @@
 
 // Expire rejects queued tickets that can't end in time any more.
 func (g *Gate) Expire(now time.Time) {
+	g.latest = now
 	remaining := g.queue[:0]
 	var late []*Ticket
 	for _, t := range g.queue {
--- a/pkg/loads/placements.go
+++ b/pkg/loads/placements.go
@@ -51,3 +51,25 @@
 	}
 	return holds
 }
+
+// maxCallShare bounds the share of calls: the calls per run are estimates, and no run consists of calls alone.
+const maxCallShare = 0.95
+
+// CallShares returns, by route, the share of the slot hold time that a run waits for its own calls, as far as these are known.
+// Their waits at gates and on the network aren't counted, so the share is rather too low.
+func CallShares(g callgraph.Graph, places map[string]callgraph.Placement) map[string]float64 {
+	shares := make(map[string]float64, len(places))
+	for route, p := range places {
+		if p.HoldSeconds <= 0 {
+			continue
+		}
+		waited := 0.0
+		for service, share := range p.Shares {
+			for called, k := range g[service][route] {
+				waited += share * k * places[called].HoldSeconds
+			}
+		}
+		shares[route] = min(waited/p.HoldSeconds, maxCallShare)
+	}
+	return shares
+}
--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -16,6 +16,7 @@
 	internalRoutes map[string]bool               // routes that only backend servers call
 	runsPerRequest map[string]map[string]float64 // by route, then service: runs caused by one request, its calls included
 	slotHoldTimes  map[string]time.Duration      // by route: average slot hold time of one run, over all servers
+	callShares     map[string]float64            // by route: share of the slot hold time that a run waits for its own calls
 	// bottlenecks holds the services whose usable slots the admitted requests fill.
 	bottlenecks map[string]bool
 }
@@ -34,6 +35,14 @@
 	return 0
 }
 
+// callShare returns the share of the slot hold time that a run of the route waits for its own calls, or 0 if it isn't known.
+func (n *Node) callShare(route string) float64 {
+	if p := n.plan.Load(); p != nil {
+		return p.callShares[route]
+	}
+	return 0
+}
+
 // planPeriod is the time between plans.
 const planPeriod = 200 * time.Millisecond
 
@@ -48,7 +57,9 @@
 	plan := &admissionPlan{
 		internalRoutes: maps.Clone(n.control.internalRoutes.internal), runsPerRequest: make(map[string]map[string]float64), slotHoldTimes: loads.HoldTimes(places),
 	}
-	costs := callgraph.Costs(loads.CallGraph(all), places)
+	graph := loads.CallGraph(all)
+	plan.callShares = loads.CallShares(graph, places)
+	costs := callgraph.Costs(graph, places)
 	for route, c := range costs {
 		plan.runsPerRequest[route] = c.Runs
 	}
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -87,7 +87,7 @@
 	now := b.n.clock.Now()
 	holdTime := min(now.Sub(started), max(q.deadline.Sub(started), 0)) // a run holds no slot while the VM is suspended
 	b.n.gateMu.Lock()
-	b.n.gate.Finish(now, holdTime, b.n.slotHoldTime(q.Route), outcome)
+	b.n.gate.FinishRun(now, gate.Run{Held: holdTime, TypicalHold: b.n.slotHoldTime(q.Route), CallShare: b.n.callShare(q.Route), Outcome: outcome})
 	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
 	if a.outcome == wire.NotRun {
@@ -110,7 +110,7 @@
 func (b *backend) waitAtGate(ctx context.Context, q *request) gate.Decision {
 	decisions := make(chan gate.Decision, 1)
 	t := &gate.Ticket{
-		Internal: q.Internal, Priority: q.Priority, Deadline: q.deadline, TypicalHold: b.n.slotHoldTime(q.Route), Age: b.n.minWorkAge(q),
+		Internal: q.Internal, Priority: q.Priority, Deadline: q.deadline, TypicalHold: b.n.slotHoldTime(q.Route), CallShare: b.n.callShare(q.Route), Age: b.n.minWorkAge(q),
 		Notify: func(d gate.Decision) { decisions <- d },
 	}
 	now := b.n.clock.Now()
--- a/pkg/mesh/choose_server.go
+++ b/pkg/mesh/choose_server.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/pace"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -19,6 +20,9 @@
 	// maxNearSlowdown is how many times slower than the fastest server a server of this zone may be before other zones
 	// are considered. Healthy servers of one service differ in speed by about that much.
 	maxNearSlowdown = 4.0
+	// maxPacedNearSlowdown is the same for servers that tell their pace, relative to the shortest slot hold time of any server: up to
+	// it no server of another zone ends the request by more than its hold time earlier.
+	maxPacedNearSlowdown = 2.0
 	// overUseWeight weighs use beyond all slots, where requests queue.
 	overUseWeight = 4.0
 )
@@ -28,6 +32,9 @@
 	ignoreZone, ignoreSlowdown, ignoreSuccess bool
 	asksFull                                  bool       // a server at its rate limit may be chosen if there is no other
 	random                                    *rand.Rand // nil: the global source
+	// usualHold and callShare are those of the request's kind, and timeLeft is its time limit; 0 if unknown.
+	usualHold, timeLeft time.Duration
+	callShare           float64
 }
 
 // rnd returns the source of random numbers.
@@ -46,6 +53,7 @@
 	comparisonOptions
 	success  float64
 	slowdown float64
+	paced    bool // a server of the service tells its pace, so that they are compared by the time to the end of the request
 }
 
 // newBaseline returns the baseline of the servers in the list.
@@ -57,7 +65,9 @@
 		if e.slowdown > 0 && (s.slowdown == 0 || e.slowdown < s.slowdown) {
 			s.slowdown = e.slowdown
 		}
+		s.paced = s.paced || e.pace > 0
 	}
+	s.paced = s.paced && !s.ignoreSlowdown
 	return s
 }
 
@@ -77,6 +87,9 @@
 	if s.ignoreSuccess {
 		failing = 1
 	}
+	if s.paced {
+		return failing * failing * pace.CompletionTime(s.slowdownOf(e), e.utilization)
+	}
 	return e.utilization*failing*failing*math.Sqrt(s.relativeSlowdown(e)) + overUseWeight*max(e.utilization-1, 0)
 }
 
@@ -90,14 +103,14 @@
 	s := newBaseline(now, list, c)
 	for _, lastResort := range []bool{false, true} {
 		near, nearScore := s.bestOfSample(now, list, tried, true, lastResort)
-		if near != nil && nearScore < crowdedUse && s.relativeSlowdown(near.loadEstimate(now)) < maxNearSlowdown {
+		if near != nil && s.isNearEnough(near.loadEstimate(now), nearScore) {
 			return near
 		}
 		far, farScore := s.bestOfSample(now, list, tried, false, lastResort)
 		switch {
 		case near == nil && far != nil:
 			return far
-		case near != nil && (far == nil || nearScore <= farScore+otherZonePenalty):
+		case near != nil && (far == nil || nearScore <= farScore+s.zonePenalty(now, near, far, nearScore)):
 			return near
 		case far != nil:
 			return far
@@ -106,6 +119,45 @@
 	return nil
 }
 
+// isNearEnough reports whether the best sampled server of this zone is chosen without a look at other zones.
+func (s baseline) isNearEnough(near loadEstimate, score float64) bool {
+	if s.paced {
+		return near.utilization < crowdedUse && score <= maxPacedNearSlowdown*s.slowdown && s.endsInTime(score)
+	}
+	return score < crowdedUse && s.relativeSlowdown(near) < maxNearSlowdown
+}
+
+// zonePenalty returns how much lower the score of the other zone's server has to be for it to be chosen.
+func (s baseline) zonePenalty(now time.Time, near, far *peer, nearScore float64) float64 {
+	switch {
+	case !s.paced:
+		return otherZonePenalty
+	case !s.endsInTime(nearScore):
+		return 0
+	}
+	hold := s.slowdownOf(far.loadEstimate(now))
+	if near.loadEstimate(now).utilization < crowdedUse {
+		return hold
+	}
+	return otherZonePenalty * hold
+}
+
+// slowdownOf returns the expected slot hold time of the request at a server, relative to that of its kind at all servers.
+func (s baseline) slowdownOf(e loadEstimate) float64 {
+	switch {
+	case e.slowdown == 0:
+		return 1
+	case e.pace == 0:
+		return e.slowdown
+	}
+	return e.slowdown / e.pace * pace.Factor(e.pace, s.callShare)
+}
+
+// endsInTime reports whether a request with that score is expected to end within its time limit.
+func (s baseline) endsInTime(score float64) bool {
+	return s.timeLeft == 0 || time.Duration(score*float64(s.usualHold)) < s.timeLeft
+}
+
 // acceptsRequests reports whether requests may be sent to the peer; as a last resort a backed off peer and one that
 // began to stop a short while ago count too. A peer that has been stopping for longer refuses requests and soon closes
 // its connections, and a request that crosses the close would count as lost.
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -71,6 +71,9 @@
 	if !c.ReadsNotices {
 		reply.Notice = serverNotice{}
 	}
+	if !c.ReadsPace {
+		reply.Pace = 0
+	}
 	w.Header().Set(headerReply, reply.encode())
 	if n.stop.stopping() {
 		w.Header().Set("Connection", "close")
@@ -94,7 +97,7 @@
 	n.gateMu.Unlock()
 	return peerReply{
 		Outcome: a.outcome, Reason: a.reason, RefusedByServer: a.arrived,
-		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5),
+		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5), Pace: int(g.ToldPace*100 + 0.5),
 		Success: int(g.SuccessShare*(1-g.ShedShare)*100 + 0.5), Stopping: n.stop.stopping(), NotListening: a.notListening, Version: n.stateVersion(),
 		CrashedLifetime: a.crashedLifetime, HasCrashSuccess: a.crashedLifetime != "", CrashSuccess: a.crashSuccess,
 		RetryAfter: a.retryAfter, Notice: n.newNotice(now, at, rate, leaving),
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -36,6 +36,8 @@
 	{"server_away", "gauge", "", "1 while nothing listens at the local backend server's address, 0 otherwise."},
 	{"server_rate_limit", "gauge", "", "Rate limit that the local backend server advertises, in thousandths of a request a second; -1: none, absent until one was advertised."},
 	{"server_rate_use", "gauge", "", "Requests that arrive for the local backend server relative to its rate limit, in thousandths; 0 without one."},
+	{"server_pace", "gauge", "", "Pace that the local backend server told last, in percent of the usual time of work; it ages to 100, and is absent until one was told."},
+	{"server_slowdown", "gauge", "", "Slot hold time expected at the local backend server now, in percent of the same kinds at all servers; absent until it told a pace."},
 	{"server_headers_invalid_total", "counter", "", "Answers of the local backend server with an unusable header about itself."},
 	{"slot_ms_total", "counter", "route, outcome", "Slot hold time of requests at the local backend server in milliseconds, by outcome there."},
 	{"admitted_share", "gauge", "route", "Admitted share of first attempts, in thousandths; absent until it has been below 1000."},
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -134,5 +134,9 @@
 	n.metrics.gauge(int64(n.rateUse(now, rate)*1000), "server_rate_use")
 	n.metrics.gauge(int64(g.Running), "gate_running")
 	n.metrics.gauge(int64(g.Queued), "gate_queued")
+	if g.ToldPace > 0 {
+		n.metrics.gauge(int64(g.ToldPace*100+0.5), "server_pace")
+		n.metrics.gauge(int64(g.Slowdown*100+0.5), "server_slowdown")
+	}
 	n.metrics.gauge(int64(len(n.poison.SuspectCases(now))), "suspects")
 }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -7,6 +7,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/poison"
+	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -71,7 +72,7 @@
 func (n *Node) newPeerCall(state *desired.State, route *desired.Route) peerCall {
 	return peerCall{
 		Service: n.pickTargetService(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
-		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version, ReadsNotices: true,
+		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version, ReadsNotices: true, ReadsPace: !n.off[settings.ServerPace],
 	}
 }
 
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -10,6 +10,7 @@
 	"github.com/rockspoke/rockspoke/pkg/awaited"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
+	"github.com/rockspoke/rockspoke/pkg/pace"
 )
 
 // peer is a node, which may be this one, as the route to the backend server on its VM.
@@ -48,7 +49,8 @@
 type serverLoad struct {
 	otherRequests int64 // running and queued, without those of this node
 	limit         float64
-	slowdown      float64
+	slowdown      float64 // lasting slowdown times pace
+	pace          float64 // the server's pace by what it told; 0: it tells none
 	success       float64 // fraction of successful answers
 	receivedAt    time.Time
 }
@@ -143,7 +145,7 @@
 	defer p.mu.Unlock()
 	p.load = serverLoad{
 		otherRequests: max(int64(r.Running+r.Queued)-p.inflight.Load(), 0),
-		limit:         float64(r.Limit), slowdown: float64(r.Slowdown) / 100, success: float64(r.Success) / 100, receivedAt: now,
+		limit:         float64(r.Limit), slowdown: float64(r.Slowdown) / 100, pace: float64(r.Pace) / 100, success: float64(r.Success) / 100, receivedAt: now,
 	}
 	p.endBackoff()
 	p.setStopping(now, r.Stopping)
@@ -233,6 +235,7 @@
 	utilization float64 // 1 when all usable slots are taken, or the whole rate limit
 	success     float64 // fraction of successful answers
 	slowdown    float64 // slot hold time relative to the same kinds of requests at all servers; 0: not known
+	pace        float64 // the part of slowdown that the server tells as its pace, aged; 0: it tells none
 }
 
 // loadEstimate returns the current estimate; a reported load that is too old is ignored.
@@ -245,10 +248,14 @@
 	if p.load.limit > 0 {
 		capacity = p.load.limit
 	}
-	if now.Sub(p.load.receivedAt) < maxLoadAge {
+	if age := now.Sub(p.load.receivedAt); age < maxLoadAge {
 		otherRequests = p.load.otherRequests
 		e.success = max(p.load.success, minSuccessRate)
 		e.slowdown = p.load.slowdown
+		if p.load.pace > 0 {
+			e.pace = pace.Aged(p.load.pace, age)
+			e.slowdown *= e.pace / p.load.pace
+		}
 	}
 	e.utilization = max(float64(p.inflight.Load()+otherRequests+1)/max(capacity, 1), p.rateUse(now))
 	return e
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -31,6 +31,9 @@
 	// noticeReplyFields are the further fields about a server that limits its rate or leaves. A node that doesn't know them
 	// can't parse the header, so they are sent only to those that say they read them.
 	noticeReplyFields = 5
+	// paceReplyFields is the further field about a server that tells its pace, after all others. It is sent only to nodes that
+	// say they read it, for the same reason.
+	paceReplyFields = 1
 )
 
 // firstSuccessFlag is the reply's flag for CrashSuccess in the first scope; those of the other scopes follow.
@@ -46,6 +49,7 @@
 	Once              bool
 	RejectedElsewhere bool          // by another gate, which had no free slot
 	ReadsNotices      bool          // the sender reads a serverNotice in the reply
+	ReadsPace         bool          // the sender reads the pace in the reply
 	Version           int64         // of the desired state by which the request was routed
 	Stages            poison.Stages // of its cases, as the sender knows them
 }
@@ -58,7 +62,8 @@
 	Running         int
 	Queued          int
 	Limit           int
-	Slowdown        int // slot hold time at the server, in percent of the usual hold time of the same kinds at all servers
+	Slowdown        int // slot hold time at the server now, in percent of the usual hold time of the same kinds at all servers
+	Pace            int // the part of Slowdown that the server tells as its pace now, in percent; 0: it tells none
 	Success         int // percentage of good answers of the server; its own refusals don't count as good
 	Version         int64
 	Stopping        bool
@@ -94,7 +99,7 @@
 
 // encode returns the value of headerCall.
 func (c peerCall) encode() string {
-	s := fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, packFlags(c.Internal, c.Once, c.RejectedElsewhere, c.ReadsNotices), c.Version)
+	s := fmt.Sprintf("%s,%s,%s,%d,%s,%d", c.Service, c.Route, c.Caller, c.Priority, packFlags(c.Internal, c.Once, c.RejectedElsewhere, c.ReadsNotices, c.ReadsPace), c.Version)
 	if c.Stages.Suspected() {
 		for _, stage := range c.Stages {
 			s += "," + strconv.Itoa(stage)
@@ -135,7 +140,7 @@
 	}
 	return peerCall{
 		Service: f[0], Route: f[1], Caller: f[2], Priority: prio,
-		Internal: bits&1 != 0, Once: bits&2 != 0, RejectedElsewhere: bits&4 != 0, ReadsNotices: bits&8 != 0,
+		Internal: bits&1 != 0, Once: bits&2 != 0, RejectedElsewhere: bits&4 != 0, ReadsNotices: bits&8 != 0, ReadsPace: bits&16 != 0,
 		Version: version, Stages: stages,
 	}, nil
 }
@@ -152,6 +157,9 @@
 	if known {
 		s += r.Notice.encode()
 	}
+	if r.Pace > 0 {
+		s += "," + strconv.Itoa(r.Pace)
+	}
 	return s
 }
 
@@ -179,9 +187,13 @@
 // parseReply parses a value of headerReply. The error is a *ProtocolError.
 func parseReply(v string) (peerReply, error) {
 	f := strings.Split(v, ",")
+	f, pace, ok := cutPace(f)
 	switch len(f) {
 	case replyFields, replyFields + suspectReplyFields, replyFields + suspectReplyFields + noticeReplyFields:
 	default:
+		ok = false
+	}
+	if !ok {
 		return peerReply{}, &ProtocolError{headerReply, v}
 	}
 	var crashedLifetime string
@@ -216,11 +228,23 @@
 		Outcome: wire.Outcome(f[0]), Reason: wire.Reason(f[1]),
 		RefusedByServer: n[0]&1 != 0, Stopping: n[0]&2 != 0, NotListening: n[0]&4 != 0,
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
-		Slowdown: int(n[4]), Success: int(n[5]), Version: n[6],
+		Slowdown: int(n[4]), Pace: pace, Success: int(n[5]), Version: n[6],
 		CrashedLifetime: crashedLifetime, HasCrashSuccess: n[0]&16 != 0, CrashSuccess: success, RetryAfter: retryAfter, Notice: notice,
 	}, nil
 }
 
+// cutPace cuts the pace off the fields of a reply, if it has one; it reports whether the pace is valid.
+func cutPace(f []string) (rest []string, pace int, ok bool) {
+	last := len(f) - paceReplyFields
+	switch last {
+	case replyFields, replyFields + suspectReplyFields, replyFields + suspectReplyFields + noticeReplyFields:
+	default:
+		return f, 0, true
+	}
+	pace, err := strconv.Atoi(f[last])
+	return f[:last], pace, err == nil && pace > 0
+}
+
 // encodeKnownLimit returns the value of headerKnownLimit.
 func encodeKnownLimit(l advertised.RateLimit, instance string) string {
 	return l.String() + "," + instance
--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
+	"github.com/rockspoke/rockspoke/pkg/pace"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -51,8 +52,9 @@
 	}
 	n.control.usableFraction.Observe(now, load)
 	excess := n.excessSlots(now, g, rate)
-	slots := min(g.Limit, rateSlots(g, rate))
-	r.UsableSlots = round(n.usableFraction() * max(slots-excess, minUsableFraction*slots))
+	work := workPerSlot(g)
+	slots := min(g.Limit*work, rateSlots(g, rate))
+	r.UsableSlots = round(n.usableFraction() * max(slots-excess*work, minUsableFraction*slots))
 	if r.NotListening = n.serverNotListening.Load(); r.NotListening {
 		r.UsableSlots = 0
 	}
@@ -67,13 +69,22 @@
 
 // rateSlots returns the slots that the server can use within its rate limit, +Inf if it has none: the plan counts in slots.
 func rateSlots(g gate.State, rate gate.RateState) float64 {
-	if !rate.Limit.Advertised || g.HoldTime == 0 || g.Slowdown <= 0 {
+	if !rate.Limit.Advertised || g.HoldTime == 0 || g.MeanSlowdown <= 0 {
 		return math.Inf(1)
 	}
-	usualHold := g.HoldTime.Seconds() / g.Slowdown // the costs in the plan are those of the usual hold times
+	usualHold := g.HoldTime.Seconds() / g.MeanSlowdown // the costs in the plan are those of the usual hold times
 	return rate.PerSecond * usualHold
 }
 
+// workPerSlot returns the work that a slot of the local backend server does now, relative to that of an average run: the costs in the
+// plan are averages over the runs at all servers. It is 1 for a server that tells no pace.
+func workPerSlot(g gate.State) float64 {
+	if g.ToldPace == 0 {
+		return 1
+	}
+	return pace.WorkPerSlot(g.MeanSlowdown, g.MeanFactor, g.PaceFactor)
+}
+
 // usableFraction returns the fraction of the local backend server's slots, 0 to 1, that the plan may count on.
 func (n *Node) usableFraction() float64 {
 	if n.off[settings.UsableSlots] {
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
 // serverNotices is what the local backend server has advertised in its answers; Node.gateMu guards it.
@@ -97,6 +98,7 @@
 	if limit.Advertised {
 		b.observeLimit(own, sent, limit)
 	}
+	b.notePace(q, own, h)
 	leaving, err := b.n.names.Advertised.ParseLeaving(h)
 	if err != nil {
 		b.noteInvalid(q, own, err)
@@ -107,6 +109,22 @@
 	return unlimited
 }
 
+// notePace applies the pace in the header of an answer at the gate. An answer without one tells nothing: the pace told last ages.
+func (b *backend) notePace(q *request, own directory.Record, h http.Header) {
+	if b.n.off[settings.ServerPace] {
+		return
+	}
+	load, err := b.n.names.Advertised.ParseLoad(h)
+	if err != nil {
+		b.noteInvalid(q, own, err)
+		return
+	}
+	if load.Pace == 0 {
+		return
+	}
+	b.withNotices(own.Lifetime(), func(*serverNotices) { b.n.gate.SetPace(b.n.clock.Now(), load.Pace) })
+}
+
 // observeLimit applies the rate limit in an answer to a request sent at sent.
 func (b *backend) observeLimit(own directory.Record, sent time.Time, limit advertised.RateLimit) {
 	now := b.n.clock.Now()
--- a/pkg/mesh/suspects.go
+++ b/pkg/mesh/suspects.go
@@ -84,6 +84,7 @@
 		options := d.n.comparisonSettings()
 		// At its gate calls and urgent requests go first, so each request may ask one, and calls all.
 		options.asksFull = d.q.Internal || len(d.tried) == 0
+		options.usualHold, options.callShare, options.timeLeft = d.n.slotHoldTime(d.q.Route), d.n.callShare(d.q.Route), d.q.deadline.Sub(now)
 		return chooseServer(now, servers, d.tried, options), nil
 	case poison.Quarantined:
 		return nil, d.n.quarantineRefusal(d.q, decision)
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -20,6 +20,7 @@
 	Retries           Mechanism = "repeats"
 	PreferOwnZone     Mechanism = "near-first"
 	SlowdownFactor    Mechanism = "pace"
+	ServerPace        Mechanism = "server-pace"
 	SuccessRate       Mechanism = "success"
 	UnresponsivePeers Mechanism = "silence"
 	PackedHeaders     Mechanism = "packed-headers"
@@ -45,6 +46,7 @@
 	{Retries, "no request is sent to a second server once one has received it"},
 	{PreferOwnZone, "servers of all availability zones are treated alike"},
 	{SlowdownFactor, "servers are compared by utilization alone, not by their slowdown factor"},
+	{ServerPace, "the pace that servers tell in their answers is ignored"},
 	{SuccessRate, "a server whose requests fail is treated like any other"},
 	{UnresponsivePeers, "unresponsive nodes and connections are used until requests on them time out"},
 	{PackedHeaders, "headers between availability zones are sent as text"},
