--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -32,11 +32,12 @@
 //   - Exchanges between nodes: exchange.go, exchange_peers.go, exchange_period.go,
 //     exchange_message.go, exchange_zone_loads.go, recent_records.go.
 //   - Load: traffic_stats.go, traffic_entries.go, traffic_runs.go and traffic_at_gate.go count
-//     at one node, report_local_load.go reports to the zone (package loads),
+//     at one node, lost_at_hop.go decides what counts as lost there, report_local_load.go reports to the zone (package loads),
 //     load_reports.go and load_expiry.go hold the reports of all nodes and drop expired ones.
 //   - The admission plan: package loads reads the reports and
 //     retains what is no longer reported, service_capacity.go computes
-//     the capacity, admission_plan.go makes the plan and admission_log.go logs it.
+//     the capacity, admission_success.go the probability that requests succeed (package success), admission_plan.go makes the
+//     plan and admission_log.go logs it.
 //     store_learned.go stores what was learned, restore_learned.go restores it after a start.
 //
 // One goroutine owns the control state (control_loop.go) and publishes a view;
--- a/pkg/overload/doc.go
+++ b/pkg/overload/doc.go
@@ -11,7 +11,8 @@
 // plan.go holds the steps of the plan. plan_flows.go ranks the first attempts and
 // the retries of all kinds, plan_minimum_share.go grants each kind a minimum
 // first, and plan_weighted_shares.go fills the bottleneck service, found by
-// plan_bottleneck.go, with the flows of one rank.
+// plan_bottleneck.go, with the flows of one rank. plan_success.go holds the rules for kinds whose admitted requests fail, and
+// calls_per_request.go how many calls to a service depend on each other: one lost call loses all of them.
 //
 // A UsableFractionController (usable_fraction_controller.go) says which fraction
 // of a server's slots the plan may count on, a DecayingRate (decaying_rate.go)
