--- a/pkg/overload/usable_fraction_controller.go
+++ b/pkg/overload/usable_fraction_controller.go
@@ -81,7 +81,7 @@
 	case g.Utilization < lowUtilization:
 		c.withheld = max(c.withheld-idleRestoreRate*step.Seconds(), 0)
 	case g.RejectedShare > g.toleratedRejections():
-		left := (1 - c.withheld) * math.Exp(-withholdRate*g.RejectedShare*step.Seconds())
+		left := (1 - c.withheld) * math.Exp(-withholdRate*g.excessRejections()*step.Seconds())
 		c.withheld = min(1-left, 1-minFraction)
 	default:
 		c.withheld = max(c.withheld-g.restoreRate()*step.Seconds(), 0)
@@ -97,6 +97,15 @@
 	return 1 - math.Pow(1-toleratedRejections, 1/min(g.CallsPerRequest, maxCallsPerRequest))
 }
 
+// excessRejections returns the share of rejected requests by which slots are withheld: with several calls a request, what
+// exceeds the tolerated share. That share is small, and in proportion to all rejections more was withheld than they cost.
+func (g GateLoad) excessRejections() float64 {
+	if g.CallsPerRequest <= 1 {
+		return g.RejectedShare
+	}
+	return g.RejectedShare - g.toleratedRejections()
+}
+
 // restoreRate returns how fast withheld slots are restored. With several calls a request it falls to 0 towards the tolerated
 // share: that is soon reached, and a full rate would restore in a second what it took several to withhold.
 func (g GateLoad) restoreRate() float64 {
