--- a/pkg/success/hop_shares.go
+++ b/pkg/success/hop_shares.go
@@ -18,15 +18,15 @@
 	priorCalls = 10.0
 	// maxHopStep bounds the time that one set of reports counts for, as after a suspension of the VM.
 	maxHopStep = time.Second
-	// forgottenCalls is the number of counted calls below which a route is dropped.
-	forgottenCalls = 0.1
+	// forgottenLosses is the number of counted losses below which a route isn't counted any more.
+	forgottenLosses = 0.01
 )
 
 // hop is what was counted of one route's calls, decayed.
 type hop struct{ begun, lost float64 }
 
-// Hops holds the calls begun and lost by route, over all nodes. Its zero value has counted none; it isn't safe for
-// concurrent use.
+// Hops holds the calls begun and lost by route, over all nodes, for the routes that lose calls. Its zero value has counted
+// none; it isn't safe for concurrent use.
 type Hops struct {
 	routes  map[string]*hop
 	updated time.Time
@@ -39,27 +39,47 @@
 		step = 0
 	}
 	h.updated = now
-	if h.routes == nil {
-		h.routes = map[string]*hop{}
+	h.decay(step)
+	h.addLosingRoutes(reports)
+	if len(h.routes) == 0 {
+		return
 	}
-	keep := math.Exp2(-step.Seconds() / hopHalfLife.Seconds())
+	for _, r := range reports {
+		for kind, e := range r.Entries {
+			route, _ := loads.SplitKind(kind)
+			if x := h.routes[route]; x != nil {
+				x.begun += e.Total() * step.Seconds()
+				x.lost += min(e.Lost, e.Total()) * step.Seconds()
+			}
+		}
+	}
+}
+
+// decay decays the counts by a time, and drops the routes that have lost no calls for long.
+func (h *Hops) decay(d time.Duration) {
+	keep := math.Exp2(-d.Seconds() / hopHalfLife.Seconds())
 	for route, x := range h.routes {
 		x.begun *= keep
 		x.lost *= keep
-		if x.begun < forgottenCalls {
+		if x.lost < forgottenLosses {
 			delete(h.routes, route)
 		}
 	}
+}
+
+// addLosingRoutes begins to count the routes of which reports have losses.
+func (h *Hops) addLosingRoutes(reports []*loads.Report) {
 	for _, r := range reports {
 		for kind, e := range r.Entries {
-			route, _ := loads.SplitKind(kind)
-			x := h.routes[route]
-			if x == nil {
-				x = &hop{}
-				h.routes[route] = x
+			if e.Lost <= 0 {
+				continue
+			}
+			if h.routes == nil {
+				h.routes = map[string]*hop{}
+			}
+			if route, _ := loads.SplitKind(kind); h.routes[route] == nil {
+				h.routes[route] = &hop{}
 			}
-			x.begun += e.Total() * step.Seconds()
-			x.lost += min(e.Lost, e.Total()) * step.Seconds()
 		}
 	}
 }
