--- a/pkg/mesh/paced_service_test.go
+++ b/pkg/mesh/paced_service_test.go
@@ -51,6 +51,8 @@
 	took      []float64 // milliseconds of each request that ended, +Inf of others
 	slotsUsed []float64 // by server: slot seconds
 	farCalls  int
+	perSecond float64
+	planned   []float64
 }
 
 type pacedServer struct {
@@ -104,8 +106,9 @@
 		}
 		t.peers = append(t.peers, list)
 	}
+	t.perSecond = capacity * t.utilization
 	t.changeSpells()
-	t.arrive(capacity * t.utilization)
+	t.arrive()
 	t.expire()
 	for end := chooseTime.Add(pacedDuration); t.now.Before(end); {
 		e := heap.Pop(&t.queue).(pacedEvent)
@@ -121,6 +124,14 @@
 	for _, i := range t.rnd.Perm(pacedServers)[:int(math.Round(pacedSlowShare*pacedServers))] {
 		t.servers[i].slow = true
 	}
+	if t.now.Sub(chooseTime) > pacedWarmUp {
+		slots := 0.0
+		for _, s := range t.servers {
+			g := s.gate.Snapshot()
+			slots += g.Limit * workPerSlot(g)
+		}
+		t.planned = append(t.planned, t.perSecond*t.usual/slots)
+	}
 	t.nextSpells = t.now.Add(pacedSpell)
 	t.after(pacedSpell, t.changeSpells)
 }
@@ -132,8 +143,8 @@
 	t.after(tickPeriod, t.expire)
 }
 
-func (t *pacedTrial) arrive(perSecond float64) {
-	t.after(time.Duration(t.rnd.ExpFloat64()/perSecond*float64(time.Second)), func() { t.arrive(perSecond) })
+func (t *pacedTrial) arrive() {
+	t.after(time.Duration(t.rnd.ExpFloat64()/t.perSecond*float64(time.Second)), t.arrive)
 	r := &pacedRequest{t: t, began: t.now, sender: t.rnd.IntN(t.senders), left: pacedWork.Seconds()}
 	if t.rnd.Float64() < pacedLongShare {
 		r.left *= pacedLongBy
@@ -242,6 +253,7 @@
 	inTime     float64 // share of requests that ended within pacedTimeout
 	busiest    float64 // mean use of the slots of the busiest server
 	otherZones float64 // attempts in other zones, relative to all requests
+	planned    float64 // slots of the demand at the plan's costs, relative to the slots that the plan counts
 }
 
 func (t *pacedTrial) result() pacedResult {
@@ -260,23 +272,23 @@
 	for _, ms := range ended {
 		sum += ms
 	}
+	planned := 0.0
+	for _, p := range t.planned {
+		planned += p / float64(len(t.planned))
+	}
 	usable := pacedSlots * usableSlotFraction * (pacedDuration - pacedWarmUp).Seconds()
 	return pacedResult{
 		mean: sum / float64(len(ended)), p95: ended[len(ended)*95/100], inTime: float64(inTime) / float64(len(t.took)),
-		busiest:    slices.Max(t.slotsUsed) / usable,
-		otherZones: float64(t.farCalls) / float64(len(t.took)),
+		busiest: slices.Max(t.slotsUsed) / usable,
+		planned: planned, otherZones: float64(t.farCalls) / float64(len(t.took)),
 	}
 }
 
 // String returns the figures of a result.
 func (r pacedResult) String() string {
-	return fmt.Sprintf("mean %.0f ms, p95 %.0f ms, in time %.4f, busiest %.2f, other zones %.3f", r.mean, r.p95, r.inTime, r.busiest, r.otherZones)
+	return fmt.Sprintf("mean %.0f ms, p95 %.0f ms, in time %.4f, busiest %.2f, other zones %.3f, planned %.2f", r.mean, r.p95, r.inTime, r.busiest, r.otherZones, r.planned)
 }
 
-// inTimeNoise is how far the shares in time may differ by chance: at 0.9 of the slots with late replies the two scores came out from
-// 0.0007 apart to 0.0001 the other way over 6 and 12 s.
-const inTimeNoise = 0.001
-
 func playPaced(told bool, utilization float64, senders int, delay time.Duration) pacedResult {
 	t := &pacedTrial{told: told, utilization: utilization, senders: senders, replyDelay: delay}
 	t.run(1)
@@ -285,7 +297,8 @@
 
 // The old score fills slow servers as much as fast ones, and hardly avoids one in a slow spell. In each trial the score by the told pace
 // must be better in the mean and no worse in time, also where replies are late. Fast servers run more, but none is filled while
-// others have free slots. The log has the figures of docs/design/server-pace.md.
+// others have free slots. The plan counts as many slots as the work takes: counting all of them alike is off by a tenth where fast
+// servers run most of it. The log has the figures of docs/design/server-pace.md.
 func TestToldPaceShortensRequests(t *testing.T) {
 	for _, u := range []float64{0.6, 0.9} {
 		for _, senders := range []int{88, 880} {
@@ -297,8 +310,9 @@
 					t.Logf("before: %v", before)
 					t.Logf("after:  %v", after)
 					c.Check(after.mean < before.mean, qt.IsTrue)
-					c.Check(after.inTime >= before.inTime-inTimeNoise, qt.IsTrue)
+					c.Check(after.inTime >= before.inTime, qt.IsTrue)
 					c.Check(after.busiest <= max(before.busiest, u+0.2), qt.IsTrue)
+					c.Check(math.Abs(after.planned-u) < 0.05, qt.IsTrue)
 				})
 			}
 		}
--- a/pkg/pace/completion.go
+++ b/pkg/pace/completion.go
@@ -1,9 +1,6 @@
 package pace
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Factor returns the factor of a pace on the slot hold time of a kind whose runs wait for their own calls for a share of it, 0 if
 // unknown.
@@ -16,10 +13,10 @@
 
 // Constants of the wait for a slot.
 const (
-	// crowdWeight and crowdPower estimate the wait for a slot, in slot hold times, at a server with free slots as crowdWeight * use^crowdPower.
-	// What a sender knows of the use is old, and other senders know the same: without this term all would fill the
-	// fastest server first.
-	crowdWeight, crowdPower = 0.5, 3.0
+	// crowdWeight estimates the wait for a slot, in slot hold times, at a server with free slots as crowdWeight * use^3. What a sender
+	// knows of the use is old, and other senders know the same. In trials with 880 senders at 0.9 of the slots, three seeds, the mean
+	// time to the end was 187, 177 and 203 ms at 0, 0.25 and 0.5.
+	crowdWeight = 0.25
 	// queueWeight is the wait in slot hold times for each use beyond all slots. A queue of all slots is one hold time long;
 	// more than that counts since a gate rejects what would wait longer than about one hold time.
 	queueWeight = 4.0
@@ -28,7 +25,7 @@
 // CompletionTime returns the expected time to the end of a call at a server, in typical slot hold times of its kind. slowdown is that of
 // the call there and now; use is 1 when all slots are taken.
 func CompletionTime(slowdown, use float64) float64 {
-	return slowdown * (1 + crowdWeight*math.Pow(use, crowdPower) + queueWeight*max(use-1, 0))
+	return slowdown * (1 + crowdWeight*use*use*use + queueWeight*max(use-1, 0))
 }
 
 // Bounds of WorkPerSlot. One report must not take most of a server away, nor multiply it.
