Node: a server that is slow by its pace alone isn't logged as short of room

The usable slots of a slow server are below its gate's limit all the time, and the log line is for rejections and backlog.

--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -105,10 +105,10 @@
 }
 
 // logUsableSlots sets the usable-fraction metric, and logs why the local backend server has fewer usable slots than its
-// gate's limit, once per usableSlotsLogPeriod.
+// gate's limit, once per usableSlotsLogPeriod. It doesn't log that a server is slow by its pace.
 func (n *Node) logUsableSlots(now time.Time, g gate.State, load overload.GateLoad, excess, usable float64) {
 	n.metrics.gauge(int64(n.usableFraction()*1000), "room_part")
-	if usable >= g.Limit || now.Before(n.control.logged.nextUsableLog) {
+	if usable >= min(g.Limit, round(g.Limit*workPerSlot(g))) || now.Before(n.control.logged.nextUsableLog) {
 		return
 	}
 	n.control.logged.nextUsableLog = now.Add(usableSlotsLogPeriod)
