--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -17,7 +17,7 @@
 //     suspects.go and suspect_trial.go decide where and when a suspect runs, suspect_updates.go reports to all nodes,
 //     store_quarantined.go stores the quarantined requests, quarantine_handler.go shows and releases them.
 //   - The node itself: node.go and mesh_options.go, listeners.go and network.go,
-//     control_loop.go, suspension.go, planned_stop.go, dump.go, peer.go; unresponsive_peer.go backs off peers that don't
+//     pipelined_requests.go (package pipeline), control_loop.go, suspension.go, planned_stop.go, dump.go, peer.go; unresponsive_peer.go backs off peers that don't
 //     answer, and lost_requests.go finds the requests that they don't have; node_metrics.go with metric_table.go and
 //     metrics_text.go.
 //   - Keys and quotas: authenticate.go checks keys and finds their teams, freshness_proof.go renews the proof without which no key is
--- a/pkg/mesh/listeners.go
+++ b/pkg/mesh/listeners.go
@@ -40,6 +40,7 @@
 	n.clients.SetLimit(int(clientDescriptorShare * float64(clientconns.MaxDescriptors())))
 	n.clients.OnEvicted = func(closed int) { n.metrics.add(int64(closed), "client_connections_closed_total") }
 	s.ConnState = n.clients.TrackState
+	n.servePipelined(s)
 	return s
 }
 
@@ -50,13 +51,21 @@
 		return eris.Wrapf(err, "listen on %s", s.Addr)
 	}
 	n.startBackground(func() {
-		if err := s.Serve(ln); err != nil && !isListenerClosed(err) {
+		if err := n.serve(s, ln); err != nil && !isListenerClosed(err) {
 			n.controlLog.Error("listener ended", "address", s.Addr, "err", err)
 		}
 	})
 	return nil
 }
 
+// serve serves a listener's connections.
+func (n *Node) serve(s *http.Server, ln net.Listener) error {
+	if n.pipelined != nil && n.pipelined.HTTP == s {
+		return n.pipelined.Serve(ln)
+	}
+	return s.Serve(ln)
+}
+
 // isListenerClosed reports whether an error means that the listener was closed.
 func isListenerClosed(err error) bool {
 	return eris.Is(err, http.ErrServerClosed) || eris.Is(err, net.ErrClosed)
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -20,6 +20,7 @@
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/overload"
+	"github.com/rockspoke/rockspoke/pkg/pipeline"
 	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/quota"
 	"github.com/rockspoke/rockspoke/pkg/settings"
@@ -68,6 +69,7 @@
 	peerRequests       awaited.InProgress    // requests of other nodes in flight here
 	serverNotListening atomic.Bool           // the local backend server has crashed and hasn't been seen since
 	clients            clientconns.Connections
+	pipelined          *pipeline.Server // of the clients' requests; nil: the mechanism is off
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
