--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -31,6 +31,7 @@
 	ChainTolerance    Mechanism = "chain-tolerance"
 	ChainTarget       Mechanism = "chain-target"
 	RetryReserve      Mechanism = "retry-reserve"
+	Pipelining        Mechanism = "pipelining"
 )
 
 // MechanismInfo describes one mechanism.
@@ -61,6 +62,7 @@
 	{ChainTolerance, "a gate may reject as many calls of requests that make several calls there as of requests that make one"},
 	{ChainTarget, "admission fills a service alike, however many calls a request makes there"},
 	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
+	{Pipelining, "the requests of a client connection are served one after the other"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
