Budget: the reserve of a call, which its request still needs after it

A call's time limit doesn't say what its caller still has to do, so calls ran whose requests couldn't end in time. The new package computes the reserve from the calls that the run still has to make and their usual times; callgraph finds the runs that may have made a call, and the calls that they still have to make. The package also limits how many calls are refused for their reserves alone.

--- /dev/null
+++ b/pkg/budget/reserve_test.go
@@ -0,0 +1,104 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/callgraph"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// learned returns a learner of runs that make four calls of 50 ms one after the other, and the times of these calls.
+func learned() (*callgraph.Learner, *Times) {
+	l, t, now := &callgraph.Learner{}, &Times{}, start.Add(-time.Second)
+	for range 20 {
+		end := now.Add(time.Second)
+		run := l.BeginRun(now, "caller", end)
+		for range 4 {
+			l.ObserveCall(now, "call", end)
+			t.ObserveCall("call", 50*time.Millisecond)
+			now = now.Add(10 * time.Millisecond)
+		}
+		l.EndRun(now, run, true)
+	}
+	return l, t
+}
+
+func oneGate(string) float64 { return 1 }
+
+func TestReserveIsTheTimeOfTheCallsToCome(t *testing.T) {
+	c := qt.New(t)
+	l, times := learned()
+	end := start.Add(time.Second)
+	run := l.BeginRun(start, "caller", end)
+	run.Reserve, run.CallsToCome = 300*time.Millisecond, 5
+	for remaining := 3; remaining >= 0; remaining-- {
+		l.ObserveCall(start, "call", end)
+		r := times.ForCall(l, start, "call", end, oneGate)
+		c.Check(r, qt.Equals, Reserve{Time: 300*time.Millisecond + time.Duration(remaining)*50*time.Millisecond, Calls: float64(remaining) + 5})
+	}
+	early := end.Add(-400 * time.Millisecond) // the call's own limit, and its caller has 400 ms after it
+	l.Update(start)
+	c.Check(times.ForCall(l, start, "call", early, oneGate), qt.Equals, Reserve{})
+}
+
+// Guards against a reserve that belongs to another run: only the least of all that may have made the call is certain.
+func TestUncertainCallersGiveTheLeastReserve(t *testing.T) {
+	c := qt.New(t)
+	l, times := learned()
+	end := start.Add(time.Second)
+	for _, reserve := range []time.Duration{500, 100, 300} {
+		l.BeginRun(start, "caller", end).Reserve = reserve * time.Millisecond
+	}
+	l.ObserveCall(start, "call", end)
+	got := times.ForCall(l, start, "call", end, oneGate).Time
+	c.Check(got > 240*time.Millisecond && got < 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got)) // 100 ms and 3 2/3 calls
+	c.Check(times.ForCall(l, start, "other", end, oneGate), qt.Equals, Reserve{})
+}
+
+// Guards against adding up the times of calls that a run makes at once.
+func TestParallelCallsReserveTheTimeOfTheRun(t *testing.T) {
+	c := qt.New(t)
+	l, times := learned()
+	for range 20 {
+		times.ObserveRun("caller", 50*time.Millisecond) // all four calls of 50 ms
+	}
+	end := start.Add(time.Second)
+	l.BeginRun(start, "caller", end)
+	l.ObserveCall(start, "call", end)
+	c.Check(times.ForCall(l, start, "call", end, oneGate).Time, qt.Equals, 37500*time.Microsecond)
+}
+
+func TestHeaderValues(t *testing.T) {
+	c := qt.New(t)
+	r := Reserve{Time: 1234 * time.Millisecond, Calls: 2.1}
+	c.Check(r.String(), qt.Equals, "1234,3")
+	c.Check(Parse(r.String()), qt.Equals, Reserve{Time: r.Time, Calls: 3})
+	c.Check(Parse("50"), qt.Equals, Reserve{Time: 50 * time.Millisecond})
+	c.Check(Parse("50,x"), qt.Equals, Reserve{Time: 50 * time.Millisecond})
+	for _, v := range []string{"", "-5,1", "0,4", "1.5", "x,1", "99999999999999999999,1"} {
+		c.Check(Parse(v), qt.Equals, Reserve{}, qt.Commentf("%q", v))
+	}
+	c.Check(r.AtMost(time.Second).Time, qt.Equals, time.Second)
+	c.Check(r.Within(2*time.Second).Time, qt.Equals, time.Duration(0))
+}
+
+func TestAtMostHalfOfTheCallsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	var l RefusalLimit
+	now := start
+	for window := range 3 {
+		refused := 0
+		for range 100 {
+			l.Arrive(now, "call")
+			if l.TakeRefusal(now, "call") {
+				refused++
+			}
+		}
+		c.Check(refused, qt.Equals, 50, qt.Commentf("window %d", window))
+		now = now.Add(refusalWindow)
+	}
+}
--- a/pkg/callgraph/calls_per_run.go
+++ b/pkg/callgraph/calls_per_run.go
@@ -1,5 +1,7 @@
 package callgraph
 
+import "time"
+
 // Parameters of the calls per run.
 const (
 	// minSucceededRuns is the number of succeeded runs from which only these count: a failed run may not have made all of its
@@ -15,6 +17,7 @@
 
 // routeStats holds the statistics of the runs of one route.
 type routeStats struct {
+	route      string
 	running    []*Run
 	runSeconds float64 // seconds in progress of all runs, in the current interval
 	succeeded  runSums
@@ -22,6 +25,8 @@
 	// restored are the calls of one run as known before the start; they count as restoredRuns runs.
 	restored     Rates
 	restoredRuns float64
+	known        Rates // result of knownCalls
+	knownAt      time.Time
 }
 
 // runSums counts ended runs and their calls.
@@ -47,6 +52,11 @@
 	if s == nil {
 		return nil
 	}
+	return l.callsPerRunOf(s)
+}
+
+// callsPerRunOf returns the calls of one run, without those that can't be told from noise.
+func (l *Learner) callsPerRunOf(s *routeStats) Rates {
 	out := Rates{}
 	for c, n := range s.callsPerRun() {
 		if n >= max(MinCallsPerRun, minMainCallerFraction*l.mainCallerRate(c)) {
--- a/pkg/callgraph/doc.go
+++ b/pkg/callgraph/doc.go
@@ -14,6 +14,9 @@
 // the last seconds, and forget_old_evidence.go lets older evidence decay. The
 // result is in calls_per_run.go; restored_calls.go replaces it after a restart.
 //
+// possible_callers.go finds the runs that may have made one call, and the calls that
+// they still have to make.
+//
 // request_cost.go walks down the graph and computes how much of each service's
 // slots one root request takes.
 package callgraph
--- a/pkg/callgraph/runs_in_progress.go
+++ b/pkg/callgraph/runs_in_progress.go
@@ -16,6 +16,9 @@
 	start    time.Time
 	deadline time.Time
 	calls    []attributedCalls
+	// Reserve is the time that the run's caller still needs after it, and CallsToCome the calls that it has to make by then.
+	Reserve     time.Duration
+	CallsToCome float64
 }
 
 // attributedCalls is the number of calls of a route attributed to a run, in shares.
@@ -48,7 +51,7 @@
 	}
 	s := l.routes[route]
 	if s == nil {
-		s = &routeStats{}
+		s = &routeStats{route: route}
 		l.routes[route] = s
 		s.restore(l.restored[route])
 		delete(l.restored, route)
