Mesh: calls carry their reserve from node to node, in header Rs-B

The node where a call begins sets the reserve, and the gate of the called server uses it. The header goes only to nodes whose replies say that they read it, since others would pass it on to their servers. Client requests with less time than nine of ten successful requests of their route took are refused at their entry. Requests that expire in a gate's queue count as rejected by the full queue. mesh.off: [budgets] switches all of it off; metric budget_refused_total, a log line a second.

--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -15,6 +15,7 @@
 	shares         map[string]overload.Share     // admitted share by kind of root request (loads.Kind)
 	internalRoutes map[string]bool               // routes that only backend servers call
 	runsPerRequest map[string]map[string]float64 // by route, then service: runs caused by one request, its calls included
+	gatesPerCall   map[string]float64            // by route: runs caused by one request at all services, its own included
 	slotHoldTimes  map[string]time.Duration      // by route: average slot hold time of one run, over all servers
 	// bottlenecks holds the services whose usable slots the admitted requests fill.
 	bottlenecks map[string]bool
@@ -47,10 +48,14 @@
 	n.updateInternalRoutes(now)
 	plan := &admissionPlan{
 		internalRoutes: maps.Clone(n.control.internalRoutes.internal), runsPerRequest: make(map[string]map[string]float64), slotHoldTimes: loads.HoldTimes(places),
+		gatesPerCall: make(map[string]float64),
 	}
 	costs := callgraph.Costs(loads.CallGraph(all), places)
 	for route, c := range costs {
 		plan.runsPerRequest[route] = c.Runs
+		for _, runs := range c.Runs {
+			plan.gatesPerCall[route] += runs
+		}
 	}
 	roots, capacity := n.rootDemand(now, reports, plan, costs), n.capacity()
 	options := overload.Options{NoMinimumShare: n.off[settings.MinShare], EqualShares: n.off[settings.CostWeight]}
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -52,11 +52,12 @@
 		return refusal
 	}
 	b.adoptLimit(own, q.knownLimit)
-	d := b.waitAtGate(ctx, q)
+	d, waited := b.waitAtGate(ctx, q)
 	if !q.RejectedElsewhere {
-		b.n.stats.noteGateArrival(b.n.clock.Now(), q.Internal, d.Reason)
+		b.n.stats.noteGateArrival(b.n.clock.Now(), q.Internal, b.n.overloadReason(d, waited))
 	}
 	if !d.Start {
+		b.n.noteReserveRefusal(q, d)
 		if d.Reason == wire.ReasonRateLimit {
 			b.logRateRejection(q, own, d)
 		}
@@ -73,6 +74,7 @@
 func (b *backend) runAtServer(ctx context.Context, q *request, own directory.Record) *answer {
 	started := b.n.clock.Now()
 	run := b.n.stats.beginRun(started, q.Route, q.deadline.Add(-answerMargin))
+	b.n.stats.setReserve(run, q.reserve)
 	at := &serverRun{q: q, lifetime: own.LifetimeID(), started: started}
 	b.runs.begin(at)
 	a, outcome := b.send(ctx, q, own)
@@ -106,26 +108,28 @@
 	return reason == wire.ReasonQueue || reason == wire.ReasonRateLimit
 }
 
-// waitAtGate waits for a slot, and for the rate limit if the server has one. It returns the final decision.
-func (b *backend) waitAtGate(ctx context.Context, q *request) gate.Decision {
+// waitAtGate waits for a slot, and for the rate limit if the server has one. It returns the final decision, and whether the
+// request was queued.
+func (b *backend) waitAtGate(ctx context.Context, q *request) (d gate.Decision, queued bool) {
 	decisions := make(chan gate.Decision, 1)
 	t := &gate.Ticket{
 		Internal: q.Internal, Priority: q.Priority, Deadline: q.deadline, TypicalHold: b.n.slotHoldTime(q.Route), Age: b.n.minWorkAge(q),
+		Route: q.Route, Reserve: q.reserve, CallsBelow: b.n.callsBelow(q),
 		Notify: func(d gate.Decision) { decisions <- d },
 	}
 	now := b.n.clock.Now()
 	b.n.gateMu.Lock()
-	d := b.n.gate.Submit(now, t)
+	d = b.n.gate.Submit(now, t)
 	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
-	if d.Queued {
+	if queued = d.Queued; queued {
 		select {
 		case d = <-decisions:
 		case <-ctx.Done():
-			return b.withdrawTicket(t, decisions)
+			return b.withdrawTicket(t, decisions), false
 		}
 	}
-	return d
+	return d, queued
 }
 
 // minGateDelay is the shortest time between two looks at tickets that wait for the rate limit.
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -34,6 +34,8 @@
 //   - Load: traffic_stats.go, traffic_entries.go, traffic_runs.go and traffic_at_gate.go count
 //     at one node, report_local_load.go reports to the zone (package loads),
 //     load_reports.go and load_expiry.go hold the reports of all nodes and drop expired ones.
+//   - Latency budgets (package budget): latency_budget.go sets the reserves of calls, and refuses client requests that have too little
+//     time left.
 //   - The admission plan: package loads reads the reports and
 //     retains what is no longer reported, service_capacity.go computes
 //     the capacity, admission_plan.go makes the plan and admission_log.go logs it.
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -112,6 +112,9 @@
 	if a.serverFailed() && !d.n.anotherServerMayHelp(d.q) {
 		return false // most likely its calls failed, and another run would only add load
 	}
+	if a.reason == wire.ReasonDeadline && d.n.isHopeless(d.q) {
+		return false // other gates would refuse it too
+	}
 	if !a.arrived {
 		return true // a gate's refusal isn't an arrival, so the next attempt costs nothing
 	}
@@ -154,6 +157,9 @@
 	if k := p.knownLimit(); k.limit.Advertised {
 		h.Set(headerKnownLimit, encodeKnownLimit(k.limit, k.instance))
 	}
+	if d.q.reserve.Time > 0 && p.readsReserve.Load() {
+		h.Set(headerReserve, d.q.reserve.String())
+	}
 	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	res, err := d.roundTrip(ctx, p, usual, &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -56,6 +57,7 @@
 		ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline.Add(inboundGrace))
 		defer cancel()
 		n.readKnownLimit(q, r)
+		n.readReserve(q, r)
 		a = n.backend.serve(ctx, q)
 	}
 	n.writeReply(w, a, c)
@@ -98,6 +100,7 @@
 		Success: int(g.SuccessShare*(1-g.ShedShare)*100 + 0.5), Stopping: n.stop.stopping(), NotListening: a.notListening, Version: n.stateVersion(),
 		CrashedLifetime: a.crashedLifetime, HasCrashSuccess: a.crashedLifetime != "", CrashSuccess: a.crashSuccess,
 		RetryAfter: a.retryAfter, Notice: n.newNotice(now, at, rate, leaving),
+		ReadsReserve: !n.off[settings.LatencyBudgets],
 	}
 }
 
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -39,5 +39,6 @@
 	{"server_headers_invalid_total", "counter", "", "Answers of the local backend server with an unusable header about itself."},
 	{"slot_ms_total", "counter", "route, outcome", "Slot hold time of requests at the local backend server in milliseconds, by outcome there."},
 	{"admitted_share", "gauge", "route", "Admitted share of first attempts, in thousandths; absent until it has been below 1000."},
+	{"budget_refused_total", "counter", "route, place", "Calls refused at the local gate (place gate) only because their requests couldn't end in time after them, and client requests refused where they began (place entry) because they couldn't end in time."},
 	{"request_seconds", "histogram", "route", "Time from the arrival of a served request to its answer."},
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -58,6 +58,7 @@
 	gateScheduled bool // a timer is set that starts queued tickets
 
 	metrics            nodeMetrics
+	budgetLog          budgetLog
 	stats              trafficStats
 	plan               atomic.Pointer[admissionPlan]
 	retryBudgetMu      sync.Mutex
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -57,7 +57,7 @@
 	}
 	n.stats.noteEntry(n.clock.Now(), q.kind(), q.clientDeadline)
 	if q.Internal {
-		n.stats.noteCall(n.clock.Now(), route.Name, q.clientDeadline)
+		n.noteCall(q)
 	}
 	if a := n.entryRefusal(q); a != nil {
 		n.returnQuotaToken(q)
@@ -96,9 +96,15 @@
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request, q *request, route *desired.Route) {
 	if route.Timeout > 0 {
 		if end := n.clock.Now().Add(route.Timeout); end.Before(q.deadline) {
+			q.reserve = q.reserve.Within(q.deadline.Sub(end))
 			q.deadline = end
 		}
 	}
+	if n.refuseShortRoot(q) {
+		n.returnQuotaToken(q)
+		n.writeFinal(w, q, notRunAnswer(wire.ReasonDeadline))
+		return
+	}
 	ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline)
 	defer cancel()
 	n.depositRetryBudget(q)
@@ -106,7 +112,9 @@
 	d := &delivery{n: n, q: q, route: route}
 	a := d.run(ctx)
 	if a.outcome == wire.Ran {
-		n.metrics.observe(n.clock.Now().Sub(started), "request_seconds", "route", route.Name)
+		took := n.clock.Now().Sub(started)
+		n.metrics.observe(took, "request_seconds", "route", route.Name)
+		n.learnTime(q, a, took)
 	}
 	if a.outcome != wire.Ran && r.Context().Err() == nil {
 		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -21,6 +21,8 @@
 	sameZone atomic.Bool // it is in this node's availability zone
 	slots    atomic.Int64
 	inflight atomic.Int64 // requests from this node in flight
+	// readsReserve reports whether the peer's node reads headerReserve; one of the release before would pass it on to its server.
+	readsReserve atomic.Bool
 	// hasNotice is set while the server limits its rate or leaves, so that the others are chosen from without a look at notices.
 	hasNotice atomic.Bool
 	awaited   awaited.Table
@@ -145,6 +147,7 @@
 		otherRequests: max(int64(r.Running+r.Queued)-p.inflight.Load(), 0),
 		limit:         float64(r.Limit), slowdown: float64(r.Slowdown) / 100, success: float64(r.Success) / 100, receivedAt: now,
 	}
+	p.readsReserve.Store(r.ReadsReserve)
 	p.endBackoff()
 	p.setStopping(now, r.Stopping)
 }
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -20,6 +20,8 @@
 	// headerKnownLimit carries the rate limit of the chosen server as the sender knows it: the limit, a comma and the server's
 	// instance. The node beside the server loses the limit when it restarts, its peers don't.
 	headerKnownLimit = "Rs-L"
+	// headerReserve carries the reserve of a call (budget.Reserve): milliseconds, a comma and the number of calls to come.
+	headerReserve = "Rs-B"
 )
 
 // callFields and replyFields are the numbers of fields in the two headers.
@@ -36,6 +38,9 @@
 // firstSuccessFlag is the reply's flag for CrashSuccess in the first scope; those of the other scopes follow.
 const firstSuccessFlag = 32
 
+// readsReserveFlag is the reply's flag for ReadsReserve, after those for CrashSuccess.
+const readsReserveFlag = firstSuccessFlag << poison.ScopeCount
+
 // peerCall is the metadata that a node sends with a request to the chosen server's node.
 type peerCall struct {
 	Service           string
@@ -70,6 +75,7 @@
 	HasCrashSuccess bool
 	RetryAfter      time.Duration // delay before the caller should retry; 0: the default
 	Notice          serverNotice
+	ReadsReserve    bool // the server's node reads headerReserve and doesn't pass it on to its server
 }
 
 // serverNotice is what the server's node reports of a server that limits its rate or leaves; the zero value is for any other.
@@ -143,6 +149,7 @@
 // encode returns the value of headerReply.
 func (r peerReply) encode() string {
 	flags := append([]bool{r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving, r.HasCrashSuccess}, r.CrashSuccess[:]...)
+	flags = append(flags, r.ReadsReserve)
 	s := fmt.Sprintf("%s,%s,%s,%d,%d,%d,%d,%d,%d", r.Outcome, r.Reason, packFlags(flags...),
 		r.Running, r.Queued, r.Limit, r.Slowdown, r.Success, r.Version)
 	known := r.Notice.Lifetime.Instance != ""
@@ -218,6 +225,7 @@
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
 		Slowdown: int(n[4]), Success: int(n[5]), Version: n[6],
 		CrashedLifetime: crashedLifetime, HasCrashSuccess: n[0]&16 != 0, CrashSuccess: success, RetryAfter: retryAfter, Notice: notice,
+		ReadsReserve: n[0]&readsReserveFlag != 0,
 	}, nil
 }
 
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/budget"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 )
@@ -28,6 +29,7 @@
 	cachedIdentity lazyIdentity
 	team           *desired.Team // nil: the request belongs to no team
 	knownLimit     knownLimit
+	reserve        budget.Reserve // of a call: what its request still needs after it
 	// clientDeadline is when the client gives up; the route's timeout may set an earlier deadline.
 	clientDeadline time.Time
 }
@@ -100,6 +102,7 @@
 	delete(out, headerCall)
 	delete(out, headerReply)
 	delete(out, headerKnownLimit)
+	delete(out, headerReserve)
 	return out
 }
 
--- a/pkg/mesh/traffic_runs.go
+++ b/pkg/mesh/traffic_runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/budget"
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/overload"
@@ -21,6 +22,16 @@
 	return s.learner.BeginRun(now, route, deadline)
 }
 
+// setReserve notes what the caller of a run still needs after it.
+func (s *trafficStats) setReserve(run *callgraph.Run, r budget.Reserve) {
+	if r.Time <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Reserve, run.CallsToCome = r.Time, r.Calls
+}
+
 // dropRun discards a run that the server didn't accept: it would count as one with no slot hold time and no calls.
 func (s *trafficStats) dropRun(now time.Time, run *callgraph.Run) {
 	s.mu.Lock()
@@ -33,6 +44,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.learner.EndRun(now, run, o == gate.Answered)
+	if o == gate.Answered {
+		s.times.ObserveRun(route, hold)
+	}
 	r := s.runs[route]
 	if r == nil {
 		r = &runStats{}
--- a/pkg/mesh/traffic_stats.go
+++ b/pkg/mesh/traffic_stats.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/budget"
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
@@ -17,6 +18,8 @@
 	// maxTimeLeft is, by route, the longest time to the deadline that recent calls had when they arrived at the gate.
 	maxTimeLeft      map[string]*recentMax
 	learner          callgraph.Learner     // of the calls that the local backend server makes
+	times            budget.Times          // of those calls, of the requests that begin here and of the local server's runs
+	shortRoots       budget.RefusalLimit   // of client requests that have too little time left
 	gateArrivals     overload.DecayingRate // all requests that arrive at the gate
 	rejectedCalls    overload.DecayingRate // internal calls that the gate rejected since the server was full
 	rejectedRequests overload.DecayingRate // requests that it rejected for lack of slots
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -26,6 +26,7 @@
 	GateOrder         Mechanism = "gate-order"
 	KindHoldTimes     Mechanism = "kind-holds"
 	Quarantine        Mechanism = "held-back"
+	LatencyBudgets    Mechanism = "budgets"
 )
 
 // MechanismInfo describes one mechanism.
@@ -51,6 +52,7 @@
 	{GateOrder, "a server's queue is in order of arrival"},
 	{KindHoldTimes, "whether a request can finish in time is estimated from the average slot hold time of all kinds"},
 	{Quarantine, "a request that crashes its servers is sent to further servers like any other"},
+	{LatencyBudgets, "a call may take all the time until its limit, whatever its request still has to do after it"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
