--- a/pkg/callgraph/calls_per_run.go
+++ b/pkg/callgraph/calls_per_run.go
@@ -17,6 +17,7 @@
 
 // routeStats holds the statistics of the runs of one route.
 type routeStats struct {
+	route         string
 	running       []*Run
 	deadlines     []time.Duration // time limits of running, since Learner.origin
 	runSeconds    float64         // seconds in progress of all runs, in the current interval
@@ -26,6 +27,8 @@
 	// restored are the calls of one run as known before the start; they count as restoredRuns runs.
 	restored     Rates
 	restoredRuns float64
+	known        Rates // result of knownCalls
+	knownAt      time.Time
 }
 
 // runSums counts ended runs and their calls.
@@ -51,6 +54,11 @@
 	if s == nil {
 		return nil
 	}
+	return l.callsPerRunOf(s)
+}
+
+// callsPerRunOf returns the calls of one run, without those that can't be told from noise.
+func (l *Learner) callsPerRunOf(s *routeStats) Rates {
 	out := Rates{}
 	for c, n := range s.callsPerRun() {
 		if n >= max(MinCallsPerRun, minMainCallerFraction*l.mainCallerRate(c)) {
--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -16,6 +16,7 @@
 	shares         map[string]overload.Share     // admitted share by kind of root request (loads.Kind)
 	internalRoutes map[string]bool               // routes that only backend servers call
 	runsPerRequest map[string]map[string]float64 // by route, then service: runs caused by one request, its calls included
+	gatesPerCall   map[string]float64            // by route: runs caused by one request at all services, its own included
 	slotHoldTimes  map[string]time.Duration      // by route: average slot hold time of one run, over all servers
 	callShares     map[string]float64            // by route: share of the slot hold time that a run waits for its own calls
 	// bottlenecks holds the services whose usable slots the admitted requests fill.
@@ -68,12 +69,16 @@
 	n.updateInternalRoutes(now, sums)
 	plan := &admissionPlan{
 		internalRoutes: maps.Clone(n.control.internalRoutes.internal), runsPerRequest: make(map[string]map[string]float64), slotHoldTimes: loads.HoldTimes(places),
+		gatesPerCall: make(map[string]float64),
 	}
 	graph := loads.CallGraph(all)
 	plan.callShares = loads.CallShares(graph, places)
 	costs := callgraph.Costs(graph, places)
 	for route, c := range costs {
 		plan.runsPerRequest[route] = c.Runs
+		for _, runs := range c.Runs {
+			plan.gatesPerCall[route] += runs
+		}
 	}
 	roots, capacity := n.rootDemand(now, reports, plan, costs), n.capacity()
 	n.addSuccess(now, &planInputs{reports, graph, places, roots, capacity})
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -122,6 +122,9 @@
 	if a.serverFailed() && !d.n.anotherServerMayHelp(d.q) {
 		return false // most likely its calls failed, and another run would only add load
 	}
+	if a.reason == wire.ReasonDeadline && d.n.isHopeless(d.q) {
+		return false // other gates would refuse it too
+	}
 	if !a.arrived {
 		return true // a gate's refusal isn't an arrival, so the next attempt costs nothing
 	}
@@ -166,6 +169,9 @@
 	if k := p.knownLimit(); k.limit.Advertised {
 		fields = append(fields, headerpack.Field{Name: headerKnownLimit, Value: encodeKnownLimit(k.limit, k.instance)})
 	}
+	if d.q.reserve.Time > 0 && p.readsReserve.Load() {
+		fields = append(fields, headerpack.Field{Name: headerReserve, Value: d.q.reserve.String()})
+	}
 	res, err := d.roundTrip(ctx, p, usual, &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: d.q.header, Fields: fields, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
 		Body: d.q.body, Stream: d.q.stream, StreamLength: d.q.streamLength, ReceivedSince: d.receivedSince, ExpectedResponseTime: d.n.expectedResponseTime(usual),
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -20,6 +20,8 @@
 	// headerKnownLimit carries the rate limit of the chosen server as the sender knows it: the limit, a comma and the server's
 	// instance. The node beside the server loses the limit when it restarts, its peers don't.
 	headerKnownLimit = "Rs-L"
+	// headerReserve carries the reserve of a call (budget.Reserve): milliseconds, a comma and the number of calls to come.
+	headerReserve = "Rs-B"
 )
 
 // callFields and replyFields are the numbers of fields in the two headers.
@@ -39,6 +41,9 @@
 // firstSuccessFlag is the reply's flag for CrashSuccess in the first scope; those of the other scopes follow.
 const firstSuccessFlag = 32
 
+// readsReserveFlag is the reply's flag for ReadsReserve, after those for CrashSuccess.
+const readsReserveFlag = firstSuccessFlag << poison.ScopeCount
+
 // peerCall is the metadata that a node sends with a request to the chosen server's node.
 type peerCall struct {
 	Service           string
@@ -75,6 +80,7 @@
 	HasCrashSuccess bool
 	RetryAfter      time.Duration // delay before the caller should retry; 0: the default
 	Notice          serverNotice
+	ReadsReserve    bool // the server's node reads headerReserve and doesn't pass it on to its server
 }
 
 // serverNotice is what the server's node reports of a server that limits its rate or leaves; the zero value is for any other.
@@ -173,6 +179,9 @@
 func (r peerReply) encode() string {
 	flags := packFlags(r.RefusedByServer, r.Stopping, r.NotListening, r.Notice.Leaving, r.HasCrashSuccess)
 	flags |= firstSuccessFlag * packFlags(r.CrashSuccess[:]...)
+	if r.ReadsReserve {
+		flags |= readsReserveFlag
+	}
 	b := make([]byte, 0, peerHeaderBytes)
 	b = appendFields(b, string(r.Outcome), string(r.Reason))
 	b = appendNumbers(b, flags, int64(r.Running), int64(r.Queued), int64(r.Limit), int64(r.Slowdown), int64(r.Success), r.Version)
@@ -257,6 +266,7 @@
 		Running: int(n[1]), Queued: int(n[2]), Limit: int(n[3]),
 		Slowdown: int(n[4]), Pace: pace, Success: int(n[5]), Version: n[6],
 		CrashedLifetime: crashedLifetime, HasCrashSuccess: n[0]&16 != 0, CrashSuccess: success, RetryAfter: retryAfter, Notice: notice,
+		ReadsReserve: n[0]&readsReserveFlag != 0,
 	}, nil
 }
 
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -32,6 +32,7 @@
 	ChainTarget       Mechanism = "chain-target"
 	RetryReserve      Mechanism = "retry-reserve"
 	Pipelining        Mechanism = "pipelining"
+	LatencyBudgets    Mechanism = "budgets"
 )
 
 // MechanismInfo describes one mechanism.
@@ -63,6 +64,7 @@
 	{ChainTarget, "admission fills a service alike, however many calls a request makes there"},
 	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
 	{Pipelining, "the requests of a client connection are served one after the other"},
+	{LatencyBudgets, "a call may take all the time until its limit, whatever its request still has to do after it"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
