--- a/pkg/mesh/admission_plan.go
+++ b/pkg/mesh/admission_plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
@@ -18,6 +19,16 @@
 	slotHoldTimes  map[string]time.Duration      // by route: average slot hold time of one run, over all servers
 	// bottlenecks holds the services whose usable slots the admitted requests fill.
 	bottlenecks map[string]bool
+	// callsPerRequest is, by service, how many runs there one admitted request causes.
+	callsPerRequest map[string]float64
+}
+
+// callsPerRequest returns how many runs at the service one admitted request causes, or 0 if it isn't known.
+func (n *Node) callsPerRequest(service string) float64 {
+	if p := n.plan.Load(); p != nil && !n.off[settings.ChainTolerance] {
+		return p.callsPerRequest[service]
+	}
+	return 0
 }
 
 // isBottleneck reports whether the requests that the plan admits fill the service, as far as their costs are known.
@@ -40,22 +51,26 @@
 // replan computes and publishes a new admission plan from the reports that haven't expired.
 func (n *Node) replan(now time.Time) {
 	n.expireLoads(now)
-	reports := n.currentReports()
+	sums := n.currentSums()
+	reports := slices.Concat(slices.Collect(maps.Values(sums))...)
 	n.control.retainedRuns.Update(now, reports)
 	all := n.control.retainedRuns.WithRetained(reports)
 	places := loads.Placements(all)
-	n.updateInternalRoutes(now)
+	n.updateInternalRoutes(now, sums)
 	plan := &admissionPlan{
 		internalRoutes: maps.Clone(n.control.internalRoutes.internal), runsPerRequest: make(map[string]map[string]float64), slotHoldTimes: loads.HoldTimes(places),
 	}
-	costs := callgraph.Costs(loads.CallGraph(all), places)
+	graph := loads.CallGraph(all)
+	costs := callgraph.Costs(graph, places)
 	for route, c := range costs {
 		plan.runsPerRequest[route] = c.Runs
 	}
 	roots, capacity := n.rootDemand(now, reports, plan, costs), n.capacity()
-	options := overload.Options{NoMinimumShare: n.off[settings.MinShare], EqualShares: n.off[settings.CostWeight]}
+	n.addSuccess(now, &planInputs{reports, graph, places, roots, capacity})
+	options := overload.Options{NoMinimumShare: n.off[settings.MinShare], EqualShares: n.off[settings.CostWeight], SameTarget: n.off[settings.ChainTarget]}
 	plan.shares = options.PlanShares(roots, capacity)
-	plan.bottlenecks = overload.BottleneckServices(roots, plan.shares, capacity)
+	plan.callsPerRequest = overload.CallsPerRequest(roots, plan.shares)
+	plan.bottlenecks = options.BottleneckServices(roots, plan.shares, capacity)
 	missing := kindsWithoutCost(roots)
 	urgent := limitsAnyKind(roots, plan) || len(missing) > 0
 	n.updateUrgency(now, urgent)
@@ -63,6 +78,7 @@
 		n.logPlan(now, plan, roots, capacity, missing)
 	}
 	n.setShareMetrics(plan)
+	n.setSuccessMetrics(roots)
 	n.plan.Store(plan)
 }
 
@@ -96,7 +112,9 @@
 // newKindDemand returns the demand for a kind of root request with its rank and cost, and with rates of 0.
 func (n *Node) newKindDemand(kind string, costs map[string]callgraph.Cost) *overload.KindDemand {
 	route, team := loads.SplitKind(kind)
-	return &overload.KindDemand{Kind: kind, Priority: n.state.Load().Rank(route, team), SlotSeconds: costs[route].SlotSeconds}
+	return &overload.KindDemand{
+		Kind: kind, Priority: n.state.Load().Rank(route, team), SlotSeconds: costs[route].SlotSeconds, Runs: costs[route].Runs,
+	}
 }
 
 // reportedDemand returns the demand that the reports contain, by kind of root request.
