--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -44,6 +44,8 @@
 	br   *bufio.Reader
 	bw   *bufio.Writer
 
+	check *idleCheck
+
 	packer   headerpack.Packer
 	unpacker headerpack.Unpacker
 
@@ -52,18 +54,21 @@
 }
 
 // acquire returns a connection that has received an answer since the given time, or a new one; the error is an *Error of kind
-// NotConnected.
-func (p *Pool) acquire(ctx context.Context, since time.Time) (*conn, error) {
+// NotConnected. The Aborter, if there is one, ends dialing.
+func (p *Pool) acquire(ctx context.Context, since time.Time, a *Aborter) (*conn, error) {
 	if c := p.takeIdle(since); c != nil {
 		return c, nil
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.onAbort(cancel)
 	raw, err := p.Dial(ctx)
 	if err != nil {
 		p.decrementOpen()
 		return nil, &Error{Kind: NotConnected, Cause: err}
 	}
 	return &conn{
-		pool: p, raw: raw,
+		pool: p, raw: raw, check: newIdleCheck(raw),
 		br: bufio.NewReaderSize(raw, bufferBytes),
 		bw: bufio.NewWriterSize(raw, bufferBytes), packer: headerpack.Packer{NeverIndexed: p.NeverIndexed},
 	}, nil
