--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -17,7 +17,7 @@
 //     suspects.go and suspect_trial.go decide where and when a suspect runs, suspect_updates.go reports to all nodes,
 //     store_quarantined.go stores the quarantined requests, quarantine_handler.go shows and releases them.
 //   - The node itself: node.go and mesh_options.go, listeners.go and network.go,
-//     control_loop.go, suspension.go, planned_stop.go, dump.go, peer.go; unresponsive_peer.go backs off peers that don't
+//     pipelined_requests.go (package pipeline), control_loop.go, suspension.go, planned_stop.go, dump.go, peer.go; unresponsive_peer.go backs off peers that don't
 //     answer, and lost_requests.go finds the requests that they don't have; node_metrics.go with metric_table.go and
 //     metrics_text.go.
 //   - Keys and quotas: authenticate.go checks keys and finds their teams, freshness_proof.go renews the proof without which no key is
@@ -33,11 +33,12 @@
 //     exchange_message.go, exchange_buffers.go, exchange_zone_loads.go,
 //     recent_records.go.
 //   - Load: traffic_stats.go, traffic_entries.go, traffic_runs.go and traffic_at_gate.go count
-//     at one node, report_local_load.go reports to the zone (package loads),
+//     at one node, lost_at_hop.go decides what counts as lost there, report_local_load.go reports to the zone (package loads),
 //     load_reports.go and load_expiry.go hold the reports of all nodes and drop expired ones.
 //   - The admission plan: package loads reads the reports and
 //     retains what is no longer reported, service_capacity.go computes
-//     the capacity, admission_plan.go makes the plan and admission_log.go logs it.
+//     the capacity, admission_success.go the probability that requests succeed (package success), admission_plan.go makes the
+//     plan and admission_log.go logs it.
 //     store_learned.go stores what was learned, restore_learned.go restores it after a start.
 //
 // One goroutine owns the control state (control_loop.go) and publishes a view;
--- a/pkg/mesh/report_local_load.go
+++ b/pkg/mesh/report_local_load.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 	"github.com/rockspoke/rockspoke/pkg/overload"
+	"github.com/rockspoke/rockspoke/pkg/pace"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -48,11 +49,13 @@
 	n.control.gateUtilization += utilizationGain * (utilization - n.control.gateUtilization)
 	load := overload.GateLoad{
 		RejectedShare: n.stats.rejectedShare(now), Utilization: n.control.gateUtilization, Bottleneck: n.isBottleneck(own.Service),
+		CallsPerRequest: n.callsPerRequest(own.Service),
 	}
 	n.control.usableFraction.Observe(now, load)
 	excess := n.excessSlots(now, g, rate)
-	slots := min(g.Limit, rateSlots(g, rate))
-	r.UsableSlots = round(n.usableFraction() * max(slots-excess, minUsableFraction*slots))
+	work := workPerSlot(g)
+	slots := min(g.Limit*work, rateSlots(g, rate))
+	r.UsableSlots = round(n.usableFraction() * max(slots-excess*work, minUsableFraction*slots))
 	if r.NotListening = n.serverNotListening.Load(); r.NotListening {
 		r.UsableSlots = 0
 	}
@@ -67,13 +70,22 @@
 
 // rateSlots returns the slots that the server can use within its rate limit, +Inf if it has none: the plan counts in slots.
 func rateSlots(g gate.State, rate gate.RateState) float64 {
-	if !rate.Limit.Advertised || g.HoldTime == 0 || g.Slowdown <= 0 {
+	if !rate.Limit.Advertised || g.HoldTime == 0 || g.MeanSlowdown <= 0 {
 		return math.Inf(1)
 	}
-	usualHold := g.HoldTime.Seconds() / g.Slowdown // the costs in the plan are those of the usual hold times
+	usualHold := g.HoldTime.Seconds() / g.MeanSlowdown // the costs in the plan are those of the usual hold times
 	return rate.PerSecond * usualHold
 }
 
+// workPerSlot returns the work that a slot of the local backend server does now, relative to that of an average run: the costs in the
+// plan are averages over the runs at all servers. It is 1 for a server that tells no pace.
+func workPerSlot(g gate.State) float64 {
+	if g.ToldPace == 0 {
+		return 1
+	}
+	return pace.WorkPerSlot(g.MeanSlowdown, g.MeanFactor, g.PaceFactor)
+}
+
 // usableFraction returns the fraction of the local backend server's slots, 0 to 1, that the plan may count on.
 func (n *Node) usableFraction() float64 {
 	if n.off[settings.UsableSlots] {
@@ -94,10 +106,10 @@
 }
 
 // logUsableSlots sets the usable-fraction metric, and logs why the local backend server has fewer usable slots than its
-// gate's limit, once per usableSlotsLogPeriod.
+// gate's limit, once per usableSlotsLogPeriod. It doesn't log that a server is slow by its pace.
 func (n *Node) logUsableSlots(now time.Time, g gate.State, load overload.GateLoad, excess, usable float64) {
 	n.metrics.gauge(int64(n.usableFraction()*1000), "room_part")
-	if usable >= g.Limit || now.Before(n.control.logged.nextUsableLog) {
+	if usable >= min(g.Limit, round(g.Limit*workPerSlot(g))) || now.Before(n.control.logged.nextUsableLog) {
 		return
 	}
 	n.control.logged.nextUsableLog = now.Add(usableSlotsLogPeriod)
