Tick: only peers whose requests wait for an answer are checked

The tick locked each peer twice, twenty times a second, though most peers of a large mesh have no request in flight. A peer is marked when a request is sent to it; the mark is cleared once nothing waits.

--- a/pkg/mesh/control_bench_test.go
+++ b/pkg/mesh/control_bench_test.go
@@ -234,8 +234,9 @@
 			n.measure("tick", func() {
 				for range 2 {
 					n.gate.Expire(now)
-					n.backOffUnresponsivePeers(now)
-					n.queryOverdueRequests(b.Context(), now)
+					waiting := n.waitingPeers()
+					n.backOffUnresponsivePeers(now, waiting)
+					n.queryOverdueRequests(b.Context(), now, waiting)
 					n.fetchDueState(now)
 					n.sendCleared(now)
 				}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -116,8 +116,9 @@
 	n.gateMu.Lock()
 	n.gate.Expire(now)
 	n.gateMu.Unlock()
-	n.backOffUnresponsivePeers(now)
-	n.queryOverdueRequests(ctx, now)
+	waiting := n.waitingPeers()
+	n.backOffUnresponsivePeers(now, waiting)
+	n.queryOverdueRequests(ctx, now, waiting)
 	n.fetchDueState(now)
 	n.sendCleared(now)
 	if !now.Before(n.control.nextSweep) {
--- a/pkg/mesh/lost_requests.go
+++ b/pkg/mesh/lost_requests.go
@@ -60,11 +60,9 @@
 	return nil, errRequestMissing
 }
 
-// queryOverdueRequests queries peers about the requests that take much longer than usual.
-func (n *Node) queryOverdueRequests(ctx context.Context, now time.Time) {
-	n.peersMu.Lock()
-	defer n.peersMu.Unlock()
-	for _, p := range n.peers {
+// queryOverdueRequests queries the peers about the requests that take much longer than usual.
+func (n *Node) queryOverdueRequests(ctx context.Context, now time.Time, peers []*peer) {
+	for _, p := range peers {
 		if overdue := p.awaited.StartQuery(now); len(overdue) > 0 {
 			n.running.Go(func() { n.queryInProgress(ctx, p, overdue) })
 		}
--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -22,6 +22,7 @@
 	sameZone atomic.Bool // it is in this node's availability zone
 	slots    atomic.Int64
 	inflight atomic.Int64 // requests from this node in flight
+	waiting  atomic.Bool  // requests may wait for an answer
 	// hasNotice is set while the server limits its rate or leaves, so that the others are chosen from without a look at notices.
 	hasNotice atomic.Bool
 	awaited   awaited.Table
--- a/pkg/mesh/unresponsive_peer.go
+++ b/pkg/mesh/unresponsive_peer.go
@@ -69,6 +69,7 @@
 	defer p.mu.Unlock()
 	usual = expectedHoldTime(p.load.slowdown, usual)
 	p.unansweredSends.add(now, usual)
+	p.waiting.Store(true)
 	return usual
 }
 
@@ -83,14 +84,42 @@
 	return true
 }
 
-// backOffUnresponsivePeers backs off the peers that have become unresponsive and closes their idle connections.
-func (n *Node) backOffUnresponsivePeers(now time.Time) {
-	if n.off[settings.UnresponsivePeers] {
-		return
+// isWaiting reports whether requests to the peer are in flight or without an answer. It clears the mark first, so that a request
+// sent meanwhile is found by this call or the next one.
+func (p *peer) isWaiting() bool {
+	if !p.waiting.Load() {
+		return false
+	}
+	p.waiting.Store(false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waits := p.inflight.Load() > 0 || p.unansweredSends.count > 0
+	if waits {
+		p.waiting.Store(true)
 	}
+	return waits
+}
+
+// waitingPeers returns the peers whose requests wait for an answer. Most peers of a large mesh have none, and all of them are
+// gone through at each tick.
+func (n *Node) waitingPeers() []*peer {
 	n.peersMu.Lock()
 	defer n.peersMu.Unlock()
+	var waiting []*peer
 	for _, p := range n.peers {
+		if p.isWaiting() {
+			waiting = append(waiting, p)
+		}
+	}
+	return waiting
+}
+
+// backOffUnresponsivePeers backs off those of the peers that have become unresponsive and closes their idle connections.
+func (n *Node) backOffUnresponsivePeers(now time.Time, peers []*peer) {
+	if n.off[settings.UnresponsivePeers] {
+		return
+	}
+	for _, p := range peers {
 		if !p.local && p.becameUnresponsive(now) && p.backOff(now) {
 			n.metrics.count("peers_aside_total")
 			n.controlLog.Warn("peer is unresponsive", "peer", p.host, "in_progress", p.inflight.Load())
--- a/pkg/mesh/unresponsive_peer_test.go
+++ b/pkg/mesh/unresponsive_peer_test.go
@@ -33,6 +33,25 @@
 	c.Assert(cut.usable(now.Add(maxPeerBackoff)), qt.IsTrue)
 }
 
+// Guards against a peer that is never checked although requests to it wait: only peers with such requests are checked.
+func TestPeersWithUnansweredRequestsAreChecked(t *testing.T) {
+	c := qt.New(t)
+	p := testPeer("p", true, 0, 100, 100)
+	p.inflight.Store(0)
+	c.Assert(p.isWaiting(), qt.IsFalse)
+	p.recordSend(chooseTime, time.Millisecond)
+	for range 2 {
+		c.Assert(p.isWaiting(), qt.IsTrue)
+	}
+	p.inflight.Add(-1)
+	c.Assert(p.isWaiting(), qt.IsTrue, qt.Commentf("it ended without an answer"))
+	p.recordSend(chooseTime, time.Millisecond)
+	p.receivedReply(chooseTime, peerReply{Limit: 20, Slowdown: 100, Success: 100})
+	c.Assert(p.isWaiting(), qt.IsTrue, qt.Commentf("it is in flight"))
+	p.inflight.Add(-1)
+	c.Assert(p.isWaiting(), qt.IsFalse)
+}
+
 // A slow server isn't unresponsive, and neither is one that gets few requests.
 func TestSlowOrRarelyUsedPeerIsNotUnresponsive(t *testing.T) {
 	c := qt.New(t)
