--- a/pkg/mesh/peer.go
+++ b/pkg/mesh/peer.go
@@ -24,6 +24,7 @@
 	inflight atomic.Int64 // requests from this node in flight
 	// readsReserve reports whether the peer's node reads headerReserve; one of the release before would pass it on to its server.
 	readsReserve atomic.Bool
+	waiting      atomic.Bool // requests may wait for an answer
 	// hasNotice is set while the server limits its rate or leaves, so that the others are chosen from without a look at notices.
 	hasNotice atomic.Bool
 	awaited   awaited.Table
