Desired state: an invalid entry affects only itself

One route of an unknown kind, or one entry that couldn't be decoded, had the whole desired state refused: a mesh with a route of kind upload served nothing.

A document that is invalid as a whole is still refused; two usable routes of one place belong to that now, of which the last one was taken silently.

Tests: TestInvalidTenantRejectsTheState and parts of the two TestInvalidDesiredStateErrorNamesTheField asked for the refusal of the whole state. They are replaced by tests of the same entries that check that the others are in force, that the invalid one has exactly its effect, and that no key is shown or admitted.

--- a/pkg/desired/check_state.go
+++ b/pkg/desired/check_state.go
@@ -17,16 +17,24 @@
 	return fmt.Sprintf("desired state: %s %q: %s", e.Field, e.Value, e.Msg)
 }
 
-// check returns the route's first invalid field as an *InvalidError.
-func (r *Route) check() error {
+// checkPlace returns what is wrong with the route's host or prefix, or nil.
+func (r *Route) checkPlace() *InvalidError {
 	at := "route " + r.Name
 	switch {
 	case r.Host == "":
 		return &InvalidError{at + " host", r.Host, "must be set"}
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return &InvalidError{at + " prefix", r.Prefix, "must begin and end with '/'"}
-	case r.Kind == 0:
-		return &InvalidError{at + " kind", "", "is unknown"}
+	}
+	return nil
+}
+
+// check returns the route's first invalid field other than host, prefix and kind, or nil.
+func (r *Route) check() *InvalidError {
+	at := "route " + r.Name
+	switch {
+	case r.Unusable:
+		return &InvalidError{at, "", "can't be decoded"}
 	case len(r.Targets) == 0:
 		return &InvalidError{at + " service", "", "must be set"}
 	}
@@ -34,7 +42,7 @@
 }
 
 // checkSplit checks the weights of the targets; at is the prefix of the field's name in an *InvalidError.
-func (r *Route) checkSplit(at string) error {
+func (r *Route) checkSplit(at string) *InvalidError {
 	total := 0
 	for _, t := range r.Targets {
 		if t.Weight < 0 {
--- a/pkg/desired/desired_state.go
+++ b/pkg/desired/desired_state.go
@@ -49,6 +49,9 @@
 	MaxAttempts int           // most backend servers that one client attempt is sent to
 	Public      bool          // needs no key
 	Targets     []Target
+	KindName    string `json:",omitempty"` // the kind as configured, if it is unknown
+	// Unusable reports that only the name, host and prefix are known: requests are refused.
+	Unusable bool `json:",omitempty"`
 }
 
 // Service holds the operator's settings of a service.
@@ -71,10 +74,12 @@
 	Source   []byte // as it was read, for other nodes
 	Routes   []Route
 	Services map[string]Service
-	Teams    []Team // none: requests need no key
+	Teams    []Team // see HasTeams
 	Limits   Limits
+	Problems []Problem `json:",omitempty"` // with single entries; the others are in force
 
-	byKey map[keyHash]*Team
+	keysRequired bool // there is a team, if only an unusable one
+	byKey        map[keyHash]*Team
 	// teamPriorities are the distinct priorities of teams, the most urgent first.
 	teamPriorities []int
 	byTeam         map[string]*Team
@@ -83,33 +88,73 @@
 	byName         map[string]*Route
 }
 
-// New checks and indexes a state; the error is an *InvalidError.
+// New checks and indexes a state. An entry that is invalid by itself is a Problem; the error, an *InvalidError, reports a state that is
+// invalid as a whole.
 func New(s State) (*State, error) {
 	if s.Version <= 0 {
 		return nil, &InvalidError{"version", fmt.Sprint(s.Version), "must be above 0"}
 	}
 	s.byHost = make(map[string]map[string]*Route)
 	s.byName = make(map[string]*Route)
-	for i := range s.Routes {
-		r := &s.Routes[i]
+	s.Problems = slices.Clip(s.Problems) // the caller's array isn't changed
+	s.Routes = s.usedRoutes()
+	if err := s.indexRoutes(); err != nil {
+		return nil, err
+	}
+	if err := s.indexTeams(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// usedRoutes returns the routes that have a host and a prefix: those with an unknown kind as at most once, the strictest kind, and those with
+// another invalid field as unusable.
+func (s *State) usedRoutes() []Route {
+	used := make([]Route, 0, len(s.Routes))
+	for _, r := range s.Routes {
+		if err := r.checkPlace(); err != nil {
+			s.addProblem(err, LeftOut)
+			continue
+		}
 		if err := r.check(); err != nil {
-			return nil, err
+			if !r.Unusable { // otherwise the decoder has added the problem
+				s.addProblem(err, NotServed)
+			}
+			r = Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: AtMostOnce, Unusable: true}
 		}
+		if r.Kind == 0 {
+			r.Kind = AtMostOnce
+			s.addProblem(&InvalidError{"route " + r.Name + " kind", r.KindName, "is unknown"}, ServedOnce)
+		}
+		used = append(used, r)
+	}
+	return used
+}
+
+// indexRoutes indexes the routes; the error is an *InvalidError. An unusable route yields its place to a usable one.
+func (s *State) indexRoutes() error {
+	for i := range s.Routes {
+		r := &s.Routes[i]
 		host := strings.ToLower(r.Host)
 		if s.byHost[host] == nil {
 			s.byHost[host] = make(map[string]*Route)
 		}
-		s.byHost[host][r.Prefix] = r
-		s.byName[r.Name] = r
-		s.routeRanks = max(s.routeRanks, r.Priority+1)
-	}
-	if err := s.indexTeams(); err != nil {
-		return nil, err
+		other := s.byHost[host][r.Prefix]
+		switch {
+		case other != nil && !other.Unusable && !r.Unusable:
+			return &InvalidError{"route " + r.Name + " prefix", r.Prefix, "is that of route " + other.Name + " as well"}
+		case other == nil || other.Unusable:
+			s.byHost[host][r.Prefix] = r
+		}
+		if !r.Unusable {
+			s.byName[r.Name] = r
+			s.routeRanks = max(s.routeRanks, r.Priority+1)
+		}
 	}
-	return &s, nil
+	return nil
 }
 
-// HasRoute reports whether the state has a route of that name.
+// HasRoute reports whether the state has a usable route of that name.
 func (s *State) HasRoute(name string) bool { return s.byName[name] != nil }
 
 // unknownRoutePriority is the priority and rank of an unknown route.
--- a/pkg/desired/team.go
+++ b/pkg/desired/team.go
@@ -37,6 +37,8 @@
 	Priority int     // 0 is the most urgent; it takes precedence over the route's
 	Rate     float64 // quota in requests per second over all nodes; 0: unlimited
 	Burst    float64 // requests that the quota allows above the rate
+	// Unusable reports that only some of the keys are known, and maybe the name: the keys admit no request.
+	Unusable bool `json:",omitempty"`
 }
 
 // HasQuota reports whether the team has a quota.
@@ -67,14 +69,14 @@
 	}
 	s.byKey = make(map[keyHash]*Team, len(s.Teams))
 	s.byTeam = make(map[string]*Team, len(s.Teams))
+	s.keysRequired = len(s.Teams) > 0
+	usable, unusable := s.splitTeams()
+	s.Teams = usable
 	for i := range s.Teams {
 		if i%teamsPerYield == 0 {
 			runtime.Gosched()
 		}
 		t := &s.Teams[i]
-		if err := t.check(); err != nil {
-			return err
-		}
 		if s.byTeam[t.Name] != nil {
 			return &InvalidError{"team " + t.Name + " name", t.Name, "is used by another team"}
 		}
@@ -86,22 +88,61 @@
 	}
 	slices.Sort(s.teamPriorities)
 	s.teamPriorities = slices.Compact(s.teamPriorities)
-	return nil
+	s.indexUnusableTeams(unusable)
+	return s.checkKeyCount()
+}
+
+// splitTeams returns the usable and the unusable teams; those that are invalid by themselves become unusable.
+func (s *State) splitTeams() (usable, unusable []Team) {
+	usable = make([]Team, 0, len(s.Teams))
+	for i, t := range s.Teams {
+		if i%teamsPerYield == 0 {
+			runtime.Gosched()
+		}
+		if !t.Unusable {
+			if err := t.check(); err != nil {
+				s.addProblem(err, KeysRefused)
+				t.Unusable = true
+			}
+		}
+		if t.Unusable {
+			unusable = append(unusable, t)
+		} else {
+			usable = append(usable, t)
+		}
+	}
+	return usable, unusable
+}
+
+// indexUnusableTeams adds the keys of unusable teams to the index, except those that a usable team has as well.
+func (s *State) indexUnusableTeams(teams []Team) {
+	for i := range teams {
+		if i%teamsPerYield == 0 {
+			runtime.Gosched()
+		}
+		for _, k := range teams[i].Keys {
+			if hash := keyHash(sha256.Sum256([]byte(k))); k.check() == "" && s.byKey[hash] == nil {
+				s.byKey[hash] = &teams[i]
+			}
+		}
+	}
 }
 
-// indexKeys checks the keys of a team and adds them to the index; the error is an *InvalidError.
+// indexKeys adds the keys of a team to the index; the error is an *InvalidError.
 func (s *State) indexKeys(t *Team) error {
 	at := "team " + t.Name + " key"
 	for _, k := range t.Keys {
-		if err := k.check(); err != "" {
-			return &InvalidError{at, fmt.Sprint(k), err}
-		}
 		hash := keyHash(sha256.Sum256([]byte(k)))
 		if other := s.byKey[hash]; other != nil && other != t {
 			return &InvalidError{at, fmt.Sprint(k), "belongs to team " + other.Name + " as well"}
 		}
 		s.byKey[hash] = t
 	}
+	return s.checkKeyCount()
+}
+
+// checkKeyCount returns an *InvalidError if the teams have too many keys.
+func (s *State) checkKeyCount() error {
 	if len(s.byKey) > maxKeys {
 		return &InvalidError{"teams", fmt.Sprint(len(s.byKey)), fmt.Sprintf("must have %d keys at most", maxKeys)}
 	}
@@ -121,8 +162,8 @@
 	return ""
 }
 
-// check returns the first invalid field of a team, keys aside, as an *InvalidError.
-func (t *Team) check() error {
+// check returns the first invalid field of a team, or nil.
+func (t *Team) check() *InvalidError {
 	at := "team " + t.Name
 	switch {
 	case t.Name == "":
@@ -136,6 +177,11 @@
 	case !isAmount(t.Burst):
 		return &InvalidError{at + " burst", fmt.Sprint(t.Burst), "must be a number that isn't negative"}
 	}
+	for _, k := range t.Keys {
+		if err := k.check(); err != "" {
+			return &InvalidError{at + " key", fmt.Sprint(k), err}
+		}
+	}
 	return nil
 }
 
@@ -147,8 +193,9 @@
 // isAmount reports whether v is a finite number that isn't negative.
 func isAmount(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
 
-// HasTeams reports whether requests need a key, except on public routes.
-func (s *State) HasTeams() bool { return s != nil && len(s.Teams) > 0 }
+// HasTeams reports whether requests need a key, except on public routes. They do if there is a team, if only an unusable one: an invalid
+// entry must not open routes that need a key.
+func (s *State) HasTeams() bool { return s != nil && s.keysRequired }
 
 // Team returns a team by its name, or nil.
 func (s *State) Team(name string) *Team {
@@ -158,5 +205,5 @@
 	return s.byTeam[name]
 }
 
-// TeamByKey returns the team that has the key, or nil; its time doesn't depend on the number of keys.
+// TeamByKey returns the team that has the key, which may be unusable, or nil; its time doesn't depend on the number of keys.
 func (s *State) TeamByKey(key string) *Team { return s.byKey[keyHash(sha256.Sum256([]byte(key)))] }
--- a/pkg/mesh/authenticate.go
+++ b/pkg/mesh/authenticate.go
@@ -21,6 +21,8 @@
 	unknownKey = &keyRefusal{wire.ReasonNoTeamKey, http.StatusUnauthorized}
 	// unverifiableKey: a newer desired state that this node doesn't have may have added or removed the key.
 	unverifiableKey = &keyRefusal{wire.ReasonStaleState, http.StatusServiceUnavailable}
+	// unusableTeam: the entry of the key's team is invalid, so that its quota and priority aren't known.
+	unusableTeam = &keyRefusal{wire.ReasonInvalidEntry, http.StatusServiceUnavailable}
 )
 
 // needsKeys reports whether requests need a key, except on public routes. With strict revocation they need one even
@@ -46,6 +48,9 @@
 	if !n.mayAcceptKeys(s) {
 		return nil, unverifiableKey
 	}
+	if team.Unusable {
+		return nil, unusableTeam
+	}
 	return team, nil
 }
 
--- a/pkg/mesh/dump.go
+++ b/pkg/mesh/dump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/settings"
@@ -13,6 +14,7 @@
 	Host     string               `json:"host"`
 	Epoch    int64                `json:"epoch"`
 	Version  int64                `json:"version"`
+	Problems []desired.Problem    `json:"problems,omitempty"` // entries of the desired state that aren't in force as configured, the first 50
 	Stopping bool                 `json:"stopping"`
 	InFlight int64                `json:"in_progress"`
 	Gate     gate.State           `json:"gate"`
@@ -24,6 +26,9 @@
 // Dump returns the current state of the node.
 func (n *Node) Dump() Dump {
 	d := Dump{Host: n.ip, Epoch: n.epoch, Version: n.stateVersion(), Stopping: n.stop.stopping(), InFlight: n.stop.inFlight.Load(), Off: n.cfg.Mesh.Off}
+	if s := n.state.Load(); s != nil {
+		d.Problems = s.Problems[:min(len(s.Problems), maxShownProblems)]
+	}
 	n.gateMu.Lock()
 	d.Gate = n.gate.Snapshot()
 	n.gateMu.Unlock()
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -168,11 +168,27 @@
 	if n.publishState(s) {
 		n.dropRemovedTeams(s)
 		n.controlLog.Info("desired state", "version", s.Version, "routes", len(s.Routes), "from", from)
+		n.logProblems(s)
 		n.enqueue(n.announceState)
 	}
 	return s.Version
 }
 
+// maxShownProblems bounds the entries of one desired state that are logged and dumped as invalid: the operator mends the first ones
+// first, and a hundred thousand invalid teams must not fill the log.
+const maxShownProblems = 50
+
+// logProblems logs the entries of a new desired state that aren't in force as configured.
+func (n *Node) logProblems(s *desired.State) {
+	for i, p := range s.Problems {
+		if i == maxShownProblems {
+			n.controlLog.Warn("more invalid entries in the desired state", "version", s.Version, "count", len(s.Problems)-i)
+			return
+		}
+		n.controlLog.Warn("invalid entry in the desired state", "version", s.Version, "field", p.Field, "value", p.Value, "err", p.Msg, "effect", p.Effect)
+	}
+}
+
 // publishState puts a state in force and returns true, unless the one in force is as new or newer.
 func (n *Node) publishState(s *desired.State) bool {
 	for {
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -27,6 +27,7 @@
 	{"store_errors_total", "counter", "", "Calls to the store that failed."},
 	{"store_eras_total", "counter", "", "Times that the store was restored from a copy and began a new epoch."},
 	{"state_version", "gauge", "", "Version of the desired state in force."},
+	{"state_problems", "gauge", "effect", "Entries of the desired state in force that are invalid, by what that means for requests; absent until there was one."},
 	{"servers_known", "gauge", "", "Backend servers that accept requests, as known to this node."},
 	{"gate_running", "gauge", "", "Requests running at the local backend server."},
 	{"gate_queued", "gauge", "", "Requests queued at the gate of the local backend server."},
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -9,6 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
 )
 
 // Limits of labels and histograms.
@@ -112,10 +114,24 @@
 	})
 }
 
+// updateProblemGauges sets the gauges of invalid entries; an effect that no version had yet has none.
+func (n *Node) updateProblemGauges(s *desired.State) {
+	counts := make(map[desired.Effect]int64)
+	for _, p := range s.Problems {
+		counts[p.Effect]++
+	}
+	for _, e := range desired.Effects {
+		if n.metrics.registry.Get(seriesKey("state_problems", "effect", string(e))) != nil || counts[e] > 0 {
+			n.metrics.gauge(counts[e], "state_problems", "effect", string(e))
+		}
+	}
+}
+
 // updateGauges sets the gauges that are computed when the metrics are read.
 func (n *Node) updateGauges() {
 	if s := n.state.Load(); s != nil {
 		n.metrics.gauge(s.Version, "state_version")
+		n.updateProblemGauges(s)
 	}
 	known := 0
 	for _, peers := range n.view.Load().services {
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -31,6 +31,10 @@
 		n.refuseNoRoute(w, r)
 		return
 	}
+	if route.Unusable {
+		n.refuseUnrouted(w, r, wire.ReasonInvalidEntry, http.StatusServiceUnavailable)
+		return
+	}
 	if r.Header.Get(n.names.AttemptID) == "" {
 		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
 		return
@@ -40,6 +44,10 @@
 		n.refuseNoRoute(w, r)
 		return
 	}
+	if route.Unusable {
+		n.refuseUnrouted(w, r, wire.ReasonInvalidEntry, http.StatusServiceUnavailable)
+		return
+	}
 	team, refusal := n.authenticate(r, state, route)
 	if refusal != nil {
 		n.refuseKey(w, r, route, refusal)
@@ -135,13 +143,13 @@
 	n.refuseUnrouted(w, r, wire.ReasonBadRequest, status)
 }
 
-// oldStateRetryDelay is the mean retry delay for a request whose key can't be checked. The store is then unavailable,
-// which lasts longer than an overload.
+// oldStateRetryDelay is the mean retry delay for a request whose key can't be checked, or whose route or team is invalid in the desired
+// state. The store is then unavailable, or the operator has to mend the entry, which lasts longer than an overload.
 const oldStateRetryDelay = time.Second
 
 // retryDelayFor returns the mean delay after which a client should retry a refusal for the reason.
 func retryDelayFor(reason wire.Reason) time.Duration {
-	if reason == wire.ReasonStaleState {
+	if reason == wire.ReasonStaleState || reason == wire.ReasonInvalidEntry {
 		return oldStateRetryDelay
 	}
 	return minRetryDelay
--- a/pkg/wire/outcome.go
+++ b/pkg/wire/outcome.go
@@ -39,6 +39,7 @@
 	ReasonQuarantined   Reason = "held-back"      // quarantined: the same request has crashed several servers
 	ReasonSuspect       Reason = "suspect"        // a server crashed while running the same request, which is being tested in isolation
 	ReasonNoRoute       Reason = "no-route"       // no route matches the request
+	ReasonInvalidEntry  Reason = "invalid-entry"  // the entry of the route or team in the desired state is invalid
 	ReasonNoTeamKey     Reason = "no-key"         // the request carries no key of a team
 	ReasonStaleState    Reason = "old-state"      // the desired state may be too old to accept a key
 	ReasonQuota         Reason = "quota"          // the team is over its quota
