Uploads: a long body is sent after the gate has passed its request

So a request that the gate refused then failed, although other servers had free slots. A body that stalled held its slot until the request's time limit, and one that broke off counted as a lost answer: a failure of the server, a crash check, and a backoff of the peer.

The sender's node now sends Expect: 100-continue, and the node beside the server reads the body only after its gate. A request refused before goes to the next server. A connection on which a long body was sent to its end is used again instead of closed.

--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/headerpack"
@@ -24,6 +25,11 @@
 	Body         []byte
 	Stream       io.Reader
 	StreamLength int64
+	// ContinueWait, if above 0, sends "Expect: 100-continue" with a Stream: nothing of it is read or sent until the other side asks for it,
+	// or this time has passed without any answer. A final answer that comes before ends the exchange, and Stream is untouched.
+	ContinueWait time.Duration
+	Continued    func() // called when the other side asks for Stream; may be nil
+	StreamBegins func() // called before anything of Stream is read; may be nil
 	// ReceivedSince restricts the request to a connection that has received an answer since that time, or a new one; the zero
 	// time allows any.
 	ReceivedSince time.Time
@@ -68,7 +74,11 @@
 	kind   ErrorKind
 	reuse  bool
 	ended  bool
-	stream chan error // gets the result of sending a streamed body; nil if there is none
+	stream chan error // gets the result of sending a streamed body; nil if sending hasn't begun
+
+	mu       sync.Mutex
+	answered bool  // the header of the answer has been read
+	bodyErr  error // why a streamed body couldn't be read to its end
 }
 
 // run sends the request and reads the headers of its answer; on an error x.kind says how far the exchange came.
@@ -77,7 +87,16 @@
 	if err := x.send(req); err != nil {
 		return nil, err
 	}
-	res, err := x.readHeader(req.Method)
+	if req.Stream != nil && x.stream == nil {
+		if err := x.awaitContinue(req); err != nil {
+			return nil, err
+		}
+	}
+	res, err := x.readHeader(req)
+	if bodyErr := x.noteAnswered(); err != nil && bodyErr != nil {
+		x.kind = BrokenBody
+		return nil, bodyErr
+	}
 	if err != nil {
 		if !isConnectionError(err) {
 			x.kind = BrokenAnswer
@@ -88,8 +107,7 @@
 		x.kind = BrokenAnswer
 		return nil, err
 	}
-	// An answer that arrives before a streamed body is sent leaves the rest of that body on the connection.
-	x.reuse = x.stream == nil && !res.Close && res.ProtoAtLeast(1, 1)
+	x.reuse = (req.Stream == nil || x.stream != nil) && !res.Close && res.ProtoAtLeast(1, 1)
 	x.conn.serverIdleTimeout = keepAliveTimeout(res.Header)
 	x.kind = BrokenAnswer
 	return &Response{
@@ -98,13 +116,18 @@
 	}, nil
 }
 
-// readHeader reads the headers of the final answer; it skips answers with status 1xx.
-func (x *exchange) readHeader(method string) (*http.Response, error) {
+// readHeader reads the headers of the final answer; it skips answers with status 1xx, of which 100 begins a streamed body.
+func (x *exchange) readHeader(req *Request) (*http.Response, error) {
 	for {
-		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: req.Method})
 		if err != nil || res.StatusCode >= http.StatusOK {
 			return res, err
 		}
+		if res.StatusCode == http.StatusContinue && req.Stream != nil && x.stream == nil {
+			x.conn.pool.recordAnswer()
+			call(req.Continued)
+			x.beginStream(req)
+		}
 	}
 }
 
@@ -167,7 +190,7 @@
 	if x.ended {
 		return
 	}
-	if !x.stop() || !x.reuse || x.conn.br.Buffered() > 0 {
+	if !x.stop() || !x.reuse || !x.streamSent() || x.conn.br.Buffered() > 0 {
 		x.abandon()
 		return
 	}
--- a/pkg/httpconn/exchange_error.go
+++ b/pkg/httpconn/exchange_error.go
@@ -11,6 +11,7 @@
 	NoAnswer                          // the request was sent, at least in part, and no answer arrived
 	BrokenAnswer                      // the received bytes are no valid answer, or only part of one
 	Canceled                          // the context ended after the request was sent
+	BrokenBody                        // the request's Stream failed or ended early, before an answer arrived
 )
 
 // Error reports an exchange without a complete answer.
@@ -21,7 +22,7 @@
 
 // Error returns a message with the kind and the cause.
 func (e *Error) Error() string {
-	kind := [...]string{"", "not connected", "no answer", "broken answer", "canceled"}[e.Kind]
+	kind := [...]string{"", "not connected", "no answer", "broken answer", "canceled", "broken request body"}[e.Kind]
 	return fmt.Sprintf("%s: %v", kind, e.Cause)
 }
 
--- a/pkg/httpconn/send_request.go
+++ b/pkg/httpconn/send_request.go
@@ -18,6 +18,9 @@
 	if err := x.writeHeader(w, req); err != nil {
 		return err
 	}
+	if req.Stream != nil && req.ContinueWait > 0 {
+		_, _ = w.WriteString("Expect: 100-continue\r\n") // Flush returns the error
+	}
 	switch {
 	case req.Stream == nil:
 		if len(req.Body) > 0 || hasBody(req.Method) {
@@ -34,8 +37,9 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	x.stream = make(chan error, 1)
-	go x.sendStream(req)
+	if req.ContinueWait <= 0 {
+		x.beginStream(req)
+	}
 	return nil
 }
 
@@ -62,28 +66,6 @@
 	}
 }
 
-// sendStream sends a streamed body and puts the result into x.stream; the answer may arrive meanwhile.
-func (x *exchange) sendStream(req *Request) {
-	var err error
-	w := x.conn.bw
-	if req.StreamLength >= 0 {
-		_, err = io.CopyN(w, req.Stream, req.StreamLength)
-	} else {
-		err = copyChunks(w, req.Stream)
-	}
-	if err == nil {
-		err = w.Flush()
-	}
-	if err != nil {
-		// The client's body ended early, or the server stopped reading. An answer may still arrive, but a server
-		// that waits for the rest must learn that there is none.
-		if tcp, ok := x.conn.raw.(interface{ CloseWrite() error }); ok {
-			_ = tcp.CloseWrite() // the connection isn't used again in any case
-		}
-	}
-	x.stream <- err
-}
-
 // copyChunks copies r to w in chunked transfer coding, including the last chunk.
 func copyChunks(w io.Writer, r io.Reader) error {
 	buf := make([]byte, bufferBytes)
--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -104,6 +104,12 @@
 	return errors.As(err, &e) && e.Kind == httpconn.Canceled
 }
 
+// isBodyBroken reports whether an exchange failed because the body of the request stalled or broke off.
+func isBodyBroken(err error) bool {
+	var e *httpconn.Error
+	return errors.As(err, &e) && e.Kind == httpconn.BrokenBody
+}
+
 // isUnsent reports whether an exchange failed before anything was sent.
 func isUnsent(err error) bool {
 	var e *httpconn.Error
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -185,6 +185,9 @@
 
 // send sends a request to the server, and returns the answer and its outcome for the gate.
 func (b *backend) send(ctx context.Context, q *request, own directory.Record) (*answer, gate.Outcome) {
+	if a := q.readDeferredBody(); a != nil {
+		return a, gate.Abandoned
+	}
 	sent := b.n.clock.Now()
 	left := q.deadline.Sub(sent) - answerMargin
 	if left < time.Millisecond {
@@ -194,10 +197,11 @@
 	h.Set(b.n.names.Instance, own.Instance)
 	h.Set(b.n.names.Caller, q.Caller)
 	h.Set(b.n.names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
-	res, err := b.pool.Do(ctx, &httpconn.Request{
-		Method: q.method, URI: q.uri, Host: q.host, Header: h,
-		Body: q.body, Stream: q.stream, StreamLength: q.streamLength, ExpectedResponseTime: b.expectedAnswerTime(q),
-	})
+	req := &httpconn.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Header: h, Body: q.body, ExpectedResponseTime: b.expectedAnswerTime(q),
+	}
+	q.setStream(req)
+	res, err := b.pool.Do(ctx, req)
 	if err != nil {
 		return b.failedAnswer(err)
 	}
@@ -234,6 +238,9 @@
 
 // expectedAnswerTime returns the time within which the server's answer to the request is expected.
 func (b *backend) expectedAnswerTime(q *request) time.Duration {
+	if q.stream != nil {
+		return 0 // the client's time for sending the body says nothing of the server's connections
+	}
 	b.n.gateMu.Lock()
 	slowdown := b.n.gate.Snapshot().Slowdown
 	b.n.gateMu.Unlock()
@@ -267,6 +274,8 @@
 		a := unknownAnswer(wire.ReasonDeadline)
 		a.canceled = true
 		return a, gate.Abandoned
+	case isBodyBroken(err):
+		return unknownAnswer(wire.ReasonBodyLost), gate.Abandoned // the server had no part in it, and may have run what it got
 	default:
 		a := unknownAnswer(wire.ReasonAnswerLost)
 		a.broken = true
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -97,7 +97,7 @@
 // mayRetry reports whether the request may be sent to another server after this answer. It takes a retry from the
 // budget where one is needed.
 func (d *delivery) mayRetry(a *answer) bool {
-	if d.q.stream != nil {
+	if d.q.mayHaveMoved() {
 		return false // part of the body may have been consumed
 	}
 	if a.outcome != wire.NotRun && d.q.Once {
@@ -155,10 +155,15 @@
 		h.Set(headerKnownLimit, encodeKnownLimit(k.limit, k.instance))
 	}
 	h.Set(d.n.names.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	res, err := d.roundTrip(ctx, p, usual, &httpconn.Request{
+	req := &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: h, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
-		Body: d.q.body, Stream: d.q.stream, StreamLength: d.q.streamLength, ReceivedSince: d.receivedSince, ExpectedResponseTime: d.n.expectedResponseTime(usual),
-	})
+		Body: d.q.body, ReceivedSince: d.receivedSince, ExpectedResponseTime: d.n.expectedResponseTime(usual),
+	}
+	if d.q.stream != nil {
+		d.q.setStream(req)
+		req.ContinueWait, req.Continued = d.n.continueWait(d.q), p.markReachable
+	}
+	res, err := d.roundTrip(ctx, p, usual, req)
 	if err != nil {
 		return d.handlePeerError(p, err)
 	}
@@ -179,6 +184,9 @@
 
 // readAnswer reads the body of a node's response and returns the answer.
 func (d *delivery) readAnswer(p *peer, res *httpconn.Response, r peerReply) *answer {
+	if r.Outcome != wire.NotRun {
+		d.q.bodyMoved.Store(true)
+	}
 	a := &answer{outcome: r.Outcome, reason: r.Reason, arrived: r.RefusedByServer, status: res.Status, retryAfter: r.RetryAfter}
 	d.recordCrash(p, r)
 	if r.Outcome != wire.Ran {
@@ -207,11 +215,14 @@
 		a.canceled = true
 		return a
 	}
+	if isBodyBroken(err) {
+		return unknownAnswer(wire.ReasonBodyLost) // the peer had no part in it
+	}
 	if p.backOff(d.n.clock.Now()) {
 		d.n.metrics.count("peers_aside_total")
 		d.n.callLog.Warn("peer backed off", "peer", p.host, "request", d.q.id, "err", err)
 	}
-	if isUnsent(err) {
+	if isUnsent(err) || d.q.neverMoved() {
 		return notRunAnswer(wire.ReasonNoServer)
 	}
 	return unknownAnswer(wire.ReasonAnswerLost)
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -48,10 +48,11 @@
 		n.writeReply(w, notRunAnswer(wire.ReasonLeaving), c)
 		return
 	}
-	q, err := n.newRequest(r, c, 0)
+	q, err := n.newRequest(w, r, c, true, 0)
+	defer n.releaseBody(q)
 	var a *answer
 	if err != nil {
-		a = notRunAnswer(wire.ReasonBadRequest)
+		a = notRunAnswer(bodyRefusal(err))
 	} else {
 		ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline.Add(inboundGrace))
 		defer cancel()
@@ -101,10 +102,10 @@
 	}
 }
 
-// newRequest reads a request; maxBytes bounds its body, 0 for no bound. The error is a *bodyError.
-func (n *Node) newRequest(r *http.Request, c peerCall, maxBytes int64) (*request, error) {
+// newRequest reads a request; maxBytes bounds its body, 0 for no bound. The error is a *bodyError. releaseBody must be called for it.
+func (n *Node) newRequest(w http.ResponseWriter, r *http.Request, c peerCall, fromPeer bool, maxBytes int64) (*request, error) {
 	q := &request{
-		peerCall: c, id: r.Header.Get(n.names.AttemptID), method: r.Method, uri: r.RequestURI, host: r.Host,
+		peerCall: c, fromPeer: fromPeer, id: r.Header.Get(n.names.AttemptID), method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: endToEndHeaders(r.Header),
 	}
 	left := parseMillis(r.Header.Get(n.names.TimeLeft))
@@ -113,5 +114,5 @@
 	}
 	q.deadline = n.clock.Now().Add(left)
 	q.clientDeadline = q.deadline
-	return q, q.readBody(r, maxBytes)
+	return q, q.readBody(n, w, r, maxBytes)
 }
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -148,6 +148,7 @@
 	g, rate := n.gate.Snapshot(), n.gate.RateLimit(now)
 	n.gateMu.Unlock()
 	n.metrics.gauge(int64(n.rateUse(now, rate)*1000), "server_rate_use")
+	n.metrics.gauge(n.bodyBytes.held.Load(), "body_bytes")
 	n.metrics.gauge(int64(g.Running), "gate_running")
 	n.metrics.gauge(int64(g.Queued), "gate_queued")
 	n.metrics.gauge(int64(len(n.poison.SuspectCases(now))), "suspects")
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -53,7 +53,8 @@
 		n.refuseKey(w, r, route, refusal)
 		return
 	}
-	q, err := n.newRequest(r, n.newPeerCall(state, route), state.Limits.BodyBytes)
+	q, err := n.newRequest(w, r, n.newPeerCall(state, route), false, state.Limits.BodyBytes)
+	defer n.releaseBody(q)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
@@ -133,14 +134,22 @@
 	n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusNotFound)
 }
 
-// refuseBody answers a request whose body is too long or ended early.
+// refuseBody answers a request whose body is too long, ended early or stalled, or for whose body this node has no memory.
 func (n *Node) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	var b *bodyError
 	if errors.As(err, &b) {
 		status = b.status
 	}
-	n.refuseUnrouted(w, r, wire.ReasonBadRequest, status)
+	n.refuseUnrouted(w, r, bodyRefusal(err), status)
+}
+
+// bodyRefusal returns the reason of a refusal for a *bodyError.
+func bodyRefusal(err error) wire.Reason {
+	if errors.Is(err, errBodyBytes) {
+		return wire.ReasonBodyBytes
+	}
+	return wire.ReasonBadRequest
 }
 
 // oldStateRetryDelay is the mean retry delay for a request whose key can't be checked, or whose route or team is invalid in the desired
--- a/pkg/mesh/packed_headers.go
+++ b/pkg/mesh/packed_headers.go
@@ -62,6 +62,9 @@
 // framingHeaders are sent unpacked, since the peer's HTTP library needs them.
 var framingHeaders = []string{"Content-Length", "Transfer-Encoding", "Connection"}
 
+// Unwrap returns the writer below, whose connection an http.ResponseController controls.
+func (w *packingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // WriteHeader packs the headers before the first status line is sent.
 func (w *packingWriter) WriteHeader(status int) {
 	if !w.packed {
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -1,11 +1,11 @@
 package mesh
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
@@ -15,6 +15,7 @@
 // request is one attempt of a client, or a call of a backend server, that this node handles.
 type request struct {
 	peerCall
+	fromPeer       bool // another node sent it
 	id             string
 	method         string
 	uri            string
@@ -24,7 +25,11 @@
 	stream         io.Reader // a body too long to buffer; it can be sent once
 	streamHead     []byte    // buffered start of stream
 	streamLength   int64     // of stream in bytes; -1 if unknown
-	deadline       time.Time // latest time for the answer
+	reader         *bodyReader
+	unread         bool        // nothing of stream has been read yet, and streamHead isn't known
+	bodyMoved      atomic.Bool // some of stream may have been sent
+	heldBytes      int64       // counted in the node's bodyBytes
+	deadline       time.Time   // latest time for the answer
 	cachedIdentity lazyIdentity
 	team           *desired.Team // nil: the request belongs to no team
 	knownLimit     knownLimit
@@ -55,32 +60,25 @@
 // Unwrap returns the cause.
 func (e *bodyError) Unwrap() error { return e.cause }
 
-// readBody buffers a short body and leaves a long one as a stream. maxBytes bounds the declared length, 0 for no bound.
+// readBody buffers a short body and leaves a long one as a stream; that of another node may be left unread. maxBytes bounds the declared length, 0 for no bound.
 // The error is a *bodyError.
-func (q *request) readBody(r *http.Request, maxBytes int64) error {
+func (q *request) readBody(n *Node, w http.ResponseWriter, r *http.Request, maxBytes int64) error {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
 	if maxBytes > 0 && r.ContentLength > maxBytes {
 		return &bodyError{http.StatusRequestEntityTooLarge, http.ErrBodyNotAllowed}
 	}
-	head, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
-	if err != nil {
-		return &bodyError{http.StatusBadRequest, err}
-	}
-	if len(head) <= maxBufferedBody {
-		q.body = head
+	q.reader = &bodyReader{n: n, q: q, body: r.Body, control: http.NewResponseController(w)}
+	if q.fromPeer && q.deferBody(r) {
 		return nil
 	}
-	q.streamHead = head
-	q.streamLength = r.ContentLength
-	q.stream = io.MultiReader(bytes.NewReader(head), r.Body)
-	return nil
+	return q.readHead(r.ContentLength)
 }
 
 // hopHeaders apply to a single connection and aren't forwarded.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
 // endToEndHeaders returns a copy of the headers without hop-by-hop headers and without those that nodes exchange.
--- a/pkg/mesh/suspect_trial.go
+++ b/pkg/mesh/suspect_trial.go
@@ -51,6 +51,9 @@
 	if !q.Stages.Suspected() && !b.n.poison.AnySuspects() || b.n.off[settings.Quarantine] {
 		return func() {}, nil
 	}
+	if a := q.readDeferredBody(); a != nil { // a suspect is recognized by its body
+		return func() {}, a
+	}
 	wait := time.NewTimer(trialWait)
 	defer wait.Stop()
 	// The sender may know of a crash that isn't known here yet; without its stages two copies that came at that moment ran
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -26,6 +26,7 @@
 	GateOrder         Mechanism = "gate-order"
 	KindHoldTimes     Mechanism = "kind-holds"
 	Quarantine        Mechanism = "held-back"
+	UploadContinue    Mechanism = "upload-continue"
 )
 
 // MechanismInfo describes one mechanism.
@@ -51,6 +52,7 @@
 	{GateOrder, "a server's queue is in order of arrival"},
 	{KindHoldTimes, "whether a request can finish in time is estimated from the average slot hold time of all kinds"},
 	{Quarantine, "a request that crashes its servers is sent to further servers like any other"},
+	{UploadContinue, "a long body is sent to another node before the gate there has admitted the request"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
--- a/pkg/wire/outcome.go
+++ b/pkg/wire/outcome.go
@@ -40,6 +40,8 @@
 	ReasonSuspect       Reason = "suspect"        // a server crashed while running the same request, which is being tested in isolation
 	ReasonNoRoute       Reason = "no-route"       // no route matches the request
 	ReasonInvalidEntry  Reason = "invalid-entry"  // the entry of the route or team in the desired state is invalid
+	ReasonBodyLost      Reason = "body-lost"      // the request's body stalled or broke off
+	ReasonBodyBytes     Reason = "body-bytes"     // the node holds too many bytes of request bodies
 	ReasonNoTeamKey     Reason = "no-key"         // the request carries no key of a team
 	ReasonStaleState    Reason = "old-state"      // the desired state may be too old to accept a key
 	ReasonQuota         Reason = "quota"          // the team is over its quota
