--- a/pkg/advertised/notice.go
+++ b/pkg/advertised/notice.go
@@ -11,6 +11,7 @@
 type Names struct {
 	RateLimit string // requests a second that the server accepts from all callers together, as a decimal number
 	Leaving   string // "1" or "true" in the answers of a server that is about to stop
+	Load      string // running and waiting requests, slots and pace, as whole numbers separated by commas; the pace may be absent
 }
 
 // Notice is what one answer says of its server.
--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -16,7 +16,7 @@
 var testNames = HeaderNames{
 	AttemptID: "X-Attempt", TimeLeft: "X-Time-Left", Instance: "X-Instance",
 	NotRun: "X-Not-Run", Caller: "X-Caller", Key: "Authorization", KeyScheme: "Token", Team: "X-Team",
-	Advertised: advertised.Names{RateLimit: "X-Rate-Limit", Leaving: "X-Leaving"},
+	Advertised: advertised.Names{RateLimit: "X-Rate-Limit", Leaving: "X-Leaving", Load: "X-Load"},
 }
 
 // sealHeader is a header that backend servers set and nodes pass on like any other.
