Gate: slots of runs whose callers left count as held

The gate freed a slot as soon as the caller had left. After a restart of the node the gate's count began at 0 as well.

Where a server names its load, such a run holds its slot for its usual time or until an answer names fewer requests, and what the server names beyond the gate's own runs for 150 to 300 ms holds slots too. Servers without the header are served as before. Switched off by held-slots.

--- a/pkg/gate/doc.go
+++ b/pkg/gate/doc.go
@@ -12,8 +12,9 @@
 // that have a slot, and rejects those that would wait too long for a token.
 //
 // gate.go holds the slots and the queue, rate_limit.go the bucket, ticket_order.go and ticket_wait.go set
-// the order of tickets and how long they may wait, and run_outcome.go records how
-// runs ended.
+// the order of tickets and how long they may wait, run_outcome.go records how runs
+// ended, and held_slots.go estimates the slots of runs that go on though their
+// callers left.
 //
 // A Gate does no I/O, starts no goroutine and reads no clock. It differs from
 // package admission: there every request carries a priority through the whole
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -56,6 +56,7 @@
 	running      int
 	queue        []*Ticket // the next to start is first
 	rate         rateBucket
+	held         heldSlots
 	seq          int64
 	holdTime     time.Duration
 	slowdown     float64
@@ -71,6 +72,7 @@
 		g.slots = slots
 		g.limit = float64(slots) * limitFraction
 		g.slowdown, g.successShare, g.shedShare = 1, 1, 0
+		g.held = heldSlots{}
 	}
 	g.open = true
 }
@@ -99,7 +101,7 @@
 	t.lag = max(lagPerPriority, g.rate.maxWait()) // a token is worth waiting longer for than a slot, so less urgent roots wait behind
 	g.seq++
 	t.seq = g.seq
-	if len(g.queue) == 0 && g.hasFreeSlot() && g.rate.take(now) {
+	if len(g.queue) == 0 && g.hasFreeSlot(now) && g.rate.take(now) {
 		g.running++
 		return Decision{Start: true}
 	}
@@ -113,11 +115,9 @@
 	return Decision{Queued: true}
 }
 
-func (g *Gate) hasFreeSlot() bool { return float64(g.running) < max(g.limit, 1) }
-
 // StartQueued starts queued tickets while there are free slots and the rate limit allows it.
 func (g *Gate) StartQueued(now time.Time) {
-	for len(g.queue) > 0 && g.hasFreeSlot() {
+	for len(g.queue) > 0 && g.hasFreeSlot(now) {
 		t := g.queue[0]
 		late := g.tooLate(t, now)
 		if !late && !g.rate.take(now) {
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -26,7 +26,7 @@
 
 // fillSlots starts requests until the limit is reached.
 func fillSlots(c *qt.C, g *Gate) {
-	for g.hasFreeSlot() {
+	for g.hasFreeSlot(begin) {
 		v := g.Submit(begin, ticket(false, 0, time.Second, new([]Decision)))
 		c.Assert(v.Start, qt.IsTrue)
 	}
--- a/pkg/gate/rate_limit.go
+++ b/pkg/gate/rate_limit.go
@@ -106,18 +106,21 @@
 	return RateState{Limit: g.rate.limit, PerSecond: g.rate.rate(), Wait: max(wait, 0)}
 }
 
-// NextStart returns the time until the rate limit allows the first queued ticket to start; ok is false if no ticket is
-// waiting for that.
+// NextStart returns the time until the rate limit allows the first queued ticket to start, or a held slot is expected to be free; ok is false if
+// no ticket is waiting for that.
 func (g *Gate) NextStart(now time.Time) (wait time.Duration, ok bool) {
-	if len(g.queue) == 0 || !g.hasFreeSlot() {
+	if len(g.queue) == 0 {
 		return 0, false
 	}
+	if !g.hasFreeSlot(now) {
+		return g.held.nextFree(now)
+	}
 	return g.rate.wait(now, 1), true
 }
 
 // rejection returns the decision to reject a ticket that would have had to wait too long at an index of the queue.
 func (g *Gate) rejection(now time.Time, index int) Decision {
-	if wait := g.rate.wait(now, index+1); wait > g.slotWait(index) {
+	if wait := g.rate.wait(now, index+1); wait > g.slotWait(now, index) {
 		return Decision{Reason: wire.ReasonRateLimit, RetryAfter: wait}
 	}
 	return Decision{Reason: wire.ReasonQueue}
--- a/pkg/gate/run_outcome.go
+++ b/pkg/gate/run_outcome.go
@@ -57,6 +57,9 @@
 		g.shedShare += outcomeWeight
 		// The limit stays: the gate never fills the server, so it refuses for a fault of its own, whatever its load.
 	case Abandoned:
+		if typical > 0 { // the typical time counts runs that were left as well, so it may be too short
+			g.held.leave(now, max(typical, g.holdTime)-held)
+		}
 	}
 	g.StartQueued(now)
 }
--- a/pkg/gate/ticket_wait.go
+++ b/pkg/gate/ticket_wait.go
@@ -20,12 +20,12 @@
 
 // expectedWait returns the time after which a ticket at an index of the queue, counted from 0, would start.
 func (g *Gate) expectedWait(now time.Time, index int) time.Duration {
-	return max(g.slotWait(index), g.rate.wait(now, index+1))
+	return max(g.slotWait(now, index), g.rate.wait(now, index+1))
 }
 
 // slotWait returns the time after which a ticket at an index of the queue would get a slot.
-func (g *Gate) slotWait(index int) time.Duration {
-	if g.hasFreeSlot() {
+func (g *Gate) slotWait(now time.Time, index int) time.Duration {
+	if g.hasFreeSlot(now) {
 		return 0 // the queue waits for the rate limit
 	}
 	return time.Duration(float64(index+1) * float64(g.holdTime) / max(g.limit, 1))
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -87,8 +87,12 @@
 	}
 	now := b.n.clock.Now()
 	holdTime := min(now.Sub(started), max(q.deadline.Sub(started), 0)) // a run holds no slot while the VM is suspended
+	usual := b.n.slotHoldTime(q.Route)
+	if a.outcome == wire.NotRun {
+		usual = 0 // nothing is left at the server
+	}
 	b.n.gateMu.Lock()
-	b.n.gate.Finish(now, holdTime, b.n.slotHoldTime(q.Route), outcome)
+	b.n.gate.Finish(now, holdTime, usual, outcome)
 	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
 	if a.outcome == wire.NotRun {
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -33,6 +33,7 @@
 	{"state_problems", "gauge", "effect", "Entries of the desired state in force that are invalid, by what that means for requests; absent until there was one."},
 	{"servers_known", "gauge", "", "Backend servers that accept requests, as known to this node."},
 	{"gate_running", "gauge", "", "Requests running at the local backend server."},
+	{"gate_held", "gauge", "", "Slots of the local backend server held by requests that the gate doesn't have running, as the server's answers show."},
 	{"gate_queued", "gauge", "", "Requests queued at the gate of the local backend server."},
 	{"room_part", "gauge", "", "Usable fraction of the local backend server's slots, in thousandths; above 1000 where slots stay free."},
 	{"learned_stored_total", "counter", "", "Times that learned call statistics were stored."},
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
 // serverNotices is what the local backend server has advertised in its answers; Node.gateMu guards it.
@@ -15,7 +16,9 @@
 	lifetime directory.Lifetime
 	limit    advertised.Tracker
 	leaving  bool
-	invalid  map[string]bool // reasons of invalid values that were logged for this lifetime
+	// heldLogged is when held slots were last logged.
+	heldLogged time.Time
+	invalid    map[string]bool // reasons of invalid values that were logged for this lifetime
 }
 
 // startLifetime drops what an earlier lifetime of the local backend server has advertised; gateMu must be held.
@@ -97,6 +100,7 @@
 	if limit.Advertised {
 		b.observeLimit(own, sent, limit)
 	}
+	b.noteLoad(q, own, h)
 	leaving, err := b.n.names.Advertised.ParseLeaving(h)
 	if err != nil {
 		b.noteInvalid(q, own, err)
@@ -107,6 +111,32 @@
 	return unlimited
 }
 
+// noteLoad applies the number of requests in the header of an answer at the gate, which counts those that it doesn't know of as held slots.
+func (b *backend) noteLoad(q *request, own directory.Record, h http.Header) {
+	if b.n.off[settings.HeldSlots] {
+		return
+	}
+	load, err := b.n.names.Advertised.ParseLoad(h)
+	if err != nil {
+		b.noteInvalid(q, own, err)
+		return
+	}
+	if load == (advertised.Load{}) {
+		return
+	}
+	b.withNotices(own.Lifetime(), func(s *serverNotices) {
+		now := b.n.clock.Now()
+		held := b.n.gate.NoteServerLoad(now, load.Running+load.Waiting, load.Slots)
+		if held > 0 && now.Sub(s.heldLogged) >= heldLogPeriod {
+			s.heldLogged = now
+			b.n.callLog.Info("slots held by requests of callers that left", "held", held, "running", load.Running, "waiting", load.Waiting, "instance", own.Instance)
+		}
+	})
+}
+
+// heldLogPeriod is the time between log lines about held slots.
+const heldLogPeriod = 10 * time.Second
+
 // observeLimit applies the rate limit in an answer to a request sent at sent.
 func (b *backend) observeLimit(own directory.Record, sent time.Time, limit advertised.RateLimit) {
 	now := b.n.clock.Now()
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -27,6 +27,7 @@
 	KindHoldTimes     Mechanism = "kind-holds"
 	Quarantine        Mechanism = "held-back"
 	UploadContinue    Mechanism = "upload-continue"
+	HeldSlots         Mechanism = "held-slots"
 )
 
 // MechanismInfo describes one mechanism.
@@ -53,6 +54,7 @@
 	{KindHoldTimes, "whether a request can finish in time is estimated from the average slot hold time of all kinds"},
 	{Quarantine, "a request that crashes its servers is sent to further servers like any other"},
 	{UploadContinue, "a long body is sent to another node before the gate there has admitted the request"},
+	{HeldSlots, "requests that a server still runs for callers that left count for no slots"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
