--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -8,7 +8,7 @@
 // is certain: the request goes to another server at no cost. A request that was passed to a server is sent again
 // only if it is repeatable, or if the server itself reported that it didn't run.
 //
-// The files of the request path, in order: outbound_server.go, request.go, internal_routes.go,
+// The files of the request path, in order: outbound_server.go, request.go, request_body.go, internal_routes.go,
 // admission.go, choose_server.go with peer_sample.go, forward.go, retry_budget.go,
 // peer_protocol.go, packed_headers.go, inbound_server.go, backend.go, answer.go.
 // The other files maintain what requests need:
