--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -89,8 +89,12 @@
 	}
 	now := b.n.clock.Now()
 	holdTime := min(now.Sub(started), max(q.deadline.Sub(started), 0)) // a run holds no slot while the VM is suspended
+	usual := b.n.slotHoldTime(q.Route)
+	if a.outcome == wire.NotRun {
+		usual = 0 // nothing is left at the server
+	}
 	b.n.gateMu.Lock()
-	b.n.gate.FinishRun(now, gate.Run{Held: holdTime, TypicalHold: b.n.slotHoldTime(q.Route), CallShare: b.n.callShare(q.Route), Outcome: outcome})
+	b.n.gate.FinishRun(now, gate.Run{Held: holdTime, TypicalHold: usual, CallShare: b.n.callShare(q.Route), Outcome: outcome})
 	b.n.scheduleGate(now)
 	b.n.gateMu.Unlock()
 	if a.outcome == wire.NotRun {
@@ -190,6 +194,9 @@
 
 // send sends a request to the server, and returns the answer and its outcome for the gate.
 func (b *backend) send(ctx context.Context, q *request, own directory.Record) (*answer, gate.Outcome) {
+	if a := q.readDeferredBody(); a != nil {
+		return a, gate.Abandoned
+	}
 	sent := b.n.clock.Now()
 	left := q.deadline.Sub(sent) - answerMargin
 	if left < time.Millisecond {
@@ -200,10 +207,11 @@
 		{Name: b.n.names.Caller, Value: q.Caller},
 		{Name: b.n.names.TimeLeft, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 	}
-	res, err := b.pool.Do(ctx, &httpconn.Request{
-		Method: q.method, URI: q.uri, Host: q.host, Header: q.header, Fields: fields,
-		Body: q.body, Stream: q.stream, StreamLength: q.streamLength, ExpectedResponseTime: b.expectedAnswerTime(q),
-	})
+	req := &httpconn.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Header: q.header, Fields: fields, Body: q.body, ExpectedResponseTime: b.expectedAnswerTime(q),
+	}
+	q.setStream(req)
+	res, err := b.pool.Do(ctx, req)
 	if err != nil {
 		return b.failedAnswer(err)
 	}
@@ -240,6 +248,9 @@
 
 // expectedAnswerTime returns the time within which the server's answer to the request is expected.
 func (b *backend) expectedAnswerTime(q *request) time.Duration {
+	if q.stream != nil {
+		return 0 // the client's time for sending the body says nothing of the server's connections
+	}
 	b.n.gateMu.Lock()
 	slowdown := b.n.gate.Snapshot().Slowdown
 	b.n.gateMu.Unlock()
@@ -273,6 +284,8 @@
 		a := unknownAnswer(wire.ReasonDeadline)
 		a.canceled = true
 		return a, gate.Abandoned
+	case isBodyBroken(err):
+		return unknownAnswer(wire.ReasonBodyLost), gate.Abandoned // the server had no part in it, and may have run what it got
 	default:
 		a := unknownAnswer(wire.ReasonAnswerLost)
 		a.broken = true
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -8,6 +8,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockspoke/rockspoke/pkg/desired"
 )
 
 // Limits of labels and histograms.
@@ -135,10 +137,24 @@
 	})
 }
 
+// updateProblemGauges sets the gauges of invalid entries; an effect that no version had yet has none.
+func (n *Node) updateProblemGauges(s *desired.State) {
+	counts := make(map[desired.Effect]int64)
+	for _, p := range s.Problems {
+		counts[p.Effect]++
+	}
+	for _, e := range desired.Effects {
+		if n.metrics.registry.Get(seriesKey("state_problems", "effect", string(e))) != nil || counts[e] > 0 {
+			n.metrics.gauge(counts[e], "state_problems", "effect", string(e))
+		}
+	}
+}
+
 // updateGauges sets the gauges that are computed when the metrics are read.
 func (n *Node) updateGauges() {
 	if s := n.state.Load(); s != nil {
 		n.metrics.gauge(s.Version, "state_version")
+		n.updateProblemGauges(s)
 	}
 	known := 0
 	for _, peers := range n.view.Load().services {
@@ -152,9 +168,11 @@
 	n.metrics.gauge(notListening, "server_away")
 	now := n.clock.Now()
 	n.gateMu.Lock()
-	g, rate := n.gate.Snapshot(), n.gate.RateLimit(now)
+	g, rate, held := n.gate.Snapshot(), n.gate.RateLimit(now), n.gate.HeldSlots(now)
 	n.gateMu.Unlock()
+	n.metrics.gauge(int64(held), "gate_held")
 	n.metrics.gauge(int64(n.rateUse(now, rate)*1000), "server_rate_use")
+	n.metrics.gauge(n.bodyBytes.held.Load(), "body_bytes")
 	n.metrics.gauge(int64(g.Running), "gate_running")
 	n.metrics.gauge(int64(g.Queued), "gate_queued")
 	if g.ToldPace > 0 {
