--- a/pkg/logging/part_logger.go
+++ b/pkg/logging/part_logger.go
@@ -45,6 +45,15 @@
 	return slog.New(&partHandler{next: h, prefix: name + ": ", limiter: &messageLimiter{perPeriod: max(f.PerSecond, 1)}, clock: f.Clock})
 }
 
+// Info does l.Info, and costs little for a line that isn't written since its message has reached the limit. It is for messages of
+// requests that are refused, thousands a second in an overload: slog makes a record with the caller of each.
+func Info(l *slog.Logger, msg string, args ...any) {
+	if h, ok := l.Handler().(*partHandler); ok && h.limiter.drop(h.clock.Now(), msg) {
+		return
+	}
+	l.Info(msg, args...)
+}
+
 // parseLevel returns the level that s names, or def if s is empty or invalid.
 func parseLevel(s string, def slog.Level) slog.Level {
 	var l slog.Level
@@ -134,3 +143,15 @@
 	e.start, e.written, e.dropped = now, 1, 0
 	return dropped, true
 }
+
+// drop counts a line as dropped if its message has reached the limit, and reports whether it did.
+func (l *messageLimiter) drop(now time.Time, msg string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.counts[msg]
+	if e == nil || e.written < l.perPeriod || now.Sub(e.start) >= repeatPeriod {
+		return false
+	}
+	e.dropped++
+	return true
+}
--- a/pkg/logging/part_logger_test.go
+++ b/pkg/logging/part_logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +39,27 @@
 	c.Assert(b.String(), qt.Contains, "repeated=4")
 }
 
+// Guards against Info that writes or counts other lines than the logger's own method.
+func TestInfoWritesTheSameLines(t *testing.T) {
+	c := qt.New(t)
+	var texts [2]bytes.Buffer
+	for i := range texts {
+		clk := clock.NewManual(time.Unix(0, 0))
+		log := Factory{W: &texts[i], Clock: clk, PerSecond: 2}.Logger("call")
+		for k := range 30 {
+			if i == 0 {
+				log.Info("refused", "k", k)
+			} else {
+				Info(log, "refused", "k", k)
+			}
+			clk.Advance(repeatPeriod / 8)
+		}
+	}
+	withoutTime := func(b *bytes.Buffer) string { return regexp.MustCompile(`time=\S+`).ReplaceAllString(b.String(), "") }
+	c.Assert(withoutTime(&texts[1]), qt.Equals, withoutTime(&texts[0]))
+	c.Assert(strings.Count(texts[1].String(), "\n"), qt.Equals, 8)
+}
+
 func TestManualClockFiresTickers(t *testing.T) {
 	c := qt.New(t)
 	clk := clock.NewManual(time.Unix(0, 0))
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/logging"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -18,7 +19,7 @@
 	}
 	ok, returning := n.stats.admit(n.clock.Now(), kind, left, share)
 	if !ok {
-		n.callLog.Info("not admitted", "request", q.id, "route", q.Route, "returning", returning,
+		logging.Info(n.callLog, "not admitted", "request", q.id, "route", q.Route, "returning", returning,
 			"fresh_share", round(share.Fresh), "returning_share", round(share.Returning))
 	}
 	return ok
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -10,6 +10,7 @@
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/headerpack"
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
+	"github.com/rockspoke/rockspoke/pkg/logging"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
@@ -71,7 +72,7 @@
 		if !d.mayRetry(a) {
 			return d.finalAnswer()
 		}
-		d.n.callLog.Info("request retried", "request", d.q.id, "route", d.route.Name, "peer", p.host,
+		logging.Info(d.n.callLog, "request retried", "request", d.q.id, "route", d.route.Name, "peer", p.host,
 			"outcome", a.outcome, "reason", a.reason, "arrivals", d.arrivals)
 	}
 }
@@ -80,7 +81,7 @@
 func (d *delivery) noteNoServer(now time.Time, servers []*peer) {
 	if wait := shortestFullTime(now, servers); wait > 0 {
 		d.reason, d.retryAfter = wire.ReasonRateLimit, wait
-		d.n.callLog.Info("no server within its rate limit is left", "request", d.q.id, "route", d.route.Name, "service", d.q.Service,
+		logging.Info(d.n.callLog, "no server within its rate limit is left", "request", d.q.id, "route", d.route.Name, "service", d.q.Service,
 			"servers", len(servers), "retry_after", wait)
 		return
 	}
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/logging"
 	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
@@ -122,7 +123,7 @@
 		n.learnTime(q, a, took)
 	}
 	if a.outcome != wire.Ran && r.Context().Err() == nil {
-		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
+		logging.Info(n.callLog, "not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
 			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version, "inner", q.Internal)
 	}
 	n.writeFinal(w, q, a)
@@ -163,7 +164,7 @@
 // refuseUnrouted refuses a request before it is routed to a service, with the reason and HTTP status.
 func (n *Node) refuseUnrouted(w http.ResponseWriter, r *http.Request, reason wire.Reason, status int) {
 	id := r.Header.Get(n.names.AttemptID)
-	n.callLog.Info("refused", "request", id, "host", r.Host, "path", r.URL.Path, "reason", reason, "status", status)
+	logging.Info(n.callLog, "refused", "request", id, "host", r.Host, "path", r.URL.Path, "reason", reason, "status", status)
 	h := w.Header()
 	if id != "" {
 		h.Set(n.names.AttemptID, id)
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -8,6 +8,7 @@
 	"github.com/rockspoke/rockspoke/pkg/advertised"
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
+	"github.com/rockspoke/rockspoke/pkg/logging"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -157,7 +158,7 @@
 	b.n.gateMu.Lock()
 	limit, age := b.notices.limit.Limit(), b.notices.limit.Age(now)
 	b.n.gateMu.Unlock()
-	b.n.callLog.Info("local backend server is at its rate limit", "request", q.id, "instance", own.Instance, "limit", limit.String(),
+	logging.Info(b.n.callLog, "local backend server is at its rate limit", "request", q.id, "instance", own.Instance, "limit", limit.String(),
 		"confirmed", age, "retry_after", d.RetryAfter)
 }
 
