--- a/pkg/logging/part_logger.go
+++ b/pkg/logging/part_logger.go
@@ -71,15 +71,12 @@
 	if !ok {
 		return nil
 	}
-	out := slog.NewRecord(rec.Time, rec.Level, h.prefix+rec.Message, rec.PC)
-	rec.Attrs(func(a slog.Attr) bool {
-		out.AddAttrs(a)
-		return true
-	})
+	rec.Message = h.prefix + rec.Message
 	if dropped > 0 {
-		out.AddAttrs(slog.Int("repeated", dropped))
+		rec = rec.Clone() // the caller's copy may share the attributes
+		rec.AddAttrs(slog.Int("repeated", dropped))
 	}
-	return h.next.Handle(ctx, out)
+	return h.next.Handle(ctx, rec)
 }
 
 // WithAttrs returns a handler that adds the attributes.
