Gate, tests: the load test draws its callers in one goroutine

go test -race ./pkg/gate failed: goroutines of the test shared its random source and its flag for the measured time. The draw and the flag are now passed to them; go test -race ./pkg/gate passes.

--- a/pkg/gate/budget_load_test.go
+++ b/pkg/gate/budget_load_test.go
@@ -25,7 +25,6 @@
 	gate           *Gate
 	rnd            *rand.Rand // of the calls
 	callers        [8]chainCaller
-	measured       bool
 	served, failed float64 // requests a second
 	ran            float64 // calls a second
 }
@@ -53,10 +52,12 @@
 		var requests sync.WaitGroup
 		for ticks := 0; time.Since(start) < chainWarmUp+chainMeasured; {
 			rate := 0.5
-			if l.measured = time.Since(start) >= chainWarmUp; l.measured {
+			measured := time.Since(start) >= chainWarmUp
+			if measured {
 				rate = l.rate
 			}
-			requests.Go(func() { l.request(&l.callers[rnd.IntN(len(l.callers))], l.measured) })
+			caller := &l.callers[rnd.IntN(len(l.callers))]
+			requests.Go(func() { l.request(caller, measured) })
 			time.Sleep(time.Duration(rnd.ExpFloat64() / (rate * chainCapacity) * float64(time.Second)))
 			for ; time.Since(start) > time.Duration(ticks)*50*time.Millisecond; ticks++ {
 				l.tick()
@@ -83,7 +84,7 @@
 	run, good := c.learner.BeginRun(time.Now(), "root", end), true
 	for i := 0; i < chainCalls && good; i++ {
 		l.sleep(2 * time.Millisecond)
-		good = l.call(c, end)
+		good = l.call(c, end, measured)
 	}
 	c.learner.EndRun(time.Now(), run, good)
 	switch {
@@ -101,7 +102,7 @@
 }
 
 // call passes one call through the gate and reports whether it ended by the time limit of its request.
-func (l *chainLoad) call(c *chainCaller, end time.Time) bool {
+func (l *chainLoad) call(c *chainCaller, end time.Time, measured bool) bool {
 	made := time.Now()
 	left := end.Sub(made).Truncate(time.Millisecond) // it is sent in milliseconds
 	decision := make(chan Decision, 1)
@@ -121,7 +122,7 @@
 	if !d.Start {
 		return false
 	}
-	if l.measured {
+	if measured {
 		l.ran += 1 / chainMeasured.Seconds()
 	}
 	work := time.Duration((0.5 + l.rnd.Float64()) * float64(chainWork) * 33 / 39)
@@ -141,7 +142,7 @@
 }
 
 // Guards against slots spent on calls of requests that can't end in time any more. Of 204 requests a second that the slots can
-// serve, 105 to 118 were served at 1.3 times the load and 27 at twice the load without reserves, and 200 to 204 with them.
+// serve, 105 to 121 were served at 1.3 times the load and 26 or 27 at twice the load without reserves, and 199 to 204 with them.
 func TestReservesKeepWholeRequestsServedUnderOverload(t *testing.T) {
 	for _, rate := range []float64{1.3, 2} {
 		c := qt.New(t)
