--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -32,7 +32,6 @@
 	deadline  time.Time // for reads
 	idle      bool      // the state StateIdle was hidden
 	pipelines bool      // a request of this connection has run ahead
-	closing   bool      // Close was called
 }
 
 // firstLine is what decides whether other requests may overtake a request.
@@ -183,7 +182,7 @@
 func (c *conn) judgeFirst() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.begun && !c.closing && !expired(c.deadline) {
+	for !c.begun && c.err == nil && !expired(c.deadline) {
 		c.changed.Wait()
 	}
 	if c.begun && !c.judged {
@@ -221,7 +220,6 @@
 // Close closes the connection and cancels the requests that run ahead.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	c.closing = true
 	c.cancelAll(net.ErrClosed)
 	c.mu.Unlock()
 	return c.Conn.Close()
