Admission: teams get fair shares of what the plan admits of a kind

Cause: where the plan limits a kind, requests were admitted as they came, so a team at several times its usual, below its quota, took the capacity of all others. Change: each node divides its part among the teams by max-min fairness (pkg/fairshare); at most 64 teams a kind are counted by name, the others in 16 classes.

--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -17,14 +17,26 @@
 			share = s
 		}
 	}
-	ok, returning := n.stats.admit(n.clock.Now(), kind, left, share)
+	team := n.fairTeam(q)
+	ok, returning := n.stats.admit(n.clock.Now(), kind, team, left, share)
 	if !ok {
-		logging.Info(n.callLog, "not admitted", "request", q.id, "route", q.Route, "returning", returning,
+		if team != "" {
+			n.metrics.count("team_requests_not_admitted_total", "team", team)
+		}
+		logging.Info(n.callLog, "not admitted", "request", q.id, "route", q.Route, "returning", returning, "team", team,
 			"fresh_share", round(share.Fresh), "returning_share", round(share.Returning))
 	}
 	return ok
 }
 
+// fairTeam returns the name of the team among which admitted requests are divided, or an empty name if the request has none.
+func (n *Node) fairTeam(q *request) string {
+	if q.team == nil || n.off[settings.TeamShares] {
+		return ""
+	}
+	return q.team.Name
+}
+
 // retryDeadlineShare is the share of a client's remaining time that bounds the delay it is given. Clients don't come
 // back after longer delays.
 const retryDeadlineShare = 1.0 / 3
--- a/pkg/mesh/control_bench_test.go
+++ b/pkg/mesh/control_bench_test.go
@@ -196,7 +196,7 @@
 			for _, called := range []int{benchRoutes - benchCalls + i, benchRoutes - 1} {
 				b.stats.noteCall(now, benchRoute(called), deadline)
 				b.stats.noteCall(now, benchRoute(called), deadline)
-				b.stats.admit(now, benchRoute(called), deadline.Sub(now), b.plan.Load().shares[benchRoute(called)])
+				b.stats.admit(now, benchRoute(called), "", deadline.Sub(now), b.plan.Load().shares[benchRoute(called)])
 			}
 		})
 		runs = append(runs, r)
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -46,6 +46,7 @@
 	{"server_slowdown", "gauge", "", "Slot hold time expected at the local backend server now, in percent of the same kinds at all servers; absent until it told a pace."},
 	{"server_headers_invalid_total", "counter", "", "Answers of the local backend server with an unusable header about itself."},
 	{"slot_ms_total", "counter", "route, outcome", "Slot hold time of requests at the local backend server in milliseconds, by outcome there."},
+	{"team_requests_not_admitted_total", "counter", "team", "Requests of a team that were refused since the plan limits their kind."},
 	{"admitted_share", "gauge", "route", "Admitted share of first attempts, in thousandths; absent until it has been below 1000."},
 	{"request_success", "gauge", "route", "Probability that all calls of an admitted request succeed, in thousandths; absent until it has been below 1000."},
 	{"budget_refused_total", "counter", "route, place", "Calls refused at the local gate (place gate) only because their requests couldn't end in time after them, and client requests refused where they began (place entry) because they couldn't end in time."},
--- a/pkg/mesh/traffic_entries.go
+++ b/pkg/mesh/traffic_entries.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/fairshare"
 	"github.com/rockspoke/rockspoke/pkg/overload"
 )
 
@@ -14,6 +15,7 @@
 	maxTimeLeft            time.Duration         // longest time to the deadline that a request of this kind ever had
 	firstAllowance         overload.AdmissionBucket
 	retryAllowance         overload.AdmissionBucket
+	teams                  fairshare.Divider // of the admitted first attempts
 }
 
 // retryTimeFraction is the fraction of a kind's longest time to the deadline below which an attempt counts as a client's
@@ -21,8 +23,9 @@
 const retryTimeFraction = 0.995
 
 // admit counts a request with the given time to its deadline, and decides by its kind's shares whether it is admitted;
-// retry tells whether it counts as a client's retry after a refusal.
-func (s *trafficStats) admit(now time.Time, kind string, left time.Duration, share overload.Share) (ok, retry bool) {
+// retry tells whether it counts as a client's retry after a refusal. Where first attempts are limited, teams get fair shares
+// of what is admitted; team is empty for a request without one.
+func (s *trafficStats) admit(now time.Time, kind, team string, left time.Duration, share overload.Share) (ok, retry bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry(kind)
@@ -31,6 +34,13 @@
 		return e.retryAllowance.Admit(now, share.Returning, &e.retries), true
 	}
 	e.firstAttempts.Add(now, 1)
+	switch {
+	case team == "":
+	case share.Fresh < 1:
+		return e.teams.Admit(now, team, share.Fresh), false
+	default:
+		e.teams.Count(now, team)
+	}
 	return e.firstAllowance.Admit(now, share.Fresh, &e.firstAttempts), false
 }
 
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -33,6 +33,7 @@
 	RetryReserve      Mechanism = "retry-reserve"
 	Pipelining        Mechanism = "pipelining"
 	LatencyBudgets    Mechanism = "budgets"
+	TeamShares        Mechanism = "team-shares"
 	UploadContinue    Mechanism = "upload-continue"
 	HeldSlots         Mechanism = "held-slots"
 )
@@ -67,6 +68,7 @@
 	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
 	{Pipelining, "the requests of a client connection are served one after the other"},
 	{LatencyBudgets, "a call may take all the time until its limit, whatever its request still has to do after it"},
+	{TeamShares, "where a kind of request is limited, teams are admitted as their requests come"},
 	{UploadContinue, "a long body is sent to another node before the gate there has admitted the request"},
 	{HeldSlots, "requests that a server still runs for callers that left count for no slots"},
 }
