--- a/pkg/gate/doc.go
+++ b/pkg/gate/doc.go
@@ -21,7 +21,8 @@
 //
 // gate.go holds the slots and the queue, rate_limit.go the bucket, ticket_order.go and ticket_wait.go set
 // the order of tickets and how long they may wait, expected_hold.go estimates slot hold
-// times, and run_outcome.go records how runs ended.
+// times, run_outcome.go records how runs ended, and held_slots.go estimates the slots of
+// runs that go on though their callers left.
 //
 // A Gate does no I/O, starts no goroutine and reads no clock. It differs from
 // package admission: there every request carries a priority through the whole
--- a/pkg/gate/run_outcome.go
+++ b/pkg/gate/run_outcome.go
@@ -71,6 +71,9 @@
 		g.shedShare += outcomeWeight
 		// The limit stays: the gate never fills the server, so it refuses for a fault of its own, whatever its load.
 	case Abandoned:
+		if r.TypicalHold > 0 { // the typical time counts runs that were left as well, so it may be too short
+			g.held.leave(now, max(r.TypicalHold, g.holdTime)-r.Held)
+		}
 	}
 	g.StartQueued(now)
 }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -33,6 +33,10 @@
 		n.refuseNoRoute(w, r)
 		return
 	}
+	if route.Unusable {
+		n.refuseUnrouted(w, r, wire.ReasonInvalidEntry, http.StatusServiceUnavailable)
+		return
+	}
 	if r.Header.Get(n.names.AttemptID) == "" {
 		n.refuseUnrouted(w, r, wire.ReasonBadRequest, http.StatusBadRequest)
 		return
@@ -46,12 +50,17 @@
 		n.refuseUnrouted(w, r, wire.ReasonStaleState, http.StatusServiceUnavailable)
 		return
 	}
+	if route.Unusable {
+		n.refuseUnrouted(w, r, wire.ReasonInvalidEntry, http.StatusServiceUnavailable)
+		return
+	}
 	team, refusal := n.authenticate(r, state, route)
 	if refusal != nil {
 		n.refuseKey(w, r, route, refusal)
 		return
 	}
-	q, err := n.newRequest(r, n.newPeerCall(state, route), state.Limits.BodyBytes)
+	q, err := n.newRequest(w, r, n.newPeerCall(state, route), false, state.Limits.BodyBytes)
+	defer n.releaseBody(q)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
@@ -139,23 +148,31 @@
 	n.refuseUnrouted(w, r, wire.ReasonNoRoute, http.StatusNotFound)
 }
 
-// refuseBody answers a request whose body is too long or ended early.
+// refuseBody answers a request whose body is too long, ended early or stalled, or for whose body this node has no memory.
 func (n *Node) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	var b *bodyError
 	if errors.As(err, &b) {
 		status = b.status
 	}
-	n.refuseUnrouted(w, r, wire.ReasonBadRequest, status)
+	n.refuseUnrouted(w, r, bodyRefusal(err), status)
+}
+
+// bodyRefusal returns the reason of a refusal for a *bodyError.
+func bodyRefusal(err error) wire.Reason {
+	if errors.Is(err, errBodyBytes) {
+		return wire.ReasonBodyBytes
+	}
+	return wire.ReasonBadRequest
 }
 
-// oldStateRetryDelay is the mean retry delay for a request whose key can't be checked. The store is then unavailable,
-// which lasts longer than an overload.
+// oldStateRetryDelay is the mean retry delay for a request whose key can't be checked, or whose route or team is invalid in the desired
+// state. The store is then unavailable, or the operator has to mend the entry, which lasts longer than an overload.
 const oldStateRetryDelay = time.Second
 
 // retryDelayFor returns the mean delay after which a client should retry a refusal for the reason.
 func retryDelayFor(reason wire.Reason) time.Duration {
-	if reason == wire.ReasonStaleState {
+	if reason == wire.ReasonStaleState || reason == wire.ReasonInvalidEntry {
 		return oldStateRetryDelay
 	}
 	return minRetryDelay
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -17,7 +17,9 @@
 	lifetime directory.Lifetime
 	limit    advertised.Tracker
 	leaving  bool
-	invalid  map[string]bool // reasons of invalid values that were logged for this lifetime
+	// heldLogged is when held slots were last logged.
+	heldLogged time.Time
+	invalid    map[string]bool // reasons of invalid values that were logged for this lifetime
 }
 
 // startLifetime drops what an earlier lifetime of the local backend server has advertised; gateMu must be held.
@@ -99,7 +101,7 @@
 	if limit.Advertised {
 		b.observeLimit(own, sent, limit)
 	}
-	b.notePace(q, own, h)
+	b.noteLoad(q, own, h)
 	leaving, err := b.n.names.Advertised.ParseLeaving(h)
 	if err != nil {
 		b.noteInvalid(q, own, err)
@@ -110,9 +112,10 @@
 	return unlimited
 }
 
-// notePace applies the pace in the header of an answer at the gate. An answer without one tells nothing: the pace told last ages.
-func (b *backend) notePace(q *request, own directory.Record, h http.Header) {
-	if b.n.off[settings.ServerPace] {
+// noteLoad applies the load in the header of an answer at the gate: the server's pace, and the number of requests, of which the gate counts
+// those that it doesn't know of as held slots. An answer without a pace tells nothing of it: the pace told last ages.
+func (b *backend) noteLoad(q *request, own directory.Record, h http.Header) {
+	if b.n.off[settings.HeldSlots] && b.n.off[settings.ServerPace] {
 		return
 	}
 	load, err := b.n.names.Advertised.ParseLoad(h)
@@ -120,12 +123,28 @@
 		b.noteInvalid(q, own, err)
 		return
 	}
-	if load.Pace == 0 {
+	if load == (advertised.Load{}) {
 		return
 	}
-	b.withNotices(own.Lifetime(), func(*serverNotices) { b.n.gate.SetPace(b.n.clock.Now(), load.Pace) })
+	b.withNotices(own.Lifetime(), func(s *serverNotices) {
+		now := b.n.clock.Now()
+		if load.Pace > 0 && !b.n.off[settings.ServerPace] {
+			b.n.gate.SetPace(now, load.Pace)
+		}
+		if b.n.off[settings.HeldSlots] {
+			return
+		}
+		held := b.n.gate.NoteServerLoad(now, load.Running+load.Waiting, load.Slots)
+		if held > 0 && now.Sub(s.heldLogged) >= heldLogPeriod {
+			s.heldLogged = now
+			b.n.callLog.Info("slots held by requests of callers that left", "held", held, "running", load.Running, "waiting", load.Waiting, "instance", own.Instance)
+		}
+	})
 }
 
+// heldLogPeriod is the time between log lines about held slots.
+const heldLogPeriod = 10 * time.Second
+
 // observeLimit applies the rate limit in an answer to a request sent at sent.
 func (b *backend) observeLimit(own directory.Record, sent time.Time, limit advertised.RateLimit) {
 	now := b.n.clock.Now()
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -33,6 +33,8 @@
 	RetryReserve      Mechanism = "retry-reserve"
 	Pipelining        Mechanism = "pipelining"
 	LatencyBudgets    Mechanism = "budgets"
+	UploadContinue    Mechanism = "upload-continue"
+	HeldSlots         Mechanism = "held-slots"
 )
 
 // MechanismInfo describes one mechanism.
@@ -65,6 +67,8 @@
 	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
 	{Pipelining, "the requests of a client connection are served one after the other"},
 	{LatencyBudgets, "a call may take all the time until its limit, whatever its request still has to do after it"},
+	{UploadContinue, "a long body is sent to another node before the gate there has admitted the request"},
+	{HeldSlots, "requests that a server still runs for callers that left count for no slots"},
 }
 
 // DisabledMechanisms returns the set of mechanisms that are switched off.
