--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -19,11 +19,11 @@
 	}
 	team := n.fairTeam(q)
 	ok, returning := n.stats.admit(n.clock.Now(), kind, team, left, share)
-	if !ok {
-		if team != "" {
-			n.metrics.count("team_requests_not_admitted_total", "team", team)
-		}
-		logging.Info(n.callLog, "not admitted", "request", q.id, "route", q.Route, "returning", returning, "team", team,
+	if !ok && team != "" {
+		n.metrics.count("team_requests_not_admitted_total", "team", team)
+	}
+	if !ok && !logging.IsLimited(n.callLog, "not admitted") {
+		n.callLog.Info("not admitted", "request", q.id, "route", q.Route, "returning", returning, "team", team,
 			"fresh_share", round(share.Fresh), "returning_share", round(share.Returning))
 	}
 	return ok
