--- a/pkg/callgraph/possible_callers.go
+++ b/pkg/callgraph/possible_callers.go
@@ -22,7 +22,7 @@
 	ownLimit := deadline.Sub(now) >= c.longestLeft-deadlineTolerance
 	late := l.lateCallShare() >= minLateShare
 	at := l.sinceOrigin(deadline)
-	for _, s := range l.routes {
+	for _, s := range l.byIndex {
 		if l.knownCalls(now, s)[route] <= 0 {
 			continue
 		}
--- a/pkg/mesh/control_bench_test.go
+++ b/pkg/mesh/control_bench_test.go
@@ -24,6 +24,9 @@
 // benchRoutes are the routes of the benchmarked mesh; the last four are calls.
 const benchRoutes, benchCalls, benchKinds, benchZones = 8, 4, 3, 3
 
+// benchCallLimit is the time limit of calls of the last route, which is shorter than what their runs have left.
+const benchCallLimit = 700 * time.Millisecond
+
 func benchRoute(i int) string { return fmt.Sprint("route-", i) }
 
 // benchNode is a node whose control work is measured by part.
@@ -183,6 +186,9 @@
 	for range perSecond / 10 {
 		b.clock.Advance(100 * time.Millisecond / time.Duration(perSecond/10))
 		now := b.clock.Now()
+		for _, called := range []int{benchRoutes - benchCalls, benchRoutes - 1} {
+			b.stats.times.ObserveCall(benchRoute(called), 50*time.Millisecond)
+		}
 		for len(runs) > 0 && !now.Before(runs[0].ends) {
 			b.measure("calls", func() { b.stats.endRun(now, runs[0].route, runs[0].run, 100*time.Millisecond, gate.Answered) })
 			runs = runs[1:]
@@ -194,8 +200,13 @@
 			r.run = b.stats.beginRun(now, r.route, deadline)
 			b.stats.noteEntry(now, r.route, deadline.Add(time.Second))
 			for _, called := range []int{benchRoutes - benchCalls + i, benchRoutes - 1} {
-				b.stats.noteCall(now, benchRoute(called), deadline)
-				b.stats.noteCall(now, benchRoute(called), deadline)
+				limit := deadline
+				if called == benchRoutes-1 {
+					limit = now.Add(benchCallLimit)
+				}
+				for range 2 {
+					b.noteCall(&request{peerCall: peerCall{Route: benchRoute(called)}, clientDeadline: limit})
+				}
 				b.stats.admit(now, benchRoute(called), deadline.Sub(now), b.plan.Load().shares[benchRoute(called)])
 			}
 		})
@@ -213,7 +224,7 @@
 
 // BenchmarkControl measures the work of a node besides forwarding in CPU microseconds of one second, by part: sending and
 // merging the messages of exchanges, reports and plans, updates of the call learner, ticks, and for 100 runs a second with
-// 60 of them in progress what is counted on each call.
+// 60 of them in progress what is counted on each call, its reserve included.
 func BenchmarkControl(b *testing.B) {
 	for _, nodes := range []int{30, 90, 300} {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) { benchmarkControl(b, nodes) })
