--- a/pkg/callgraph/calls_per_run.go
+++ b/pkg/callgraph/calls_per_run.go
@@ -17,6 +17,7 @@
 
 // routeStats holds the statistics of the runs of one route.
 type routeStats struct {
+	route         string
 	running       []*Run
 	deadlines     []time.Duration // time limits of running, since Learner.origin
 	runSeconds    float64         // seconds in progress of all runs, in the current interval
@@ -26,6 +27,8 @@
 	// restored are the calls of one run as known before the start; they count as restoredRuns runs.
 	restored     Rates
 	restoredRuns float64
+	known        Rates // result of knownCalls
+	knownAt      time.Time
 }
 
 // runSums counts ended runs and their calls.
@@ -51,6 +54,11 @@
 	if s == nil {
 		return nil
 	}
+	return l.callsPerRunOf(s)
+}
+
+// callsPerRunOf returns the calls of one run, without those that can't be told from noise.
+func (l *Learner) callsPerRunOf(s *routeStats) Rates {
 	out := Rates{}
 	for c, n := range s.callsPerRun() {
 		if n >= max(MinCallsPerRun, minMainCallerFraction*l.mainCallerRate(c)) {
@@ -63,8 +71,8 @@
 // mainCallerRate returns the calls per run of the route whose runs make most of the calls in total.
 func (l *Learner) mainCallerRate(called string) float64 {
 	highest, rate := 0.0, 0.0
-	for _, s := range l.routes {
-		calls := s.callsPerRun()[called]
+	for _, s := range l.byIndex {
+		calls := s.callsPerRunTo(called)
 		if all := calls * (s.all.runs + s.restoredRuns); all > highest {
 			highest, rate = all, calls
 		}
@@ -72,22 +80,37 @@
 	return rate
 }
 
-// callsPerRun returns the calls of one run: by succeeded runs if there are enough, together with the restored knowledge.
+// callsPerRun returns the calls of one run, by called route.
 func (s *routeStats) callsPerRun() Rates {
-	sums := s.succeeded
-	if sums.runs < minSucceededRuns && s.restored == nil {
-		sums = s.all
-	}
-	runs := sums.runs + s.restoredRuns
+	sums, runs := s.countedRuns()
 	if runs <= 0 {
 		return nil
 	}
 	out := make(Rates, len(sums.calls)+len(s.restored))
-	for c, n := range sums.calls {
-		out[c] = n / runs
+	for c := range sums.calls {
+		out[c] = s.callsPerRunTo(c)
 	}
-	for c, n := range s.restored {
-		out[c] += n * s.restoredRuns / runs
+	for c := range s.restored {
+		out[c] = s.callsPerRunTo(c)
 	}
 	return out
 }
+
+// callsPerRunTo returns the calls of one run to one route.
+func (s *routeStats) callsPerRunTo(called string) float64 {
+	sums, runs := s.countedRuns()
+	if runs <= 0 {
+		return 0
+	}
+	return sums.calls[called]/runs + s.restored[called]*s.restoredRuns/runs
+}
+
+// countedRuns returns the runs by which the calls per run are computed, the succeeded ones if there are enough, and their
+// number together with the runs that the restored knowledge counts as.
+func (s *routeStats) countedRuns() (*runSums, float64) {
+	sums := &s.succeeded
+	if sums.runs < minSucceededRuns && s.restored == nil {
+		sums = &s.all
+	}
+	return sums, sums.runs + s.restoredRuns
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/budget"
+	"github.com/rockspoke/rockspoke/pkg/pace"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -14,6 +16,8 @@
 	Reason wire.Reason // why it was rejected
 	// RetryAfter is the time until the server's rate limit allows the request, if it was rejected for that.
 	RetryAfter time.Duration
+	// ForReserve reports that it was rejected only for its reserve: with all the time until its deadline it would have been accepted.
+	ForReserve bool
 }
 
 // Ticket is a request that wants to start.
@@ -23,6 +27,10 @@
 	Deadline    time.Time
 	Age         time.Duration  // of a call: lower bound of the time since its root's work began
 	TypicalHold time.Duration  // slot hold time of its kind over all servers; 0 if unknown
+	CallShare   float64        // share of TypicalHold that its kind waits for its own calls; 0 if unknown
+	Route       string         // of a call; reserves are limited by route
+	Reserve     budget.Reserve // of a call: what its request still needs after it
+	CallsBelow  float64        // calls that the ticket's own run makes, with those below them
 	Notify      func(Decision) // called once if the ticket was queued
 
 	arrived time.Time
@@ -38,9 +46,15 @@
 	Running      int           `json:"running"`
 	Queued       int           `json:"queued"`
 	HoldTime     time.Duration `json:"hold_ns"`
-	Slowdown     float64       `json:"pace"`    // slot hold time as a multiple of what the requests' kinds take over all servers
-	SuccessShare float64       `json:"success"` // share of successful answers among requests that ran
-	ShedShare    float64       `json:"shed"`    // share of requests that the server itself refused
+	Slowdown     float64       `json:"pace"` // slot hold time as a multiple of what the requests' kinds take over all servers, now
+	MeanSlowdown float64       `json:"-"`    // the same, averaged over recent runs
+	// ToldPace is the pace of the server now by what it told last, 0 if it has told none; PaceFactor is its factor on runs like the
+	// recent ones, and MeanFactor what that factor was in them.
+	ToldPace     float64 `json:"told_pace,omitempty"`
+	PaceFactor   float64 `json:"-"`
+	MeanFactor   float64 `json:"-"`
+	SuccessShare float64 `json:"success"` // share of successful answers among requests that ran
+	ShedShare    float64 `json:"shed"`    // share of requests that the server itself refused
 }
 
 // limitFraction is the fraction of the slots that is used: servers slow down when they are nearly full.
@@ -60,9 +74,13 @@
 	seq          int64
 	holdTime     time.Duration
 	slowdown     float64
+	told         pace.Told
+	speed        pace.Speed
+	latest       time.Time // newest time that the Gate was given; the told pace ages by it
 	successShare float64
 	shedShare    float64
 	open         bool
+	refusals     budget.RefusalLimit
 }
 
 // Open sets the server's slots and admits requests; a fresh server, which has replaced another, starts with new statistics.
@@ -73,6 +91,7 @@
 		g.limit = float64(slots) * limitFraction
 		g.slowdown, g.successShare, g.shedShare = 1, 1, 0
 		g.held = heldSlots{}
+		g.told, g.speed = pace.Told{}, pace.Speed{}
 	}
 	g.open = true
 }
@@ -93,9 +112,14 @@
 	if !g.open {
 		return Decision{Reason: wire.ReasonLeaving}
 	}
-	left := t.Deadline.Sub(now)
-	if g.tooLate(t, now) && !g.mayProbe(t, left) {
-		return Decision{Reason: wire.ReasonDeadline}
+	g.latest = now
+	if t.Internal {
+		g.refusals.Arrive(now, t.Route)
+	}
+	if !g.mayProbe(t, now) {
+		if late, forReserve := g.tooLate(t, now); late {
+			return Decision{Reason: wire.ReasonDeadline, ForReserve: forReserve}
+		}
 	}
 	t.arrived, t.fifo = now, g.FIFO
 	t.lag = max(lagPerPriority, g.rate.maxWait()) // a token is worth waiting longer for than a slot, so less urgent roots wait behind
@@ -106,8 +130,10 @@
 		return Decision{Start: true}
 	}
 	index, _ := slices.BinarySearchFunc(g.queue, t, compareTickets)
-	if g.expectedWait(now, index) > g.maxWait(t, left) {
-		return g.rejection(now, index)
+	if tooLong, forReserve := g.waitsTooLong(t, now, g.expectedWait(now, index), 1); tooLong {
+		d := g.rejection(now, index)
+		d.ForReserve = forReserve
+		return d
 	}
 	g.queue = slices.Insert(g.queue, index, t)
 	t.queued = true
@@ -117,16 +143,17 @@
 
 // StartQueued starts queued tickets while there are free slots and the rate limit allows it.
 func (g *Gate) StartQueued(now time.Time) {
+	g.latest = now
 	for len(g.queue) > 0 && g.hasFreeSlot(now) {
 		t := g.queue[0]
-		late := g.tooLate(t, now)
+		late, forReserve := g.tooLate(t, now)
 		if !late && !g.rate.take(now) {
 			return
 		}
 		g.queue = g.queue[1:]
 		t.queued = false
 		if late {
-			t.Notify(Decision{Reason: wire.ReasonDeadline})
+			t.Notify(Decision{Reason: wire.ReasonDeadline, ForReserve: forReserve})
 			continue
 		}
 		g.running++
@@ -147,5 +174,13 @@
 
 // Snapshot returns the Gate's state.
 func (g *Gate) Snapshot() State {
-	return State{Limit: g.limit, Running: g.running, Queued: len(g.queue), HoldTime: g.holdTime, Slowdown: g.slowdown, SuccessShare: g.successShare, ShedShare: g.shedShare}
+	s := State{
+		Limit: g.limit, Running: g.running, Queued: len(g.queue), HoldTime: g.holdTime, Slowdown: g.slowdown, MeanSlowdown: g.slowdown,
+		MeanFactor: g.speed.MeanFactor(), SuccessShare: g.successShare, ShedShare: g.shedShare,
+	}
+	if g.told.Known() {
+		s.ToldPace = g.told.At(g.latest)
+		s.Slowdown, s.PaceFactor = g.speed.Slowdown()*s.ToldPace, g.speed.Factor(s.ToldPace)
+	}
+	return s
 }
--- a/pkg/loads/report.go
+++ b/pkg/loads/report.go
@@ -1,6 +1,8 @@
 package loads
 
 import (
+	"math"
+
 	"github.com/rockspoke/rockspoke/pkg/callgraph"
 )
 
@@ -26,14 +28,29 @@
 	Returning float64 `json:"b,omitempty"` // clients' retries after a refusal
 	// WithoutCaller counts the requests that arrived while no run was in progress that can have made them.
 	WithoutCaller float64 `json:"a,omitempty"`
+	// Lost counts the admitted requests that were lost at their own hop: refused, unanswered or late. A request that failed
+	// because a call below it failed isn't counted, as that call is. It is in hundredths a second: an integer of 0 takes one
+	// byte in a message, a floating-point number nine.
+	Lost int64 `json:"l,omitempty"`
 }
 
+// lostUnits is the number of units of Entry.Lost in one request a second.
+const lostUnits = 100
+
+// LostOf returns a rate of lost requests a second in the unit of Entry.Lost.
+func LostOf(perSecond float64) int64 { return int64(math.Round(perSecond * lostUnits)) }
+
+// LostPerSecond returns the lost requests a second.
+func (e Entry) LostPerSecond() float64 { return float64(e.Lost) / lostUnits }
+
 // Total returns the first attempts and retries a second.
 func (e Entry) Total() float64 { return e.Fresh + e.Returning }
 
 // with returns the sum of both entries.
 func (e Entry) with(o Entry) Entry {
-	return Entry{Fresh: e.Fresh + o.Fresh, Returning: e.Returning + o.Returning, WithoutCaller: e.WithoutCaller + o.WithoutCaller}
+	return Entry{
+		Fresh: e.Fresh + o.Fresh, Returning: e.Returning + o.Returning, WithoutCaller: e.WithoutCaller + o.WithoutCaller, Lost: e.Lost + o.Lost,
+	}
 }
 
 // RunStats is how often a second a route runs at a server, for how many seconds a run holds a slot, and how many calls of
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -30,6 +30,15 @@
 
 // run sends the request to servers until it is answered or given up, and returns the final answer.
 func (d *delivery) run(ctx context.Context) *answer {
+	a := d.deliver(ctx)
+	if d.n.lostAtOwnHop(d.q, a) {
+		d.n.stats.noteLost(d.n.clock.Now(), d.q.kind())
+	}
+	return a
+}
+
+// deliver is run without the count of lost requests.
+func (d *delivery) deliver(ctx context.Context) *answer {
 	d.reason = wire.ReasonNoServer
 	for {
 		if ctx.Err() != nil {
@@ -113,6 +122,9 @@
 	if a.serverFailed() && !d.n.anotherServerMayHelp(d.q) {
 		return false // most likely its calls failed, and another run would only add load
 	}
+	if a.reason == wire.ReasonDeadline && d.n.isHopeless(d.q) {
+		return false // other gates would refuse it too
+	}
 	if !a.arrived {
 		return true // a gate's refusal isn't an arrival, so the next attempt costs nothing
 	}
@@ -157,6 +169,9 @@
 	if k := p.knownLimit(); k.limit.Advertised {
 		fields = append(fields, headerpack.Field{Name: headerKnownLimit, Value: encodeKnownLimit(k.limit, k.instance)})
 	}
+	if d.q.reserve.Time > 0 && p.readsReserve.Load() {
+		fields = append(fields, headerpack.Field{Name: headerReserve, Value: d.q.reserve.String()})
+	}
 	req := &httpconn.Request{
 		Method: d.q.method, URI: d.q.uri, Host: d.q.host, Header: d.q.header, Fields: fields, PackHeader: !p.sameZone.Load() && !d.n.off[settings.PackedHeaders],
 		Body: d.q.body, ReceivedSince: d.receivedSince, ExpectedResponseTime: d.n.expectedResponseTime(usual),
@@ -198,7 +213,7 @@
 		return a
 	}
 	a.arrived = true
-	a.header = endToEndHeaders(res.Header)
+	a.header = dropHopHeaders(res.Header)
 	a.header.Set(d.n.names.AttemptID, d.q.id) // the server's node has checked that it matches
 	if err := a.bufferBody(res); err != nil {
 		return d.handlePeerError(p, err)
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -57,6 +58,7 @@
 		ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline.Add(inboundGrace))
 		defer cancel()
 		n.readKnownLimit(q, r)
+		n.readReserve(q, r)
 		a = n.backend.serve(ctx, q)
 	}
 	n.writeReply(w, a, c)
@@ -72,6 +74,9 @@
 	if !c.ReadsNotices {
 		reply.Notice = serverNotice{}
 	}
+	if !c.ReadsPace {
+		reply.Pace = 0
+	}
 	w.Header().Set(headerReply, reply.encode())
 	if n.stop.stopping() {
 		w.Header().Set("Connection", "close")
@@ -95,10 +100,11 @@
 	n.gateMu.Unlock()
 	return peerReply{
 		Outcome: a.outcome, Reason: a.reason, RefusedByServer: a.arrived,
-		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5),
+		Running: g.Running, Queued: g.Queued, Limit: int(g.Limit), Slowdown: int(g.Slowdown*100 + 0.5), Pace: int(g.ToldPace*100 + 0.5),
 		Success: int(g.SuccessShare*(1-g.ShedShare)*100 + 0.5), Stopping: n.stop.stopping(), NotListening: a.notListening, Version: n.stateVersion(),
 		CrashedLifetime: a.crashedLifetime, HasCrashSuccess: a.crashedLifetime != "", CrashSuccess: a.crashSuccess,
 		RetryAfter: a.retryAfter, Notice: n.newNotice(now, at, rate, leaving),
+		ReadsReserve: !n.off[settings.LatencyBudgets],
 	}
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -20,6 +20,7 @@
 	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/gate"
 	"github.com/rockspoke/rockspoke/pkg/overload"
+	"github.com/rockspoke/rockspoke/pkg/pipeline"
 	"github.com/rockspoke/rockspoke/pkg/poison"
 	"github.com/rockspoke/rockspoke/pkg/quota"
 	"github.com/rockspoke/rockspoke/pkg/settings"
@@ -58,6 +59,7 @@
 	gateScheduled bool // a timer is set that starts queued tickets
 
 	metrics            nodeMetrics
+	budgetLog          budgetLog
 	stats              trafficStats
 	plan               atomic.Pointer[admissionPlan]
 	retryBudgetMu      sync.Mutex
@@ -69,6 +71,7 @@
 	peerRequests       awaited.InProgress    // requests of other nodes in flight here
 	serverNotListening atomic.Bool           // the local backend server has crashed and hasn't been seen since
 	clients            clientconns.Connections
+	pipelined          *pipeline.Server // of the clients' requests; nil: the mechanism is off
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
@@ -110,7 +113,7 @@
 	n.control.reports = make(map[string]*nodeReport)
 	n.control.expiredReports = make(map[string]*nodeReport)
 	n.control.zoneLoads = make(map[string]*zoneLoad)
-	n.control.logged = loggedLines{calls: make(map[string]callgraph.Rates), shares: make(map[string]bool)}
+	n.control.logged = loggedLines{calls: make(map[string]callgraph.Rates), shares: make(map[string]bool), success: make(map[string]bool)}
 	n.records.init()
 	n.stats.init()
 	n.stats.learner.NoLateCalls = n.off[settings.LateCalls]
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -175,5 +175,9 @@
 	n.metrics.gauge(n.bodyBytes.held.Load(), "body_bytes")
 	n.metrics.gauge(int64(g.Running), "gate_running")
 	n.metrics.gauge(int64(g.Queued), "gate_queued")
+	if g.ToldPace > 0 {
+		n.metrics.gauge(int64(g.ToldPace*100+0.5), "server_pace")
+		n.metrics.gauge(int64(g.Slowdown*100+0.5), "server_slowdown")
+	}
 	n.metrics.gauge(int64(len(n.poison.SuspectCases(now))), "suspects")
 }
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -7,6 +7,7 @@
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/poison"
+	"github.com/rockspoke/rockspoke/pkg/settings"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -48,6 +49,10 @@
 		n.refuseUnrouted(w, r, wire.ReasonInvalidEntry, http.StatusServiceUnavailable)
 		return
 	}
+	if n.ranAheadWrongly(r, route) {
+		n.refuseUnrouted(w, r, wire.ReasonStaleState, http.StatusServiceUnavailable)
+		return
+	}
 	team, refusal := n.authenticate(r, state, route)
 	if refusal != nil {
 		n.refuseKey(w, r, route, refusal)
@@ -66,7 +71,7 @@
 	}
 	n.stats.noteEntry(n.clock.Now(), q.kind(), q.clientDeadline)
 	if q.Internal {
-		n.stats.noteCall(n.clock.Now(), route.Name, q.clientDeadline)
+		n.noteCall(q)
 	}
 	if a := n.entryRefusal(q); a != nil {
 		n.returnQuotaToken(q)
@@ -80,7 +85,7 @@
 func (n *Node) newPeerCall(state *desired.State, route *desired.Route) peerCall {
 	return peerCall{
 		Service: n.pickTargetService(route), Route: route.Name, Caller: n.cfg.Service, Priority: route.Priority,
-		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version, ReadsNotices: true,
+		Internal: n.isInternalRoute(route.Name), Once: route.Kind == desired.AtMostOnce, Version: state.Version, ReadsNotices: true, ReadsPace: !n.off[settings.ServerPace],
 	}
 }
 
@@ -105,9 +110,15 @@
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request, q *request, route *desired.Route) {
 	if route.Timeout > 0 {
 		if end := n.clock.Now().Add(route.Timeout); end.Before(q.deadline) {
+			q.reserve = q.reserve.Within(q.deadline.Sub(end))
 			q.deadline = end
 		}
 	}
+	if n.refuseShortRoot(q) {
+		n.returnQuotaToken(q)
+		n.writeFinal(w, q, notRunAnswer(wire.ReasonDeadline))
+		return
+	}
 	ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline)
 	defer cancel()
 	n.depositRetryBudget(q)
@@ -115,7 +126,9 @@
 	d := &delivery{n: n, q: q, route: route}
 	a := d.run(ctx)
 	if a.outcome == wire.Ran {
-		n.metrics.observe(n.clock.Now().Sub(started), "request_seconds", "route", route.Name)
+		took := n.clock.Now().Sub(started)
+		n.metrics.observe(took, "request_seconds", "route", route.Name)
+		n.learnTime(q, a, took)
 	}
 	if a.outcome != wire.Ran && r.Context().Err() == nil {
 		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/budget"
 	"github.com/rockspoke/rockspoke/pkg/desired"
 	"github.com/rockspoke/rockspoke/pkg/loads"
 )
@@ -34,6 +35,7 @@
 	cachedIdentity lazyIdentity
 	team           *desired.Team // nil: the request belongs to no team
 	knownLimit     knownLimit
+	reserve        budget.Reserve // of a call: what its request still needs after it
 	// clientDeadline is when the client gives up; the route's timeout may set an earlier deadline.
 	clientDeadline time.Time
 }
@@ -89,7 +91,12 @@
 	for k, v := range h {
 		out[k] = v
 	}
-	for _, named := range h["Connection"] {
+	return dropHopHeaders(out)
+}
+
+// dropHopHeaders removes hop-by-hop headers and those that nodes exchange, and returns the header.
+func dropHopHeaders(out http.Header) http.Header {
+	for _, named := range out["Connection"] {
 		for f := range strings.SplitSeq(named, ",") {
 			out.Del(strings.TrimSpace(f))
 		}
@@ -100,6 +107,7 @@
 	delete(out, headerCall)
 	delete(out, headerReply)
 	delete(out, headerKnownLimit)
+	delete(out, headerReserve)
 	return out
 }
 
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -20,12 +20,19 @@
 	Retries           Mechanism = "repeats"
 	PreferOwnZone     Mechanism = "near-first"
 	SlowdownFactor    Mechanism = "pace"
+	ServerPace        Mechanism = "server-pace"
 	SuccessRate       Mechanism = "success"
 	UnresponsivePeers Mechanism = "silence"
 	PackedHeaders     Mechanism = "packed-headers"
 	GateOrder         Mechanism = "gate-order"
 	KindHoldTimes     Mechanism = "kind-holds"
 	Quarantine        Mechanism = "held-back"
+	RequestSuccess    Mechanism = "request-success"
+	ChainTolerance    Mechanism = "chain-tolerance"
+	ChainTarget       Mechanism = "chain-target"
+	RetryReserve      Mechanism = "retry-reserve"
+	Pipelining        Mechanism = "pipelining"
+	LatencyBudgets    Mechanism = "budgets"
 	UploadContinue    Mechanism = "upload-continue"
 	HeldSlots         Mechanism = "held-slots"
 )
@@ -47,12 +54,19 @@
 	{Retries, "no request is sent to a second server once one has received it"},
 	{PreferOwnZone, "servers of all availability zones are treated alike"},
 	{SlowdownFactor, "servers are compared by utilization alone, not by their slowdown factor"},
+	{ServerPace, "the pace that servers tell in their answers is ignored"},
 	{SuccessRate, "a server whose requests fail is treated like any other"},
 	{UnresponsivePeers, "unresponsive nodes and connections are used until requests on them time out"},
 	{PackedHeaders, "headers between availability zones are sent as text"},
 	{GateOrder, "a server's queue is in order of arrival"},
 	{KindHoldTimes, "whether a request can finish in time is estimated from the average slot hold time of all kinds"},
 	{Quarantine, "a request that crashes its servers is sent to further servers like any other"},
+	{RequestSuccess, "kinds are planned for as if all calls of admitted requests succeeded"},
+	{ChainTolerance, "a gate may reject as many calls of requests that make several calls there as of requests that make one"},
+	{ChainTarget, "admission fills a service alike, however many calls a request makes there"},
+	{RetryReserve, "a root request's retry may use all of the retry budget of the services below it"},
+	{Pipelining, "the requests of a client connection are served one after the other"},
+	{LatencyBudgets, "a call may take all the time until its limit, whatever its request still has to do after it"},
 	{UploadContinue, "a long body is sent to another node before the gate there has admitted the request"},
 	{HeldSlots, "requests that a server still runs for callers that left count for no slots"},
 }
