--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -112,10 +112,10 @@
 	return unlimited
 }
 
-// noteLoad applies the load in the header of an answer at the gate: the server's pace, and the number of requests, of which the gate counts
-// those that it doesn't know of as held slots. An answer without a pace tells nothing of it: the pace told last ages.
+// noteLoad applies the load in the header of an answer at the gate: the pace, and the number of requests, of which those that the gate doesn't
+// know hold slots. An answer without them tells nothing: what was told last ages.
 func (b *backend) noteLoad(q *request, own directory.Record, h http.Header) {
-	if b.n.off[settings.HeldSlots] && b.n.off[settings.ServerPace] {
+	if b.n.off[settings.ServerPace] && b.n.off[settings.HeldSlots] {
 		return
 	}
 	load, err := b.n.names.Advertised.ParseLoad(h)
@@ -128,16 +128,11 @@
 	}
 	b.withNotices(own.Lifetime(), func(s *serverNotices) {
 		now := b.n.clock.Now()
-		if load.Pace > 0 && !b.n.off[settings.ServerPace] {
+		if load.Pace != 0 && !b.n.off[settings.ServerPace] {
 			b.n.gate.SetPace(now, load.Pace)
 		}
-		if b.n.off[settings.HeldSlots] {
-			return
-		}
-		held := b.n.gate.NoteServerLoad(now, load.Running+load.Waiting, load.Slots)
-		if held > 0 && now.Sub(s.heldLogged) >= heldLogPeriod {
-			s.heldLogged = now
-			b.n.callLog.Info("slots held by requests of callers that left", "held", held, "running", load.Running, "waiting", load.Waiting, "instance", own.Instance)
+		if !b.n.off[settings.HeldSlots] {
+			b.noteHeldSlots(now, s, own, load)
 		}
 	})
 }
@@ -145,6 +140,15 @@
 // heldLogPeriod is the time between log lines about held slots.
 const heldLogPeriod = 10 * time.Second
 
+// noteHeldSlots applies the number of requests that the server names; gateMu must be held.
+func (b *backend) noteHeldSlots(now time.Time, s *serverNotices, own directory.Record, load advertised.Load) {
+	held := b.n.gate.NoteServerLoad(now, load.Running+load.Waiting, load.Slots)
+	if held > 0 && now.Sub(s.heldLogged) >= heldLogPeriod {
+		s.heldLogged = now
+		b.n.callLog.Info("slots held by requests of callers that left", "held", held, "running", load.Running, "waiting", load.Waiting, "instance", own.Instance)
+	}
+}
+
 // observeLimit applies the rate limit in an answer to a request sent at sent.
 func (b *backend) observeLimit(own directory.Record, sent time.Time, limit advertised.RateLimit) {
 	now := b.n.clock.Now()
