--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -23,11 +23,10 @@
 	host           string
 	header         http.Header // end-to-end headers
 	body           []byte
-	stream         io.Reader   // a body too long to buffer; it can be sent once
-	streamHead     []byte      // buffered start of stream
-	streamLength   int64       // of stream in bytes; -1 if unknown
-	reader         *bodyReader // nil: the request has no body
-	ownReader      bodyReader  // that reader points to
+	stream         io.Reader // a body too long to buffer; it can be sent once
+	streamHead     []byte    // buffered start of stream
+	streamLength   int64     // of stream in bytes; -1 if unknown
+	reader         *bodyReader
 	unread         bool        // nothing of stream has been read yet, and streamHead isn't known
 	bodyMoved      atomic.Bool // some of stream may have been sent
 	heldBytes      int64       // counted in the node's bodyBytes
@@ -72,8 +71,7 @@
 	if maxBytes > 0 && r.ContentLength > maxBytes {
 		return &bodyError{http.StatusRequestEntityTooLarge, http.ErrBodyNotAllowed}
 	}
-	q.ownReader.n, q.ownReader.q, q.ownReader.body, q.ownReader.w = n, q, r.Body, w
-	q.reader = &q.ownReader
+	q.reader = &bodyReader{n: n, q: q, body: r.Body, control: http.NewResponseController(w)}
 	if q.fromPeer && q.deferBody(r) {
 		return nil
 	}
--- a/pkg/mesh/request_body.go
+++ b/pkg/mesh/request_body.go
@@ -55,10 +55,10 @@
 // bodyReader reads the body of a request from its connection. A read fails when the body stalls, and after the handler of the request has
 // returned, when the connection may carry the next request.
 type bodyReader struct {
-	n    *Node
-	q    *request
-	body io.Reader
-	w    http.ResponseWriter
+	n       *Node
+	q       *request
+	body    io.Reader
+	control *http.ResponseController
 
 	mu       sync.Mutex
 	ended    bool // the body was read to its end, failed, or the handler has returned
@@ -94,7 +94,7 @@
 
 // setDeadline sets the read deadline of the connection.
 func (b *bodyReader) setDeadline(t time.Time) {
-	_ = http.NewResponseController(b.w).SetReadDeadline(t) // fails on a closed connection, whose reads fail as well
+	_ = b.control.SetReadDeadline(t) // fails on a closed connection, whose reads fail as well
 }
 
 // pause removes the read deadline until the next read.
