Admission by the probability of whole requests is asked for by mesh.wholeRequests

Cause: what is new acts only where settings ask for it. Change: the four mechanisms are off unless the setting is true; their tests set it.

--- a/pkg/mesh/deep_site_test.go
+++ b/pkg/mesh/deep_site_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
 // The site of these tests has four services in three availability zones. Reads go down through all of them, charges
@@ -50,8 +51,12 @@
 func deepSite(t *testing.T) *site { return deepSiteOf(t, 1) }
 
 // deepSiteOf returns the site with the given multiple of the servers of each service.
-func deepSiteOf(t *testing.T, times int) *site {
+func deepSiteOf(t *testing.T, times int) *site { return tunedDeepSite(t, times, nil) }
+
+// tunedDeepSite does the same with changed settings of the nodes; tune may be nil.
+func tunedDeepSite(t *testing.T, times int, tune func(m *settings.Mesh)) *site {
 	s := newMemorySite(t)
+	s.tune = tune
 	s.seeds = []string{s.at(s.base+"1", 2), s.at(s.base+"4", 2), s.at(s.base+"8", 2)}
 	for k := range times {
 		for i := range 3 {
--- a/pkg/mesh/request_success_test.go
+++ b/pkg/mesh/request_success_test.go
@@ -12,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
 // Guards against losses that the plan doesn't see, or sees for too long: while the smallest service refuses half of its calls,
@@ -20,7 +22,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := deepSite(t)
+		s := tunedDeepSite(t, 1, func(m *settings.Mesh) { m.WholeRequests = true })
 		var refusing atomic.Bool
 		for _, f := range s.servers {
 			if f.service == "floor" {
--- a/pkg/settings/mechanism.go
+++ b/pkg/settings/mechanism.go
@@ -73,9 +73,18 @@
 	{HeldSlots, "requests that a server still runs for callers that left count for no slots"},
 }
 
+// wholeRequestMechanisms are switched on by setting mesh.wholeRequests. They refuse requests that would fail otherwise, which
+// serves fewer where a service has free slots but refuses calls.
+var wholeRequestMechanisms = []Mechanism{RequestSuccess, ChainTolerance, ChainTarget, RetryReserve}
+
 // DisabledMechanisms returns the set of mechanisms that are switched off.
 func (m *Mesh) DisabledMechanisms() map[Mechanism]bool {
 	off := make(map[Mechanism]bool, len(m.Off))
+	if !m.WholeRequests {
+		for _, x := range wholeRequestMechanisms {
+			off[x] = true
+		}
+	}
 	for _, x := range m.Off {
 		off[x] = true
 	}
--- a/pkg/settings/mechanism_test.go
+++ b/pkg/settings/mechanism_test.go
@@ -20,7 +20,7 @@
 listen: {peers: "127.0.0.1:1", outbound: "127.0.0.1:2", control: "127.0.0.1:3", ready: "127.0.0.1:4"}
 backend: {address: "127.0.0.1:5"}
 platform: {url: "http://127.0.0.1:6"}
-mesh: {grace: 6s, off: [%s]}
+mesh: {grace: 6s, wholeRequests: true, off: [%s]}
 `
 
 func TestMechanismsAreSwitchedOffByName(t *testing.T) {
@@ -35,6 +35,14 @@
 	c.Assert(err.Error(), qt.Contains, `unknown mechanism "speed"; the mechanisms are admission, least-part`)
 }
 
+// Guards against admission by whole requests where no setting asks for it.
+func TestWholeRequestsAreAskedFor(t *testing.T) {
+	c := qt.New(t)
+	off := (&Mesh{}).DisabledMechanisms()
+	c.Assert(off, qt.DeepEquals, map[Mechanism]bool{RequestSuccess: true, ChainTolerance: true, ChainTarget: true, RetryReserve: true})
+	c.Assert((&Mesh{WholeRequests: true}).DisabledMechanisms(), qt.HasLen, 0)
+}
+
 func TestDocumentationListsEveryMechanism(t *testing.T) {
 	c := qt.New(t)
 	rows, err := docpage.Rows("../../docs/OPERATIONS.md")
--- a/pkg/settings/mesh_settings.go
+++ b/pkg/settings/mesh_settings.go
@@ -30,6 +30,9 @@
 	PeerPort   int             `yaml:"peerPort,omitempty"`
 	FirstStart bool            `yaml:"firstStart,omitempty"` // the whole system starts for the first time
 	Quarantine QuarantineTimes `yaml:"heldBack,omitempty"`
+	// WholeRequests has kinds admitted by the probability that whole requests succeed. Without it the mechanisms named in
+	// wholeRequestMechanisms are switched off.
+	WholeRequests bool `yaml:"wholeRequests,omitempty"`
 	// Off lists the mechanisms to switch off.
 	Off []Mechanism `yaml:"off,omitempty"`
 }
