--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 		route("top", desired.Repeatable, "top"), route("mid", desired.Repeatable, "mid"), route("low", desired.Repeatable, "low"),
 	}})
 	s.waitUntilKnown(1)
+	before := cpuTime(b)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	served, k := 0, 0
@@ -70,9 +72,17 @@
 		}()
 	}
 	wg.Wait()
+	b.ReportMetric(float64((cpuTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
 	b.ReportMetric(float64(served)/float64(b.N), "served/op")
 }
 
+// cpuTime returns the CPU time of this process: of the nodes, clients and servers together.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	qt.New(b).Assert(syscall.Getrusage(syscall.RUSAGE_SELF, &u), qt.IsNil)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // A node that had just started knew no servers yet and refused the calls of its local backend server, whose runs then
 // failed.
 func TestStartingNodeWaitsBeforeRefusing(t *testing.T) {
