--- /dev/null
+++ b/review/standin/case_upload.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// answerBytes is the size of the answers to uploads.
+const answerBytes = 200_000
+
+// content returns n bytes that depend on the id, no two pieces of which are alike.
+func content(id string, n int) []byte {
+	out := make([]byte, 0, n+32)
+	for i := 0; len(out) < n; i++ {
+		sum := sha256.Sum256(fmt.Appendf(nil, "%s/%d", id, i))
+		out = append(out, sum[:]...)
+	}
+	return out[:n]
+}
+
+// upload is what a backend got of a long body.
+type upload struct {
+	id      string
+	got     []byte
+	whole   bool // the body ended as HTTP/1.1 says; otherwise the connection ended
+	chunked bool
+}
+
+// earlyBackend serves requests one at a time on each connection. It answers after earlyAfter bytes of a body, or after all of it if that is 0,
+// keeps the connection and goes on reading later.
+type earlyBackend struct {
+	m          *machine
+	earlyAfter int
+	mu         sync.Mutex
+	uploads    []upload
+}
+
+func (b *earlyBackend) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		id, own := r.Header.Get("Rockspoke-Attempt-Id"), b.m.id
+		if t := r.Header.Get("Rockspoke-Target-Instance"); t != "" && t != own {
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRockspoke-Attempt-Id: %s\r\nRockspoke-Instance-Id: %s\r\nRockspoke-Not-Executed: 1\r\n"+
+				"Connection: close\r\nContent-Length: 0\r\n\r\n", id, own)
+			return
+		}
+		b.m.s.rec.say("RUN   %s %s by %s (%s)", id, r.URL.Path, b.m.service, b.m.name)
+		b.m.s.noteRun(run{at: time.Now(), id: id, uri: r.URL.Path, service: b.m.service, server: b.m.name})
+		var got bytes.Buffer
+		if b.earlyAfter > 0 {
+			if _, err := io.CopyN(&got, r.Body, int64(b.earlyAfter)); err != nil {
+				b.m.s.rec.say("BODY  %s broke off after %d bytes, before any answer", id, got.Len())
+				return
+			}
+		} else if _, err := io.Copy(&got, r.Body); err != nil {
+			b.m.s.rec.say("BODY  %s broke off after %d bytes, before any answer", id, got.Len())
+			return
+		}
+		answer := content("answer to "+id, answerBytes)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRockspoke-Attempt-Id: %s\r\nRockspoke-Response-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(answer), answer)
+		if b.earlyAfter > 0 {
+			b.m.s.rec.say("EARLY %s is answered after %d bytes of its body", id, got.Len())
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.Copy(&got, r.Body)
+		}
+		b.mu.Lock()
+		b.uploads = append(b.uploads, upload{id, got.Bytes(), err == nil, len(r.TransferEncoding) > 0})
+		b.mu.Unlock()
+		if err != nil {
+			b.m.s.rec.say("BODY  %s broke off after %d bytes: %v", id, got.Len(), err)
+			return
+		}
+	}
+}
+
+// uploadBody sends one upload, in pieces, and reads the answer meanwhile.
+func (c *client) uploadBody(host, path, id, key string, body []byte, chunked bool) attempt {
+	a := attempt{id: id, uri: path, machine: c.m.name, sent: time.Now()}
+	d := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(c.m.ip)}}
+	conn, err := d.Dial("tcp", c.m.at("outbound"))
+	if err != nil {
+		a.err = err.Error()
+		return a
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	framing := fmt.Sprintf("Content-Length: %d", len(body))
+	if chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
+	c.m.s.rec.say("SEND  %s POST %s at %s, %d bytes, %s", id, path, c.m.name, len(body), framing)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nRockspoke-Attempt-Id: %s\r\nRockspoke-Deadline-Ms: 3000\r\n%s\r\n\r\n",
+		path, host, key, id, framing)
+	sent := make(chan error, 1)
+	go func() {
+		const piece = 8 << 10
+		for rest := body; len(rest) > 0; {
+			n := min(piece, len(rest))
+			var err error
+			if chunked {
+				_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", n, rest[:n])
+			} else {
+				_, err = conn.Write(rest[:n])
+			}
+			if err != nil {
+				sent <- err
+				return
+			}
+			rest = rest[n:]
+			time.Sleep(5 * time.Millisecond)
+		}
+		if chunked {
+			_, err = io.WriteString(conn, "0\r\n\r\n")
+		}
+		sent <- err
+	}()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		var got []byte
+		got, err = io.ReadAll(res.Body)
+		a.status, a.reason = res.StatusCode, res.Header.Get("Rockspoke-Reason")
+		a.whole = err == nil && bytes.Equal(got, content("answer to "+id, answerBytes))
+	}
+	if err != nil {
+		a.err = err.Error()
+	}
+	a.ended = time.Now()
+	c.m.s.rec.say("END   %s %d %s %s after %v, the whole answer: %v", id, a.status, a.reason, a.err, a.ended.Sub(a.sent).Round(time.Millisecond), a.whole)
+	if err := <-sent; err != nil {
+		c.m.s.rec.say("      %s: its body could not be sent to its end: %v", id, err)
+	}
+	return a
+}
+
+// earlyAnswers: backends answer before they have read all of a long body, keep the connection and go on reading.
+func earlyAnswers(s *site, trouble bool) (int, error) {
+	s.region, s.bounds = "kingston", maps.Clone(grownBounds)
+	maps.Copy(s.bounds, map[string]any{"strictRevoke": true, "revoke": "5000ms", "quotaWindow": "5s", "quotaExcess": 0.1, "quotaSlack": 20})
+	s.add("kgn-a", "huvo11a")
+	var backends []*earlyBackend
+	for _, zone := range []string{"kgn-a", "kgn-b"} {
+		m := s.add(zone, "wuno96b")
+		b := &earlyBackend{m: m}
+		if trouble {
+			b.earlyAfter = 140_000
+		}
+		m.raw = b.serve
+		backends = append(backends, b)
+	}
+	route := routeSpec{"r-upload", "jepu9.example", "/puka111/", "upload", "wuno96b", "3000ms", 2}
+	s.store.put("op", "config", stateDocument(7, []string{"huvo11a", "wuno96b"}, []tenantSpec{{"shipper", "key-of-shipper"}}, route))
+	if err := s.startAll(); err != nil {
+		return failed, err
+	}
+	time.Sleep(3 * time.Second)
+	bodies, answered := map[string][]byte{}, 0
+	for k := range 40 {
+		id := fmt.Sprintf("9c41d07be2a3%04x", k)
+		bodies[id] = content(id, 300_000)
+		c := newClient(s.machines[k/2%2]) // of another service, and beside a backend of this one
+		if a := c.uploadBody(route.host, route.prefix+"2f", id, "key-of-shipper", bodies[id], k%2 == 0); a.status == http.StatusOK && a.whole {
+			answered++
+		}
+	}
+	time.Sleep(2 * time.Second)
+	s.rec.say("%d of 40 uploads got their whole answer", answered)
+	if !trouble && answered < 36 {
+		return failed, fmt.Errorf("only %d of 40 uploads were answered", answered)
+	}
+	counts := map[string]int{}
+	for _, b := range backends {
+		b.mu.Lock()
+		for _, u := range b.uploads {
+			sent, n := bodies[u.id], 0
+			for n < len(u.got) && n < len(sent) && u.got[n] == sent[n] {
+				n++
+			}
+			framing := "with a length"
+			if u.chunked {
+				framing = "in chunks"
+			}
+			switch {
+			case n == len(sent) && len(u.got) == len(sent):
+				counts["whole"]++
+			case n < len(u.got):
+				counts["BROKEN: other bytes"]++
+				s.rec.say("BROKEN: %s, %s: from byte %d on the backend got other bytes than were sent (%d in all, ended well: %v)", u.id, framing, n, len(u.got), u.whole)
+			case u.whole:
+				counts["BROKEN: a shorter body that ended well"]++
+				s.rec.say("BROKEN: %s, %s: the backend got a body that ended well after %d of %d bytes", u.id, framing, len(u.got), len(sent))
+			default:
+				counts["broke off, which is allowed"]++
+			}
+		}
+		b.mu.Unlock()
+	}
+	status := held
+	for what, n := range counts {
+		s.rec.say("%d uploads: %s", n, what)
+		if strings.HasPrefix(what, "BROKEN") {
+			status = broken
+		}
+	}
+	return status, nil
+}
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -50,6 +50,7 @@
 	stopBeats      chan struct{}
 	announcedEndAt time.Time
 	seeds          []string
+	raw            func(c net.Conn) // serves a connection of the backend instead of serveBackend
 	logFile        *os.File
 	misses         int // questions of the platform in a row without a 200
 }
@@ -234,6 +235,19 @@
 	if err != nil {
 		return err
 	}
+	if m.raw != nil {
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go m.raw(c)
+			}
+		}()
+		go m.beat()
+		return nil
+	}
 	m.server = &http.Server{Handler: http.HandlerFunc(m.serveBackend), IdleTimeout: 10 * time.Second}
 	go m.server.Serve(ln)
 	go m.beat()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 )
 
 func main() {
-	cases := map[string]func(s *site, trouble bool) (int, error){"stale": staleState, "stop": stopCutsRequests, "forge": forgedIdentity}
+	cases := map[string]func(s *site, trouble bool) (int, error){"stale": staleState, "stop": stopCutsRequests, "forge": forgedIdentity, "upload": earlyAnswers}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
 		os.Exit(failed)
