--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -18,6 +18,7 @@
 	reason      string // of the node, for the record
 	sealed      bool
 	whole       bool
+	bytes       int // of the answer's body
 	err         string
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,10 @@
 )
 
 func main() {
-	cases := map[string]func(s *site, trouble bool) (int, error){"stale": staleState, "stop": stopCutsRequests, "forge": forgedIdentity, "upload": earlyAnswers}
+	cases := map[string]func(s *site, trouble bool) (int, error){
+		"upload": earlyAnswers, "forge": forgedIdentity, "stale": staleState, // the cases 1 to 3
+		"reset": resetAnswers, "stop": stopCutsRequests, "foreign": foreignPing, // shown beside them, see REPORT.md
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
 		os.Exit(failed)
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// proxy forwards TCP connections to a target. Its open connections can go silent for good: what arrives on them is read and dropped, no
-// close is passed on, and new connections work.
+// proxy forwards TCP connections to a target. Its open connections on which a call waits for its answer can go silent for good: what arrives on
+// them is read and dropped, no close is passed on, and new connections work.
 type proxy struct {
 	target string
 	ln     net.Listener
@@ -17,8 +17,9 @@
 }
 
 type pair struct {
-	a, b   net.Conn
-	silent atomic.Bool
+	a, b    net.Conn
+	silent  atomic.Bool
+	waiting atomic.Bool // the last bytes came from the client
 }
 
 func newProxy(listen, target string) (*proxy, error) {
@@ -71,6 +72,7 @@
 			continue
 		}
 		if n > 0 {
+			c.waiting.Store(from == c.a)
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
 			}
@@ -84,12 +86,15 @@
 	}
 }
 
-// silence makes all open connections go silent for good and returns how many there were.
-func (p *proxy) silence() int {
+// silence makes the open connections on which a call waits go silent for good and returns how many there were, of how many open ones.
+func (p *proxy) silence() (silenced, open int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		c.silent.Store(true)
+		if c.waiting.Load() {
+			c.silent.Store(true)
+			silenced++
+		}
 	}
-	return len(p.conns)
+	return silenced, len(p.conns)
 }
