--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,9 +7,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"time"
 )
 
+// The processes end with the thread that started them, which is the main one.
+func init() { runtime.LockOSThread() }
+
 // The exit statuses of a script.
 const (
 	held   = 0
