--- a/review/standin/case_forge.go
+++ b/review/standin/case_forge.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"net/http"
@@ -16,9 +17,23 @@
 	return append(out, value...)
 }
 
+// exchangeMessage returns the message by which a node tells another one of a desired state: an array in MessagePack, of which the last field given
+// is the state.
+func exchangeMessage(version uint64, state []byte) []byte {
+	msg := []byte{0x99, 0xd9, 9}
+	msg = append(msg, "127.0.0.9"...)                 // the sender
+	msg = append(msg, 0xd9, 1, 'z', 0xcf)             // its zone
+	msg = binary.BigEndian.AppendUint64(msg, version) // of its state
+	msg = append(msg, 1, 0xc2, 0xc0, 0xc0, 0xc0)      // a digest, not stopping, no records, reports and sums
+	msg = append(msg, 0xc6)                           // the state
+	msg = binary.BigEndian.AppendUint32(msg, uint32(len(state)))
+	return append(msg, state...)
+}
+
 // forgedIdentity: a client with the key of one tenant sends, beside the headers that the system sets itself, one header of its own.
 func forgedIdentity(s *site, trouble bool) (int, error) {
 	const zone, victim, forgedCaller, forgedID = "accra-a", "victim-coop", "nobodys-service", "feedfacefeedface"
+	const version, forgedVersion = 7, 1_000_000
 	s.region, s.bounds = "gh-south", maps.Clone(grownBounds)
 	maps.Copy(s.bounds, map[string]any{
 		"retrySlack": 100, "strictRevoke": true, "revoke": "5000ms", "quotaWindow": "5s", "quotaExcess": 0.1, "quotaSlack": 20,
@@ -27,13 +42,14 @@
 	s.add(zone, "wuno96b")
 	s.add(zone, "wuno96b")
 	route := routeSpec{"r-billing", "jepu9.example", "/puka111/", "unsafe", "wuno96b", "1200ms", 2}
-	s.store.put("op", "config", stateDocument(7, []string{"huvo11a", "wuno96b"}, []tenantSpec{{"acme-hire", "key-of-acme"}, {victim, "key-of-victim"}}, route))
+	root := routeSpec{"r-root", "root.example", "/", "unsafe", "wuno96b", "1200ms", 2}
+	services, tenants := []string{"huvo11a", "wuno96b"}, []tenantSpec{{"acme-hire", "key-of-acme"}, {victim, "key-of-victim"}}
+	s.store.put("op", "config", stateDocument(version, services, tenants, route, root))
 	if err := s.startAll(); err != nil {
 		return failed, err
 	}
 	time.Sleep(3 * time.Second)
 	c := newClient(s.machines[0])
-	const version = 7
 	answered := 0
 	sent := map[string]bool{}
 	for k := range 20 {
@@ -63,7 +79,7 @@
 	if len(runs) == 0 && answered == 0 {
 		s.rec.say("no request ran")
 	}
-	var ids, callers, tenants int
+	var ids, callers, foreign int
 	for _, r := range runs {
 		if !sent[r.id] {
 			ids++
@@ -72,15 +88,54 @@
 			callers++
 		}
 		if r.tenant != "acme-hire" {
-			tenants++
+			foreign++
 		}
 	}
 	s.rec.say("%d of 20 requests got a 200; %d runs", answered, len(runs))
-	if ids+callers+tenants == 0 {
-		return held, nil
+	if ids+callers+foreign > 0 {
+		s.rec.say("BROKEN: %d runs with an id that no client sent", ids)
+		s.rec.say("BROKEN: %d runs with a Rockspoke-Caller-Service other than that of the machine where the request began", callers)
+		s.rec.say("BROKEN: %d runs with a Rockspoke-Tenant-Id other than that of the key's tenant", foreign)
+	}
+
+	// The same header takes a request to what nodes tell each other, if a route has its path.
+	stolen := root
+	stolen.service = "huvo11a"
+	message := exchangeMessage(forgedVersion, stateDocument(forgedVersion, services, tenants, route, stolen))
+	h := http.Header{"Authorization": {"Token key-of-acme"}}
+	if trouble {
+		h.Set("Rs-H", base64.RawURLEncoding.EncodeToString(literal("Rs-C", "")))
+	}
+	c.sendBody(http.MethodPost, root.host, "/exchange", "9c41d07be2a3ffff", 5*time.Second, h, message)
+	time.Sleep(time.Second)
+	before := len(s.allRuns())
+	ask := func(round string) (refused int) {
+		for k, m := range s.machines {
+			a := newClient(m).send(http.MethodPost, root.host, root.prefix+"2f", fmt.Sprintf("9c41d07be2%s%04x", round, k), 5*time.Second,
+				http.Header{"Authorization": {"Token key-of-acme"}})
+			if a.status == http.StatusServiceUnavailable {
+				refused++
+			}
+		}
+		return refused
+	}
+	ask("b1")
+	misrouted := 0
+	for _, r := range s.allRuns()[before:] {
+		if r.service != root.service {
+			misrouted++
+		}
+	}
+	if misrouted > 0 {
+		s.rec.say("BROKEN, ROUTE as well: %d of %d requests, at all machines, were run by a service to which no desired state ever sent allows them to go", misrouted,
+			len(s.machines))
+	}
+	s.store.put("op", "config", stateDocument(9, services, tenants, route, root))
+	s.rec.say("desired state 9 confirmed; like 7 it sends root.example to wuno96b")
+	time.Sleep(8 * time.Second)
+	s.rec.say("8 s later %d of %d requests, at all machines, are refused with 503", ask("b2"), len(s.machines))
+	if ids+callers+foreign+misrouted > 0 {
+		return broken, nil
 	}
-	s.rec.say("BROKEN: %d runs with an id that no client sent", ids)
-	s.rec.say("BROKEN: %d runs with a Rockspoke-Caller-Service other than that of the machine where the request began", callers)
-	s.rec.say("BROKEN: %d runs with a Rockspoke-Tenant-Id other than that of the key's tenant", tenants)
-	return broken, nil
+	return held, nil
 }
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -40,9 +41,14 @@
 
 // send is do with further headers.
 func (c *client) send(method, host, path, id string, limit time.Duration, header http.Header) attempt {
+	return c.sendBody(method, host, path, id, limit, header, nil)
+}
+
+// sendBody is send with a body.
+func (c *client) sendBody(method, host, path, id string, limit time.Duration, header http.Header, body []byte) attempt {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+c.m.at("outbound")+path, nil)
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+c.m.at("outbound")+path, bytes.NewReader(body))
 	req.Host = host
 	for name, values := range header {
 		req.Header[name] = values
@@ -53,12 +59,12 @@
 	c.m.s.rec.say("SEND  %s %s %s at %s", id, method, path, c.m.name)
 	res, err := c.http.Do(req)
 	if err == nil {
-		var body []byte
-		body, err = io.ReadAll(res.Body)
+		var got []byte
+		got, err = io.ReadAll(res.Body)
 		res.Body.Close()
 		a.status, a.reason = res.StatusCode, res.Header.Get("Rockspoke-Reason")
 		a.sealed = res.Header.Get("Rockspoke-Response-Seal") != ""
-		a.whole = err == nil && len(body) > 0
+		a.whole = err == nil && len(got) > 0
 		if err != nil {
 			a.status = 0
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 
 func main() {
 	cases := map[string]func(s *site, trouble bool) (int, error){
-		"upload": earlyAnswers, "forge": forgedIdentity, "stale": staleState, // the cases 1 to 3
+		"forge": forgedIdentity, "upload": earlyAnswers, "stale": staleState, // the cases 1 to 3
 		"reset": resetAnswers, "stop": stopCutsRequests, "foreign": foreignPing, // shown beside them, see REPORT.md
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
