--- a/review/standin/case_upload.go
+++ b/review/standin/case_upload.go
@@ -52,7 +52,6 @@
 
 	mu      sync.Mutex
 	begun   int
-	early   int
 	uploads []upload
 }
 
@@ -61,11 +60,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begun++
-	early := b.earlyAfter > 0 && b.begun%5 < 2 && time.Now().Before(b.until)
-	if early {
-		b.early++
-	}
-	return early
+	return b.earlyAfter > 0 && b.begun%5 < 2 && time.Now().Before(b.until)
 }
 
 func (b *earlyBackend) serve(c net.Conn) {
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -44,11 +44,8 @@
 	born           int64
 	state          string
 	work           func(r *http.Request) time.Duration
-	acked          time.Time
-	onRun          func(id, uri string)
 	server         *http.Server
 	stopBeats      chan struct{}
-	announcedEndAt time.Time
 	seeds          []string
 	raw            func(c net.Conn) // serves a connection of the backend instead of serveBackend
 	logFile        *os.File
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -28,9 +28,6 @@
 	ver     int64
 	changed chan struct{}
 	began   time.Time
-	// lateWrite, if set, decides for a rows-tx whether its answer is lost and after what time it is done; ok false: it is done and answered.
-	lateWrite func(puts []row) (delay time.Duration, ok bool)
-	onCall    func(call, from string)
 }
 
 func newStore() *store {
@@ -102,9 +99,6 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	call := path.Base(r.URL.Path)
-	if s.onCall != nil {
-		s.onCall(call, r.RemoteAddr)
-	}
 	time.Sleep(4 * time.Millisecond)
 	switch call {
 	case "rows-tx":
@@ -113,17 +107,6 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if s.lateWrite != nil {
-			var puts []row
-			for _, e := range t.Puts {
-				puts = append(puts, row{Table: e.Table, Part: e.Part, Key: e.Key, Value: e.Value})
-			}
-			if delay, ok := s.lateWrite(puts); ok {
-				time.AfterFunc(delay, func() { s.apply(t) })
-				<-r.Context().Done() // the answer is lost, and the connection says nothing further
-				return
-			}
-		}
 		ok := s.apply(t)
 		s.mu.Lock()
 		ver := s.ver
