Mesh: headers of nodes are dropped at every edge, and unpacked only from nodes

Callers saw: with one header (Rs-H) a client had its requests run as any team, service and attempt id, and with a route "/" replaced the desired state of all nodes; an unreadable one got 502 and broke a connection between nodes. A backend server's answer with such a header was told as not run although it had run.

Cause: nothing but its name told that a node wrote a header. The list of names to remove lacked Rs-H; it was unpacked on connections where no node packs; and an empty call header made a request a message by its path.

Change: all names that begin with Rs- are reserved, by one rule at the four edges. Answers are unpacked if the request was packed, requests if there is no open call header. The presence of that header tells a request from a message. A metric and a log line show reserved headers from outside.

--- a/pkg/headerpack/unpacker.go
+++ b/pkg/headerpack/unpacker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/textproto"
 
 	"golang.org/x/net/http2/hpack"
 )
@@ -38,7 +39,7 @@
 	dec *hpack.Decoder
 }
 
-// Unpack returns the header block that was packed into text; the error is an *Error.
+// Unpack returns the header block that was packed into text, with canonical names; the error is an *Error.
 func (u *Unpacker) Unpack(text string) (http.Header, error) {
 	if u.dec == nil {
 		u.dec = hpack.NewDecoder(tableBytes, nil)
@@ -52,7 +53,8 @@
 	size := 0
 	u.dec.SetEmitFunc(func(f hpack.HeaderField) {
 		if size += int(f.Size()); size <= MaxBytes {
-			h[f.Name] = append(h[f.Name], f.Value)
+			name := textproto.CanonicalMIMEHeaderKey(f.Name)
+			h[name] = append(h[name], f.Value)
 		}
 	})
 	if _, err := u.dec.Write(packed); err != nil {
--- a/pkg/httpconn/doc.go
+++ b/pkg/httpconn/doc.go
@@ -14,5 +14,5 @@
 // runs one exchange, whose parts are in send_request.go, answer_body.go and
 // exchange_error.go. A streamed body may wait until the other side asks for it
 // (send_stream.go). A request may ask for its headers to be packed (package
-// headerpack).
+// headerpack); only the headers of its answer are unpacked.
 package httpconn
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -116,9 +116,11 @@
 		}
 		return nil, err
 	}
-	if err := x.unpack(res.Header); err != nil {
-		x.kind = BrokenAnswer
-		return nil, err
+	if req.PackHeader {
+		if err := x.unpack(res.Header); err != nil {
+			x.kind = BrokenAnswer
+			return nil, err
+		}
 	}
 	x.reuse = (req.Stream == nil || x.stream != nil) && !res.Close && res.ProtoAtLeast(1, 1)
 	x.conn.serverIdleTimeout = keepAliveTimeout(res.Header)
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -215,6 +215,7 @@
 	if err != nil {
 		return b.failedAnswer(err)
 	}
+	b.n.noteReservedHeaders("server", q.id, res.Header)
 	if res.Header.Get(b.n.names.AttemptID) != q.id {
 		_ = res.Body.Close() // the response belongs to another request, and so would later ones on the connection
 		if notExecuted(res, b.n.names) && res.Header.Get(b.n.names.AttemptID) == "" {
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -12,7 +12,7 @@
 // queries.
 func (n *Node) inboundHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerCall) != "" {
+		if _, isRequest := r.Header[headerCall]; isRequest {
 			n.serveInbound(w, r)
 			return
 		}
@@ -114,6 +114,9 @@
 		peerCall: c, fromPeer: fromPeer, id: r.Header.Get(n.names.AttemptID), method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: endToEndHeaders(r.Header),
 	}
+	if !fromPeer {
+		n.noteReservedHeaders("client", q.id, r.Header)
+	}
 	left := parseMillis(r.Header.Get(n.names.TimeLeft))
 	if left == 0 {
 		left = defaultTimeLeft
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -16,6 +16,7 @@
 	{"heartbeats_refused_total", "counter", "", "Rejected heartbeats: from another writer, or malformed."},
 	{"client_connections_closed_total", "counter", "", "Idle client connections that were closed to make room for new ones."},
 	{"pipelined_requests_total", "counter", "", "Requests that were served while an earlier request on the same client connection was not answered."},
+	{"reserved_headers_total", "counter", "sender", "Headers reserved for nodes that a client or the local backend server sent, and that were dropped."},
 	{"suspensions_total", "counter", "", "Suspensions of this VM."},
 	{"held_back_total", "counter", "route", "Requests that were quarantined because backend servers had crashed under the same request."},
 	{"suspects", "gauge", "", "Suspect requests, under which backend servers crashed, that are tried in isolation or quarantined."},
--- a/pkg/mesh/packed_headers.go
+++ b/pkg/mesh/packed_headers.go
@@ -30,16 +30,21 @@
 }
 
 // withPackedHeaders returns a handler that unpacks the headers of requests before next handles them, and packs the
-// headers of the answers.
+// headers of the answers. A node that packs headers packs headerCall too. With an open headerCall, the packed header isn't the node's:
+// a node of an earlier release may have passed it on from its client.
 func (n *Node) withPackedHeaders(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		text := r.Header.Get(headerpack.HeaderName)
+		_, open := r.Header[headerCall]
 		c, ok := r.Context().Value(peerConnKey{}).(*peerConnHeaders)
-		if text == "" || !ok {
+		if text == "" || open || !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
 		h, err := c.unpacker.Unpack(text)
+		if _, isRequest := h[headerCall]; err == nil && !isRequest {
+			err = &ProtocolError{headerCall, ""}
+		}
 		if err != nil {
 			n.callLog.Warn("invalid peer request", "err", err, "peer", r.RemoteAddr)
 			w.Header().Set("Connection", "close") // the tables of the two sides no longer match
--- a/pkg/mesh/peer_protocol.go
+++ b/pkg/mesh/peer_protocol.go
@@ -13,15 +13,15 @@
 )
 
 // headerCall and headerReply carry the metadata that nodes send with a request and with its answer. They are
-// short, since traffic between availability zones is charged for.
+// short, since traffic between availability zones is charged for. A request between nodes always has headerCall, and a message never has.
 const (
-	headerCall  = "Rs-C"
-	headerReply = "Rs-R"
+	headerCall  = nodeHeaderPrefix + "C"
+	headerReply = nodeHeaderPrefix + "R"
 	// headerKnownLimit carries the rate limit of the chosen server as the sender knows it: the limit, a comma and the server's
 	// instance. The node beside the server loses the limit when it restarts, its peers don't.
-	headerKnownLimit = "Rs-L"
+	headerKnownLimit = nodeHeaderPrefix + "L"
 	// headerReserve carries the reserve of a call (budget.Reserve): milliseconds, a comma and the number of calls to come.
-	headerReserve = "Rs-B"
+	headerReserve = nodeHeaderPrefix + "B"
 )
 
 // callFields and replyFields are the numbers of fields in the two headers.
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -83,7 +83,7 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-// endToEndHeaders returns a copy of the headers without hop-by-hop headers and without those that nodes exchange.
+// endToEndHeaders returns a copy of the headers without hop-by-hop headers and without those that are reserved for nodes.
 func endToEndHeaders(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for k, v := range h {
@@ -92,7 +92,7 @@
 	return dropHopHeaders(out)
 }
 
-// dropHopHeaders removes hop-by-hop headers and those that nodes exchange, and returns the header.
+// dropHopHeaders removes hop-by-hop headers and those that are reserved for nodes, and returns the header.
 func dropHopHeaders(out http.Header) http.Header {
 	for _, named := range out["Connection"] {
 		for f := range strings.SplitSeq(named, ",") {
@@ -102,10 +102,7 @@
 	for _, k := range hopHeaders {
 		delete(out, k)
 	}
-	delete(out, headerCall)
-	delete(out, headerReply)
-	delete(out, headerKnownLimit)
-	delete(out, headerReserve)
+	dropNodeHeaders(out)
 	return out
 }
 
