httpconn: an answer that was reset while a body was sent isn't complete

Callers saw: of 800 long uploads that were answered early, without a length, and whose connection was reset in the answer, 12 to 21 came back as complete successes with the first part.

Cause: the kernel reports a reset once. The goroutine that sends the body often got it, and the one that reads the answer saw an end of file, which ends an answer without a length.

Change: DetectReset wraps a connection. Its reads report a reset that a write has seen; at the end of file a write in progress is ended and waited for. Both daemons use it: in the one with entry VMs net/http has the same fault.

--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -67,10 +67,11 @@
 		p.decrementOpen()
 		return nil, &Error{Kind: NotConnected, Cause: err}
 	}
+	rw := DetectReset(raw)
 	return &conn{
 		pool: p, raw: raw, check: newIdleCheck(raw),
-		br: bufio.NewReaderSize(raw, bufferBytes),
-		bw: bufio.NewWriterSize(raw, bufferBytes), packer: headerpack.Packer{NeverIndexed: p.NeverIndexed},
+		br: bufio.NewReaderSize(rw, bufferBytes),
+		bw: bufio.NewWriterSize(rw, bufferBytes), packer: headerpack.Packer{NeverIndexed: p.NeverIndexed},
 	}, nil
 }
 
--- a/pkg/node/backend_client.go
+++ b/pkg/node/backend_client.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -19,7 +20,11 @@
 func (n *Node) newBackendTransport() *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return n.network.DialBackend(ctx, addr)
+			conn, err := n.network.DialBackend(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			return httpconn.DetectReset(conn), nil
 		},
 		MaxIdleConnsPerHost: 1024,
 		IdleConnTimeout:     backendIdleTimeout,
--- a/pkg/node/backend_client_test.go
+++ b/pkg/node/backend_client_test.go
@@ -69,3 +69,30 @@
 	called.endOutbound(now, 1, wire.Answer{Outcome: wire.Ran})
 	c.Assert(n.classifyAnswer(called, busy(), "r", now).meta.Outcome, qt.Equals, wire.Ran)
 }
+
+// Guards against an answer without a length that is reset while the body is being sent, and looks complete.
+func TestResetAnswerOfTheBackendIsNotComplete(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 100))
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe first part"))
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	n := &Node{cfg: settings.Settings{Backend: settings.Backend{Address: ln.Addr().String()}}, network: Network{}.withDefaults()}
+	n.backend = n.newBackendTransport()
+	for range 100 {
+		a := n.callBackend(context.Background(), &inbound{id: "1"}, &request{method: http.MethodPost, uri: "/", header: http.Header{}, body: make([]byte, 8<<20)})
+		c.Assert(a.meta.Outcome, qt.Equals, wire.Unknown, qt.Commentf("%q", a.body))
+	}
+}
