Mesh: a long body arrives whole after an early answer

Callers saw: the 200 of an upload whose backend server answered early, while the server got the body with pieces of 4 KiB and more left out, in chunks often as if whole (all of 214 early answers of more than 128 KiB); after shorter answers the body was cut.

Cause: before net/http writes the header of an answer it reads up to 256 KiB of the request's body and drops them, while the goroutine that sends the body to the server reads it too.

Change: while the body is being sent, the server's answer is written in full duplex with Connection: close, the body is sent to its end after the answer, and the handler waits for that. Once the answer has begun, a write to the server may take a second, then the rest of the body is read and dropped.

Tried before: full duplex alone. Answers were cut, since net/http interrupts reads of the body after the handler.

Tests of pkg/mesh and pkg/soak pass.

--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -15,7 +15,8 @@
 )
 
 // Request is one request to send. Body is sent completely before the answer is read. Stream, which has StreamLength bytes
-// or is sent chunked if that is negative, is sent while the answer is read.
+// or is sent chunked if that is negative, is sent while the answer is read. If it can't be sent to its end, the rest is read and dropped, until
+// Stream returns an error.
 type Request struct {
 	Method       string
 	URI          string // path and query, as received
@@ -47,8 +48,13 @@
 	Header        http.Header
 	ContentLength int64 // -1 if unknown
 	Body          io.ReadCloser
+
+	x *exchange
 }
 
+// KeepSending has the rest of a streamed body sent after the answer has ended. Otherwise the connection is closed then.
+func (r *Response) KeepSending() { r.x.keepSending = true }
+
 // Do sends a request on an idle or new connection and reads the headers of its answer. The connection goes back to the
 // pool when the body has been read to its end. When ctx ends, the connection is closed. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -81,13 +87,15 @@
 
 // exchange is one request on a connection.
 type exchange struct {
-	conn   *conn
-	ctx    context.Context
-	stop   func() bool
-	kind   ErrorKind
-	reuse  bool
-	ended  bool
-	stream chan error // gets the result of sending a streamed body; nil if sending hasn't begun
+	conn  *conn
+	ctx   context.Context
+	stop  func() bool
+	kind  ErrorKind
+	reuse bool
+	ended bool
+	// keepSending has a streamed body sent to its end after the answer has ended.
+	keepSending bool
+	stream      chan error // gets the result of sending a streamed body; nil if sending hasn't begun
 
 	mu       sync.Mutex
 	answered bool  // the header of the answer has been read
@@ -127,7 +135,7 @@
 	x.kind = BrokenAnswer
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, ContentLength: res.ContentLength,
-		Body: &body{ReadCloser: res.Body, x: x},
+		Body: &body{ReadCloser: res.Body, x: x}, x: x,
 	}, nil
 }
 
@@ -203,15 +211,41 @@
 	x.conn.Close()
 }
 
-// finish puts the connection back into the pool if it can be reused, and otherwise closes it.
+// finish puts the connection back into the pool if it can be reused, and otherwise closes it. It does so later if the rest of a streamed
+// body is still to be sent.
 func (x *exchange) finish() {
 	if x.ended {
 		return
 	}
-	if !x.stop() || !x.reuse || !x.streamSent() || x.conn.br.Buffered() > 0 {
+	if !x.stop() {
 		x.abandon()
 		return
 	}
 	x.ended = true
+	if x.stream == nil {
+		x.release(true)
+		return
+	}
+	select {
+	case err := <-x.stream:
+		x.release(err == nil)
+	default:
+		if !x.keepSending {
+			x.release(false)
+			return
+		}
+		go func() { x.release(<-x.stream == nil) }()
+	}
+}
+
+// release puts the connection back into the pool if it can be reused, and otherwise closes it; sent reports whether the request was sent to its end.
+func (x *exchange) release(sent bool) {
+	if !sent || !x.reuse || x.conn.br.Buffered() > 0 {
+		x.conn.Close()
+		return
+	}
+	if x.stream != nil {
+		_ = x.conn.raw.SetWriteDeadline(time.Time{}) // fails only on a closed connection, which isn't reused
+	}
 	x.conn.pool.putIdle(x.conn)
 }
--- a/pkg/httpconn/reset_detector_test.go
+++ b/pkg/httpconn/reset_detector_test.go
@@ -12,10 +12,14 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// endlessBody is a body that never ends.
-type endlessBody struct{}
+// longBody returns a body that doesn't end before the test does.
+func longBody(t *testing.T) io.Reader { return ctxReader{t.Context()} }
 
-func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+// ctxReader reads zeros until its context ends.
+type ctxReader struct{ ctx context.Context }
+
+// Read fills p.
+func (r ctxReader) Read(p []byte) (int, error) { return len(p), r.ctx.Err() }
 
 // startEarlyServer returns the address of a server that answers a request without a length, before it has read the body, and then calls end.
 func startEarlyServer(t *testing.T, end func(c *net.TCPConn)) string {
@@ -29,7 +33,7 @@
 				return
 			}
 			c := raw.(*net.TCPConn)
-			_, _ = c.Read(make([]byte, 100))
+			_, _ = c.Read(make([]byte, 100)) // the start of the request
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe first part")
 			time.Sleep(20 * time.Millisecond)
 			end(c)
@@ -52,7 +56,7 @@
 	p.Dial = func(context.Context) (net.Conn, error) { return net.Dial("tcp", addr) }
 	for _, pause := range []time.Duration{0, 60 * time.Millisecond} { // after the pause the sender has seen the reset
 		for range 20 {
-			res, err := p.Do(t.Context(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Stream: endlessBody{}, StreamLength: 1 << 40})
+			res, err := p.Do(t.Context(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Stream: longBody(t), StreamLength: 1 << 40})
 			if err == nil {
 				time.Sleep(pause)
 				_, err = io.ReadAll(res.Body)
@@ -74,7 +78,7 @@
 	p, _ := startServer(t, nil)
 	p.Dial = func(context.Context) (net.Conn, error) { return net.Dial("tcp", addr) }
 	for range 20 {
-		res, err := p.Do(t.Context(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Stream: endlessBody{}, StreamLength: 1 << 40})
+		res, err := p.Do(t.Context(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Stream: longBody(t), StreamLength: 1 << 40})
 		c.Assert(err, qt.IsNil)
 		text, err := io.ReadAll(res.Body)
 		c.Assert(err, qt.IsNil)
--- a/pkg/httpconn/send_stream.go
+++ b/pkg/httpconn/send_stream.go
@@ -45,6 +45,7 @@
 // streamSource is a streamed body that keeps the error of reading it.
 type streamSource struct {
 	io.Reader
+	x   *exchange
 	err error
 }
 
@@ -54,13 +55,26 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		s.err = err
 	}
+	s.x.mu.Lock()
+	defer s.x.mu.Unlock()
+	s.x.limitWrite()
 	return n, err
 }
 
+// maxAnsweredWrite bounds one write of a streamed body after the answer has begun. The other side may not read the rest any more.
+const maxAnsweredWrite = time.Second
+
+// limitWrite bounds a write in progress, and the next one, if the header of the answer has been read; x.mu must be held.
+func (x *exchange) limitWrite() {
+	if x.answered && x.stream != nil {
+		_ = x.conn.raw.SetWriteDeadline(time.Now().Add(maxAnsweredWrite)) // fails only on a closed connection
+	}
+}
+
 // sendStream sends a streamed body and puts the result into x.stream.
 func (x *exchange) sendStream(req *Request) {
 	var err error
-	w, source := x.conn.bw, &streamSource{Reader: req.Stream}
+	w, source := x.conn.bw, &streamSource{Reader: req.Stream, x: x}
 	if req.StreamLength >= 0 {
 		_, err = io.CopyN(w, source, req.StreamLength)
 	} else {
@@ -76,6 +90,9 @@
 		x.closeWrite()
 	}
 	x.stream <- err
+	if err != nil {
+		_, _ = io.Copy(io.Discard, req.Stream) // a client may read no answer until its body was read
+	}
 }
 
 // endWithoutBody ends the exchange since the body can't be read to its end, unless the header of the answer has been read.
@@ -103,21 +120,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.answered = true
+	x.limitWrite()
 	if x.bodyErr != nil {
 		x.setReadDeadline(time.Time{}) // the rest of an answer that came at the same moment can be read
 	}
 	return x.bodyErr
 }
-
-// streamSent reports whether a streamed body, if there is one, was sent to its end: what is left of it would be on the connection.
-func (x *exchange) streamSent() bool {
-	if x.stream == nil {
-		return true
-	}
-	select {
-	case err := <-x.stream:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/pkg/httpconn/send_stream_test.go
+++ b/pkg/httpconn/send_stream_test.go
@@ -82,3 +82,17 @@
 		c.Check(p.OpenCount(), qt.Equals, 0)
 	}
 }
+
+// Guards against a client that sends all of its body before it reads the answer, and waits for a server that reads no more of it.
+func TestBodyIsReadToItsEndAfterAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	addr := startEarlyServer(t, func(conn *net.TCPConn) { <-t.Context().Done(); conn.Close() })
+	p, _ := startServer(t, nil)
+	p.Dial = func(context.Context) (net.Conn, error) { return net.Dial("tcp", addr) }
+	body, client := io.Pipe()
+	res, err := p.Do(t.Context(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Stream: body, StreamLength: 64 << 20})
+	c.Assert(err, qt.IsNil)
+	defer res.Body.Close()
+	_, err = client.Write(make([]byte, 64<<20))
+	c.Assert(err, qt.IsNil)
+}
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -234,6 +234,7 @@
 		}
 		return b.shedAnswer(res), gate.Shed
 	}
+	res.KeepSending()
 	a := &answer{outcome: wire.Ran, arrived: true, status: res.Status, header: dropHopHeaders(res.Header)}
 	if err := a.bufferBody(res); err != nil {
 		return b.failedAnswer(err)
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -218,6 +218,7 @@
 		return a
 	}
 	a.arrived = true
+	res.KeepSending()
 	a.header = dropHopHeaders(res.Header)
 	a.header.Set(d.n.names.AttemptID, d.q.id) // the server's node has checked that it matches
 	if err := a.bufferBody(res); err != nil {
@@ -260,6 +261,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if a.outcome == wire.Ran {
+		q.sendDuringAnswer(w)
 		a.write(w)
 		return
 	}
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -61,6 +61,9 @@
 		n.readReserve(q, r)
 		a = n.backend.serve(ctx, q)
 	}
+	if a.outcome == wire.Ran {
+		q.sendDuringAnswer(w)
+	}
 	n.writeReply(w, a, c)
 }
 
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -29,6 +29,7 @@
 	reader         *bodyReader
 	unread         bool        // nothing of stream has been read yet, and streamHead isn't known
 	bodyMoved      atomic.Bool // some of stream may have been sent
+	sending        atomic.Bool // stream is being sent, or was; it is read until an error
 	heldBytes      int64       // counted in the node's bodyBytes
 	deadline       time.Time   // latest time for the answer
 	cachedIdentity lazyIdentity
--- a/pkg/mesh/request_body.go
+++ b/pkg/mesh/request_body.go
@@ -63,7 +63,8 @@
 	mu       sync.Mutex
 	ended    bool // the body was read to its end, failed, or the handler has returned
 	reading  bool
-	extended time.Time // when the connection's read deadline was last set; zero: there is none
+	extended time.Time     // when the connection's read deadline was last set; zero: there is none
+	done     chan struct{} // closed once the body was read to its end or failed; nil: it isn't read while the answer is written
 }
 
 // Read reads up to len(p) bytes.
@@ -116,6 +117,9 @@
 		return
 	}
 	b.ended = true
+	if b.done != nil {
+		close(b.done)
+	}
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		b.setDeadline(time.Time{})
 		return
@@ -140,11 +144,46 @@
 	}
 }
 
+// sendDuringAnswer has the rest of the request's body sent to the server while the server's answer is written. Otherwise net/http would read
+// some of the rest before it writes the header, and that part would be missing at the server. The connection isn't used again: net/http expects
+// that the body is read to its end before that.
+func (q *request) sendDuringAnswer(w http.ResponseWriter) {
+	if q.sending.Load() && q.reader.startDuplex() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// startDuplex lets the body be read while the answer is written; it returns false if the body has ended.
+func (b *bodyReader) startDuplex() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return false
+	}
+	b.done = make(chan struct{})
+	_ = b.control.EnableFullDuplex() // HTTP/1.1 connections support it
+	return true
+}
+
+// awaitEnd waits, after an answer during which the body was read, until the body is read to its end or fails: net/http would interrupt the
+// read and close the connection, and the end of the answer could be lost.
+func (b *bodyReader) awaitEnd() {
+	b.mu.Lock()
+	done := b.done
+	b.mu.Unlock()
+	if done == nil {
+		return
+	}
+	_ = b.control.Flush() // fails on a broken connection, whose reads fail as well
+	<-done
+}
+
 // releaseBody releases what is held for the request's body; it is called when the request's handler returns.
 func (n *Node) releaseBody(q *request) {
 	if q.reader == nil {
 		return
 	}
+	q.reader.awaitEnd()
 	q.reader.close()
 	n.bodyBytes.release(q.heldBytes)
 }
@@ -210,7 +249,10 @@
 // setStream sets the streamed body of an exchange, if the request has one.
 func (q *request) setStream(req *httpconn.Request) {
 	if q.stream != nil {
-		req.Stream, req.StreamLength, req.StreamBegins = q.stream, q.streamLength, func() { q.bodyMoved.Store(true) }
+		req.Stream, req.StreamLength, req.StreamBegins = q.stream, q.streamLength, func() {
+			q.bodyMoved.Store(true)
+			q.sending.Store(true)
+		}
 	}
 }
 
