Mesh: a stopping node takes in nothing that it would cut

Callers saw: once-only requests of 2.6 s that a node took in 3.1 to 3.3 s after SIGTERM ran, and their connections were closed without an answer when it halted at 5.6 s.

Cause: requests were taken in for 3.3 s, whatever time they need.

Change: for each route the time is learned than which one of twenty requests is longer. From the signal on, a client's request that needs more than is left until the node halts is refused as not run, with the reason leaving; shorter work is served as before.

Weighed: refusing all from 3 s on refuses work that would end in time; going by time limits would refuse nearly all from the signal on.

--- a/pkg/budget/reserve_test.go
+++ b/pkg/budget/reserve_test.go
@@ -102,3 +102,18 @@
 		now = now.Add(refusalWindow)
 	}
 }
+
+func TestLongTimeIsThatOfTheSlowestTwentieth(t *testing.T) {
+	c := qt.New(t)
+	var times Times
+	for i := range 9 {
+		times.ObserveCall("r", time.Second)
+		c.Assert(times.Long("r"), qt.Equals, time.Duration(0), qt.Commentf("%d observations are too few", i+1))
+	}
+	for i := range 2000 {
+		times.ObserveCall("r", time.Second+time.Duration(i*7919%1000)*time.Millisecond)
+	}
+	long := times.Long("r")
+	c.Check(long > 1800*time.Millisecond && long <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", long))
+	c.Check(times.Long("other"), qt.Equals, time.Duration(0))
+}
--- a/pkg/budget/times.go
+++ b/pkg/budget/times.go
@@ -12,6 +12,8 @@
 	minObservations = 10
 	// shortQuantile is the share of the observations that are shorter than the short time.
 	shortQuantile = 0.1
+	// longQuantile is the share of the observations that are shorter than the long time.
+	longQuantile = 0.95
 )
 
 // Times holds the usual times by route: of whole calls where they begin, retries and waits included, and of runs at the local
@@ -24,6 +26,7 @@
 type usual struct {
 	mean  time.Duration
 	short time.Duration // shortQuantile of the times
+	long  time.Duration // longQuantile of the times
 	n     int           // observations, up to minObservations
 }
 
@@ -47,6 +50,14 @@
 	return t.calls[route].short
 }
 
+// Long returns the time than which few requests of the route were longer, or 0 if it isn't known.
+func (t *Times) Long(route string) time.Duration {
+	if t.calls[route].known() == 0 {
+		return 0
+	}
+	return t.calls[route].long
+}
+
 // observe adds an observation to the time of a route.
 func observe(m *map[string]*usual, route string, took time.Duration) {
 	if took <= 0 {
@@ -66,7 +77,7 @@
 // add adds an observation; the first ones count equally.
 func (u *usual) add(took time.Duration) {
 	if u.n == 0 {
-		u.mean, u.short = took, took
+		u.mean, u.short, u.long = took, took, took
 	}
 	u.n = min(u.n+1, int(1/timeWeight))
 	u.mean += (min(took, maxTimeFactor*u.mean) - u.mean) / time.Duration(u.n)
@@ -76,6 +87,11 @@
 	} else {
 		u.short -= min(time.Duration(step*(1-shortQuantile)), u.short)
 	}
+	if took > u.long {
+		u.long = min(u.long+time.Duration(step*longQuantile), took)
+	} else {
+		u.long = max(u.long-time.Duration(step*(1-longQuantile)), took)
+	}
 }
 
 // known returns the mean if there are enough observations.
--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -135,3 +138,39 @@
 	c.Assert(<-long, qt.Equals, http.StatusOK)
 	c.Assert(<-done, qt.IsNil)
 }
+
+// Guards against requests that a stopping node takes in though they can't end before it halts, and that it then cuts.
+func TestStoppingNodeTakesInNothingThatItWouldCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newMemorySite(t)
+		s.add("front", "z0", 10)
+		s.add("a", "z1", 50)
+		s.servers[1].workTime = 2600 * time.Millisecond
+		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("pay", desired.AtMostOnce, "a")}})
+		s.waitUntilKnown(1)
+		time.Sleep(startupWait)
+		var clients sync.WaitGroup
+		send := func(id string) {
+			clients.Go(func() {
+				status, why, _ := s.request(0, http.MethodPost, "/pay/x", id, 10*time.Second)
+				ran := slices.Contains(s.allRan(), id)
+				c.Check(status == http.StatusOK && ran || status == http.StatusServiceUnavailable && !ran, qt.IsTrue, qt.Commentf("%s: %d %s, ran: %v", id, status, why, ran))
+			})
+		}
+		for k := range 20 {
+			send(fmt.Sprint("calm", k))
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		done := make(chan error, 1)
+		go func() { done <- s.nodes[0].Stop(context.Background()) }()
+		for k := range 35 {
+			send(fmt.Sprint("stop", k))
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		c.Assert(<-done, qt.IsNil)
+		c.Check(slices.Contains(s.allRan(), "stop25"), qt.IsTrue)
+	})
+}
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -91,9 +91,9 @@
 }
 
 // entryRefusal returns the answer to a request that isn't admitted, or nil if it is. New requests are rejected late in
-// a planned stop, when they are quarantined, and by admission.
+// a planned stop or when they would be cut by it, when they are quarantined, and by admission.
 func (n *Node) entryRefusal(q *request) *answer {
-	if n.stop.refusesClients() && !q.Internal {
+	if !q.Internal && (n.stop.refusesClients() || n.stopCuts(q.Route)) {
 		return notRunAnswer(wire.ReasonLeaving)
 	}
 	if d := n.suspectDecision(q); d.Treatment == poison.Quarantined {
--- a/pkg/mesh/planned_stop.go
+++ b/pkg/mesh/planned_stop.go
@@ -10,7 +10,8 @@
 
 // stopState is the progress of a planned stop and the number of requests in flight.
 type stopState struct {
-	since           atomic.Int64 // when the stop began, in Unix nanoseconds; 0: it hasn't
+	since           atomic.Int64              // when the stop began, in Unix nanoseconds; 0: it hasn't
+	end             atomic.Pointer[time.Time] // when the node halts at the latest; nil: the stop hasn't begun
 	refusingClients atomic.Bool
 	// refusingPeers is set after peerServingTime by the steady clock, since the wall clock may jump meanwhile.
 	refusingPeers atomic.Bool
@@ -61,6 +62,7 @@
 	n.controlLog.Info("stopping", "in_progress", n.stop.inFlight.Load())
 	n.enqueue(n.announce)
 	end := begun.Add(n.cfg.Mesh.Grace - killMargin)
+	n.stop.end.Store(&end)
 	var q idleTracker
 	for ctx.Err() == nil {
 		now := n.clock.Now()
@@ -79,6 +81,19 @@
 	return nil
 }
 
+// stopCuts reports whether a client's request of the route may well be in flight still when the stopping node halts: one of twenty takes that
+// long.
+func (n *Node) stopCuts(route string) bool {
+	end := n.stop.end.Load()
+	if end == nil {
+		return false
+	}
+	n.stats.mu.Lock()
+	long := n.stats.times.Long(route)
+	n.stats.mu.Unlock()
+	return long > 0 && n.clock.Now().Add(long+answerMargin).After(*end)
+}
+
 // idleTracker records since when no request has been in flight or has arrived.
 type idleTracker struct {
 	since    time.Time
