Directory, mesh: a drain that is confirmed has its effect

Callers saw: a backend server's draining was confirmed, and requests went on reaching it, after a heartbeat with its ID and a higher call number that lacked the start time.

Cause: a heartbeat without a start time was taken for one of the current lifetime, whose own later heartbeats then counted as late; with another instance it replaced the server for good. The node confirmed drains that it ignored.

Change: such a heartbeat changes nothing while the server's own go on. A drain of the current lifetime is applied whatever its call number.

Measured: on the code before, TestHeartbeatWithoutAStartTimeDoesNotSpeakForAServerThatReportsOne and TestDrainingIsAppliedWhateverItsCallNumber fail. Tests of pkg/mesh, pkg/directory and platform pass.

--- a/pkg/directory/lifetime_test.go
+++ b/pkg/directory/lifetime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -104,3 +105,32 @@
 		qt.Assert(t, o.Record(), qt.Equals, want)
 	})
 }
+
+// Guards against a heartbeat of another writer, which lacks the start time, by whose call number the server's own heartbeats count as late.
+func TestHeartbeatWithoutAStartTimeDoesNotSpeakForAServerThatReportsOne(t *testing.T) {
+	c := qt.New(t)
+	for _, instance := range []string{"a", "b"} {
+		o := LocalServer{Host: "h"}
+		o.Heartbeat(start, lifetimeBeat("a", 100, 40, false))
+		before := o.Record()
+		for i := range 3 {
+			now := start.Add(time.Duration(i) * candidateConfirmTime)
+			c.Assert(o.Heartbeat(now, lifetimeBeat(instance, 0, 100_000+int64(i), i > 0)), qt.IsFalse)
+			c.Assert(o.Record(), qt.Equals, before)
+			c.Assert(o.Heartbeat(now, lifetimeBeat("a", 100, 41+int64(i), false)), qt.IsFalse)
+		}
+		c.Assert(o.Heartbeat(start, lifetimeBeat("a", 100, 50, true)), qt.IsTrue)
+		c.Assert(o.Record().Phase, qt.Equals, Draining)
+	}
+}
+
+// Guards against an announced end that counts as late by its call number: a lifetime that has said so doesn't take it back.
+func TestDrainingIsAppliedWhateverItsCallNumber(t *testing.T) {
+	c := qt.New(t)
+	o := LocalServer{Host: "h"}
+	o.Heartbeat(start, lifetimeBeat("a", 100, 100_000, false))
+	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 100, 41, true)), qt.IsTrue)
+	c.Assert(o.Record().Phase, qt.Equals, Draining)
+	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 100, 100_001, false)), qt.IsFalse)
+	c.Assert(o.Record().Phase, qt.Equals, Draining)
+}
--- a/pkg/directory/local_server.go
+++ b/pkg/directory/local_server.go
@@ -9,7 +9,7 @@
 const (
 	// maxLeftLifetimes bounds how many lifetimes that have left are remembered; the oldest are dropped first.
 	maxLeftLifetimes = 64
-	// candidateConfirmTime is for how long a lifetime that seems older than the current one has to send heartbeats, with none
+	// candidateConfirmTime is for how long a lifetime that seems older than the current one, or lacks a start time, has to send heartbeats, with none
 	// of the current one in between, before it replaces the current one: the clock was set back, or the server sends no start
 	// time. It spans at least two heartbeats; heartbeats that a network partition delayed arrive all at once.
 	candidateConfirmTime = 2 * time.Second
@@ -54,11 +54,12 @@
 		return false
 	}
 	o.candidate = candidateLifetime{}
-	o.lastHeartbeatSeq = r.HeartbeatSeq
 	o.registered = true
 	if class == nextHeartbeat {
+		o.lastHeartbeatSeq = r.HeartbeatSeq
 		return o.startLifetime(r)
 	}
+	o.lastHeartbeatSeq = max(o.lastHeartbeatSeq, r.HeartbeatSeq)
 	return o.updateRecord(r, max(o.record.Phase, r.phase()), o.record.FirstGeneration) // draining is never undone
 }
 
@@ -71,6 +72,8 @@
 		return staleHeartbeat
 	case o.record.Instance == "":
 		return nextHeartbeat
+	case sender.StartedMS == 0 && current.StartedMS > 0:
+		return ambiguousHeartbeat // servers that report a start time always do, so another writer may have sent it
 	case sender.Instance == current.Instance && (!known || sender.StartedMS == current.StartedMS):
 		return o.classifyByHeartbeatSeq(r, known)
 	case known && sender.StartedMS < current.StartedMS:
@@ -84,8 +87,8 @@
 // either lifetime is unknown.
 func (o *LocalServer) classifyByHeartbeatSeq(r Registration, startsKnown bool) heartbeatClass {
 	switch {
-	case r.HeartbeatSeq >= o.lastHeartbeatSeq:
-		return currentHeartbeat
+	case r.HeartbeatSeq >= o.lastHeartbeatSeq, startsKnown && r.Draining:
+		return currentHeartbeat // a lifetime that has said that it leaves doesn't take it back
 	case startsKnown || o.record.Phase > Serving:
 		return staleHeartbeat
 	default:
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -236,9 +237,11 @@
 }
 
 // Heartbeat handles a heartbeat of the local backend server. For a draining server it returns once the drain is recorded outside this
-// process, or can't be for now; this node sends the server no requests from then on.
-func (n *Node) Heartbeat(ctx context.Context, r directory.Registration) {
+// process, or can't be for now; this node sends the server no requests from then on. The error, a *DrainIgnoredError, reports a
+// drain that isn't applied and must not be confirmed.
+func (n *Node) Heartbeat(ctx context.Context, r directory.Registration) error {
 	var generation int64
+	ignored := false
 	done := n.enqueueAndWait(ctx, func() {
 		before := n.control.localServer.Record()
 		if n.control.localServer.Heartbeat(n.clock.Now(), r) {
@@ -247,11 +250,31 @@
 		if n.control.localServer.Record().Lifetime() == r.Lifetime() {
 			n.setNotListening(false)
 		}
-		generation = n.control.localServer.Record().Generation
+		own := n.control.localServer.Record()
+		generation = own.Generation
+		ignored = r.Draining && own.Instance == r.Instance && own.Phase == directory.Serving
 	})
-	if done && r.Draining {
+	switch {
+	case !r.Draining:
+	case !done:
+		return &DrainIgnoredError{r.Instance, "the node is ending"}
+	case ignored:
+		return &DrainIgnoredError{r.Instance, "it isn't of the current lifetime, or doesn't name its start"}
+	default:
 		n.records.awaitDurable(ctx, generation)
 	}
+	return nil
+}
+
+// DrainIgnoredError reports a heartbeat of a draining server that isn't applied.
+type DrainIgnoredError struct {
+	Instance string
+	Reason   string
+}
+
+// Error names the instance and the reason.
+func (e *DrainIgnoredError) Error() string {
+	return fmt.Sprintf("drain of %s ignored: %s", e.Instance, e.Reason)
 }
 
 // Leave handles the local backend server's announcement that the given lifetime ends. It returns once that is recorded, or can't be for now.
--- a/pkg/mesh/fake_server_test.go
+++ b/pkg/mesh/fake_server_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/advertised"
+	"github.com/rockspoke/rockspoke/pkg/directory"
 )
 
 // testNames are the header names that the tests use.
@@ -90,6 +91,13 @@
 
 var callClients sync.Map
 
+// registration returns the server's next heartbeat.
+func (f *fakeServer) registration(draining bool) directory.Registration {
+	return directory.Registration{
+		Instance: f.instance, Service: f.service, Zone: f.zone, Slots: f.slots, Draining: draining, HeartbeatSeq: f.heartbeatSeq.Add(1), StartedMS: f.startedAt.Load(),
+	}
+}
+
 // ran returns the attempt ids that ran here.
 func (f *fakeServer) ran() []string {
 	f.mu.Lock()
--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -174,3 +174,28 @@
 		c.Check(slices.Contains(s.allRan(), "stop25"), qt.IsTrue)
 	})
 }
+
+// Guards against a drain that is confirmed and has no effect, after a heartbeat of another writer with the server's ID and a high number.
+func TestConfirmedDrainIsApplied(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	s.add("a", "z0", 10)
+	s.add("a", "z1", 10)
+	s.servers[1].startedAt.Store(1000)
+	s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("pay", desired.AtMostOnce, "a")}})
+	s.heartbeat(1, false)
+	s.waitUntilKnown(1)
+	foreign := s.servers[1].registration(false)
+	foreign.StartedMS, foreign.HeartbeatSeq = 0, 100_000
+	c.Assert(s.nodes[1].Heartbeat(t.Context(), foreign), qt.IsNil)
+	foreign.Draining = true
+	var e *DrainIgnoredError
+	c.Assert(s.nodes[1].Heartbeat(t.Context(), foreign), qt.ErrorAs, &e)
+	c.Check(e.Instance, qt.Equals, s.servers[1].instance)
+	s.heartbeat(1, true)
+	for i := range 20 {
+		status, _, _ := s.request(i%2, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	c.Check(s.servers[1].ran(), qt.HasLen, 0)
+}
--- a/pkg/mesh/test_site_test.go
+++ b/pkg/mesh/test_site_test.go
@@ -18,7 +18,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
-	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
 
@@ -170,9 +169,8 @@
 // heartbeat sends a heartbeat of a server to its node.
 func (s *site) heartbeat(i int, draining bool) {
 	f := s.servers[i]
-	s.nodes[i].Heartbeat(context.Background(), directory.Registration{
-		Instance: f.instance, Service: f.service, Zone: f.zone, Slots: f.slots, Draining: draining, HeartbeatSeq: f.heartbeatSeq.Add(1), StartedMS: f.startedAt.Load(),
-	})
+	err := s.nodes[i].Heartbeat(context.Background(), f.registration(draining))
+	qt.Check(s.t, err, qt.IsNil)
 }
 
 // waitFor waits up to 20 seconds for a condition.
