Follow: the waits of a zone's followers end one after the other

Callers saw: after the connections had gone silent on which all nodes wait for changes of the desired state, an old state stayed in force up to 17 s after a newer one was confirmed; 2 s is the bound.

Cause: each follower waits in a call of 25 s with a margin of 2 s and counts its state as the newest meanwhile. After each change all calls begin anew at the same moment, so all end late together. What is on the way may still acknowledge, so the kernel's keep-alive finds nothing.

Change: the followers of a zone end their waits in turn, one in each apply bound, by their order and the wall clock. The call whose answer doesn't come within a second of that is made anew on a new connection. A wait that timed out shows the state to be current only until the call began. With strict revocation, where the whole state is read each second or so, waits stay at 25 s.

--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,39 @@
 	w.WatchStarted(awake.Add(time.Second))
 	c.Assert(w.IsCurrent(awake.Add(time.Second)), qt.IsTrue, qt.Commentf("the store has answered"))
 }
+
+// One call of a zone's followers ends in each period, whenever they began, so that silent connections show in time.
+func TestWaitsOfAZonesFollowersEndOneAfterTheOther(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const bound = 2 * time.Second
+		all := hosts(rapid.IntRange(1, 40).Draw(r, "nodes"))
+		var ends []time.Time
+		for _, h := range all {
+			w := &Tracker{ApplyBound: bound}
+			w.UpdateRole(h, all)
+			if !w.IsFollower() {
+				continue
+			}
+			now := start.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(r, "begun")) * time.Millisecond)
+			for now.Before(start.Add(3 * time.Minute)) {
+				wait := w.WatchTime(now)
+				if wait < bound/2 || wait > bound*(SmallZoneSize+1) {
+					r.Fatalf("waits %v", wait)
+				}
+				now = now.Add(wait)
+				ends = append(ends, now)
+			}
+		}
+		last := start.Add(90 * time.Second)
+		slices.SortFunc(ends, time.Time.Compare)
+		for _, end := range ends {
+			if end.Before(last) {
+				continue
+			}
+			if end.Sub(last) > bound {
+				r.Fatalf("no wait ends for %v", end.Sub(last))
+			}
+			last = end
+		}
+	})
+}
--- a/pkg/follow/followers.go
+++ b/pkg/follow/followers.go
@@ -12,15 +12,21 @@
 
 // IsFollower reports whether the host is one of the followers of its availability zone, given the hosts that are alive there.
 func IsFollower(host string, alive []string) bool {
-	if len(alive) <= SmallZoneSize {
-		return true
-	}
-	before := 0
+	rank, count := position(host, alive)
+	return rank < count
+}
+
+// position returns the rank of the host among the hosts that are alive in its availability zone, and the number of followers there: those with
+// the lowest ranks.
+func position(host string, alive []string) (rank, count int) {
 	own := xxhash.Sum64String(host)
 	for _, other := range alive {
 		if other != host && xxhash.Sum64String(other) < own {
-			before++
+			rank++
 		}
 	}
-	return before < followers
+	if len(alive) <= SmallZoneSize {
+		return rank, max(len(alive), rank+1)
+	}
+	return rank, followers
 }
--- a/pkg/follow/tracker.go
+++ b/pkg/follow/tracker.go
@@ -17,7 +17,7 @@
 
 	begun         bool
 	readAloneFrom time.Time // from when the node reads the state itself without a peer's report
-	follower      bool
+	rank, count   int       // of this node among those of its zone, and the number of followers there
 	watching      bool
 	lastCurrent   time.Time // when the state in force was last known to be the newest
 	lastRunning   time.Time // when NoteRunning was last called
@@ -41,13 +41,27 @@
 
 // UpdateRole sets the hosts of the node's availability zone that are alive; it reports whether the node's role changed.
 func (w *Tracker) UpdateRole(host string, alive []string) bool {
-	before := w.follower
-	w.follower = IsFollower(host, alive)
-	return w.follower != before
+	before := w.IsFollower()
+	w.rank, w.count = position(host, alive)
+	return w.IsFollower() != before
 }
 
 // IsFollower reports whether the node is one of its zone's followers.
-func (w *Tracker) IsFollower() bool { return w.follower }
+func (w *Tracker) IsFollower() bool { return w.rank < w.count }
+
+// WatchTime returns how long the next call that waits for changes may wait. The calls of a zone's followers end one after the other, one in
+// each ApplyBound: the connections on which they wait may go silent all at once, and only a call that gets no answer in time shows it.
+func (w *Tracker) WatchTime(now time.Time) time.Duration {
+	period := w.ApplyBound * time.Duration(max(w.count, 1))
+	if period <= 0 {
+		return 0
+	}
+	wait := w.ApplyBound*time.Duration(w.rank) - time.Duration(now.UnixNano()%int64(period))
+	for wait < w.ApplyBound/2 {
+		wait += period
+	}
+	return wait
+}
 
 // WatchStarted notes that the store has answered and that the node receives its changes from now on.
 func (w *Tracker) WatchStarted(now time.Time) { w.watching, w.lastCurrent = true, now }
@@ -55,8 +69,8 @@
 // WatchLost notes that the connection over which the node received the store's changes has failed.
 func (w *Tracker) WatchLost(now time.Time) { w.endWatch(now.Add(-noticeTime)) }
 
-// WatchStopped notes that the node stops its watch without a fault.
-func (w *Tracker) WatchStopped(now time.Time) { w.endWatch(now) }
+// WatchStopped notes that the watch has ended, and that the state was known to be the newest until then.
+func (w *Tracker) WatchStopped(then time.Time) { w.endWatch(then) }
 
 // endWatch ends the watch, if there is one, with the state known to be current until then.
 func (w *Tracker) endWatch(then time.Time) {
@@ -95,5 +109,5 @@
 	if !w.begun {
 		return false
 	}
-	return w.follower || (!w.IsCurrent(now) && !now.Before(w.readAloneFrom))
+	return w.IsFollower() || (!w.IsCurrent(now) && !now.Before(w.readAloneFrom))
 }
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	// firstElectionDelay is the time from the first start of the whole system to the election of followers: by then the
 	// backend servers have sent their first heartbeats, and most nodes know each other.
 	firstElectionDelay = 2500 * time.Millisecond
+	// maxWatchTime is the longest time for which a call waits for changes, and followMargin is how long after that its answer is still awaited.
+	maxWatchTime = 25 * time.Second
+	followMargin = time.Second
 	// fallbackRetryFirst and fallbackRetryMax bound the wait between calls of a node that isn't one of its zone's followers,
 	// and reads only because no peer confirms the state: where the store is down for all, the followers detect its return.
 	fallbackRetryFirst = 600 * time.Millisecond
@@ -62,7 +66,6 @@
 			continue
 		}
 		next = nil
-		n.noteFollowFailure(err)
 		t.sleep(ctx, n.jitter(wait.next(followRetryBounds(chosen))))
 	}
 }
@@ -113,9 +116,26 @@
 	return fallbackRetryFirst, fallbackRetryMax
 }
 
-// noteFollowFailure records and logs that a call to follow the store failed.
-func (n *Node) noteFollowFailure(err error) {
-	n.followTracker.with(func(w *follow.Tracker) { w.WatchLost(n.clock.Now()) })
+// watchTime returns how long a call may wait for a change. Where keys are revoked strictly, reads of the whole state show a change that
+// such a call misses.
+func (n *Node) watchTime() (wait time.Duration) {
+	if n.cfg.Mesh.StrictRevoke {
+		return maxWatchTime
+	}
+	n.followTracker.with(func(w *follow.Tracker) { wait = w.WatchTime(n.clock.Now()) })
+	return min(wait, maxWatchTime)
+}
+
+// noteFollowFailure records and logs that a call to follow the store failed. If the call timed out, its connection may have been silent since it
+// began.
+func (n *Node) noteFollowFailure(begun time.Time, err error) {
+	n.followTracker.with(func(w *follow.Tracker) {
+		if errors.Is(err, context.DeadlineExceeded) {
+			w.WatchStopped(begun)
+			return
+		}
+		w.WatchLost(n.clock.Now())
+	})
 	n.controlLog.Warn("failed to follow desired state", "err", err)
 }
 
@@ -126,15 +146,18 @@
 	var after Cursor
 	kind, timeout, read := readStateCall, storeCallTimeout, n.store.ReadState
 	if next != nil {
-		kind, timeout = followStateCall, followCallTimeout
-		read = func(ctx context.Context) ([]byte, Cursor, error) { return n.store.FollowState(ctx, *next) }
+		wait := n.watchTime()
+		kind, timeout = followStateCall, wait+followMargin
+		read = func(ctx context.Context) ([]byte, Cursor, error) { return n.store.FollowState(ctx, *next, wait) }
 	}
+	begun := n.clock.Now()
 	sent, current := clock.BootNow(n.clock), n.stateVersion()
 	err := n.callStore(ctx, t, kind, timeout, func(ctx context.Context) (err error) {
 		data, after, err = read(ctx)
 		return err
 	})
 	if err != nil {
+		n.noteFollowFailure(begun, err)
 		return next, err
 	}
 	version := n.applyStored(data)
--- a/pkg/mesh/mesh_options.go
+++ b/pkg/mesh/mesh_options.go
@@ -33,9 +33,9 @@
 	// ReadState returns the newest desired state as it was written, nil if there is none, and the cursor from which to
 	// follow changes.
 	ReadState func(ctx context.Context) (data []byte, next Cursor, err error)
-	// FollowState waits for a change after the cursor; data is nil if there was none in time. The error
+	// FollowState waits for a change after the cursor, for at most the given time; data is nil if there was none in time. The error
 	// is a *HistoryGoneError if the state must be read again.
-	FollowState func(ctx context.Context, after Cursor) (data []byte, next Cursor, err error)
+	FollowState func(ctx context.Context, after Cursor, wait time.Duration) (data []byte, next Cursor, err error)
 	// Epoch returns the newest store epoch in any answer so far; nil: the store has no epochs.
 	Epoch func() int64
 	// ReadRecords returns the records of VMs and what was learned about the runs of each service. It reads the given parts
--- a/pkg/mesh/write_records.go
+++ b/pkg/mesh/write_records.go
@@ -11,8 +11,6 @@
 const (
 	// storeCallTimeout bounds one call.
 	storeCallTimeout = 1500 * time.Millisecond
-	// followCallTimeout bounds a call that waits for changes; it is longer than any store keeps such a call open.
-	followCallTimeout = time.Minute
 	// storeRetryFirst and storeRetryMax bound the wait before a call is made again.
 	storeRetryFirst = 150 * time.Millisecond
 	storeRetryMax   = 800 * time.Millisecond
