Mesh: a desired state that the store never had is replaced

Cause: nodes hand states over to each other and the higher version counts; the state in force was never compared with the store, which has the truth.

Change: a follower whose waits bring no change although another node handed over a newer state reads the whole state. Each node goes by its own reads, so one message can't withdraw a true state. A store restored from a backup has an older state too, until the operator writes the lost one again; the state in force stays for that time.

--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -135,7 +135,7 @@
 	n.peer(m.From).receivedExchange(n.clock.Now(), m.Stopping)
 	n.noteStoreEpoch(m.From, m.StoreEpoch)
 	switch {
-	case m.Version <= n.stateVersion(): // not newer, so the state needn't be decoded
+	case m.Version <= n.stateVersion() || n.conflict.isWithdrawn(m.Version): // not newer, so the state needn't be decoded
 	case len(m.State) > 0:
 		n.applyState(m.From, m.State)
 	default:
--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -62,7 +62,11 @@
 		next, err = n.followOnce(ctx, t, next)
 		if err == nil {
 			wait = 0
-			clock.Sleep(ctx, followPoll) // the next call returns changes made meanwhile at once; by then peers may be known
+			pause := followPoll // the next call returns changes made meanwhile at once; by then peers may be known
+			if next == nil {
+				pause = conflictPoll
+			}
+			clock.Sleep(ctx, pause)
 			continue
 		}
 		next = nil
@@ -140,7 +144,7 @@
 }
 
 // followOnce makes one call, to read the state if next is nil and to wait for a change otherwise, and returns the cursor
-// for the next call.
+// for the next call; nil: the state must be read again.
 func (n *Node) followOnce(ctx context.Context, t storeAttempt, next *Cursor) (*Cursor, error) {
 	var data []byte
 	var after Cursor
@@ -164,6 +168,10 @@
 	n.followTracker.with(func(w *follow.Tracker) { w.WatchStarted(n.clock.Now()) })
 	if kind == readStateCall {
 		n.addStoreProof(sent, current, version)
+		n.checkStored(sent, current, version, data)
+	}
+	if n.conflict.contradicts(version, n.stateVersion()) {
+		return nil, nil
 	}
 	return &after, nil
 }
@@ -189,10 +197,7 @@
 		return 0
 	}
 	if n.publishState(s) {
-		n.dropRemovedTeams(s)
-		n.controlLog.Info("desired state", "version", s.Version, "routes", len(s.Routes), "from", from)
-		n.logProblems(s)
-		n.enqueue(n.announceState)
+		n.stateChanged(s, from)
 	}
 	return s.Version
 }
--- a/pkg/mesh/freshness_proof.go
+++ b/pkg/mesh/freshness_proof.go
@@ -130,7 +130,9 @@
 		n.controlLog.Debug("freshness proof not read from the store", "err", err)
 		return
 	}
-	n.addStoreProof(sent, current, n.applyStored(data))
+	version := n.applyStored(data)
+	n.addStoreProof(sent, current, version)
+	n.checkStored(sent, current, version, data)
 }
 
 // addStoreProof records the version that the store returned for a call sent at the given time, when the version current was in force here;
--- a/pkg/mesh/newer_state.go
+++ b/pkg/mesh/newer_state.go
@@ -29,7 +29,7 @@
 
 // noteVersion has the control goroutine fetch a peer's desired state if its version is newer.
 func (n *Node) noteVersion(addr string, version int64) {
-	if version <= n.stateVersion() {
+	if version <= n.stateVersion() || n.conflict.isWithdrawn(version) {
 		return
 	}
 	host := addr
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -43,6 +43,7 @@
 
 	state          atomic.Pointer[desired.State]
 	followTracker  sharedFollowTracker
+	conflict       stateConflict
 	proofs         freshnessProofs
 	quotas         teamQuotas
 	roles          atomic.Pointer[teamRoles]
--- a/pkg/mesh/store_epoch.go
+++ b/pkg/mesh/store_epoch.go
@@ -13,7 +13,7 @@
 // What depends on the store's answers, and its treatment in a new epoch:
 //
 //   - The feed of the desired state: a Cursor contains its epoch, and the whole state is read again.
-//   - The desired state: one that is older than the one in force is never applied.
+//   - The desired state: one that is older than the one in force is applied only if the store still has no newer one after conflictTime.
 //   - Freshness proofs: a state older than the one in force when the call was sent proves nothing, and no answer does until the
 //     operator has had the time to write lost changes again (epochSettleFraction).
 //   - The record of this VM, what was learned and what is quarantined: written again (storeRestored).
