Mesh: a broken answer isn't held back until the request's body has ended

Read in the diff: the wait for the rest of a request's body stood where the body is released, so it also came before the connection of an answer that broke off was closed, up to the client's time limit later. It now follows only an answer that was written whole.

Measured: TestBodyArrivesWholeAfterAnEarlyAnswer and the tests of uploads and bodies pass three times.

--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -263,6 +263,7 @@
 	if a.outcome == wire.Ran {
 		q.sendDuringAnswer(w)
 		a.write(w)
+		q.awaitBody()
 		return
 	}
 	status := http.StatusBadGateway
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -65,6 +65,7 @@
 		q.sendDuringAnswer(w)
 	}
 	n.writeReply(w, a, c)
+	q.awaitBody()
 }
 
 // inboundGrace is how long after a request's deadline its answer is still awaited. The sender's own clock ends the
--- a/pkg/mesh/request_body.go
+++ b/pkg/mesh/request_body.go
@@ -165,17 +165,14 @@
 	return true
 }
 
-// awaitEnd waits, after an answer during which the body was read, until the body is read to its end or fails: net/http would interrupt the
+// awaitBody waits, after an answer during which the body was sent on, until the body is read to its end or fails: net/http would interrupt the
 // read and close the connection, and the end of the answer could be lost.
-func (b *bodyReader) awaitEnd() {
-	b.mu.Lock()
-	done := b.done
-	b.mu.Unlock()
-	if done == nil {
+func (q *request) awaitBody() {
+	if q.reader == nil || q.reader.done == nil {
 		return
 	}
-	_ = b.control.Flush() // fails on a broken connection, whose reads fail as well
-	<-done
+	_ = q.reader.control.Flush() // fails on a broken connection, whose reads fail as well
+	<-q.reader.done
 }
 
 // releaseBody releases what is held for the request's body; it is called when the request's handler returns.
@@ -183,7 +180,6 @@
 	if q.reader == nil {
 		return
 	}
-	q.reader.awaitEnd()
 	q.reader.close()
 	n.bodyBytes.release(q.heldBytes)
 }
