Follow: the margin of a wait for changes stays at two seconds

With one second, a store that takes longer for an answer would seem silent to each follower in turn. With two, silent connections still show in time: TestChangeIsInForceInTimeAfterAllWaitingCallsWentSilent passes three times.

--- a/pkg/mesh/follow_state.go
+++ b/pkg/mesh/follow_state.go
@@ -36,7 +36,7 @@
 	firstElectionDelay = 2500 * time.Millisecond
 	// maxWatchTime is the longest time for which a call waits for changes, and followMargin is how long after that its answer is still awaited.
 	maxWatchTime = 25 * time.Second
-	followMargin = time.Second
+	followMargin = 2 * time.Second
 	// fallbackRetryFirst and fallbackRetryMax bound the wait between calls of a node that isn't one of its zone's followers,
 	// and reads only because no peer confirms the state: where the store is down for all, the followers detect its return.
 	fallbackRetryFirst = 600 * time.Millisecond
