--- a/pkg/directory/local_server.go
+++ b/pkg/directory/local_server.go
@@ -9,9 +9,9 @@
 const (
 	// maxLeftLifetimes bounds how many lifetimes that have left are remembered; the oldest are dropped first.
 	maxLeftLifetimes = 64
-	// candidateConfirmTime is for how long a lifetime that seems older than the current one, or lacks a start time, has to send heartbeats, with none
-	// of the current one in between, before it replaces the current one: the clock was set back, or the server sends no start
-	// time. It spans at least two heartbeats; heartbeats that a network partition delayed arrive all at once.
+	// candidateConfirmTime is for how long a lifetime that seems older than the current one, or lacks a start time, has to send
+	// heartbeats, with none of the current one in between, before it replaces the current one: the clock was set back, or the
+	// server sends no start time. It spans at least two heartbeats; heartbeats that a network partition delayed arrive all at once.
 	candidateConfirmTime = 2 * time.Second
 )
 
--- a/pkg/httpconn/doc.go
+++ b/pkg/httpconn/doc.go
@@ -12,7 +12,9 @@
 // pool.go manages the connections, idle_check.go checks idle ones before use,
 // unanswered_requests.go detects that they may be unresponsive, and exchange.go
 // runs one exchange, whose parts are in send_request.go, answer_body.go and
-// exchange_error.go. reset_detector.go tells an answer that was reset from one that ended with its connection. A streamed body may wait until the other side asks for it
-// (send_stream.go), and may go on being sent after the answer has ended. A request may ask for its headers to be packed (package
-// headerpack); only the headers of its answer are unpacked.
+// exchange_error.go. reset_detector.go tells an answer that was reset from one
+// that ended with its connection. A streamed body (send_stream.go) may wait
+// until the other side asks for it, and may go on being sent after the answer
+// has ended. A request may ask for its headers to be packed (package
+// headerpack); only then the headers of its answer are unpacked.
 package httpconn
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -25,7 +25,8 @@
 //     the tokens that this node owns (package quota), team_roles.go assigns both roles to nodes,
 //     query_node.go sends the requests between nodes.
 //   - The store: follow_state.go follows the desired state as package follow decides, and newer_state.go
-//     fetches newer states from peers, state_conflict.go replaces one that the store contradicts; record_writer.go, write_records.go and sync_records.go maintain the
+//     fetches newer states from peers, state_conflict.go replaces one that the store contradicts;
+//     record_writer.go, write_records.go and sync_records.go maintain the
 //     records of VMs, query_peers.go gets them from peers after a restart instead of from the store;
 //     store_epoch.go detects a store restored from a backup and has lost records written again;
 //     store_calls.go counts the calls, and store_availability.go shares their results.
