--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -88,21 +88,19 @@
 	return res.Body.Close()
 }
 
-// write writes the answer to w. If the body ends early it closes the connection, so that the client detects it.
-func (a *answer) write(w http.ResponseWriter) {
+// write writes the answer to w; the error says why a streamed body wasn't written to its end.
+func (a *answer) write(w http.ResponseWriter) error {
 	a.setHeader(w.Header())
 	w.WriteHeader(a.status)
 	_, err := w.Write(a.body)
 	if a.stream == nil {
-		return
+		return nil
 	}
 	defer a.stream.Close()
 	if err == nil {
 		_, err = io.Copy(w, a.stream)
 	}
-	if err != nil {
-		panic(http.ErrAbortHandler) // net/http closes the connection without ending the body
-	}
+	return err
 }
 
 // setHeader copies the answer's headers and length into h.
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -213,7 +213,7 @@
 	q.setStream(req)
 	res, err := b.pool.Do(ctx, req)
 	if err != nil {
-		return b.failedAnswer(err)
+		return b.failedAnswer(q, err)
 	}
 	b.n.noteReservedHeaders("server", q.id, res.Header)
 	if res.Header.Get(b.n.names.AttemptID) != q.id {
@@ -237,7 +237,7 @@
 	res.KeepSending()
 	a := &answer{outcome: wire.Ran, arrived: true, status: res.Status, header: dropHopHeaders(res.Header)}
 	if err := a.bufferBody(res); err != nil {
-		return b.failedAnswer(err)
+		return b.failedAnswer(q, err)
 	}
 	if unlimited {
 		b.observeLimit(own, sent, advertised.RateLimit{})
@@ -276,7 +276,8 @@
 }
 
 // failedAnswer returns the answer for a failed exchange with the server, and its outcome for the gate.
-func (b *backend) failedAnswer(err error) (*answer, gate.Outcome) {
+func (b *backend) failedAnswer(q *request, err error) (*answer, gate.Outcome) {
+	b.n.noteBrokenAnswer(q, "server", b.n.ip, err)
 	switch {
 	case isUnsent(err):
 		a := notRunAnswer(wire.ReasonNoServer)
--- a/pkg/mesh/doc.go
+++ b/pkg/mesh/doc.go
@@ -10,7 +10,7 @@
 //
 // The files of the request path, in order: outbound_server.go, request.go, request_body.go, internal_routes.go,
 // admission.go, choose_server.go with peer_sample.go, forward.go, retry_budget.go,
-// peer_protocol.go, node_headers.go, packed_headers.go, inbound_server.go, backend.go, answer.go.
+// peer_protocol.go, node_headers.go, packed_headers.go, inbound_server.go, backend.go, answer.go, broken_answer.go.
 // The other files maintain what requests need:
 //
 //   - Poison requests, which crash servers (package poison): server_crash.go detects that the local backend server has crashed,
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -230,6 +230,7 @@
 // handlePeerError returns the answer for an exchange with a node that gave no complete response, and backs the peer off
 // unless the caller canceled.
 func (d *delivery) handlePeerError(p *peer, err error) *answer {
+	d.n.noteBrokenAnswer(d.q, "node", p.host, err)
 	if errors.Is(err, errRequestMissing) {
 		return unknownAnswer(wire.ReasonAnswerLost)
 	}
@@ -262,7 +263,7 @@
 	}
 	if a.outcome == wire.Ran {
 		q.sendDuringAnswer(w)
-		a.write(w)
+		n.writeAnswer(w, q.id, q.Route, a)
 		q.awaitBody()
 		return
 	}
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -43,10 +43,11 @@
 	}
 	done := n.stop.beginRequest()
 	defer done()
-	defer n.peerRequests.Start(r.Header.Get(n.names.AttemptID))()
+	id := r.Header.Get(n.names.AttemptID)
+	defer n.peerRequests.Start(id)()
 	n.noteVersion(r.RemoteAddr, c.Version)
 	if n.stop.refusesPeers() {
-		n.writeReply(w, notRunAnswer(wire.ReasonLeaving), c)
+		n.writeReply(w, id, notRunAnswer(wire.ReasonLeaving), c)
 		return
 	}
 	q, err := n.newRequest(w, r, c, true, 0)
@@ -64,7 +65,7 @@
 	if a.outcome == wire.Ran {
 		q.sendDuringAnswer(w)
 	}
-	n.writeReply(w, a, c)
+	n.writeReply(w, id, a, c)
 	q.awaitBody()
 }
 
@@ -72,8 +73,8 @@
 // request, and a small network delay must not cut off an answer that is just ready.
 const inboundGrace = 100 * time.Millisecond
 
-// writeReply writes the answer to the node that sent the request with the metadata c.
-func (n *Node) writeReply(w http.ResponseWriter, a *answer, c peerCall) {
+// writeReply writes the answer to the node that sent the request with the id and the metadata c.
+func (n *Node) writeReply(w http.ResponseWriter, id string, a *answer, c peerCall) {
 	reply := n.replyHeader(a)
 	if !c.ReadsNotices {
 		reply.Notice = serverNotice{}
@@ -87,7 +88,7 @@
 	}
 	if a.outcome == wire.Ran {
 		a.header.Del(n.names.AttemptID) // the sender knows it
-		a.write(w)
+		n.writeAnswer(w, id, c.Route, a)
 		return
 	}
 	w.Header()["Content-Type"] = nil
