--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -11,6 +11,9 @@
 	"github.com/rockspoke/rockspoke/pkg/headerpack"
 )
 
+// maxHeaderBytes bounds the status line and headers of an answer, with those of the interim answers before it.
+const maxHeaderBytes = 64 << 10
+
 // bufferBytes is the size of a connection's read and write buffers; most headers and small bodies fit.
 const bufferBytes = 4 << 10
 
