httpconn: the header of an answer is bounded, with the interim answers before it

Callers: a backend server that sends a header without end made the nodes that read it grow by a gigabyte in seconds (seen outside: 29 MB to 1.7 GB); under a VM's memory limit the process ends by itself, and all requests in progress there end without an answer.

Cause: http.ReadResponse has no bound, and the reader of the connection had none either. Now it reads at most 64 KiB for the status line, the headers and the interim answers before them; beyond that the answer is broken, the connection is closed at once, and the request is sent again or answered as one whose answer was lost.

Headers up to the limit are read, also on a connection that is used again.

--- a/pkg/httpconn/doc.go
+++ b/pkg/httpconn/doc.go
@@ -12,7 +12,7 @@
 // pool.go manages the connections, idle_check.go checks idle ones before use,
 // unanswered_requests.go detects that they may be unresponsive, and exchange.go
 // runs one exchange, whose parts are in send_request.go, answer_body.go and
-// exchange_error.go. reset_detector.go tells an answer that was reset from one
+// exchange_error.go. header_limit.go bounds the header of an answer. reset_detector.go tells an answer that was reset from one
 // that ended with its connection. A streamed body (send_stream.go) may wait
 // until the other side asks for it, and may go on being sent after the answer
 // has ended. A request may ask for its headers to be packed (package
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -141,6 +141,8 @@
 
 // readHeader reads the headers of the final answer; it skips answers with status 1xx, of which 100 begins a streamed body.
 func (x *exchange) readHeader(req *Request) (*http.Response, error) {
+	x.conn.in.begin()
+	defer x.conn.in.end()
 	for {
 		if res := readSimple(x.conn.br, req.Method); res != nil {
 			return res, nil
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -11,9 +11,6 @@
 	"github.com/rockspoke/rockspoke/pkg/headerpack"
 )
 
-// maxHeaderBytes bounds the status line and headers of an answer, with those of the interim answers before it.
-const maxHeaderBytes = 64 << 10
-
 // bufferBytes is the size of a connection's read and write buffers; most headers and small bodies fit.
 const bufferBytes = 4 << 10
 
@@ -44,7 +41,8 @@
 type conn struct {
 	pool *Pool
 	raw  net.Conn
-	br   *bufio.Reader
+	in   headerLimiter
+	br   *bufio.Reader // reads from in
 	bw   *bufio.Writer
 
 	check *idleCheck
@@ -71,11 +69,12 @@
 		return nil, &Error{Kind: NotConnected, Cause: err}
 	}
 	rw := DetectReset(raw)
-	return &conn{
-		pool: p, raw: raw, check: newIdleCheck(raw),
-		br: bufio.NewReaderSize(rw, bufferBytes),
+	c := &conn{
+		pool: p, raw: raw, check: newIdleCheck(raw), in: headerLimiter{r: rw},
 		bw: bufio.NewWriterSize(rw, bufferBytes), packer: headerpack.Packer{NeverIndexed: p.NeverIndexed},
-	}, nil
+	}
+	c.br = bufio.NewReaderSize(&c.in, bufferBytes)
+	return c, nil
 }
 
 // takeIdle returns a reusable connection that became idle at or after the given time. If there is none, it counts a new
