Mesh: a stopping node takes in nothing as long as its route's recent requests, and answers what it gives up

Callers: a request of 2.6 s sent 3.0 s and more after SIGTERM, on a route where fewer than one in twenty takes that long, ran and had its connection closed at 5.6 s. So had all else in progress then.

Cause: the stop went by the time that 19 of 20 requests of a route need, and closed connections at its end without an answer.

Change: it goes by the longest of the route's last 200 to 400 requests, for clients' and other nodes' requests, unless their own time limit ends before; at its end it gives up what is in progress, which is answered as lost (502) or not run (503) before the connections close. Times are learned whether or not latency budgets are on.

Evidence: on the code before, TestStoppingNodeCutsNoRareLongRequest loses the requests sent 3.0 to 3.2 s after the signal (status 0, ran), TestStoppingNodeAnswersWhatItGivesUp has status 0 in its four cases, and a peer's request of 5 s is run 1 s after the signal and answered 502; all three pass now.

Test replaced: Times.Long, the 95% quantile, is gone, and with it TestLongTimeIsThatOfTheSlowestTwentieth. TestLongestTimeIsThatOfRecentRequests checks its successor the same way, with a closer bound, that no later request of the block takes it back, and that it is forgotten after two.

--- a/pkg/budget/reserve_test.go
+++ b/pkg/budget/reserve_test.go
@@ -103,17 +103,26 @@
 	}
 }
 
-func TestLongTimeIsThatOfTheSlowestTwentieth(t *testing.T) {
+func TestLongestTimeIsThatOfRecentRequests(t *testing.T) {
 	c := qt.New(t)
 	var times Times
-	for i := range 9 {
-		times.ObserveCall("r", time.Second)
-		c.Assert(times.Long("r"), qt.Equals, time.Duration(0), qt.Commentf("%d observations are too few", i+1))
-	}
+	c.Check(times.LongestCall("r"), qt.Equals, time.Duration(0))
 	for i := range 2000 {
 		times.ObserveCall("r", time.Second+time.Duration(i*7919%1000)*time.Millisecond)
 	}
-	long := times.Long("r")
-	c.Check(long > 1800*time.Millisecond && long <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", long))
-	c.Check(times.Long("other"), qt.Equals, time.Duration(0))
+	longest := times.LongestCall("r")
+	c.Check(longest > 1980*time.Millisecond && longest < 2*time.Second, qt.IsTrue, qt.Commentf("%v", longest))
+	times.ObserveCall("r", 5*time.Second)
+	for range longestBlock {
+		c.Assert(times.LongestCall("r"), qt.Equals, 5*time.Second)
+		times.ObserveCall("r", time.Second)
+	}
+	for range longestBlock {
+		times.ObserveCall("r", time.Second)
+	}
+	c.Check(times.LongestCall("r"), qt.Equals, time.Second, qt.Commentf("an earlier time doesn't count for good"))
+	c.Check(times.LongestCall("other"), qt.Equals, time.Duration(0))
+	c.Check(times.LongestRun("r"), qt.Equals, time.Duration(0))
+	times.ObserveRun("r", time.Minute)
+	c.Check(times.LongestRun("r"), qt.Equals, time.Minute)
 }
--- a/pkg/budget/times.go
+++ b/pkg/budget/times.go
@@ -12,8 +12,8 @@
 	minObservations = 10
 	// shortQuantile is the share of the observations that are shorter than the short time.
 	shortQuantile = 0.1
-	// longQuantile is the share of the observations that are shorter than the long time.
-	longQuantile = 0.95
+	// longestBlock is the number of observations in each of the two blocks of which the longest time is known.
+	longestBlock = 200
 )
 
 // Times holds the usual times by route: of whole calls where they begin, retries and waits included, and of runs at the local
@@ -26,8 +26,10 @@
 type usual struct {
 	mean  time.Duration
 	short time.Duration // shortQuantile of the times
-	long  time.Duration // longQuantile of the times
 	n     int           // observations, up to minObservations
+
+	longest [2]time.Duration // of the observations in the current block, and in the one before it
+	inBlock int              // observations in the current block
 }
 
 // ObserveCall records the time from the beginning of a successful call or request to its answer.
@@ -50,13 +52,11 @@
 	return t.calls[route].short
 }
 
-// Long returns the time than which few requests of the route were longer, or 0 if it isn't known.
-func (t *Times) Long(route string) time.Duration {
-	if t.calls[route].known() == 0 {
-		return 0
-	}
-	return t.calls[route].long
-}
+// LongestCall returns the longest time of the last longestBlock or more calls of the route, or 0 if there was none.
+func (t *Times) LongestCall(route string) time.Duration { return t.calls[route].recentLongest() }
+
+// LongestRun returns the longest time of the last longestBlock or more runs of the route at the local server, or 0 if there was none.
+func (t *Times) LongestRun(route string) time.Duration { return t.runs[route].recentLongest() }
 
 // observe adds an observation to the time of a route.
 func observe(m *map[string]*usual, route string, took time.Duration) {
@@ -77,7 +77,7 @@
 // add adds an observation; the first ones count equally.
 func (u *usual) add(took time.Duration) {
 	if u.n == 0 {
-		u.mean, u.short, u.long = took, took, took
+		u.mean, u.short = took, took
 	}
 	u.n = min(u.n+1, int(1/timeWeight))
 	u.mean += (min(took, maxTimeFactor*u.mean) - u.mean) / time.Duration(u.n)
@@ -87,11 +87,19 @@
 	} else {
 		u.short -= min(time.Duration(step*(1-shortQuantile)), u.short)
 	}
-	if took > u.long {
-		u.long = min(u.long+time.Duration(step*longQuantile), took)
-	} else {
-		u.long = max(u.long-time.Duration(step*(1-longQuantile)), took)
+	if u.inBlock == longestBlock {
+		u.longest, u.inBlock = [2]time.Duration{0, u.longest[0]}, 0
+	}
+	u.longest[0] = max(u.longest[0], took)
+	u.inBlock++
+}
+
+// recentLongest returns the longest time in both blocks.
+func (u *usual) recentLongest() time.Duration {
+	if u == nil {
+		return 0
 	}
+	return max(u.longest[0], u.longest[1])
 }
 
 // known returns the mean if there are enough observations.
--- a/pkg/clock/deadlines.go
+++ b/pkg/clock/deadlines.go
@@ -10,8 +10,9 @@
 // Deadlines holds the deadlines of work in flight, so that they can be enforced after a suspension, during which timers stop with the
 // monotonic clock. Its zero value is empty.
 type Deadlines struct {
-	mu   sync.Mutex
-	open map[*deadlineContext]struct{}
+	mu     sync.Mutex
+	open   map[*deadlineContext]struct{}
+	closed bool
 }
 
 // Context returns a context that is canceled at the time at of the clock c; calling the CancelFunc removes its deadline.
@@ -23,7 +24,11 @@
 		d.open = make(map[*deadlineContext]struct{})
 	}
 	d.open[x] = struct{}{}
+	closed := d.closed
 	d.mu.Unlock()
+	if closed {
+		x.cancel(context.Canceled)
+	}
 	return x, func() {
 		d.mu.Lock()
 		delete(d.open, x)
@@ -32,6 +37,17 @@
 	}
 }
 
+// Close cancels all contexts, and from then on new ones at once.
+func (d *Deadlines) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for x := range d.open {
+		x.cancel(context.Canceled)
+	}
+	clear(d.open)
+}
+
 // CancelExpired cancels the contexts whose deadlines have passed, as they may after a suspension, and returns how many there were.
 func (d *Deadlines) CancelExpired(now time.Time) int {
 	d.mu.Lock()
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -284,7 +284,7 @@
 		a.connRefused = errors.Is(err, syscall.ECONNREFUSED)
 		return a, gate.Failed
 	case isCanceled(err):
-		a := unknownAnswer(wire.ReasonDeadline)
+		a := unknownAnswer(b.n.endReason())
 		a.canceled = true
 		return a, gate.Abandoned
 	case isBodyBroken(err):
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -43,7 +43,7 @@
 	d.reason = wire.ReasonNoServer
 	for {
 		if ctx.Err() != nil {
-			d.reason = wire.ReasonDeadline
+			d.reason = d.n.endReason()
 			return d.finalAnswer()
 		}
 		now, servers := d.n.clock.Now(), d.n.view.Load().services[d.q.Service]
@@ -235,7 +235,7 @@
 		return unknownAnswer(wire.ReasonAnswerLost)
 	}
 	if isCanceled(err) {
-		a := unknownAnswer(wire.ReasonDeadline)
+		a := unknownAnswer(d.n.endReason())
 		a.canceled = true
 		return a
 	}
@@ -275,7 +275,7 @@
 			status = http.StatusTooManyRequests
 		}
 		w.Header().Set("Retry-After", formatRetryAfter(n.retryDelay(q, a)))
-	case a.canceled:
+	case a.canceled && a.reason == wire.ReasonDeadline:
 		status = http.StatusGatewayTimeout
 	}
 	w.Header().Set(n.names.AttemptID, q.id)
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -53,9 +53,12 @@
 	q, err := n.newRequest(w, r, c, true, 0)
 	defer n.releaseBody(q)
 	var a *answer
-	if err != nil {
+	switch {
+	case err != nil:
 		a = notRunAnswer(bodyRefusal(err))
-	} else {
+	case n.mayOutlastStop(q, q.deadline):
+		a = notRunAnswer(wire.ReasonLeaving)
+	default:
 		ctx, cancel := n.timeLimits.Context(r.Context(), n.clock, q.deadline.Add(inboundGrace))
 		defer cancel()
 		n.readKnownLimit(q, r)
--- a/pkg/mesh/latency_budget.go
+++ b/pkg/mesh/latency_budget.go
@@ -55,7 +55,7 @@
 
 // learnTime records how long a successful request took from its beginning at this node.
 func (n *Node) learnTime(q *request, a *answer, took time.Duration) {
-	if a.status >= http.StatusInternalServerError || n.off[settings.LatencyBudgets] {
+	if a.status >= http.StatusInternalServerError {
 		return
 	}
 	n.stats.mu.Lock()
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -74,7 +74,7 @@
 	if q.Internal {
 		n.noteCall(q)
 	}
-	if a := n.entryRefusal(q); a != nil {
+	if a := n.entryRefusal(q, route); a != nil {
 		n.returnQuotaToken(q)
 		n.writeFinal(w, q, a)
 		return
@@ -91,9 +91,9 @@
 }
 
 // entryRefusal returns the answer to a request that isn't admitted, or nil if it is. New requests are rejected late in
-// a planned stop or when they would be cut by it, when they are quarantined, and by admission.
-func (n *Node) entryRefusal(q *request) *answer {
-	if !q.Internal && (n.stop.refusesClients() || n.stopCuts(q.Route)) {
+// a planned stop or when they may outlast it, when they are quarantined, and by admission.
+func (n *Node) entryRefusal(q *request, route *desired.Route) *answer {
+	if !q.Internal && (n.stop.refusesClients() || n.mayOutlastStop(q, n.finalDeadline(q, route))) {
 		return notRunAnswer(wire.ReasonLeaving)
 	}
 	if d := n.suspectDecision(q); d.Treatment == poison.Quarantined {
@@ -109,11 +109,9 @@
 
 // serveRouted forwards an admitted request and writes its answer.
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request, q *request, route *desired.Route) {
-	if route.Timeout > 0 {
-		if end := n.clock.Now().Add(route.Timeout); end.Before(q.deadline) {
-			q.reserve = q.reserve.Within(q.deadline.Sub(end))
-			q.deadline = end
-		}
+	if end := n.finalDeadline(q, route); end.Before(q.deadline) {
+		q.reserve = q.reserve.Within(q.deadline.Sub(end))
+		q.deadline = end
 	}
 	if n.refuseShortRoot(q) {
 		n.returnQuotaToken(q)
@@ -138,6 +136,14 @@
 	n.writeFinal(w, q, a)
 }
 
+// finalDeadline returns the earlier one of the request's own deadline and that of its route.
+func (n *Node) finalDeadline(q *request, route *desired.Route) time.Time {
+	if end := n.clock.Now().Add(route.Timeout); route.Timeout > 0 && end.Before(q.deadline) {
+		return end
+	}
+	return q.deadline
+}
+
 // refuseNoRoute answers a request that no route matches: with 404, or with 503 while the desired state may be out of
 // date, since a newer one may have the route.
 func (n *Node) refuseNoRoute(w http.ResponseWriter, r *http.Request) {
--- a/pkg/mesh/planned_stop.go
+++ b/pkg/mesh/planned_stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
+	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
 // stopState is the progress of a planned stop and the number of requests in flight.
@@ -15,6 +16,7 @@
 	refusingClients atomic.Bool
 	// refusingPeers is set after peerServingTime by the steady clock, since the wall clock may jump meanwhile.
 	refusingPeers atomic.Bool
+	givingUp      atomic.Bool // what is still in flight is answered now, as lost or not run
 	inFlight      atomic.Int64
 	arrivals      atomic.Int64 // requests that arrived since the node's start
 }
@@ -45,8 +47,10 @@
 	// peerServingTime is how long requests of other nodes are served after the stop began. They learn of it from the next answer
 	// and send refused requests elsewhere.
 	peerServingTime = 1500 * time.Millisecond
-	// killMargin is the time left before the platform kills the process.
+	// killMargin is the time left before the platform kills the process when the stop gives up what is in flight.
 	killMargin = 400 * time.Millisecond
+	// giveUpTime is how long the answers to requests that are given up may take to be written.
+	giveUpTime = 100 * time.Millisecond
 	// idleBeforeEnd is how long no request must be in flight or arrive before the stop ends. A client that just got an answer may return, and
 	// should be sent elsewhere rather than find a closed port.
 	idleBeforeEnd = 150 * time.Millisecond
@@ -55,7 +59,7 @@
 )
 
 // Stop stops the node gracefully. It is not ready at once, keeps serving for a while, and halts when no request is in flight or the grace
-// period is nearly over.
+// period is nearly over; what is still in flight then is answered before.
 func (n *Node) Stop(ctx context.Context) error {
 	begun := n.clock.Now()
 	n.stop.since.Store(begun.UnixNano())
@@ -77,21 +81,46 @@
 		clock.Sleep(ctx, stopPoll)
 	}
 	n.controlLog.Info("stopped", "in_progress", n.stop.inFlight.Load())
+	n.giveUpRequests(ctx)
 	n.halt()
 	return nil
 }
 
-// stopCuts reports whether a client's request of the route may well be in flight still when the stopping node halts: one of twenty takes that
-// long.
-func (n *Node) stopCuts(route string) bool {
+// giveUpRequests ends all requests in flight and waits until they are answered, for giveUpTime at most.
+func (n *Node) giveUpRequests(ctx context.Context) {
+	if n.stop.inFlight.Load() == 0 {
+		return
+	}
+	n.stop.givingUp.Store(true)
+	n.timeLimits.Close()
+	for end := n.clock.Now().Add(giveUpTime); n.stop.inFlight.Load() > 0 && n.clock.Now().Before(end); {
+		clock.Sleep(ctx, stopPoll)
+	}
+	clock.Sleep(ctx, stopPoll) // net/http writes the last answer after its request has ended
+}
+
+// endReason returns why requests whose context has ended are given up.
+func (n *Node) endReason() wire.Reason {
+	if n.stop.givingUp.Load() {
+		return wire.ReasonLeaving
+	}
+	return wire.ReasonDeadline
+}
+
+// mayOutlastStop reports whether a request with the deadline may be in flight still when the stopping node halts: a recent one of its route took
+// as long as what is left.
+func (n *Node) mayOutlastStop(q *request, deadline time.Time) bool {
 	end := n.stop.end.Load()
-	if end == nil {
+	if end == nil || !deadline.After(*end) {
 		return false
 	}
 	n.stats.mu.Lock()
-	long := n.stats.times.Long(route)
+	longest := n.stats.times.LongestCall(q.Route)
+	if q.fromPeer {
+		longest = n.stats.times.LongestRun(q.Route)
+	}
 	n.stats.mu.Unlock()
-	return long > 0 && n.clock.Now().Add(long+answerMargin).After(*end)
+	return longest > 0 && n.clock.Now().Add(longest+answerMargin).After(*end)
 }
 
 // idleTracker records since when no request has been in flight or has arrived.
