--- a/pkg/mesh/network.go
+++ b/pkg/mesh/network.go
@@ -65,15 +65,18 @@
 	// maxIdleStoreConns is how many idle connections are kept. A node makes three kinds of call, one at a time each; only records are
 	// read in four parts at once.
 	maxIdleStoreConns = 6
+	// maxStoreHeaderBytes bounds the header of a response, with its interim responses.
+	maxStoreHeaderBytes = 64 << 10
 )
 
 // NewStoreHTTP returns the HTTP client for the store, which dials from the address of this VM.
 func NewStoreHTTP(ip string) *http.Client {
 	return &http.Client{Transport: &storeTransport{http.Transport{
-		DialContext:         newDialer(ip, storeCallTimeout).DialContext,
-		MaxIdleConnsPerHost: maxIdleStoreConns,
-		IdleConnTimeout:     storeIdleTimeout,
-		DisableCompression:  true,
+		DialContext:            newDialer(ip, storeCallTimeout).DialContext,
+		MaxIdleConnsPerHost:    maxIdleStoreConns,
+		IdleConnTimeout:        storeIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxStoreHeaderBytes,
 	}}}
 }
 
