Node, client: headers and bodies of answers are bounded

The daemon with entry VMs let the header of each answer of its backend server and of other daemons grow to 10 MB, net/http's default: two dozen answers are the memory of a small VM. 64 KiB now, as for a mesh node. The command line read a daemon's response without any bound; 64 MiB now.

Evidence: TestHeaderWithoutEndOfTheBackendIsRejected. The call was unknown before as well, after 10 MB; the limit is what the test adds.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -20,8 +20,12 @@
 	"github.com/rockspoke/rockspoke/pkg/operator"
 )
 
-// requestTimeout limits one request to a daemon.
-const requestTimeout = 20 * time.Second
+// Limits of one request to a daemon.
+const (
+	requestTimeout = 20 * time.Second
+	// maxResponseBytes bounds the body of a response; the state of a daemon with thousands of services fits.
+	maxResponseBytes = 64 << 20
+)
 
 // Client sends each request to the first daemon that it can reach; any daemon can serve most requests.
 type Client struct {
@@ -110,7 +114,7 @@
 		return &LostResponseError{daemon, err}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxResponseBytes))
 	if err != nil {
 		return &LostResponseError{daemon, err}
 	}
--- a/pkg/node/backend_client.go
+++ b/pkg/node/backend_client.go
@@ -16,6 +16,9 @@
 // backendIdleTimeout is the time after which an unused connection to the backend server is closed.
 const backendIdleTimeout = 30 * time.Second
 
+// maxAnswerHeaderBytes bounds the header of an answer of the local backend server or another daemon, with its interim answers.
+const maxAnswerHeaderBytes = 64 << 10
+
 // newBackendTransport returns the HTTP transport to the local backend server.
 func (n *Node) newBackendTransport() *http.Transport {
 	return &http.Transport{
@@ -26,9 +29,10 @@
 			}
 			return httpconn.DetectReset(conn), nil
 		},
-		MaxIdleConnsPerHost: 1024,
-		IdleConnTimeout:     backendIdleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    1024,
+		IdleConnTimeout:        backendIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
--- a/pkg/node/backend_client_test.go
+++ b/pkg/node/backend_client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -96,3 +97,34 @@
 		c.Assert(a.meta.Outcome, qt.Equals, wire.Unknown, qt.Commentf("%q", a.body))
 	}
 }
+
+// Guards against a header without end of the local backend server or another daemon, which took memory until the call's time limit.
+func TestHeaderWithoutEndOfTheBackendIsRejected(t *testing.T) {
+	c := qt.New(t)
+	var sent atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 100))
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+		for line := make([]byte, 4<<10); err == nil && sent.Load() < 64<<20; {
+			var k int
+			k, err = conn.Write(line)
+			sent.Add(int64(k))
+		}
+	}()
+	n := &Node{cfg: settings.Settings{Backend: settings.Backend{Address: ln.Addr().String()}}, network: Network{}.withDefaults()}
+	n.backend = n.newBackendTransport()
+	a := n.callBackend(context.Background(), &inbound{id: "1"}, &request{method: http.MethodGet, uri: "/", header: http.Header{}})
+	c.Check(a.meta.Outcome, qt.Equals, wire.Unknown)
+	<-ended
+	c.Check(n.backend.MaxResponseHeaderBytes, qt.Equals, int64(maxAnswerHeaderBytes))
+	c.Check(sent.Load() < 64<<20, qt.IsTrue, qt.Commentf("the connection is closed before the server has sent all"))
+}
--- a/pkg/node/peer_client.go
+++ b/pkg/node/peer_client.go
@@ -76,7 +76,7 @@
 // newPeerClients returns clients that share the transport's socket.
 func newPeerClients(t *quic.Transport, k *keys.Store, cfg *quic.Config, m *metric.Set) *peerClients {
 	return &peerClients{
-		quic: t, http: &http3.Transport{}, keys: k, config: cfg, metrics: m,
+		quic: t, http: &http3.Transport{MaxResponseHeaderBytes: maxAnswerHeaderBytes}, keys: k, config: cfg, metrics: m,
 		conns: map[string]*peerConn{},
 	}
 }
