Soak: processes have the memory of a small VM; answers without end; what LOST says is checked

The soak missed lost requests in four ways: its processes had the memory of the whole machine, no server sent an answer without end, planned work was checked only for requests that ran or got a 5xx and only with no disturbance of the store near them, and no request took long.

- RLIMIT_DATA of 400 MiB (284 MB of a small VM, and what the heap maps without using it) and 4,100 descriptors for each process; one that ends by itself is logged at once.
- Servers answer without end, in seven forms, in a table of its own.
- A request that was sent 0.2 s or more before its connection was closed counts as lost, whether or not it ran; so does one that ran, on a kept connection, at a node whose process had been running, whatever else was disturbed; disturbances of the store excuse nothing.
Each sixth seed has planned work and disturbances of the store alone.
- Callers of a route where one of 25 requests takes 2.4 s.

--- a/pkg/soak/backend_answers.go
+++ b/pkg/soak/backend_answers.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/rockspoke/rockspoke/pkg/clock"
 	"github.com/rockspoke/rockspoke/platform/standin"
 )
 
@@ -45,6 +46,9 @@
 // that f allows.
 func (b *backendServer) run(w http.ResponseWriter, r *http.Request, id, lifetime string, f serverFault) {
 	time.Sleep(time.Duration(float64(serverRunTime) * float64(max(f.Slowdown, 1)) * (0.5 + rand.Float64())))
+	if strings.HasPrefix(r.URL.Path, routeLong.path) && rand.IntN(longRunEvery) == 0 {
+		clock.Sleep(r.Context(), longRunTime)
+	}
 	ok := rand.Float64() >= f.FailureRate
 	if called := b.vm.site.calledPath(b.vm.service); called != "" && ok {
 		ok = b.callInternal(called, id, r)
@@ -53,6 +57,10 @@
 		writeRawAndClose(w, "")
 		return
 	}
+	if rand.Float64() < f.EndlessRate {
+		writeWithoutEnd(w, f.EndlessForm)
+		return
+	}
 	b.setNotices(w.Header(), lifetime)
 	if !ok {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -68,6 +76,37 @@
 	_, _ = io.WriteString(w, body) // the caller may have disconnected
 }
 
+// endlessForm is the start of an answer without end, and what is repeated after it.
+type endlessForm struct{ start, repeated string }
+
+// endlessForms are the answers without end that a server in trouble sends.
+var endlessForms = []endlessForm{
+	{"HTTP/1.1 200 OK\r\nX: ", "a"},
+	{"HTTP/1.1 200 OK\r\n", "X-Name: value\r\n"},
+	{"HTTP/1.1 200 ", "O"},
+	{"", "no answer"},
+	{"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n"},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Name: value\r\n"},
+}
+
+// writeWithoutEnd writes an answer without end until the node closes the connection, or for callerTimeout.
+func writeWithoutEnd(w http.ResponseWriter, f endlessForm) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_ = conn.SetWriteDeadline(time.Now().Add(callerTimeout)) // fails only on a closed connection
+	_, err = io.WriteString(conn, f.start)
+	for piece := strings.Repeat(f.repeated, endlessPiece/len(f.repeated)); err == nil; {
+		_, err = io.WriteString(conn, piece)
+	}
+}
+
+// endlessPiece is about how many bytes of an answer without end are written at once.
+const endlessPiece = 32 << 10
+
 // callInternal makes the internal call of the run with the given ID, within the time left in r, and reports whether
 // it got the right response.
 func (b *backendServer) callInternal(path, id string, r *http.Request) bool {
--- a/pkg/soak/backend_server.go
+++ b/pkg/soak/backend_server.go
@@ -19,6 +19,8 @@
 	RefusalRate    float64 // fraction of requests rejected without a run
 	LostAnswerRate float64 // fraction of runs whose response is lost
 	ExtraBytesRate float64 // fraction of responses followed by surplus bytes
+	EndlessRate    float64 // fraction of responses without end
+	EndlessForm    endlessForm
 }
 
 // backendServer is one simulated backend server.
@@ -42,8 +44,11 @@
 
 // Constants of the backend servers.
 const (
-	serverSlots     = 64
-	serverRunTime   = 8 * time.Millisecond
+	serverSlots   = 64
+	serverRunTime = 8 * time.Millisecond
+	// longRunTime is the additional time of one in longRunEvery runs of routeLong.
+	longRunTime     = 2400 * time.Millisecond
+	longRunEvery    = 25
 	heartbeatPeriod = 500 * time.Millisecond
 	registerTimeout = time.Second
 	// drainDuration is how long requests may still arrive after a drain was acknowledged.
--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rockspoke/rockspoke/pkg/clock"
@@ -20,6 +24,8 @@
 	client  *http.Client
 	rnd     *rand.Rand
 	keyRand *rand.Rand // draws the keys; separate, so that they leave the draws of rnd unchanged
+	pick    func(rnd *rand.Rand) route
+	prefix  string // of the numbers in its requests' IDs
 	sent    int
 }
 
@@ -39,11 +45,11 @@
 func (c *caller) run(ctx context.Context, rate float64) {
 	s := c.vm.site
 	for clock.Sleep(ctx, time.Duration(c.rnd.ExpFloat64()/rate*float64(time.Second))) {
-		r := s.pickRoute(c.rnd)
+		r := c.pick(c.rnd)
 		c.sent++
 		a := attempt{
-			ID: fmt.Sprintf("%s-%d-%d", c.vm.service, c.vm.number, c.sent), Route: r.path, Service: r.service,
-			Once: r.once, VM: c.vm.ip, Limit: callerTimeout, Probe: r.probe, Key: s.teams.pickKey(c.keyRand),
+			ID: fmt.Sprintf("%s-%d-%s%d", c.vm.service, c.vm.number, c.prefix, c.sent), Route: r.path, Service: r.service,
+			Once: r.once, VM: c.vm.ip, Limit: r.limit(), Probe: r.probe, Key: s.teams.pickKey(c.keyRand),
 		}
 		s.callerRequests.Go(func() {
 			a.Begun = time.Now()
@@ -54,8 +60,7 @@
 	}
 }
 
-// sendAttempt sends one request and sets Status and Own in a from the response. Without a whole response it leaves
-// them unset.
+// sendAttempt sends one request and sets the outcome in a. Without a whole response Status and OwnAnswer stay unset.
 func (c *caller) sendAttempt(a *attempt) {
 	method := http.MethodGet
 	if a.Once {
@@ -70,17 +75,30 @@
 	req.Header.Set(standin.Headers.TimeLeft, strconv.FormatInt(a.Limit.Milliseconds(), 10))
 	req.Header.Set(standin.Headers.Key, standin.Headers.KeyScheme+" "+a.Key.Key)
 	req.Header.Set(standin.Headers.Team, "forged")
+	var sent atomic.Int64
+	req = req.WithContext(httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn:      func(i httptrace.GotConnInfo) { a.Kept = i.Reused },
+		WroteRequest: func(httptrace.WroteRequestInfo) { sent.Store(time.Now().UnixNano()) },
+	}))
 	res, err := c.client.Do(req)
+	a.Sent = time.Unix(0, sent.Load())
 	if err != nil {
+		a.Closed = isClosed(err)
 		return
 	}
 	defer res.Body.Close()
 	c.vm.site.history.addNotice(c.vm.ip, res.Header)
 	body, err := io.ReadAll(res.Body)
 	if err != nil {
+		a.Closed = isClosed(err)
 		return
 	}
 	a.Status = res.StatusCode
 	a.OwnAnswer = string(body) == answerBody(a.ID) && res.Header.Get(standin.SealHeader) == sealOf(a.ID) &&
 		res.Header.Get(standin.Headers.AttemptID) == a.ID
 }
+
+// isClosed reports whether an error means that the other side closed the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
--- a/pkg/soak/doc.go
+++ b/pkg/soak/doc.go
@@ -15,6 +15,9 @@
 // fault_store.go, fault_notices.go and planned_work.go inject them. history.go records what was seen,
 // promise_checks.go, notice_checks.go and team_checks.go check it against the promises.
 //
+// The memory and the descriptors of a process are bounded as on a small VM, so that one that grows ends by itself. That is a
+// broken promise whatever else happens.
+//
 // Clock jumps aren't injected: changing the time of day from outside a process
 // needs privileges that the soak doesn't use.
 package soak
--- a/pkg/soak/fault_servers.go
+++ b/pkg/soak/fault_servers.go
@@ -43,6 +43,12 @@
 	s.injectServerFault(kind, s.randomVM(rnd), serverFault{ExtraBytesRate: rnd.Float64() / 2}, d)
 }
 
+// answerWithoutEnd makes a backend server answer some of its requests without end for d.
+func answerWithoutEnd(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	form := endlessForms[rnd.IntN(len(endlessForms))]
+	s.injectServerFault(kind, s.randomVM(rnd), serverFault{EndlessRate: 0.2 + rnd.Float64()/2, EndlessForm: form}, d)
+}
+
 // restartServer resets the connections of a backend server and restarts it under the same instance. A heartbeat of
 // its previous lifetime arrives late.
 func restartServer(s *site, kind string, rnd *rand.Rand, d time.Duration) {
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -69,6 +69,11 @@
 	{"server names a rate limit", false, advertiseLimits},
 }
 
+// endlessAnswerFaults have a table and random stream of their own for the same reason.
+var endlessAnswerFaults = []fault{
+	{"server answers without end", false, answerWithoutEnd},
+}
+
 // addedFaultsPerSecond is the mean rate of faults from each table other than baseFaults.
 const addedFaultsPerSecond = 0.4
 
@@ -86,6 +91,17 @@
 // isPlannedOnly reports whether a seed has planned work alone.
 func isPlannedOnly(seed uint64) bool { return seed%plannedOnlyEvery == 0 }
 
+// plannedAndStoreEvery is the interval between seeds that have planned work and disturbances of the store, which excuse no lost request.
+const plannedAndStoreEvery = 6
+
+// isPlannedAndStore reports whether a seed has planned work and disturbances of the store alone.
+func isPlannedAndStore(seed uint64) bool { return seed%plannedAndStoreEvery == plannedAndStoreEvery-1 }
+
+// storeOnly has the kinds of fault that disturb nothing but the store.
+var storeOnly = map[string]bool{
+	"store link cut": true, "store refuses": true, "store silent": true, "store slow": true, "store loses answers": true, "store forgets": true,
+}
+
 // Bounds on the duration of a fault, and the rate of faults.
 const (
 	minFaultDuration = 200 * time.Millisecond
@@ -96,8 +112,8 @@
 
 // schedule returns the faults of a run of length span, sorted by start. The same seed and span give the same faults.
 func schedule(seed uint64, span time.Duration) []scheduledFault {
-	if isPlannedOnly(seed) {
-		planned := slices.DeleteFunc(slices.Clone(baseFaults), func(f fault) bool { return !f.planned })
+	if withStore := isPlannedAndStore(seed); withStore || isPlannedOnly(seed) {
+		planned := slices.DeleteFunc(slices.Clone(baseFaults), func(f fault) bool { return !f.planned && !(withStore && storeOnly[f.name]) })
 		events := drawFaults(rand.New(rand.NewPCG(seed, 1)), planned, faultsPerSecond, span)
 		events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 3)), keyAndStoreFaults[:1], addedFaultsPerSecond, span)...)
 		return sortByStart(append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults[:1], addedFaultsPerSecond, span)...))
@@ -107,6 +123,7 @@
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 3)), keyAndStoreFaults, addedFaultsPerSecond, span)...)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 4)), silentConnectionFaults, addedFaultsPerSecond, span)...)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults, addedFaultsPerSecond, span)...)
+	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 6)), endlessAnswerFaults, addedFaultsPerSecond, span)...)
 	return sortByStart(events)
 }
 
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -15,7 +15,10 @@
 	Begun     time.Time
 	Ended     time.Time
 	Limit     time.Duration
-	Status    int       // 0: the connection broke
+	Sent      time.Time // when its last byte was written
+	Kept      bool      // it was sent on a connection that had carried others
+	Closed    bool      // the node closed the connection before the whole response
+	Status    int       // 0: no whole response
 	OwnAnswer bool      // a success that carries the backend server's mark and the whole body
 	Probe     bool      // of the desired state, not of the service
 	Key       keyRecord // carried by the request, as of when it was sent
--- a/pkg/soak/node_process.go
+++ b/pkg/soak/node_process.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.yaml.in/yaml/v3"
+	"golang.org/x/sys/unix"
 
 	"github.com/rockspoke/rockspoke/pkg/settings"
 )
@@ -20,6 +21,7 @@
 	settingsFile     string
 	log              *os.File
 	cfg              settings.Settings
+	memoryMB         int // bound on its data in MiB; 0: none
 	onUnexpectedExit func(err error)
 	mu               sync.Mutex
 	cmd              *exec.Cmd
@@ -56,6 +58,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	if err := limitResources(cmd.Process.Pid, p.memoryMB); err != nil {
+		return err
+	}
 	exited := make(chan struct{})
 	p.mu.Lock()
 	p.cmd, p.exited, p.exitExpected, p.pausedSinceStart = cmd, exited, false, false
@@ -73,6 +78,23 @@
 	return nil
 }
 
+// maxDescriptors is the number of file descriptors that a process may have open, as on the smallest VMs.
+const maxDescriptors = 4100
+
+// limitResources bounds the descriptors of a process, and its data in MiB unless that is 0.
+func limitResources(pid, memoryMB int) error {
+	limits := map[int]uint64{unix.RLIMIT_NOFILE: maxDescriptors}
+	if memoryMB > 0 {
+		limits[unix.RLIMIT_DATA] = uint64(memoryMB) << 20
+	}
+	for resource, bound := range limits {
+		if err := unix.Prlimit(pid, resource, &unix.Rlimit{Cur: bound, Max: bound}, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // signal sends a signal to the process. It does nothing and returns nil if the process has exited.
 func (p *nodeProcess) signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/pkg/soak/promise_checks.go
+++ b/pkg/soak/promise_checks.go
@@ -8,7 +8,7 @@
 
 // checks each test one promise on the history of a run and return the violations.
 var checks = []func(h *history, calmFrom time.Time) []Finding{
-	checkOnceOnly, checkRefusals, checkAnswers, checkLeaving, checkFinalAnswers, checkPlannedWork, checkDesiredState, checkRetryBudget, checkRecovery,
+	checkOnceOnly, checkRefusals, checkAnswers, checkLeaving, checkFinalAnswers, checkPlannedWork, checkClosedConnections, checkDesiredState, checkRetryBudget, checkRecovery,
 	checkTeams, checkRevokedKeys, checkValidKeys, checkQuota,
 	checkRateLimits, checkLeavingByAnswers,
 }
@@ -19,6 +19,8 @@
 	finalAnswerGrace = time.Second
 	// disturbanceMargin is how long before a request there must be no disturbance for time bounds to apply.
 	disturbanceMargin = 3 * time.Second
+	// lossSlack is how long after its last byte was sent a request may cross the close of its connection.
+	lossSlack = 200 * time.Millisecond
 	// applyTime is the time within which a change of the desired state must take effect.
 	applyTime = 2 * time.Second
 	// retryRatio and retrySlack bound the retries that reach a service: a share of its requests plus a constant.
@@ -109,19 +111,35 @@
 
 func unplanned(d *disturbance) bool { return !d.Planned }
 
-// checkPlannedWork finds requests that were cut or failed with no disturbance but planned work near them.
+// beyondStore reports whether an unplanned disturbance affects anything but the store.
+func beyondStore(d *disturbance) bool { return !d.Planned && !storeOnly[d.Kind] }
+
+// checkPlannedWork finds requests that were cut or failed with no disturbance but planned work and those of the store near them.
 func checkPlannedWork(h *history, _ time.Time) (found []Finding) {
 	runs := h.runsByID()
 	for _, a := range h.attempts {
-		cut := a.Status == 0 && runs[a.ID] > 0
+		read := runs[a.ID] > 0 || a.Closed && a.Ended.Sub(a.Sent) > lossSlack
+		cut := a.Status == 0 && read
 		lost := a.Status == http.StatusBadGateway || a.Status == http.StatusGatewayTimeout || a.Status == http.StatusInternalServerError
-		if (cut || lost) && h.undisturbed("", a.Begun.Add(-disturbanceMargin), a.Ended, unplanned) {
+		if (cut || lost) && h.undisturbed("", a.Begun.Add(-disturbanceMargin), a.Ended, beyondStore) {
 			found = append(found, Finding{"planned work", fmt.Sprintf("%s %s ended with %d after %v", a.ID, a.Route, a.Status, a.Ended.Sub(a.Begun))})
 		}
 	}
 	return found
 }
 
+// checkClosedConnections finds requests from kept connections that ran and whose connection a node closed without an answer, though its
+// process had been running for disturbanceMargin.
+func checkClosedConnections(h *history, _ time.Time) (found []Finding) {
+	runs := h.runsByID()
+	for _, a := range h.attempts {
+		if a.Closed && a.Kept && runs[a.ID] > 0 && !h.outageNear(a.VM, a.Begun.Add(-disturbanceMargin), a.Ended) {
+			found = append(found, Finding{"closed connection", fmt.Sprintf("%s %s ran and got no answer after %v", a.ID, a.Route, a.Ended.Sub(a.Begun))})
+		}
+	}
+	return found
+}
+
 // checkDesiredState finds requests handled by an outdated desired state at a VM that no unplanned disturbance kept from updates.
 func checkDesiredState(h *history, _ time.Time) (found []Finding) {
 	for i, v := range h.stateChanges {
--- a/pkg/soak/site.go
+++ b/pkg/soak/site.go
@@ -93,8 +93,10 @@
 	if v.node, err = newNodeProcess(s.opts.Program, s.opts.Dir, s.nodeSettings(v)); err != nil {
 		return nil, err
 	}
+	v.node.memoryMB = s.opts.MemoryMB
 	v.node.onUnexpectedExit = func(err error) {
 		if !s.stopping.Load() {
+			s.log.Error("process ended by itself", "vm", v.ip, "err", err)
 			s.history.addFinding("process", fmt.Sprintf("%s ended by itself: %v", v.ip, err))
 		}
 	}
@@ -120,7 +122,7 @@
 		},
 		Mesh: &settings.Mesh{PeerPort: portPeers},
 	}
-	if isPlannedOnly(s.opts.Seed) {
+	if isPlannedOnly(s.opts.Seed) || isPlannedAndStore(s.opts.Seed) {
 		// A proxy accepts connections while the process behind it is down; the process's own port refuses them.
 		cfg.Mesh.PeerPort = portPeersReal
 	}
--- a/pkg/soak/site_routes.go
+++ b/pkg/soak/site_routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/rockspoke/rockspoke/platform/standin"
 )
@@ -20,7 +21,8 @@
 type route struct {
 	path, service string
 	once          bool
-	probe         bool // was added or dropped during the run
+	probe         bool          // was added or dropped during the run
+	timeout       time.Duration // how long callers wait for a response; 0: callerTimeout
 }
 
 // The permanent routes.
@@ -29,15 +31,20 @@
 	routePay  = route{path: "/pay/", service: serviceBill, once: true}
 	routePull = route{path: "/pull/", service: serviceBack}
 	routeCall = route{path: "/call/", service: serviceBack}
+	// routeLong has a few requests that take much longer than the others.
+	routeLong = route{path: "/long/", service: serviceBack, once: true, timeout: 2 * callerTimeout}
 )
 
+// limit returns how long callers wait for a response.
+func (r route) limit() time.Duration { return max(r.timeout, callerTimeout) }
+
 // changeState stores a newer desired state with the permanent routes and the given ones.
 func (s *site) changeState(routes []route) error {
 	s.routesMu.Lock()
 	defer s.routesMu.Unlock()
 	s.version += 1 + rand.Int64N(5)
 	var all []standin.Route
-	for _, r := range append([]route{routeRead, routePay, routePull, routeCall}, routes...) {
+	for _, r := range append([]route{routeRead, routePay, routePull, routeCall, routeLong}, routes...) {
 		all = append(all, standin.Route{
 			Name: "r" + r.path, Host: routeHost, Prefix: r.path, Service: r.service, Once: r.once,
 			Priority: 1, MaxAttempts: 3, Timeout: 3 * callerTimeout, Public: r == routeCall,
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -20,6 +20,8 @@
 	FaultPeriod    time.Duration // faults begin within it
 	RecoveryPeriod time.Duration // without faults, afterwards
 	Rate           float64       // requests a second into each VM
+	LongRate       float64       // requests a second into each VM on the route whose requests take long now and then
+	MemoryMB       int           // bound on the data of each process in MiB; 0: none
 	Log            io.Writer
 }
 
@@ -45,8 +47,15 @@
 	defer stop()
 	var callersDone sync.WaitGroup
 	for i, v := range s.vms {
-		c := &caller{vm: v, client: clientFrom(v.ip, callerTimeout+finalAnswerGrace), rnd: rand.New(rand.NewPCG(o.Seed, uint64(i+2))), keyRand: rand.New(rand.NewPCG(o.Seed, uint64(keyStreamBase+i)))}
+		c := &caller{
+			vm: v, client: clientFrom(v.ip, callerTimeout+finalAnswerGrace), pick: s.pickRoute,
+			rnd: rand.New(rand.NewPCG(o.Seed, uint64(i+2))), keyRand: rand.New(rand.NewPCG(o.Seed, uint64(keyStreamBase+i))),
+		}
 		callersDone.Go(func() { c.run(callers, o.Rate) })
+		if o.LongRate > 0 {
+			long := s.newLongCaller(i, v)
+			callersDone.Go(func() { long.run(callers, o.LongRate) })
+		}
 	}
 	s.injectFaults(ctx, schedule(o.Seed, o.FaultPeriod), begun)
 	calmFrom := time.Now()
@@ -58,6 +67,18 @@
 	return s.report(calmFrom), nil
 }
 
+// newLongCaller returns the caller of routeLong at the VM with index i.
+func (s *site) newLongCaller(i int, v *vm) *caller {
+	stream := uint64(longStreamBase + i)
+	return &caller{
+		vm: v, client: clientFrom(v.ip, routeLong.limit()+finalAnswerGrace), pick: func(*rand.Rand) route { return routeLong }, prefix: "l",
+		rnd: rand.New(rand.NewPCG(s.opts.Seed, stream)), keyRand: rand.New(rand.NewPCG(s.opts.Seed, stream+keyStreamBase)),
+	}
+}
+
+// longStreamBase is the first PCG stream of the callers of routeLong.
+const longStreamBase = 1 << 20
+
 // keyStreamBase is the first PCG stream used to draw keys; lower ones draw the rest of a caller's requests.
 const keyStreamBase = 1 << 16
 
--- a/pkg/soak/soak_main.go
+++ b/pkg/soak/soak_main.go
@@ -19,9 +19,12 @@
 	defaultSeeds          = 10
 	defaultConcurrentRuns = 3
 	defaultRate           = 15.0
-	defaultFaulty         = 8 * time.Second
-	defaultCalm           = 6 * time.Second
-	maxConcurrentRuns     = 20
+	defaultLongRate       = 4.0
+	// defaultMemoryMB is the memory of the smallest VMs, and what a process maps for its heap without using it.
+	defaultMemoryMB   = 284 + 116
+	defaultFaulty     = 8 * time.Second
+	defaultCalm       = 6 * time.Second
+	maxConcurrentRuns = 20
 )
 
 // command holds the parsed command line.
@@ -41,7 +44,8 @@
 		Name: "rockspoke-soak", ShortUsage: "rockspoke-soak [flags] [seed...]", FlagSet: c.flags(stderr),
 		ShortHelp: "run real daemons under random faults and check their promises",
 		LongHelp: "Each seed is a run of processes on loopback with its own order of faults. Every third seed has planned\n" +
-			"work alone, to show requests that it cuts. Logs stay in a folder for each seed.\n\n" +
+			"work alone, to show requests that it cuts, and every sixth planned work and disturbances of the store.\n" +
+			"Logs stay in a folder for each seed.\n\n" +
 			"  rockspoke-soak -seeds 50\n  rockspoke-soak -vms 30 4711\n  rockspoke-soak -failed",
 		Exec: c.exec,
 	}
@@ -63,6 +67,8 @@
 	fs.StringVar(&c.opts.Dir, "dir", filepath.Join(os.TempDir(), "rockspoke-soak"), "folder for settings and logs")
 	fs.IntVar(&c.opts.VMs, "vms", defaultVMs, "VMs, with a backend server and a process each")
 	fs.Float64Var(&c.opts.Rate, "rate", defaultRate, "requests a second into each VM")
+	fs.Float64Var(&c.opts.LongRate, "long", defaultLongRate, "requests a second into each VM of which a few take long")
+	fs.IntVar(&c.opts.MemoryMB, "memory", defaultMemoryMB, "bound on the data of each process in MiB; 0: none")
 	fs.DurationVar(&c.opts.FaultPeriod, "faulty", defaultFaulty, "time in which faults begin")
 	fs.DurationVar(&c.opts.RecoveryPeriod, "calm", defaultCalm, "time without faults afterwards")
 	fs.IntVar(&c.seeds, "seeds", defaultSeeds, "how many seeds to run, if none are named")
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -32,7 +32,7 @@
 		t.Run("", func(t *testing.T) {
 			r, err := Run(context.Background(), Options{
 				Program: program, Dir: t.TempDir(), Seed: seed, VMs: 6, Network: 100 + i,
-				FaultPeriod: 3 * time.Second, RecoveryPeriod: 5 * time.Second, Rate: 8, Log: os.Stderr,
+				FaultPeriod: 3 * time.Second, RecoveryPeriod: 5 * time.Second, Rate: 8, LongRate: defaultLongRate, MemoryMB: defaultMemoryMB, Log: os.Stderr,
 			})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, r.Findings, qt.HasLen, 0, qt.Commentf("%s", r.Text()))
@@ -71,6 +71,9 @@
 	for _, e := range schedule(plannedOnlyEvery, time.Minute) {
 		c.Assert(e.fault.planned, qt.IsTrue)
 	}
+	for _, e := range schedule(plannedAndStoreEvery-1, time.Minute) {
+		c.Assert(e.fault.planned || storeOnly[e.fault.name], qt.IsTrue)
+	}
 }
 
 var testTime = time.Unix(1_000_000, 0)
@@ -108,6 +111,18 @@
 		}},
 		{"final answer", func(h *history) { h.attempts[0].Ended = testTime.Add(2 * time.Second) }},
 		{"planned work", func(h *history) { h.attempts[0].Status, h.attempts[0].OwnAnswer = http.StatusBadGateway, false }},
+		{"planned work", func(h *history) {
+			h.attempts[0].Status, h.attempts[0].OwnAnswer, h.arrivals = 0, false, nil
+			h.attempts[0].Closed, h.attempts[0].Sent, h.attempts[0].Ended = true, testTime, testTime.Add(lossSlack+time.Millisecond)
+		}},
+		{"planned work", func(h *history) {
+			h.attempts[0].Status, h.attempts[0].OwnAnswer = http.StatusBadGateway, false
+			h.disturbances = []*disturbance{{Kind: "store silent", From: testTime.Add(-time.Second)}}
+		}},
+		{"closed connection", func(h *history) {
+			h.attempts[0].Status, h.attempts[0].OwnAnswer, h.attempts[0].Closed, h.attempts[0].Kept = 0, false, true, true
+			h.disturbances = []*disturbance{{Kind: "zone cut off", From: testTime.Add(-time.Second)}}
+		}},
 		{"desired state", func(h *history) {
 			h.addStateChange(stateChange{At: testTime.Add(-applyTime - time.Second), Dropped: routePay.path})
 		}},
