Daemon: a signal that arrives during the start or at the end of the stop doesn't end the process

Seen: SIGHUP ends a daemon in the first 5 to 8 ms of its life (50 of 50 at 0 to 5 ms). It registered for SIGHUP and SIGUSR1 with its start hooks, after reading the settings, and unregistered before its last log lines.

Change: it registers before it reads its settings and unregisters when it ends; a signal that arrives meanwhile is handled after the start.

Evidence: TestSignalBeforeTheStartIsHandledAfterIt ends the test process ("signal: hangup") on the code before.

Test replaced: TestSignalsAreHandledUntilTheNodeHasStopped ran the application alone, whose hooks no longer register. It runs the whole daemon now, from SIGTERM to its exit status, with signals every 50 ms instead of five in all.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"os"
 	"time"
 
 	"go.uber.org/fx"
@@ -25,14 +26,12 @@
 // stopMargin is added to the settings' time limit for calls in progress, to give the stop timeout.
 const stopMargin = 10 * time.Second
 
-// App returns the daemon as an fx application that logs to w.
-func App(cfg settings.Settings, w io.Writer) *fx.App {
+// App returns the daemon as an fx application that logs to w and handles SIGUSR1 and SIGHUP from signals.
+func App(cfg settings.Settings, signals <-chan os.Signal, w io.Writer) *fx.App {
 	return fx.New(
-		fx.Supply(cfg),
+		fx.Supply(cfg, signals),
 		fx.Supply(fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(newClock, newLoggerFactory, newKeys, newPlatform, metric.NewSet, newNode, newOperator),
-		// fx runs stop hooks in reverse order. The signal handler comes first here so that it stops after the
-		// node: without a handler, SIGUSR1 or SIGHUP would terminate the process.
 		fx.Invoke(watchSignals, runNode, runOperator),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
@@ -96,12 +95,13 @@
 const keyReloadPeriod = 30 * time.Second
 
 // watchSignals logs the state on SIGUSR1, and reloads the key files on SIGHUP and every keyReloadPeriod.
-func watchSignals(lc fx.Lifecycle, n *node.Node, k *keys.Store, c clock.Clock, f logging.Factory) {
+func watchSignals(lc fx.Lifecycle, signals <-chan os.Signal, n *node.Node, k *keys.Store, c clock.Clock, f logging.Factory) {
 	log := f.Logger("daemon")
 	w := &signalWatch{
-		dump:   func() any { return n.Dump() },
-		reload: func() { reloadKeys(k, log) },
-		clock:  c, reloadPeriod: keyReloadPeriod, log: log,
+		signals: signals,
+		dump:    func() any { return n.Dump() },
+		reload:  func() { reloadKeys(k, log) },
+		clock:   c, reloadPeriod: keyReloadPeriod, log: log,
 	}
 	w.register(lc)
 }
--- a/pkg/daemon/daemon_main.go
+++ b/pkg/daemon/daemon_main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -69,6 +70,8 @@
 		fmt.Fprintln(stderr, "rockspoked: --settings must name a file; see rockspoked --help")
 		return ExitSettings
 	}
+	signals := notifySignals() // before the settings are read: a signal that arrives meanwhile is handled after the start
+	defer signal.Stop(signals)
 	cfg, err := settings.Load(file)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -78,7 +81,7 @@
 		fmt.Fprintf(stdout, "%s: settings are good\n", file)
 		return ExitOK
 	}
-	if err := serve(ctx, newApp(file, cfg, stdout, stderr)); err != nil {
+	if err := serve(ctx, newApp(file, cfg, signals, stdout, stderr)); err != nil {
 		fmt.Fprintf(stderr, "rockspoked: %v\n", err)
 		return ExitFailed
 	}
@@ -86,11 +89,11 @@
 }
 
 // newApp returns a mesh node if the settings have a mesh section, and a node with an operators' API otherwise.
-func newApp(file string, cfg settings.Settings, stdout, stderr io.Writer) *fx.App {
+func newApp(file string, cfg settings.Settings, signals <-chan os.Signal, stdout, stderr io.Writer) *fx.App {
 	if cfg.Mesh != nil {
-		return MeshApp(file, cfg, stdout)
+		return MeshApp(file, cfg, signals, stdout)
 	}
-	return App(cfg, stderr)
+	return App(cfg, signals, stderr)
 }
 
 // serve runs the daemon until the context is done or SIGTERM or SIGINT arrives, then stops it.
--- a/pkg/daemon/mesh_daemon.go
+++ b/pkg/daemon/mesh_daemon.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"time"
 
 	"go.uber.org/fx"
@@ -17,15 +18,13 @@
 	"github.com/rockspoke/rockspoke/platform"
 )
 
-// MeshApp returns a node of a mesh as an fx application that logs to w and reloads the settings file on SIGHUP.
-func MeshApp(file string, cfg settings.Settings, w io.Writer) *fx.App {
+// MeshApp returns a node of a mesh as an fx application that logs to w, and on SIGHUP from signals reloads the settings file.
+func MeshApp(file string, cfg settings.Settings, signals <-chan os.Signal, w io.Writer) *fx.App {
 	return fx.New(
 		fx.Supply(cfg),
 		fx.Supply(fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(newClock, newMeshLoggerFactory, newMeshNode),
-		// fx runs stop hooks in reverse order. The signal handler comes first here so that it stops after the
-		// node: without a handler, SIGUSR1 or SIGHUP would terminate the process.
-		fx.Invoke(func(lc fx.Lifecycle, n *mesh.Node, f logging.Factory) { watchMeshSignals(lc, file, n, f) }),
+		fx.Invoke(func(lc fx.Lifecycle, n *mesh.Node, f logging.Factory) { watchMeshSignals(lc, signals, file, n, f) }),
 		fx.Invoke(runMeshNode),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
@@ -73,12 +72,13 @@
 }
 
 // watchMeshSignals logs the state on SIGUSR1 and reloads the settings file on SIGHUP.
-func watchMeshSignals(lc fx.Lifecycle, file string, n *mesh.Node, f logging.Factory) {
+func watchMeshSignals(lc fx.Lifecycle, signals <-chan os.Signal, file string, n *mesh.Node, f logging.Factory) {
 	log := f.Logger("daemon")
 	w := &signalWatch{
-		dump:   func() any { return n.Dump() },
-		reload: func() { reloadSettings(file, n, log) },
-		log:    log,
+		signals: signals,
+		dump:    func() any { return n.Dump() },
+		reload:  func() { reloadSettings(file, n, log) },
+		log:     log,
 	}
 	w.register(lc)
 }
--- a/pkg/daemon/mesh_daemon_test.go
+++ b/pkg/daemon/mesh_daemon_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -45,17 +47,75 @@
 // that is the test process itself.
 func TestSignalsAreHandledUntilTheNodeHasStopped(t *testing.T) {
 	c := qt.New(t)
-	path, cfg := meshSettings(c, t.TempDir())
-	app := MeshApp(path, cfg, io.Discard)
-	c.Assert(app.Err(), qt.IsNil)
-	c.Assert(app.Start(context.Background()), qt.IsNil)
-	stopped := make(chan error, 1)
-	go func() { stopped <- app.Stop(context.Background()) }()
-	for range 5 {
-		time.Sleep(100 * time.Millisecond)
-		c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+	path, _ := meshSettings(c, t.TempDir())
+	var log lockedBuffer
+	status := make(chan int, 1)
+	go func() { status <- Main(context.Background(), []string{"--settings", path}, &log, io.Discard) }()
+	log.await("started")
+	c.Assert(syscall.Kill(os.Getpid(), syscall.SIGTERM), qt.IsNil)
+	for sent := 0; ; sent++ {
+		select {
+		case s := <-status:
+			c.Check(s, qt.Equals, ExitOK)
+			c.Check(sent > 10, qt.IsTrue)
+			return
+		case <-time.After(50 * time.Millisecond):
+			if !strings.Contains(log.String(), "stopped") { // one that arrives after the end terminates the test
+				c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+			}
+		}
 	}
-	c.Assert(<-stopped, qt.IsNil)
+}
+
+// Guards against a SIGHUP that arrives before the daemon has started and terminates it, here the test process itself.
+func TestSignalBeforeTheStartIsHandledAfterIt(t *testing.T) {
+	c := qt.New(t)
+	path, _ := meshSettings(c, t.TempDir())
+	text, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.Remove(path), qt.IsNil)
+	c.Assert(syscall.Mkfifo(path, 0o600), qt.IsNil)
+	var log lockedBuffer
+	status := make(chan int, 1)
+	go func() { status <- Main(context.Background(), []string{"--settings", path}, &log, io.Discard) }()
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	c.Assert(err, qt.IsNil) // the daemon has opened its settings file
+	c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+	time.Sleep(20 * time.Millisecond)
+	c.Assert(os.Remove(path), qt.IsNil)
+	c.Assert(os.WriteFile(path, text, 0o600), qt.IsNil)
+	_, err = pipe.Write(text)
+	c.Assert(err, qt.IsNil)
+	c.Assert(pipe.Close(), qt.IsNil)
+	log.await("settings read again")
+	c.Check(log.String(), qt.Contains, "settings read again")
+	c.Assert(syscall.Kill(os.Getpid(), syscall.SIGTERM), qt.IsNil)
+	c.Assert(<-status, qt.Equals, ExitOK)
+}
+
+// lockedBuffer is a buffer for concurrent use.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// await waits up to 10 seconds for a text.
+func (l *lockedBuffer) await(text string) {
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(l.String(), text) && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 func TestMeshSettingsErrorNamesEveryInvalidField(t *testing.T) {
--- a/pkg/daemon/signal_watch.go
+++ b/pkg/daemon/signal_watch.go
@@ -14,8 +14,16 @@
 	"github.com/rockspoke/rockspoke/pkg/clock"
 )
 
+// notifySignals registers for the signals that a daemon handles. Without it SIGUSR1 and SIGHUP terminate the process.
+func notifySignals() chan os.Signal {
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+	return signals
+}
+
 // signalWatch logs the state on SIGUSR1, and reloads files on SIGHUP and at an interval.
 type signalWatch struct {
+	signals      <-chan os.Signal
 	dump         func() any
 	reload       func()
 	clock        clock.Clock
@@ -28,20 +36,17 @@
 
 // register adds hooks that handle signals from the start of the application until it stops.
 func (s *signalWatch) register(lc fx.Lifecycle) {
-	signals := make(chan os.Signal, signalQueue)
 	done := make(chan struct{})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
 			ticks, stop := s.ticks()
 			go func() {
 				defer stop()
-				s.loop(signals, ticks, done)
+				s.loop(s.signals, ticks, done)
 			}()
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			signal.Stop(signals)
 			close(done)
 			return nil
 		},
