Mesh: the answers that a node holds are bounded in sum

A node buffers up to 128 KiB of each answer and holds it until its client has read it. Nothing bounded the sum: some thousand clients that don't read take the memory of a small VM, whose process then ends by itself, and all requests in progress with it.

Change: 32 MiB of answers together, like the bodies of requests. Beyond that an answer is passed on as it arrives; if it breaks off, its client's connection is closed instead of another server being asked. Metrics answer_bytes and answers_unbuffered_total.

--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -50,10 +50,15 @@
 	return &answer{outcome: wire.Unknown, reason: reason, arrived: true}
 }
 
-// bufferBody reads a short body into memory, so that a truncated one is detected before any of it is passed on. Of a
-// long body it reads the first part and keeps the rest as a stream. The error is an *httpconn.Error.
-func (a *answer) bufferBody(res *httpconn.Response) error {
+// bufferBody reads a short body of an answer to q into memory, so that a truncated one is detected before any of it is passed on. Of a
+// long body it reads the first part and keeps the rest as a stream, and of any while the node holds too many bytes of answers nothing. The
+// error is an *httpconn.Error.
+func (n *Node) bufferBody(q *request, a *answer, res *httpconn.Response) error {
 	a.length = res.ContentLength
+	if !n.holdAnswer(q, a.length) {
+		a.stream = res.Body
+		return nil
+	}
 	if a.length >= 0 && a.length <= maxBufferedBody {
 		return a.bufferFixedBody(res)
 	}
@@ -69,6 +74,21 @@
 	return nil
 }
 
+// holdAnswer counts the bytes that are buffered of an answer to q with a body of the length, -1 if unknown; it returns false if the node holds too
+// many.
+func (n *Node) holdAnswer(q *request, length int64) bool {
+	held := length
+	if length < 0 || length > maxBufferedBody {
+		held = maxBufferedBody + 1
+	}
+	if !n.answerBytes.take(held) {
+		n.metrics.count("answers_unbuffered_total")
+		return false
+	}
+	q.heldAnswerBytes += held
+	return true
+}
+
 // bufferFixedBody reads a body of a known, short length into memory. The error is an *httpconn.Error.
 func (a *answer) bufferFixedBody(res *httpconn.Response) error {
 	a.body = make([]byte, a.length)
--- a/pkg/mesh/backend.go
+++ b/pkg/mesh/backend.go
@@ -236,7 +236,7 @@
 	}
 	res.KeepSending()
 	a := &answer{outcome: wire.Ran, arrived: true, status: res.Status, header: dropHopHeaders(res.Header)}
-	if err := a.bufferBody(res); err != nil {
+	if err := b.n.bufferBody(q, a, res); err != nil {
 		return b.failedAnswer(q, err)
 	}
 	if unlimited {
--- a/pkg/mesh/forward.go
+++ b/pkg/mesh/forward.go
@@ -221,7 +221,7 @@
 	res.KeepSending()
 	a.header = dropHopHeaders(res.Header)
 	a.header.Set(d.n.names.AttemptID, d.q.id) // the server's node has checked that it matches
-	if err := a.bufferBody(res); err != nil {
+	if err := d.n.bufferBody(d.q, a, res); err != nil {
 		return d.handlePeerError(p, err)
 	}
 	return a
--- a/pkg/mesh/inbound_server.go
+++ b/pkg/mesh/inbound_server.go
@@ -51,7 +51,7 @@
 		return
 	}
 	q, err := n.newRequest(w, r, c, true, 0)
-	defer n.releaseBody(q)
+	defer n.releaseBodies(q)
 	var a *answer
 	switch {
 	case err != nil:
@@ -116,7 +116,7 @@
 	}
 }
 
-// newRequest reads a request; maxBytes bounds its body, 0 for no bound. The error is a *bodyError. releaseBody must be called for it.
+// newRequest reads a request; maxBytes bounds its body, 0 for no bound. The error is a *bodyError. releaseBodies must be called for it.
 func (n *Node) newRequest(w http.ResponseWriter, r *http.Request, c peerCall, fromPeer bool, maxBytes int64) (*request, error) {
 	q := &request{
 		peerCall: c, fromPeer: fromPeer, id: r.Header.Get(n.names.AttemptID), method: r.Method, uri: r.RequestURI, host: r.Host,
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -69,6 +69,7 @@
 	forwarded          poison.SuccessTracker // successful runs of requests that this node sent to any server
 	timeLimits         clock.Deadlines       // of requests in flight
 	bodyBytes          byteBudget            // of request bodies that this node holds
+	answerBytes        byteBudget            // of answers that this node holds until they are written
 	peerRequests       awaited.InProgress    // requests of other nodes in flight here
 	serverNotListening atomic.Bool           // the local backend server has crashed and hasn't been seen since
 	clients            clientconns.Connections
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -173,6 +173,7 @@
 	n.metrics.gauge(int64(held), "gate_held")
 	n.metrics.gauge(int64(n.rateUse(now, rate)*1000), "server_rate_use")
 	n.metrics.gauge(n.bodyBytes.held.Load(), "body_bytes")
+	n.metrics.gauge(n.answerBytes.held.Load(), "answer_bytes")
 	n.metrics.gauge(heldMemory(), "memory_bytes")
 	n.metrics.gauge(int64(g.Running), "gate_running")
 	n.metrics.gauge(int64(g.Queued), "gate_queued")
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -60,7 +60,7 @@
 		return
 	}
 	q, err := n.newRequest(w, r, n.newPeerCall(state, route), false, state.Limits.BodyBytes)
-	defer n.releaseBody(q)
+	defer n.releaseBodies(q)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
--- a/pkg/mesh/request_body.go
+++ b/pkg/mesh/request_body.go
@@ -25,8 +25,8 @@
 	// continueWait is how long a node waits for the other one to ask for a long body or to refuse the request, before it sends the body
 	// anyway. Requests that get a slot at a gate rarely wait longer; without a limit, a node that never asks would get no body.
 	continueWait = time.Second
-	// maxHeldBodyBytes bounds the bytes of request bodies that a node holds. The smallest VMs have 184 MB for the node, the backend server
-	// and the system.
+	// maxHeldBodyBytes bounds the bytes of request bodies that a node holds, and those of answers. The smallest VMs have 184 MB for the node,
+	// the backend server and the system.
 	maxHeldBodyBytes = 32 << 20
 	// streamBufferBytes is the size of the buffer through which a long body is copied; it is that of io.Copy.
 	streamBufferBytes = 32 << 10
@@ -175,8 +175,9 @@
 	<-q.reader.done
 }
 
-// releaseBody releases what is held for the request's body; it is called when the request's handler returns.
-func (n *Node) releaseBody(q *request) {
+// releaseBodies releases what is held for the bodies of the request and of its answers; it is called when the request's handler returns.
+func (n *Node) releaseBodies(q *request) {
+	n.answerBytes.release(q.heldAnswerBytes)
 	if q.reader == nil {
 		return
 	}
