Pipeline: a client that leaves during an answer ends its request

Seen by reading: where a client leaves while a pipelined answer above 64 KiB is being written, its handler waits for good to write the rest. Its memory stays, and a stop of the node takes its whole grace time.

Cause: the answer was taken off the queue before the queue's requests were canceled. Change: an answer whose writing fails is canceled.

--- a/pkg/pipeline/answer.go
+++ b/pkg/pipeline/answer.go
@@ -85,6 +85,7 @@
 			return !a.complete || empty, nil
 		}
 		if _, err := w.Write(chunk); err != nil {
+			a.cancel() // its handler would wait for good to write the rest
 			return true, err
 		}
 		empty = false
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -258,6 +258,24 @@
 	}
 }
 
+// Guards against a request that stays in progress for good, since its client left while its answer was being written.
+func TestClientThatLeavesDuringAnAnswerEndsItsRequest(t *testing.T) {
+	x := newSite(t, true)
+	c := x.dial(t)
+	c.send(get("/a/wait"))
+	x.expectArrivals(c, 1)
+	c.send(get("/b?n=200000000"))
+	x.expectArrivals(c, 1)
+	close(x.release)
+	c.expect("/a/wait")
+	time.Sleep(50 * time.Millisecond) // the second answer fills the socket's buffers
+	c.Assert(c.Close(), qt.IsNil)
+	for end := time.Now().Add(5 * time.Second); x.running.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Check(x.running.Load(), qt.Equals, int64(0))
+}
+
 // Guards against bytes lost when net/http ends its background read in the middle of a request.
 func TestPartOfARequestIsKeptBetweenAnswers(t *testing.T) {
 	x := newSite(t, true)
