Pipeline: the answers that wait for earlier ones are bounded in sum

Each pipelined answer may buffer 64 KiB while it waits for the ones before it, 1 MiB a connection; with half of a process's descriptors for clients' connections that is 2 GiB on a VM with 284 MB.

Change: 16 MiB together; beyond that each answer has 4 KiB, so that none waits for those of other connections.

Evidence: TestBufferedBytesOfAllConnectionsAreBounded, 32 connections of 17 requests with answers of 100 kB.

--- a/pkg/pipeline/answer.go
+++ b/pkg/pipeline/answer.go
@@ -5,12 +5,14 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // answer is a connection in memory that gives an http.Server one request and keeps the bytes of its answer until they can be written.
 type answer struct {
 	local, remote net.Addr
+	buffered      *atomic.Int64 // bytes in out of all answers
 
 	mu       sync.Mutex
 	changed  sync.Cond // on mu
@@ -22,9 +24,9 @@
 	deadline time.Time
 }
 
-// newAnswer returns the answer to a request without body, whose header is given.
-func newAnswer(local, remote net.Addr, request []byte) *answer {
-	a := &answer{local: local, remote: remote, request: request}
+// newAnswer returns the answer to a request without body, whose header is given; buffered counts the bytes that wait.
+func newAnswer(local, remote net.Addr, request []byte, buffered *atomic.Int64) *answer {
+	a := &answer{local: local, remote: remote, request: request, buffered: buffered}
 	a.changed.L = &a.mu
 	return a
 }
@@ -53,26 +55,36 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
-// Write keeps p; above maxBufferedAnswer it waits until earlier bytes have been written.
+// Write keeps p; without space it waits until earlier bytes have been written.
 func (a *answer) Write(p []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	written := 0
 	for written < len(p) {
-		for len(a.out) >= maxBufferedAnswer && !a.closed {
+		space := a.space()
+		for ; space <= 0 && !a.closed; space = a.space() {
 			a.changed.Wait()
 		}
 		if a.closed {
 			return written, net.ErrClosed
 		}
-		n := min(len(p)-written, maxBufferedAnswer-len(a.out))
+		n := min(len(p)-written, space)
 		a.out = append(a.out, p[written:written+n]...)
+		a.buffered.Add(int64(n))
 		written += n
 		a.changed.Broadcast()
 	}
 	return written, nil
 }
 
+// space returns how many bytes may be added to out; a.mu is held. It grows again when out is taken, so no writer has to be woken for other answers.
+func (a *answer) space() int {
+	if a.buffered.Load() >= maxBufferedAnswers {
+		return minBufferedAnswer - len(a.out)
+	}
+	return maxBufferedAnswer - len(a.out)
+}
+
 // writeTo writes the answer to w while it is being made. It reports whether the connection must be closed after it.
 func (a *answer) writeTo(w io.Writer) (closes bool, err error) {
 	var spare []byte
@@ -103,6 +115,7 @@
 	if a.canceled {
 		return nil, true
 	}
+	a.buffered.Add(-int64(len(a.out)))
 	chunk, a.out = a.out, spare
 	a.changed.Broadcast()
 	return chunk, a.complete || a.closed
@@ -112,6 +125,7 @@
 func (a *answer) cancel() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.buffered.Add(-int64(len(a.out)))
 	a.closed, a.canceled, a.out = true, true, nil
 	a.changed.Broadcast()
 }
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -258,6 +258,35 @@
 	}
 }
 
+// Guards against many connections whose answers, each within its limit, are buffered without a bound of their sum.
+func TestBufferedBytesOfAllConnectionsAreBounded(t *testing.T) {
+	x := newSite(t, true)
+	const conns = 2 * maxBufferedAnswers / maxBufferedAnswer / maxAhead
+	var clients []*client
+	for range conns {
+		c := x.dial(t)
+		clients = append(clients, c)
+		c.send(get("/0/wait"))
+		for range maxAhead {
+			c.send(get("/a?n=100000"))
+		}
+	}
+	x.expectArrivals(clients[0], conns*(1+maxAhead))
+	time.Sleep(50 * time.Millisecond)
+	most := int64(maxBufferedAnswers + conns*maxAhead*minBufferedAnswer)
+	c := clients[0]
+	c.Check(x.s.buffered.Load() <= most, qt.IsTrue, qt.Commentf("%d bytes are buffered", x.s.buffered.Load()))
+	c.Check(x.s.buffered.Load() >= maxBufferedAnswers, qt.IsTrue, qt.Commentf("%d bytes are buffered", x.s.buffered.Load()))
+	close(x.release)
+	for _, c := range clients {
+		c.expect("/0/wait")
+		for range maxAhead {
+			c.expect("/a" + strings.Repeat("x", 100000))
+		}
+	}
+	c.Check(x.s.buffered.Load(), qt.Equals, int64(0))
+}
+
 // Guards against a request that stays in progress for good, since its client left while its answer was being written.
 func TestClientThatLeavesDuringAnAnswerEndsItsRequest(t *testing.T) {
 	x := newSite(t, true)
@@ -328,7 +357,7 @@
 	defer a.Close()
 	defer b.Close()
 	nc := newConn(x, a)
-	nc.queue = []*answer{newAnswer(nil, nil, nil)}
+	nc.queue = []*answer{newAnswer(nil, nil, nil, &atomic.Int64{})}
 	x.HTTP.ConnState(nc, http.StateIdle)
 	qt.Assert(t, plain, qt.DeepEquals, e)
 	nc.queue = nil
--- a/pkg/pipeline/run_ahead.go
+++ b/pkg/pipeline/run_ahead.go
@@ -51,7 +51,7 @@
 		if c.waits = !c.runsAhead(c.held[:n]); c.waits {
 			return
 		}
-		a := newAnswer(c.LocalAddr(), c.RemoteAddr(), slices.Clone(c.held[:n]))
+		a := newAnswer(c.LocalAddr(), c.RemoteAddr(), slices.Clone(c.held[:n]), &c.s.buffered)
 		c.dropHeld(n)
 		c.queue = append(c.queue, a)
 		c.s.answers.serve(a)
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -4,15 +4,19 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 )
 
-// Limits of one connection.
+// Limits of connections.
 const (
 	// maxAhead is how many requests of a connection are served behind the first one. Browsers and load generators that pipeline send
 	// fewer; more would let one connection take many slots.
 	maxAhead = 16
 	// maxBufferedAnswer bounds the bytes of an answer that wait for the answers before it; its handler's writes then block.
 	maxBufferedAnswer = 64 << 10
+	// maxBufferedAnswers bounds those bytes of all connections; above it each answer has minBufferedAnswer.
+	maxBufferedAnswers = 16 << 20
+	minBufferedAnswer  = 4 << 10
 	// headerSlack is how many bytes net/http reads beyond MaxHeaderBytes before it rejects a header.
 	headerSlack = 4 << 10
 )
@@ -29,8 +33,9 @@
 	// address and whether it is the connection's first. It is called under a connection's lock.
 	OnPipelined func(client net.Addr, first bool)
 
-	ahead   *http.Server
-	answers answerListener
+	ahead    *http.Server
+	answers  answerListener
+	buffered atomic.Int64 // bytes of answers that wait for the answers before them
 }
 
 // connKey is the context key of a request's *conn.
