Mesh: panics of handlers are counted and logged

A panic while a request is handled closes its connection without an answer, which net/http logs at a level that isn't written. None was seen; panics_total and "call: panic" tell it now. Nothing else changes.

--- a/pkg/mesh/listeners.go
+++ b/pkg/mesh/listeners.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -82,10 +85,28 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// notePanics has panics of the handler counted and logged; net/http then closes the connection without an answer.
+func (n *Node) notePanics(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				n.metrics.count("panics_total")
+				n.callLog.Error("panic", "request", r.Header.Get(n.names.AttemptID), "path", r.URL.Path, "value", fmt.Sprint(v), "stack", string(debug.Stack()))
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // newServer returns an HTTP server for an address with the limits of inbound connections.
 func (n *Node) newServer(addr string, h http.Handler) *http.Server {
 	return &http.Server{
-		Addr: addr, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Addr: addr, Handler: n.notePanics(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.callLog.Handler(), slog.LevelDebug),
 	}
 }
--- a/pkg/mesh/metric_table.go
+++ b/pkg/mesh/metric_table.go
@@ -18,6 +18,7 @@
 	{"pipelined_requests_total", "counter", "", "Requests that were served while an earlier request on the same client connection was not answered."},
 	{"answers_broken_total", "counter", "sender", "Answers of the local backend server (sender server) or another node (node) that began and broke off or were no valid answer."},
 	{"answers_cut_total", "counter", "", "Answers of which this node couldn't pass on the whole body: the sender broke off or the receiver left."},
+	{"panics_total", "counter", "", "Panics while a request or message was handled, whose connection was closed without an answer."},
 	{"answers_unbuffered_total", "counter", "", "Answers that were passed on as they arrived, since the node held too many bytes of answers; a broken one of them isn't retried."},
 	{"answer_bytes", "gauge", "", "Bytes of answers that the node holds."},
 	{"memory_bytes", "gauge", "", "Memory that the process holds from the system, without what C code holds."},
