--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -151,13 +151,7 @@
 		s.waitUntilKnown(1)
 		time.Sleep(startupWait)
 		var clients sync.WaitGroup
-		send := func(id string) {
-			clients.Go(func() {
-				status, why, _ := s.request(0, http.MethodPost, "/pay/x", id, 10*time.Second)
-				ran := slices.Contains(s.allRan(), id)
-				c.Check(status == http.StatusOK && ran || status == http.StatusServiceUnavailable && !ran, qt.IsTrue, qt.Commentf("%s: %d %s, ran: %v", id, status, why, ran))
-			})
-		}
+		send := func(id string) { s.sendServedOrRefused(c, &clients, id) }
 		for k := range 20 {
 			send(fmt.Sprint("calm", k))
 			time.Sleep(100 * time.Millisecond)
--- a/pkg/mesh/listeners_test.go
+++ b/pkg/mesh/listeners_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -11,29 +10,11 @@
 	"github.com/rockspoke/rockspoke/pkg/desired"
 )
 
-// lockedText is a log for concurrent use.
-type lockedText struct {
-	mu sync.Mutex
-	b  strings.Builder
-}
-
-func (l *lockedText) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedText) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // Guards against panics of handlers that no metric and no log line tells.
 func TestPanicsOfHandlersAreLogged(t *testing.T) {
 	c := qt.New(t)
 	s := newSite(t)
-	var log lockedText
+	var log logBuffer
 	s.log = &log
 	s.add("a", "z0", 10)
 	s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("read", desired.Repeatable, "a")}})
--- a/pkg/mesh/planned_stop_test.go
+++ b/pkg/mesh/planned_stop_test.go
@@ -39,19 +39,22 @@
 	return s
 }
 
+// sendServedOrRefused sends a request, without waiting for its answer, that must be served, or refused and not run.
+func (s *site) sendServedOrRefused(c *qt.C, clients *sync.WaitGroup, id string) {
+	clients.Go(func() {
+		status, why, _ := s.request(0, http.MethodPost, "/pay/x", id, 10*time.Second)
+		ran := slices.Contains(s.allRan(), id)
+		c.Check(status == http.StatusOK && ran || status == http.StatusServiceUnavailable && !ran, qt.IsTrue, qt.Commentf("%s: %d %s, ran: %v", id, status, why, ran))
+	})
+}
+
 // Guards against a stop that cuts the requests of a route which take longer than nearly all others.
 func TestStoppingNodeCutsNoRareLongRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := newStoppingSite(t)
 		var clients sync.WaitGroup
-		send := func(id string) {
-			clients.Go(func() {
-				status, why, _ := s.request(0, http.MethodPost, "/pay/x", id, 10*time.Second)
-				ran := slices.Contains(s.allRan(), id)
-				c.Check(status == http.StatusOK && ran || status == http.StatusServiceUnavailable && !ran, qt.IsTrue, qt.Commentf("%s: %d %s, ran: %v", id, status, why, ran))
-			})
-		}
+		send := func(id string) { s.sendServedOrRefused(c, &clients, id) }
 		for k := range 300 {
 			work := "20ms"
 			if k%60 == 59 {
