--- a/pkg/clock/deadlines_test.go
+++ b/pkg/clock/deadlines_test.go
@@ -47,3 +47,25 @@
 		})
 	}
 }
+
+// Guards against work that goes on, or begins, after all deadlines were closed.
+func TestCloseEndsAllContextsAndLaterOnes(t *testing.T) {
+	c := qt.New(t)
+	var l Deadlines
+	l.Close()
+	for range 2 {
+		ctx, cancel := l.Context(context.Background(), Real{}, Real{}.Now().Add(time.Hour))
+		c.Check(ctx.Err(), qt.Equals, context.Canceled)
+		cancel()
+	}
+	l = Deadlines{}
+	ctx, cancel := l.Context(context.Background(), Real{}, Real{}.Now().Add(time.Hour))
+	defer cancel()
+	expired, cancelExpired := l.Context(context.Background(), Real{}, Real{}.Now().Add(-time.Hour))
+	defer cancelExpired()
+	c.Assert(ctx.Err(), qt.IsNil)
+	l.Close()
+	c.Check(ctx.Err(), qt.Equals, context.Canceled)
+	c.Check(expired.Err(), qt.Equals, context.DeadlineExceeded)
+	c.Check(l.CancelExpired(Real{}.Now()), qt.Equals, 0)
+}
--- a/pkg/mesh/broken_answer.go
+++ b/pkg/mesh/broken_answer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"runtime/metrics"
 
 	"github.com/rockspoke/rockspoke/pkg/httpconn"
 	"github.com/rockspoke/rockspoke/pkg/logging"
@@ -34,13 +33,3 @@
 	}
 	panic(http.ErrAbortHandler) // net/http closes the connection without ending the body
 }
-
-// memoryMetrics are the runtime's metrics whose difference is the memory that the process holds.
-var memoryMetrics = [...]string{"/memory/classes/total:bytes", "/memory/classes/heap/released:bytes"}
-
-// heldMemory returns the bytes of memory that the Go runtime has from the system and hasn't given back.
-func heldMemory() int64 {
-	samples := []metrics.Sample{{Name: memoryMetrics[0]}, {Name: memoryMetrics[1]}}
-	metrics.Read(samples)
-	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
-}
--- a/pkg/mesh/node_metrics.go
+++ b/pkg/mesh/node_metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	runtimemetrics "runtime/metrics"
 	"strconv"
 	"sync"
 	"time"
@@ -183,3 +184,13 @@
 	}
 	n.metrics.gauge(int64(len(n.poison.SuspectCases(now))), "suspects")
 }
+
+// memoryMetrics are the runtime's metrics whose difference is the memory that the process holds.
+var memoryMetrics = [...]string{"/memory/classes/total:bytes", "/memory/classes/heap/released:bytes"}
+
+// heldMemory returns the bytes of memory that the Go runtime has from the system and hasn't given back.
+func heldMemory() int64 {
+	samples := []runtimemetrics.Sample{{Name: memoryMetrics[0]}, {Name: memoryMetrics[1]}}
+	runtimemetrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -77,11 +77,17 @@
 	req.Header.Set(standin.Headers.Team, "forged")
 	var sent atomic.Int64
 	req = req.WithContext(httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
-		GotConn:      func(i httptrace.GotConnInfo) { a.Kept = i.Reused },
-		WroteRequest: func(httptrace.WroteRequestInfo) { sent.Store(time.Now().UnixNano()) },
+		GotConn: func(i httptrace.GotConnInfo) { a.Kept = i.Reused },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if i.Err == nil {
+				sent.Store(time.Now().UnixNano())
+			}
+		},
 	}))
 	res, err := c.client.Do(req)
-	a.Sent = time.Unix(0, sent.Load())
+	if ns := sent.Load(); ns > 0 {
+		a.Sent = time.Unix(0, ns)
+	}
 	if err != nil {
 		a.Closed = isClosed(err)
 		return
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -15,7 +15,7 @@
 	Begun     time.Time
 	Ended     time.Time
 	Limit     time.Duration
-	Sent      time.Time // when its last byte was written
+	Sent      time.Time // when its last byte was written; zero: it wasn't
 	Kept      bool      // it was sent on a connection that had carried others
 	Closed    bool      // the node closed the connection before the whole response
 	Status    int       // 0: no whole response
--- a/pkg/soak/promise_checks.go
+++ b/pkg/soak/promise_checks.go
@@ -118,7 +118,7 @@
 func checkPlannedWork(h *history, _ time.Time) (found []Finding) {
 	runs := h.runsByID()
 	for _, a := range h.attempts {
-		read := runs[a.ID] > 0 || a.Closed && a.Ended.Sub(a.Sent) > lossSlack
+		read := runs[a.ID] > 0 || a.Closed && !a.Sent.IsZero() && a.Ended.Sub(a.Sent) > lossSlack
 		cut := a.Status == 0 && read
 		lost := a.Status == http.StatusBadGateway || a.Status == http.StatusGatewayTimeout || a.Status == http.StatusInternalServerError
 		if (cut || lost) && h.undisturbed("", a.Begun.Add(-disturbanceMargin), a.Ended, beyondStore) {
