--- a/pkg/mesh/answer.go
+++ b/pkg/mesh/answer.go
@@ -85,7 +85,7 @@
 		n.metrics.count("answers_unbuffered_total")
 		return false
 	}
-	q.heldAnswerBytes += held
+	q.heldAnswers += held
 	return true
 }
 
--- a/pkg/mesh/request.go
+++ b/pkg/mesh/request.go
@@ -16,28 +16,27 @@
 // request is one attempt of a client, or a call of a backend server, that this node handles.
 type request struct {
 	peerCall
-	fromPeer     bool // another node sent it
-	id           string
-	method       string
-	uri          string
-	host         string
-	header       http.Header // end-to-end headers
-	body         []byte
-	stream       io.Reader // a body too long to buffer; it can be sent once
-	streamHead   []byte    // buffered start of stream
-	streamLength int64     // of stream in bytes; -1 if unknown
-	reader       *bodyReader
-	unread       bool        // nothing of stream has been read yet, and streamHead isn't known
-	bodyMoved    atomic.Bool // some of stream may have been sent
-	sending      atomic.Bool // stream is being sent, or was; it is read until an error
-	heldBytes    int64       // counted in the node's bodyBytes
-	// heldAnswerBytes are those of all answers to the request so far, counted in the node's answerBytes.
-	heldAnswerBytes int64
-	deadline        time.Time // latest time for the answer
-	cachedIdentity  lazyIdentity
-	team            *desired.Team // nil: the request belongs to no team
-	knownLimit      knownLimit
-	reserve         budget.Reserve // of a call: what its request still needs after it
+	fromPeer       bool // another node sent it
+	id             string
+	method         string
+	uri            string
+	host           string
+	header         http.Header // end-to-end headers
+	body           []byte
+	stream         io.Reader // a body too long to buffer; it can be sent once
+	streamHead     []byte    // buffered start of stream
+	streamLength   int64     // of stream in bytes; -1 if unknown
+	reader         *bodyReader
+	unread         bool        // nothing of stream has been read yet, and streamHead isn't known
+	bodyMoved      atomic.Bool // some of stream may have been sent
+	sending        atomic.Bool // stream is being sent, or was; it is read until an error
+	heldBytes      int64       // counted in the node's bodyBytes
+	heldAnswers    int64       // bytes of all answers to it so far, counted in the node's answerBytes
+	deadline       time.Time   // latest time for the answer
+	cachedIdentity lazyIdentity
+	team           *desired.Team // nil: the request belongs to no team
+	knownLimit     knownLimit
+	reserve        budget.Reserve // of a call: what its request still needs after it
 	// clientDeadline is when the client gives up; the route's timeout may set an earlier deadline.
 	clientDeadline time.Time
 }
--- a/pkg/mesh/request_body.go
+++ b/pkg/mesh/request_body.go
@@ -177,7 +177,7 @@
 
 // releaseBodies releases what is held for the bodies of the request and of its answers; it is called when the request's handler returns.
 func (n *Node) releaseBodies(q *request) {
-	n.answerBytes.release(q.heldAnswerBytes)
+	n.answerBytes.release(q.heldAnswers)
 	if q.reader == nil {
 		return
 	}
--- a/pkg/soak/notice_history.go
+++ b/pkg/soak/notice_history.go
@@ -76,13 +76,3 @@
 		h.outages[i].To = time.Now()
 	}
 }
-
-// outageNear reports whether the VM's node had an outage between from and to.
-func (h *history) outageNear(vm string, from, to time.Time) bool {
-	for _, o := range h.outages {
-		if o.VM == vm && !o.From.After(to) && (o.To.IsZero() || !o.To.Before(from)) {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/soak/promise_checks.go
+++ b/pkg/soak/promise_checks.go
@@ -133,7 +133,7 @@
 func checkClosedConnections(h *history, _ time.Time) (found []Finding) {
 	runs := h.runsByID()
 	for _, a := range h.attempts {
-		if a.Closed && a.Kept && runs[a.ID] > 0 && !h.outageNear(a.VM, a.Begun.Add(-disturbanceMargin), a.Ended) {
+		if a.Closed && a.Kept && runs[a.ID] > 0 && !h.hadOutage(a.VM, a.Begun.Add(-disturbanceMargin), a.Ended) {
 			found = append(found, Finding{"closed connection", fmt.Sprintf("%s %s ran and got no answer after %v", a.ID, a.Route, a.Ended.Sub(a.Begun))})
 		}
 	}
