--- a/review/standin-2/case_tenants.go
+++ b/review/standin-2/case_tenants.go
@@ -113,4 +113,95 @@
 	}, nil
 }
 
-func revokedInDrill(s *site, trouble bool) (verdict, error) { return verdict{}, errors.New("todo") }
+// revoke is the bound of the sheet.
+const revoke = 5 * time.Second
+
+// revokedInDrill: a key is taken away. Some seconds later the store goes away for a moment, all processes of the system are killed at the
+// same moment and start again, and the store comes back from a copy that is older than the change. The operator writes it again.
+func revokedInDrill(s *site, trouble bool) (verdict, error) {
+	s.mesh = []string{"strictRevoke: true", `revoke: "5000ms"`}
+	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		s.add("ledger", zone, 100, 10*time.Millisecond)
+	}
+	routes := []route{{name: "r-ledger", host: "ledger.example", prefix: "/lock/", kind: "unsafe", service: "ledger", timeout: "1000ms"}}
+	const kept, taken = "key-kept-81c3", "key-taken-5f2a"
+	s.configure(1, routes, tenant{name: "tenant-1", keys: []string{kept, taken}}, tenant{name: "tenant-2", keys: []string{"key-other-77"}})
+	if err := s.startAll(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(8 * time.Second)
+	var clients []*client
+	for _, m := range s.machines {
+		clients = append(clients, m.newClient())
+	}
+	send := func(key string) func(c *client) sent {
+		return func(c *client) sent {
+			return c.send(http.MethodPost, "ledger.example", "/lock/engine", key, 1200*time.Millisecond)
+		}
+	}
+	good, bad := startLoad(clients, 50*time.Millisecond, send(kept)), startLoad(clients, 50*time.Millisecond, send(taken))
+	time.Sleep(2 * time.Second)
+	s.store.takeCopy()
+	time.Sleep(500 * time.Millisecond)
+	change := func(version int64) {
+		s.configure(version, routes, tenant{name: "tenant-1", keys: []string{kept}}, tenant{name: "tenant-2", keys: []string{"key-other-77"}})
+	}
+	change(2)
+	confirmed := time.Now()
+	time.Sleep(4500 * time.Millisecond)
+	if trouble {
+		s.store.goAway()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, m := range s.machines {
+		m.kill()
+	}
+	time.Sleep(time.Second)
+	for _, m := range s.machines {
+		if err := m.restart(); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		s.store.returnFromCopy()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		change(2)
+	}
+	time.Sleep(4 * time.Second)
+	served := 0
+	for _, x := range good.end() {
+		if x.status == http.StatusOK {
+			served++
+		}
+	}
+	attempts := bad.end()
+	before, late, last := 0, 0, time.Duration(0)
+	for _, m := range s.machines {
+		for _, r := range m.app.allRuns() {
+			x, known := attempts[r.attempt]
+			if !known {
+				continue
+			}
+			after := x.at.Sub(confirmed)
+			if after <= revoke {
+				before++
+				continue
+			}
+			if late++; late <= 5 {
+				s.rec.add("CONFIG", r.attempt, fmt.Sprintf("was sent %.2f s after its key was taken away, and ran at %s", after.Seconds(), r.backend))
+			}
+			last = max(last, after)
+		}
+	}
+	if served == 0 || before == 0 {
+		return verdict{}, errors.New("no request was served")
+	}
+	return verdict{
+		broken: late > 0,
+		text: fmt.Sprintf("%d requests with the good key served; %d with the other one ran before it was taken away or within 5 s after; CONFIG: %d that were sent later ran, the last one %.2f s after",
+			served, before, late, last.Seconds()),
+	}, nil
+}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -37,6 +37,7 @@
 	ver     int64
 	era     int64
 	down    bool
+	away    bool // no answer at all: each connection is closed
 	copies  *snapshot
 	changed chan struct{}
 }
@@ -74,6 +75,15 @@
 	s.rec.add("store", "down", down)
 }
 
+// goAway has the store answer nothing until it returns from a copy.
+func (s *store) goAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+	s.rec.add("store", "away")
+}
+
 // takeCopy keeps a copy of the rows as they are now.
 func (s *store) takeCopy() {
 	s.mu.Lock()
@@ -96,7 +106,7 @@
 	}
 	s.ver = s.copies.ver
 	s.era++
-	s.down = false
+	s.down, s.away = false, false
 	s.wake()
 	s.rec.add("store", "back from a copy, era", s.era)
 }
@@ -126,8 +136,11 @@
 	time.Sleep(4 * time.Millisecond) // an answer takes 4 ms on the sheets
 	vm, _, _ := net.SplitHostPort(r.RemoteAddr)
 	s.mu.Lock()
-	era, down := s.era, s.down
+	era, down, away := s.era, s.down, s.away
 	s.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler) // net/http closes the connection
+	}
 	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -214,11 +227,14 @@
 	defer end.Stop()
 	for {
 		s.mu.Lock()
-		changed, down := s.changed, s.down
+		changed, down, away := s.changed, s.down, s.away
 		a := s.matching(func(x row) bool { return x.Table == q.Get("table") && x.Ver > after })
 		gone := after > s.ver
 		era := s.era
 		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 		switch {
 		case down:
