--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"sync"
@@ -38,6 +39,12 @@
 	surplusEvery int
 	surplus      string
 
+	// resetShare is the share of its answers that are lost: the request has run, and the connection is reset.
+	resetShare float64
+	// deadly reports whether a request crashes the server as soon as it begins to run it; nil: none does. crashed is called then.
+	deadly  func(req *http.Request) bool
+	crashed func()
+
 	mu       sync.Mutex
 	runs     []run
 	answers  int
@@ -131,10 +138,30 @@
 		return err == nil
 	}
 	b.mu.Lock()
+	if b.ended {
+		b.mu.Unlock()
+		return false
+	}
 	b.runs = append(b.runs, run{attempt: id, backend: b.name, tenant: req.Header.Get("Rockspoke-Tenant-Id"), at: time.Now()})
 	b.mu.Unlock()
+	if b.deadly != nil && b.deadly(req) {
+		b.rec.add(b.name, "runs", id, "and crashes")
+		b.end()
+		b.crashed()
+		return false
+	}
 	b.rec.add(b.name, "runs", id)
 	time.Sleep(b.workTime)
+	b.mu.Lock()
+	lost := rand.Float64() < b.resetShare
+	b.mu.Unlock()
+	if lost {
+		b.rec.add(b.name, "loses the answer to", id)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // closing resets the connection
+		}
+		return false
+	}
 	body := "done " + id + " by " + b.id + "\n"
 	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\nRockspoke-Attempt-Id: %s\r\nRockspoke-Response-Seal: %s.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
 		id, b.id, id, len(body), body)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(s *site, trouble bool) (verdict, error){
 	"surplus-refusal":  surplusRefusal,
+	"crash-reset":      crashAfterReset,
 	"left-in-outage":   leftInOutage,
 	"left-behind-cut":  leftBehindCut,
 	"left-restarting":  leftWhileRestarting,
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -209,15 +209,21 @@
 	}
 	time.Sleep(drain + time.Second)
 	old.end()
+	return m.startNext()
+}
+
+// startNext starts a backend of a new lifetime in the place of one that has ended.
+func (m *machine) startNext() error {
+	old := m.app
 	m.app = &backend{
 		rec: m.s.rec, name: old.name, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: old.service, zone: old.zone,
-		addr: old.addr, control: old.control, slots: old.slots, workTime: old.workTime,
+		addr: old.addr, control: old.control, slots: old.slots, workTime: old.workTime, deadly: old.deadly, crashed: old.crashed,
 	}
 	if err := m.app.start(); err != nil {
 		return err
 	}
 	go m.app.keepPinging()
-	m.s.rec.add(m.app.name, "released: a new lifetime has begun")
+	m.s.rec.add(m.app.name, "a new lifetime has begun:", m.app.id)
 	return nil
 }
 
