--- a/review/standin-2/case_crash.go
+++ b/review/standin-2/case_crash.go
@@ -9,20 +9,23 @@
 	"time"
 )
 
-// crashAfterReset: three of five servers of a service lose two in five of their answers by a reset, in spells of 4 s. Meanwhile requests
+// crashAfterReset: five of nine servers of a service lose two in five of their answers by a reset, in spells of 4 s. Meanwhile requests
 // come that crash the server that begins to run them. No request that isn't idempotent may run twice.
 func crashAfterReset(s *site, trouble bool) (verdict, error) {
-	front := s.add("front", "zone-a", 100, 10*time.Millisecond)
-	var desks []*machine
-	for i := range 5 {
-		desks = append(desks, s.add("desk", fmt.Sprintf("zone-%c", 'a'+i%3), 60, 10*time.Millisecond))
+	var fronts, desks []*machine
+	for i := range 9 {
+		zone := fmt.Sprintf("zone-%c", 'a'+i%3)
+		if i < 3 {
+			fronts = append(fronts, s.add("front", zone, 100, 10*time.Millisecond))
+		}
+		desks = append(desks, s.add("desk", zone, 60, 6*time.Millisecond))
 	}
 	s.configure(1, []route{{name: "r-desk", host: "desk.example", prefix: "/assign/", kind: "unsafe", service: "desk", timeout: "1000ms"}})
 	var crashes atomic.Int64
 	var spell atomic.Bool
 	deadly := func(req *http.Request) bool { return strings.HasPrefix(req.URL.Path, "/assign/deadly-") }
 	share := func(i int) float64 {
-		if trouble && spell.Load() && i < 3 {
+		if trouble && spell.Load() && i < 5 {
 			return 0.4
 		}
 		return 0
@@ -41,8 +44,8 @@
 	}
 	time.Sleep(5 * time.Second)
 	var clients []*client
-	for range 10 {
-		clients = append(clients, front.newClient())
+	for i := range 18 {
+		clients = append(clients, fronts[i%3].newClient())
 	}
 	l := startLoad(clients, 50*time.Millisecond, sendAssign)
 	time.Sleep(2 * time.Second)
@@ -62,7 +65,8 @@
 		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); {
 			sentDeadly++
 			path := fmt.Sprintf("/assign/deadly-%d", rand.Uint32())
-			go func() { results <- clients[0].send(http.MethodPost, "desk.example", path, "", 1200*time.Millisecond) }()
+			c := clients[sentDeadly%len(clients)]
+			go func() { results <- c.send(http.MethodPost, "desk.example", path, "", 1200*time.Millisecond) }()
 			for wait := time.Now().Add(400 * time.Millisecond); time.Now().Before(wait); time.Sleep(10 * time.Millisecond) {
 				select {
 				case f := <-back:
