--- a/review/standin-2/case_crash.go
+++ b/review/standin-2/case_crash.go
@@ -60,7 +60,7 @@
 			m.app.mu.Unlock()
 		}
 	}
-	for range 8 {
+	for range 10 {
 		setShare(true)
 		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); {
 			sentDeadly++
