--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -173,6 +173,14 @@
 	return b.call(http.MethodDelete, body)
 }
 
+// sayGoneBare does the same in the form that `fleetbench wire` shows, without a body.
+func (b *backend) sayGoneBare() bool {
+	b.mu.Lock()
+	b.silent = true
+	b.mu.Unlock()
+	return b.call(http.MethodDelete, nil)
+}
+
 // call makes a call to the control address; only a 2xx within a second is a confirmation.
 func (b *backend) call(method string, body []byte) bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standin-2/case_left.go
+++ b/review/standin-2/case_left.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -149,3 +151,48 @@
 	time.Sleep(time.Until(confirmed.Add(shortStay + 2*time.Second)))
 	return judgeDrain(s, l.end(), leaver.app, confirmed, inTouch)
 }
+
+// leftWhileRestarting: a node's process is killed. While it is down the backend beside it begins to leave: it repeats its DELETE until
+// that is confirmed. The process starts again, with seeds whose machines are down.
+func leftWhileRestarting(s *site, trouble bool) (verdict, error) {
+	leaver, clients, err := leavingSite(s)
+	if err != nil {
+		return verdict{}, err
+	}
+	if err := leaver.release(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(5 * time.Second)
+	l := startLoad(clients, 60*time.Millisecond, sendAssign)
+	time.Sleep(2 * time.Second)
+	if os.Getenv("LIVE") == "" {
+		for host := 20; host < 23; host++ {
+			if err := listenSilently(s.addr(host, portInbound)); err != nil {
+				return verdict{}, err
+			}
+			leaver.staleSeeds = append(leaver.staleSeeds, s.addr(host, portControl))
+		}
+	}
+	if trouble {
+		leaver.kill()
+		time.AfterFunc(time.Second, func() { _ = leaver.restart() })
+	}
+	time.Sleep(300 * time.Millisecond)
+	begun := time.Now()
+	for !leaver.app.sayGoneBare() {
+		if time.Since(begun) > 5*time.Second {
+			l.end()
+			return verdict{}, errors.New("the leaving was not confirmed")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	confirmed := time.Now()
+	s.rec.add(leaver.app.name, "DELETE confirmed")
+	time.AfterFunc(shortStay, leaver.app.end)
+	if err := s.waitReady(10 * time.Second); err != nil {
+		return verdict{}, err
+	}
+	inTouch := time.Now().Add(contact)
+	time.Sleep(time.Until(confirmed.Add(shortStay + 2*time.Second)))
+	return judgeDrain(s, l.end(), leaver.app, confirmed, inTouch)
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 	"surplus-refusal":  surplusRefusal,
 	"left-in-outage":   leftInOutage,
 	"left-behind-cut":  leftBehindCut,
+	"left-restarting":  leftWhileRestarting,
 	"quota-two-owners": quotaTwoOwners,
 	"revoked-in-drill": revokedInDrill,
 }
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -42,6 +42,8 @@
 	file    string
 	log     *os.File
 
+	staleSeeds []string // seeds of the next restarts; nil: other machines
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	up  bool
@@ -190,12 +192,53 @@
 			seeds = append(seeds, o.at(portControl))
 		}
 	}
+	if m.staleSeeds != nil {
+		seeds = m.staleSeeds
+	}
 	if err := m.writeSettings(false, seeds); err != nil {
 		return err
 	}
 	return m.start()
 }
 
+// release replaces the backend by one of a new lifetime, as planned work does: the old one leaves and ends, the new one starts.
+func (m *machine) release() error {
+	old := m.app
+	if !old.sayGone() {
+		return errors.New("the release was not confirmed")
+	}
+	time.Sleep(drain + time.Second)
+	old.end()
+	m.app = &backend{
+		rec: m.s.rec, name: old.name, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: old.service, zone: old.zone,
+		addr: old.addr, control: old.control, slots: old.slots, workTime: old.workTime,
+	}
+	if err := m.app.start(); err != nil {
+		return err
+	}
+	go m.app.keepPinging()
+	m.s.rec.add(m.app.name, "released: a new lifetime has begun")
+	return nil
+}
+
+// listenSilently takes connections to an address and never answers, like a machine behind a cut.
+func listenSilently(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+		}
+	}()
+	return nil
+}
+
 // ready reports whether the node answers the platform's readiness question with 200.
 func (m *machine) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
