Directory: a leaving that is confirmed during the node's start isn't undone

Cause: the node had just started and remembered the lifetime (ID, start unknown). Its own earlier record, read 0.2 s later, named the start time and was compared by equality, so "serving" took the place of "gone". Heartbeats were compared the same way.

Change: what the server has said to this process goes before any replica, and a start time that either side lacks may be any. The fix works whatever the moment of the DELETE, since the comparison no longer depends on what was known then.

--- /dev/null
+++ b/pkg/directory/known_server_test.go
@@ -0,0 +1,99 @@
+package directory
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The lifetimes and records of the tests: "a" started at 100, and the node's earlier process recorded it at generation 3.
+var (
+	unknownStart = Lifetime{Instance: "a"}
+	first        = Lifetime{"a", 100}
+	second       = Lifetime{"a", 200}
+	other        = Lifetime{"b", 150}
+)
+
+// replica returns a record that a peer or the store has.
+func replica(at Lifetime, generation int64, phase Phase) Record {
+	return Record{
+		Host: "h", Generation: generation, FirstGeneration: 3, Instance: at.Instance, Service: "s", Zone: "z", Slots: 5,
+		Phase: phase, StartedMS: at.StartedMS,
+	}
+}
+
+// stored returns a step in which a replica arrives.
+func stored(at Lifetime, generation int64, phase Phase) func(o *LocalServer) {
+	return func(o *LocalServer) { o.Restore(replica(at, generation, phase)) }
+}
+
+// left returns a step in which a lifetime leaves.
+func left(at Lifetime) func(o *LocalServer) { return func(o *LocalServer) { o.Leave(at) } }
+
+// heard returns a step in which a heartbeat arrives.
+func heard(at Lifetime, seq int64, draining bool) func(o *LocalServer) {
+	return func(o *LocalServer) { o.Heartbeat(start, lifetimeBeat(at.Instance, at.StartedMS, seq, draining)) }
+}
+
+// Guards against a confirmed leaving that an older record or a late heartbeat undoes: each row has what is known, then what arrives.
+func TestNothingOlderUndoesALeaving(t *testing.T) {
+	type step = func(o *LocalServer)
+	for name, row := range map[string]struct {
+		known, arrives []step
+		want           Phase
+	}{
+		"leave without a start, then its record":          {[]step{left(unknownStart)}, []step{stored(first, 3, Serving)}, Gone},
+		"leave without a start, then a newer record":      {[]step{left(unknownStart)}, []step{stored(first, 1, Serving), stored(first, 9, Serving)}, Gone},
+		"leave without a start, then another's record":    {[]step{left(unknownStart)}, []step{stored(other, 3, Serving)}, Gone},
+		"leave without a start, then a late heartbeat":    {[]step{left(unknownStart)}, []step{heard(first, 7, false)}, Gone},
+		"and with the record between":                     {[]step{left(unknownStart), stored(first, 3, Serving)}, []step{heard(first, 7, false)}, Gone},
+		"leave without a start after a restart of the ID": {[]step{stored(first, 3, Serving), left(unknownStart)}, []step{heard(second, 7, false)}, Gone},
+		"leave, then a record without a start":            {[]step{left(first)}, []step{stored(unknownStart, 3, Serving)}, Gone},
+		"leave of the restored lifetime, then its record": {[]step{stored(first, 3, Serving), left(first)}, []step{stored(first, 9, Serving)}, Gone},
+		"heartbeat, leave, then a newer record":           {[]step{heard(first, 1, false), left(unknownStart)}, []step{stored(first, 9, Serving)}, Gone},
+		"draining, then the record before":                {[]step{heard(first, 1, true)}, []step{stored(first, 9, Serving)}, Draining},
+		"draining restored, then a late heartbeat":        {[]step{stored(first, 3, Draining)}, []step{heard(first, 1, false)}, Draining},
+		"left by a replica, then an older replica":        {[]step{stored(first, 4, Gone)}, []step{stored(first, 3, Serving)}, Gone},
+		"left by a replica, then a late heartbeat":        {[]step{stored(first, 4, Gone)}, []step{heard(first, 9, false)}, Gone},
+		"restored, then left by a replica":                {[]step{stored(first, 3, Serving)}, []step{stored(first, 4, Gone)}, Gone},
+		"leave of an earlier lifetime":                    {[]step{stored(second, 3, Serving)}, []step{left(first)}, Serving},
+		"restored, then the next lifetime":                {[]step{stored(first, 4, Gone)}, []step{heard(second, 1, false)}, Serving},
+		"left while heard, then the next lifetime":        {[]step{heard(first, 4, false), left(unknownStart)}, []step{heard(second, 1, false)}, Serving},
+		"leave without a start, then another server":      {[]step{left(unknownStart), stored(first, 3, Serving)}, []step{heard(other, 1, false)}, Serving},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := LocalServer{Host: "h"}
+			for _, s := range row.known {
+				s(&o)
+			}
+			before := o.Record()
+			for _, s := range row.arrives {
+				s(&o)
+			}
+			qt.Check(t, o.Record().Phase, qt.Equals, row.want, qt.Commentf("%+v", o.Record()))
+			qt.Check(t, o.Record().Generation >= before.Generation, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a late heartbeat of a server that has left without ever having been heard, which replaced the server in its place.
+func TestLateHeartbeatOfAServerThatLeftUnheardIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	o := LocalServer{Host: "h"}
+	heard(first, 1, false)(&o)
+	left(Lifetime{Instance: other.Instance})(&o)
+	heard(other, 1, false)(&o)
+	c.Assert(o.Record().Lifetime(), qt.Equals, first)
+}
+
+// Guards against a server that restarts under its ID beside a restarted node and isn't used, since an earlier lifetime left without a start time.
+func TestServerThatRestartsAfterAnUnknownLifetimeLeftServesOnceItsHeartbeatsContinue(t *testing.T) {
+	c := qt.New(t)
+	o := LocalServer{Host: "h"}
+	o.Leave(unknownStart)
+	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 200, 1, false)), qt.IsFalse)
+	c.Assert(o.Heartbeat(start.Add(candidateConfirmTime), lifetimeBeat("a", 200, 2, false)), qt.IsTrue)
+	c.Assert(o.Record().Phase, qt.Equals, Serving)
+	c.Assert(o.Heartbeat(start.Add(candidateConfirmTime), lifetimeBeat("a", 300, 1, false)), qt.IsTrue, qt.Commentf("the next lifetime serves at once"))
+	c.Assert(o.Record().StartedMS, qt.Equals, int64(300))
+}
--- a/pkg/directory/local_server.go
+++ b/pkg/directory/local_server.go
@@ -70,6 +70,8 @@
 	switch {
 	case slices.Contains(o.left, sender):
 		return staleHeartbeat
+	case sender != current && o.mayHaveLeft(sender):
+		return ambiguousHeartbeat
 	case o.record.Instance == "":
 		return nextHeartbeat
 	case sender.StartedMS == 0 && current.StartedMS > 0:
@@ -112,6 +114,7 @@
 	if o.record.Instance != "" {
 		o.rememberLeft(o.record.Lifetime()) // its heartbeats that are still in flight are stale
 	}
+	o.forgetUnknownStarts(r.Lifetime())
 	return o.updateRecord(r, r.phase(), o.record.Generation+1)
 }
 
@@ -152,12 +155,16 @@
 // current one if the start time of either is unknown.
 func (o *LocalServer) Leave(at Lifetime) bool {
 	current := o.record.Lifetime()
-	if at.Instance == current.Instance && (at.StartedMS == 0 || current.StartedMS == 0) {
-		at.StartedMS = current.StartedMS
+	isCurrent := at.SameAs(current)
+	if !o.registered || !isCurrent {
+		o.rememberLeft(at) // the server may have restarted under its ID since the current lifetime was recorded
+	}
+	if isCurrent {
+		at = at.MoreKnown(current)
+		o.rememberLeft(at)
 	}
-	o.rememberLeft(at)
 	switch {
-	case at == current:
+	case isCurrent:
 		if o.record.Phase == Gone {
 			return false
 		}
@@ -184,29 +191,63 @@
 	o.left = append(o.left, at)
 }
 
+// mayHaveLeft reports whether a lifetime has left as far as is known: a start time that either side lacks may be any.
+func (o *LocalServer) mayHaveLeft(at Lifetime) bool { return slices.ContainsFunc(o.left, at.SameAs) }
+
+// hasLeft reports whether the server on this VM has left since the node started and hasn't sent a heartbeat.
+func (o *LocalServer) hasLeft() bool {
+	return !o.registered && o.record.Phase == Gone && o.mayHaveLeft(o.record.Lifetime())
+}
+
+// forgetUnknownStarts forgets that lifetimes of the instance with unknown start times have left: the given one, which has a
+// start time, isn't one of them.
+func (o *LocalServer) forgetUnknownStarts(at Lifetime) {
+	if at.StartedMS == 0 {
+		return
+	}
+	o.left = slices.DeleteFunc(o.left, func(l Lifetime) bool { return l == Lifetime{Instance: at.Instance} })
+}
+
 // Restore takes this server's Record from a replica after a restart of the node, and reports whether the Record changed. Once the
-// server itself has sent a heartbeat, the replica can only raise the generation.
+// server itself has sent a heartbeat or has left, the replica can only raise the generation and the phase.
 func (o *LocalServer) Restore(r Record) bool {
 	if r.Host != o.Host || !r.supersedes(o.record) {
 		return false
 	}
-	if o.registered && o.record.withGenerationsOf(r) == r {
+	switch {
+	case o.registered && o.record.withGenerationsOf(r) == r:
 		o.record = r // the replica holds exactly what the server reported
-		return true
-	}
-	if o.registered && r.isLaterPhaseOf(o.record) {
+	case o.registered && r.isLaterPhaseOf(o.record):
 		o.record.Phase = r.Phase // another node has seen the server say that it is leaving
 		o.record.Generation = r.Generation + 1
-		return true
+	case o.hasLeft() && r.Lifetime().SameAs(o.record.Lifetime()):
+		o.restoreLeft(r)
+	case o.registered, o.hasLeft(), o.mayHaveLeft(r.Lifetime()):
+		return o.raiseGeneration(r.Generation)
+	default:
+		o.record = r
 	}
-	if o.registered || slices.Contains(o.left, r.Lifetime()) {
-		if r.Generation >= o.record.Generation {
-			o.record.Generation = r.Generation + 1
-			return true
-		}
+	return true
+}
+
+// restoreLeft takes from a replica what is known of the lifetime that has left.
+func (o *LocalServer) restoreLeft(r Record) {
+	at := o.record.Lifetime().MoreKnown(r.Lifetime())
+	o.record = r
+	o.record.StartedMS = at.StartedMS
+	if r.Phase != Gone {
+		o.record.Phase = Gone
+		o.record.Generation++
+	}
+	o.rememberLeft(at)
+}
+
+// raiseGeneration raises the generation above that of a replica and reports whether the Record changed.
+func (o *LocalServer) raiseGeneration(replica int64) bool {
+	if replica < o.record.Generation {
 		return false
 	}
-	o.record = r
+	o.record.Generation = replica + 1
 	return true
 }
 
--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rockspoke/rockspoke/pkg/desired"
+	"github.com/rockspoke/rockspoke/pkg/directory"
 	"github.com/rockspoke/rockspoke/pkg/wire"
 )
 
@@ -193,3 +194,32 @@
 	}
 	c.Check(s.servers[1].ran(), qt.HasLen, 0)
 }
+
+// Guards against a leaving that a node confirms before it has its earlier record, which then put the server back to use.
+func TestLeavingConfirmedDuringTheStartIsNotUndone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newMemorySite(t)
+		s.add("front", "z0", 10)
+		s.add("a", "z1", 10)
+		s.add("a", "z2", 10)
+		f := s.servers[1]
+		for lifetime := range int64(2) {
+			f.startedAt.Store(1000 + lifetime)
+			s.heartbeat(1, false)
+		}
+		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("pay", desired.AtMostOnce, "a")}})
+		s.waitUntilKnown(1)
+		time.Sleep(startupWait)
+		s.nodes[1].halt()
+		s.store.setDelay(300 * time.Millisecond)
+		s.startNode(1)
+		s.nodes[1].Leave(t.Context(), directory.Lifetime{Instance: f.instance})
+		time.Sleep(2 * time.Second)
+		for i := range 30 {
+			status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
+			c.Assert(status, qt.Equals, http.StatusOK)
+		}
+		c.Check(f.ran(), qt.HasLen, 0)
+	})
+}
