Mesh: the log tells from what a node learned a change of its own server

The line 'local backend server changed' showed that a server that had left was serving again, and not whether a heartbeat, the store or a peer said so. It has the field 'from' now, like 'server record'. No behaviour changes; the tests of log lines and of docs/LOGS.md pass.

--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -180,8 +180,9 @@
 	n.updateRetryBudget()
 }
 
-// localServerChanged applies a change of the local backend server, first at the gate, then for other nodes.
-func (n *Node) localServerChanged(newLifetime bool) {
+// localServerChanged applies a change of the local backend server, first at the gate, then for other nodes; from names its source
+// in the log.
+func (n *Node) localServerChanged(from string, newLifetime bool) {
 	r := n.control.localServer.Record()
 	n.gateMu.Lock()
 	n.backend.startLifetime(n.clock.Now(), r.Lifetime())
@@ -194,7 +195,7 @@
 	n.control.recentRecords.add(n.clock.Now(), n.control.directory.Merge(r)...)
 	n.publishView()
 	n.controlLog.Info("local backend server changed", "instance", r.Instance, "service", r.Service, "phase", r.Phase.String(),
-		"generation", r.Generation, "slots", r.Slots)
+		"generation", r.Generation, "slots", r.Slots, "from", from)
 	n.records.requestWrite(r)
 	n.announce()
 }
@@ -210,7 +211,7 @@
 			// records shows whether it is stored. The record of a leaving server is always stored again.
 			n.records.markDurable(r.Generation)
 		}
-		n.localServerChanged(true)
+		n.localServerChanged(from, true)
 	}
 	changed := n.control.directory.Merge(records...)
 	if len(changed) == 0 {
@@ -245,7 +246,7 @@
 	done := n.enqueueAndWait(ctx, func() {
 		before := n.control.localServer.Record()
 		if n.control.localServer.Heartbeat(n.clock.Now(), r) {
-			n.localServerChanged(before.FirstGeneration != n.control.localServer.Record().FirstGeneration)
+			n.localServerChanged("heartbeat", before.FirstGeneration != n.control.localServer.Record().FirstGeneration)
 		}
 		if n.control.localServer.Record().Lifetime() == r.Lifetime() {
 			n.setNotListening(false)
@@ -282,7 +283,7 @@
 	var generation int64
 	done := n.enqueueAndWait(ctx, func() {
 		if n.control.localServer.Leave(at) {
-			n.localServerChanged(false)
+			n.localServerChanged("leave", false)
 		}
 		generation = n.control.localServer.Record().Generation
 	})
--- a/pkg/mesh/server_notices.go
+++ b/pkg/mesh/server_notices.go
@@ -211,7 +211,7 @@
 	b.n.callLog.Info("local backend server is leaving by its answer", "instance", own.Instance, "request", q.id)
 	b.n.enqueue(func() {
 		if b.n.control.localServer.Drain(own.Lifetime()) {
-			b.n.localServerChanged(false)
+			b.n.localServerChanged("answer", false)
 		}
 	})
 }
