Mesh: a server that serves by a replica alone is withdrawn once its heartbeat is overdue

Cause: the promise lived in the processes alone, and a node that starts takes "serving" from a replica until the server says something else. A server that has left says nothing more. The node's log shows "gone", four failed writes, the start, and "serving" from the store.

Change: one and a half times mesh.heartbeat (a new setting, default 1.5 s) after its start a node withdraws a server that no heartbeat to this process speaks for; a record read later isn't used. The next heartbeat brings the lifetime back.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -68,7 +68,7 @@
 	c := qt.New(t)
 	o := LocalServer{Host: "h"}
 	old := Record{Host: "h", Generation: 7, Instance: "a", Service: "s", Slots: 5, Phase: Draining}
-	c.Assert(o.Restore(old), qt.IsTrue)
+	c.Assert(o.Restore(start, old), qt.IsTrue)
 	c.Assert(o.Record(), qt.Equals, old)
 	c.Assert(o.Heartbeat(start, beat("a", 3, false)), qt.IsTrue, qt.Commentf("the zone is new"))
 	c.Assert(o.Record().Phase, qt.Equals, Draining, qt.Commentf("draining isn't undone"))
@@ -79,7 +79,7 @@
 	c := qt.New(t)
 	o := LocalServer{Host: "h"}
 	o.Heartbeat(start, beat("b", 1, false))
-	c.Assert(o.Restore(Record{Host: "h", Generation: 40, Instance: "a", Service: "s", Phase: Gone}), qt.IsTrue)
+	c.Assert(o.Restore(start, Record{Host: "h", Generation: 40, Instance: "a", Service: "s", Phase: Gone}), qt.IsTrue)
 	c.Assert(o.Record().Instance, qt.Equals, "b")
 	c.Assert(o.Record().Generation, qt.Equals, int64(41))
 }
@@ -137,7 +137,7 @@
 
 	o := LocalServer{Host: "h"}
 	o.Heartbeat(start, lifetimeBeat("a", 200, 9, false))
-	o.Restore(draining)
+	o.Restore(start, draining)
 	c.Assert(o.Record().Phase, qt.Equals, Draining, qt.Commentf("the server's own node learns of it"))
 	c.Assert(o.Record().Generation > draining.Generation, qt.IsTrue)
 	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 200, 10, false)), qt.IsFalse)
--- a/pkg/directory/known_server_test.go
+++ b/pkg/directory/known_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -24,7 +25,7 @@
 
 // stored returns a step in which a replica arrives.
 func stored(at Lifetime, generation int64, phase Phase) func(o *LocalServer) {
-	return func(o *LocalServer) { o.Restore(replica(at, generation, phase)) }
+	return func(o *LocalServer) { o.Restore(start, replica(at, generation, phase)) }
 }
 
 // left returns a step in which a lifetime leaves.
@@ -97,3 +98,61 @@
 	c.Assert(o.Heartbeat(start.Add(candidateConfirmTime), lifetimeBeat("a", 300, 1, false)), qt.IsTrue, qt.Commentf("the next lifetime serves at once"))
 	c.Assert(o.Record().StartedMS, qt.Equals, int64(300))
 }
+
+// Guards against a server that has left and is used for good, since everything that knew of its leaving was lost.
+func TestServerIsNotUsedByAReplicaAloneOnceItsHeartbeatIsOverdue(t *testing.T) {
+	c := qt.New(t)
+	due := start.Add(2 * time.Second)
+	for name, lateRead := range map[string]bool{"read at the start": false, "read late": true} {
+		o := LocalServer{Host: "h", HeartbeatDue: due}
+		c.Assert(o.WithdrawOverdue(due), qt.IsFalse, qt.Commentf("no server is known"))
+		if lateRead {
+			o.Restore(due, replica(first, 3, Serving))
+		} else {
+			o.Restore(start, replica(first, 3, Serving))
+			c.Assert(o.WithdrawOverdue(due.Add(-1)), qt.IsFalse)
+			c.Assert(o.Record().Phase, qt.Equals, Serving)
+			c.Assert(o.WithdrawOverdue(due), qt.IsTrue)
+		}
+		c.Assert(o.Record(), qt.Equals, Record{Host: "h", Zone: "z", Generation: 4}, qt.Commentf("%s", name))
+		c.Assert(o.WithdrawOverdue(due), qt.IsFalse)
+
+		var d Directory
+		d.Merge(replica(first, 3, Serving))
+		d.Merge(o.Record(), replica(first, 3, Serving))
+		c.Assert(d.All()[0], qt.Equals, o.Record(), qt.Commentf("other nodes learn it"))
+
+		heard(first, 9, false)(&o)
+		c.Assert(o.Record().Lifetime(), qt.Equals, first, qt.Commentf("a late heartbeat of a server that lives"))
+		c.Assert(o.Record().Phase, qt.Equals, Serving)
+		c.Assert(o.Record().FirstGeneration, qt.Equals, int64(3), qt.Commentf("the lifetime goes on"))
+		c.Assert(o.WithdrawOverdue(due.Add(time.Hour)), qt.IsFalse)
+		d.Merge(o.Record())
+		c.Assert(d.All()[0], qt.Equals, o.Record())
+	}
+}
+
+// Guards against what a withdrawn server is told later being lost.
+func TestWithdrawnServerMayStillLeave(t *testing.T) {
+	for name, row := range map[string]struct {
+		arrives func(o *LocalServer)
+		want    Phase
+	}{
+		"leave":                  {left(first), Gone},
+		"leave without a start":  {left(unknownStart), Gone},
+		"draining":               {heard(first, 1, true), Draining},
+		"gone by a replica":      {stored(first, 9, Gone), Gone},
+		"serving by a replica":   {stored(first, 9, Serving), Absent},
+		"late, of an older life": {heard(Lifetime{"a", 50}, 1, false), Absent},
+		"the next server":        {heard(other, 1, false), Serving},
+	} {
+		o := LocalServer{Host: "h", HeartbeatDue: start}
+		o.Restore(start, replica(first, 3, Serving))
+		before := o.Record()
+		row.arrives(&o)
+		qt.Check(t, o.Record().Phase, qt.Equals, row.want, qt.Commentf("%s", name))
+		if row.want != Absent {
+			qt.Check(t, o.Record().Generation > before.Generation, qt.IsTrue, qt.Commentf("%s", name))
+		}
+	}
+}
--- a/pkg/directory/lifetime_test.go
+++ b/pkg/directory/lifetime_test.go
@@ -75,7 +75,7 @@
 	c := qt.New(t)
 	o := LocalServer{Host: "h"}
 	restored := Record{Host: "h", Generation: 7, FirstGeneration: 5, Instance: "a", Service: "s", Zone: "z", Slots: 5, Phase: Serving, StartedMS: 200}
-	c.Assert(o.Restore(restored), qt.IsTrue)
+	c.Assert(o.Restore(start, restored), qt.IsTrue)
 	c.Assert(o.Leave(Lifetime{"a", 100}), qt.IsFalse)
 	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 100, 90, false)), qt.IsFalse)
 	c.Assert(o.Heartbeat(start, lifetimeBeat("a", 200, 3, false)), qt.IsFalse, qt.Commentf("nothing changed"))
--- a/pkg/directory/local_server.go
+++ b/pkg/directory/local_server.go
@@ -19,10 +19,14 @@
 // ignores what older lifetimes of the server sent, which may arrive late and in any order.
 type LocalServer struct {
 	Host string
+	// HeartbeatDue is when a server that lives must have sent a heartbeat to this process. A replica may not know that the
+	// server has left, so from then on a replica alone doesn't have it used. The zero value is no bound.
+	HeartbeatDue time.Time
 
 	record           Record
 	lastHeartbeatSeq int64
 	registered       bool       // a heartbeat has arrived since the node started
+	withdrawn        bool       // the record is of a server that serves by a replica alone, and its heartbeat is overdue
 	left             []Lifetime // lifetimes that have left, the oldest first
 	candidate        candidateLifetime
 }
@@ -125,11 +129,11 @@
 		Zone: r.Zone, Release: r.Release, Slots: r.Slots, Phase: phase,
 		StartedMS: max(r.StartedMS, o.knownStartMS(firstGeneration)), FirstGeneration: firstGeneration,
 	}
-	if next == o.record {
+	if next == o.record && !o.withdrawn {
 		return false
 	}
 	next.Generation++
-	o.record = next
+	o.record, o.withdrawn = next, false
 	return true
 }
 
@@ -146,7 +150,7 @@
 	if o.record.Phase != Serving || !o.record.Lifetime().SameAs(at) {
 		return false
 	}
-	o.record.Phase = Draining
+	o.record.Phase, o.withdrawn = Draining, false
 	o.record.Generation++
 	return true
 }
@@ -175,7 +179,7 @@
 	}
 	o.record.Host = o.Host
 	o.record.Instance, o.record.StartedMS = at.Instance, at.StartedMS
-	o.record.Phase = Gone
+	o.record.Phase, o.withdrawn = Gone, false
 	o.record.Generation++
 	return true
 }
@@ -210,7 +214,7 @@
 
 // Restore takes this server's Record from a replica after a restart of the node, and reports whether the Record changed. Once the
 // server itself has sent a heartbeat or has left, the replica can only raise the generation and the phase.
-func (o *LocalServer) Restore(r Record) bool {
+func (o *LocalServer) Restore(now time.Time, r Record) bool {
 	if r.Host != o.Host || !r.supersedes(o.record) {
 		return false
 	}
@@ -225,11 +229,23 @@
 	case o.registered, o.hasLeft(), o.mayHaveLeft(r.Lifetime()):
 		return o.raiseGeneration(r.Generation)
 	default:
-		o.record = r
+		o.record, o.withdrawn = r, false
+		o.WithdrawOverdue(now)
 	}
 	return true
 }
 
+// WithdrawOverdue withdraws the Record if it has the server used by a replica alone and the server's heartbeat is overdue. It
+// reports whether the Record changed. The next heartbeat undoes it.
+func (o *LocalServer) WithdrawOverdue(now time.Time) bool {
+	if o.registered || o.withdrawn || o.record.Phase != Serving || o.HeartbeatDue.IsZero() || now.Before(o.HeartbeatDue) {
+		return false
+	}
+	o.withdrawn = true
+	o.record.Generation++
+	return true
+}
+
 // restoreLeft takes from a replica what is known of the lifetime that has left.
 func (o *LocalServer) restoreLeft(r Record) {
 	at := o.record.Lifetime().MoreKnown(r.Lifetime())
@@ -257,5 +273,10 @@
 	return r
 }
 
-// Record returns the current Record of the local backend server.
-func (o *LocalServer) Record() Record { return o.record }
+// Record returns the current Record of the local backend server; while it is withdrawn, one without a server.
+func (o *LocalServer) Record() Record {
+	if o.withdrawn {
+		return Record{Host: o.Host, Generation: o.record.Generation, Zone: o.record.Zone}
+	}
+	return o.record
+}
--- a/pkg/mesh/control_loop.go
+++ b/pkg/mesh/control_loop.go
@@ -114,6 +114,7 @@
 		n.handleSuspension(d)
 	}
 	now := n.clock.Now()
+	n.withdrawOverdueServer(now)
 	n.gateMu.Lock()
 	n.gate.Expire(now)
 	n.gateMu.Unlock()
@@ -185,7 +186,9 @@
 func (n *Node) localServerChanged(from string, newLifetime bool) {
 	r := n.control.localServer.Record()
 	n.gateMu.Lock()
-	n.backend.startLifetime(n.clock.Now(), r.Lifetime())
+	if r.Phase != directory.Absent { // else the same lifetime may be back with its next heartbeat
+		n.backend.startLifetime(n.clock.Now(), r.Lifetime())
+	}
 	if r.Phase == directory.Serving && !n.backend.isLeaving(r.Lifetime()) {
 		n.gate.Open(r.Slots, newLifetime)
 	} else {
@@ -200,10 +203,18 @@
 	n.announce()
 }
 
+// withdrawOverdueServer stops the use of a local backend server that serves by a replica alone once its heartbeat is overdue: it may
+// have left, and what knew of that may be lost.
+func (n *Node) withdrawOverdueServer(now time.Time) {
+	if n.control.localServer.WithdrawOverdue(now) {
+		n.localServerChanged("overdue heartbeat", false)
+	}
+}
+
 // mergeRecords merges records received from others; from names their source in the log.
 func (n *Node) mergeRecords(from string, records []directory.Record) {
 	for _, r := range records {
-		if r.Host != n.ip || !n.control.localServer.Restore(r) {
+		if r.Host != n.ip || !n.control.localServer.Restore(n.clock.Now(), r) {
 			continue
 		}
 		if r.Phase == directory.Serving {
@@ -262,7 +273,7 @@
 	case ignored:
 		return &DrainIgnoredError{r.Instance, "it isn't of the current lifetime, or doesn't name its start"}
 	default:
-		n.records.awaitDurable(ctx, generation)
+		n.awaitStored(ctx, r.Instance, generation)
 	}
 	return nil
 }
@@ -288,7 +299,14 @@
 		generation = n.control.localServer.Record().Generation
 	})
 	if done {
-		n.records.awaitDurable(ctx, generation)
+		n.awaitStored(ctx, at.Instance, generation)
+	}
+}
+
+// awaitStored waits until the store has the record of a leaving server, and logs if that can't be for now.
+func (n *Node) awaitStored(ctx context.Context, instance string, generation int64) {
+	if !n.records.awaitDurable(ctx, generation) {
+		n.controlLog.Warn("confirming a leaving server that isn't stored yet", "instance", instance, "generation", generation)
 	}
 }
 
--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -223,3 +223,38 @@
 		c.Check(f.ran(), qt.HasLen, 0)
 	})
 }
+
+// Guards against a leaving that is confirmed while the store is down, and then forgotten as all processes are killed.
+func TestLeavingConfirmedInAnOutageOutlastsALossOfAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newMemorySite(t)
+		s.add("front", "z0", 10)
+		s.add("a", "z1", 10)
+		s.add("a", "z2", 10)
+		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("pay", desired.AtMostOnce, "a")}})
+		s.waitUntilKnown(1)
+		f := s.servers[1]
+		s.store.setDown(true)
+		s.nodes[1].Leave(t.Context(), directory.Lifetime{Instance: f.instance})
+		for _, n := range s.nodes {
+			n.halt()
+		}
+		for i := range s.nodes {
+			s.startNode(i)
+		}
+		time.Sleep(time.Second)
+		s.store.setDown(false)
+		for i := range s.nodes {
+			if i != 1 {
+				s.heartbeat(i, false) // the server that has left sends none
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for i := range 30 {
+			status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
+			c.Assert(status, qt.Equals, http.StatusOK)
+		}
+		c.Check(f.ran(), qt.HasLen, 0)
+	})
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -143,6 +143,9 @@
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, func() { close(n.done) })
 	n.started = n.clock.Now()
+	if due := n.cfg.Mesh.Heartbeat; due > 0 {
+		n.control.localServer.HeartbeatDue = n.started.Add(due + due/2)
+	}
 	if n.cfg.Mesh.FirstStart {
 		n.quotas.owner.FillOnceAt = clock.BootNow(n.clock).Add(quota.SettleTime)
 	}
--- a/pkg/mesh/record_writer.go
+++ b/pkg/mesh/record_writer.go
@@ -97,8 +97,8 @@
 // anyway, and the server accepts an answer only within a second.
 const ackTimeout = 400 * time.Millisecond
 
-// awaitDurable returns when the store has the generation, after ackTimeout, or when ctx ends.
-func (w *recordWriter) awaitDurable(ctx context.Context, generation int64) {
+// awaitDurable waits until the store has the generation; it reports false after ackTimeout, or if ctx ends.
+func (w *recordWriter) awaitDurable(ctx context.Context, generation int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
 	for {
@@ -106,12 +106,12 @@
 		stored, done := w.storedSignal, w.durableGeneration >= generation
 		w.mu.Unlock()
 		if done {
-			return
+			return true
 		}
 		select {
 		case <-stored:
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/pkg/settings/mesh_settings.go
+++ b/pkg/settings/mesh_settings.go
@@ -11,6 +11,7 @@
 // server. Settings of keys and labels, and the list of VMs, aren't used then.
 type Mesh struct {
 	Grace       time.Duration `yaml:"grace"`                 // between SIGTERM and SIGKILL
+	Heartbeat   time.Duration `yaml:"heartbeat,omitempty"`   // time between heartbeats of a backend server, about
 	Apply       time.Duration `yaml:"apply,omitempty"`       // time within which a change of the desired state is in force
 	RetryRatio  float64       `yaml:"retryRatio,omitempty"`  // retries that a service may receive, as a share of its requests
 	RetrySlack  float64       `yaml:"retrySlack,omitempty"`  // further retries in one window, beyond that share
@@ -113,6 +114,7 @@
 // Defaults of the mesh settings, which are the limits that the users work with.
 const (
 	DefaultGrace       = 6 * time.Second
+	DefaultHeartbeat   = 1500 * time.Millisecond
 	DefaultApply       = 2 * time.Second
 	DefaultRetryRatio  = 0.2
 	DefaultRetrySlack  = 40
@@ -122,6 +124,7 @@
 // setDefaults sets every field that is 0 to its default.
 func (m *Mesh) setDefaults() {
 	setDefault(&m.Grace, DefaultGrace)
+	setDefault(&m.Heartbeat, DefaultHeartbeat)
 	setDefault(&m.Apply, DefaultApply)
 	setDefault(&m.RetryRatio, DefaultRetryRatio)
 	setDefault(&m.RetrySlack, DefaultRetrySlack)
@@ -145,6 +148,7 @@
 		v     time.Duration
 	}{
 		{"mesh.grace", m.Grace},
+		{"mesh.heartbeat", m.Heartbeat},
 		{"mesh.apply", m.Apply},
 		{"mesh.retryWindow", m.RetryWindow},
 	} {
