Directory: lifetimes with different start times aren't taken for one

Callers would see a live server that isn't used: one that starts again under its ID beside a node that has just started, where the first heartbeat comes before the node's earlier record, which says that the lifetime before left.

Cause: isLaterPhaseOf went by the generation at which a lifetime began, which each process of a node counts from 1, also where the start times differ.

Change: start times that are both known and differ are of two lifetimes.

Measured: the row "the next lifetime heard, then the end of the first" of TestNothingOlderUndoesALeaving fails before ("gone" for "serving"). Tests of pkg/directory pass, and those of pkg/mesh about servers, records and leaving.

--- a/pkg/directory/known_server_test.go
+++ b/pkg/directory/known_server_test.go
@@ -60,7 +60,12 @@
 		"leave of an earlier lifetime":                    {[]step{stored(second, 3, Serving)}, []step{left(first)}, Serving},
 		"restored, then the next lifetime":                {[]step{stored(first, 4, Gone)}, []step{heard(second, 1, false)}, Serving},
 		"left while heard, then the next lifetime":        {[]step{heard(first, 4, false), left(unknownStart)}, []step{heard(second, 1, false)}, Serving},
-		"leave without a start, then another server":      {[]step{left(unknownStart), stored(first, 3, Serving)}, []step{heard(other, 1, false)}, Serving},
+		"the next lifetime heard, then the end of the first": {[]step{heard(second, 1, false)}, []step{func(o *LocalServer) {
+			r := replica(first, 4, Gone)
+			r.FirstGeneration = o.Record().FirstGeneration // each process of a node counts from 1
+			o.Restore(start, r)
+		}}, Serving},
+		"leave without a start, then another server": {[]step{left(unknownStart), stored(first, 3, Serving)}, []step{heard(other, 1, false)}, Serving},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := LocalServer{Host: "h"}
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -104,10 +104,10 @@
 
 // isLaterPhaseOf reports whether r is a later phase of the lifetime that other describes.
 func (r Record) isLaterPhaseOf(other Record) bool {
-	if r.Phase <= other.Phase || r.Instance != other.Instance {
+	if r.Phase <= other.Phase || !r.Lifetime().SameAs(other.Lifetime()) {
 		return false
 	}
-	return r.LifetimeID() == other.LifetimeID() || (r.StartedMS > 0 && r.StartedMS == other.StartedMS)
+	return r.FirstGeneration == other.FirstGeneration || (r.StartedMS > 0 && r.StartedMS == other.StartedMS)
 }
 
 // RecordError reports a record that no node would write.
