Answers of backend servers: a status under 100, and 101, is a broken answer

The daemon with entry VMs reported the call as run.

Cause: every status under 200 counted as an interim answer. net/http, which the daemon with entry VMs uses, returns 000 as an answer with status 0, which stands for "no answer of a server" there.

Change: such an answer is broken: 502, nothing further is read, and the connection is closed. 600 to 999 are passed on as before, since the server's status goes back unchanged; RFC 9110 has clients take them for server errors.

--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -139,7 +139,7 @@
 	}, nil
 }
 
-// readHeader reads the headers of the final answer; it skips answers with status 1xx, of which 100 begins a streamed body.
+// readHeader reads the headers of the final answer; it skips interim answers, of which 100 begins a streamed body.
 func (x *exchange) readHeader(req *Request) (*http.Response, error) {
 	x.conn.in.begin()
 	defer x.conn.in.end()
@@ -148,8 +148,14 @@
 			return res, nil
 		}
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: req.Method})
-		if err != nil || res.StatusCode >= http.StatusOK {
-			return res, err
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+		if err := CheckStatus(res.StatusCode); err != nil {
+			return nil, err
 		}
 		if res.StatusCode == http.StatusContinue && req.Stream != nil && x.stream == nil {
 			x.conn.pool.recordAnswer()
--- a/pkg/httpconn/exchange_error.go
+++ b/pkg/httpconn/exchange_error.go
@@ -1,6 +1,9 @@
 package httpconn
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // ErrorKind says how far an exchange came before it failed.
 type ErrorKind uint8
@@ -28,3 +31,20 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
+
+// InvalidStatusError reports an answer whose status is below 100, or is 101 without a request to switch protocols.
+type InvalidStatusError struct{ Status int }
+
+// Error returns a message with the status.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("status %03d is neither that of an answer nor of an interim one", e.Status)
+}
+
+// CheckStatus returns an *InvalidStatusError for a status that no answer to a request without an Upgrade may have. RFC 9110
+// also calls those from 600 invalid, but has clients take them for server errors, so they are passed on.
+func CheckStatus(status int) error {
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+		return &InvalidStatusError{status}
+	}
+	return nil
+}
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -167,6 +167,32 @@
 	}
 }
 
+// Guards against an answer whose status is none, which was taken for an interim one: the next bytes were its request's answer.
+func TestAnswerWithAnInvalidStatusIsRejected(t *testing.T) {
+	for _, status := range []string{"000", "001", "042", "099", "101"} {
+		for name, rest := range map[string]string{
+			"alone":               "Content-Length: 0\r\n\r\n",
+			"without a length":    "\r\n",
+			"with a body":         "Content-Length: 5\r\n\r\nhello",
+			"and a second answer": "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			"after an interim":    "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			c := qt.New(t)
+			first := "HTTP/1.1 " + status + " What\r\n"
+			if name == "after an interim" {
+				first = "HTTP/1.1 103 Early Hints\r\n\r\n" + first
+			}
+			p, seen := startServer(t, func(n net.Conn, _ int, _ *http.Request) bool { return write(n, first+rest) })
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := get(p, ctx)
+			cancel()
+			c.Check(kindOf(err), qt.Equals, BrokenAnswer, qt.Commentf("%s %s: %v", status, name, err))
+			c.Check(p.OpenCount(), qt.Equals, 0, qt.Commentf("%s %s", status, name))
+			c.Check(seen.Load(), qt.Equals, int64(1))
+		}
+	}
+}
+
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	c := qt.New(t)
 	p, _ := startServer(t, func(n net.Conn, _ int, _ *http.Request) bool {
--- a/pkg/node/backend_client.go
+++ b/pkg/node/backend_client.go
@@ -74,6 +74,10 @@
 	if err != nil {
 		return backendErrorAnswer(err)
 	}
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close() // what follows belongs to no answer
+		return unknownAnswer(wire.ReasonAnswerLost).withCause(err)
+	}
 	a := &answer{meta: wire.Answer{Outcome: wire.Ran}, status: resp.StatusCode, header: resp.Header}
 	n.heedBackendHeaders(resp.Header)
 	wire.StripHopByHop(a.header)
--- a/pkg/node/backend_client_test.go
+++ b/pkg/node/backend_client_test.go
@@ -128,3 +128,27 @@
 	c.Check(n.backend.MaxResponseHeaderBytes, qt.Equals, int64(maxAnswerHeaderBytes))
 	c.Check(sent.Load() < 64<<20, qt.IsTrue, qt.Commentf("the connection is closed before the server has sent all"))
 }
+
+// Guards against an answer whose status is none: the call was reported as run and the caller got 504, or no answer.
+func TestAnswerOfTheBackendWithAnInvalidStatusIsLost(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101"} {
+		c := qt.New(t)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer ln.Close()
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" What\r\nContent-Length: 0\r\n\r\n")
+		}()
+		n := &Node{cfg: settings.Settings{Backend: settings.Backend{Address: ln.Addr().String()}}, network: Network{}.withDefaults()}
+		n.backend = n.newBackendTransport()
+		a := n.callBackend(t.Context(), &inbound{id: "1"}, &request{method: http.MethodPost, uri: "/", header: http.Header{}})
+		c.Check(a.meta.Outcome, qt.Equals, wire.Unknown, qt.Commentf("%s", status))
+		c.Check(a.meta.Reason, qt.Equals, wire.ReasonAnswerLost)
+		n.backend.CloseIdleConnections()
+	}
+}
