Mesh: a stopping node knows how long downloads take to their end

Callers saw (by a test, after a report of other operators): downloads that a node took in 3.0 to 3.2 s after SIGTERM broke off at 5.6 s.

Cause: a stopping node refuses what recent requests show not to end in time, and the time of a request was taken when its answer began; a streamed answer takes longer.

Change: the time to the end of a streamed answer counts for the longest time of the route. It counts for nothing else, since it depends on the client.

--- a/pkg/budget/times.go
+++ b/pkg/budget/times.go
@@ -35,6 +35,14 @@
 // ObserveCall records the time from the beginning of a successful call or request to its answer.
 func (t *Times) ObserveCall(route string, took time.Duration) { observe(&t.calls, route, took) }
 
+// ObserveStream records the time from the beginning of a request to the end of its streamed answer, which ObserveCall has recorded
+// up to the beginning of the answer. It counts for LongestCall alone: how fast a client reads is no property of the route.
+func (t *Times) ObserveStream(route string, took time.Duration) {
+	if u := t.calls[route]; u != nil {
+		u.longest[0] = max(u.longest[0], took)
+	}
+}
+
 // ObserveRun records the time of a successful run at the local server, its calls included.
 func (t *Times) ObserveRun(route string, took time.Duration) { observe(&t.runs, route, took) }
 
--- a/pkg/mesh/latency_budget.go
+++ b/pkg/mesh/latency_budget.go
@@ -63,6 +63,13 @@
 	n.stats.times.ObserveCall(q.Route, took)
 }
 
+// learnStreamTime records how long a request with a streamed answer took from its beginning at this node to the end of the answer.
+func (n *Node) learnStreamTime(q *request, took time.Duration) {
+	n.stats.mu.Lock()
+	defer n.stats.mu.Unlock()
+	n.stats.times.ObserveStream(q.Route, took)
+}
+
 // refuseShortRoot reports whether a client's request is refused since it has less time left than nearly all requests of its route
 // take, and counts it.
 func (n *Node) refuseShortRoot(q *request) bool {
--- a/pkg/mesh/outbound_server.go
+++ b/pkg/mesh/outbound_server.go
@@ -133,7 +133,11 @@
 		n.callLog.Info("not served", "request", q.id, "route", route.Name, "service", q.Service, "outcome", a.outcome,
 			"reason", a.reason, "arrivals", d.arrivals, "tried", len(d.tried), "version", q.Version, "inner", q.Internal)
 	}
+	streamed := a.stream != nil
 	n.writeFinal(w, q, a)
+	if streamed {
+		n.learnStreamTime(q, n.clock.Now().Sub(started))
+	}
 }
 
 // finalDeadline returns the earlier one of the request's own deadline and that of its route.
--- a/pkg/mesh/planned_stop_test.go
+++ b/pkg/mesh/planned_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -116,3 +117,84 @@
 		c.Assert(<-done, qt.IsNil)
 	})
 }
+
+// Guards against a download that a stopping node takes in and cuts, as only the time to the beginning of its answers was known.
+func TestStoppingNodeCutsNoLongDownload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStoppingSite(t)
+		s.handleAll(func(_ *fakeServer, w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(testNames.AttemptID)
+			work, err := time.ParseDuration(id[strings.LastIndexByte(id, '-')+1:])
+			qt.Check(t, err, qt.IsNil)
+			w.Header().Set(testNames.AttemptID, id)
+			time.Sleep(10 * time.Millisecond)
+			fmt.Fprint(w, strings.Repeat("a", 2*maxBufferedBody))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(work)
+			fmt.Fprint(w, "end")
+		})
+		var clients sync.WaitGroup
+		get := func(id string) {
+			clients.Go(func() {
+				status, body, _ := s.request(0, http.MethodGet, "/read/x", id, 10*time.Second)
+				whole := status == http.StatusOK && strings.HasSuffix(body, "end")
+				c.Check(whole || status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%s: %d, %.40q", id, status, body))
+			})
+		}
+		for k := range 12 {
+			get(fmt.Sprintf("calm-%d-2600ms", k))
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		done := make(chan error, 1)
+		go func() { done <- s.nodes[0].Stop(context.Background()) }()
+		for k := range 35 {
+			get(fmt.Sprintf("stop-%d-2600ms", k))
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		c.Assert(<-done, qt.IsNil)
+		c.Check(slices.Contains(s.allRan(), "stop-25-2600ms"), qt.IsTrue, qt.Commentf("what ends in time is served"))
+	})
+}
+
+// slowBytes gives one byte at a time, five a second.
+type slowBytes struct{ r io.Reader }
+
+// Read waits, and reads one byte.
+func (b slowBytes) Read(p []byte) (int, error) {
+	time.Sleep(200 * time.Millisecond)
+	return b.r.Read(p[:min(len(p), 1)])
+}
+
+// Guards against an upload that a stopping node takes in and cuts.
+func TestStoppingNodeCutsNoLongUpload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newUploadSite(t)
+		var clients sync.WaitGroup
+		upload := func(id string) {
+			clients.Go(func() {
+				all := strings.NewReader(strings.Repeat("a", uploadBytes))
+				body := io.MultiReader(io.LimitReader(all, uploadBytes-13), slowBytes{all})
+				status, text, _ := s.upload(0, id, body)
+				c.Check(status == http.StatusOK || status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%s: %d, %.60q", id, status, text))
+			})
+		}
+		for k := range 12 {
+			upload(fmt.Sprint("calm-", k))
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		done := make(chan error, 1)
+		go func() { done <- s.nodes[0].Stop(context.Background()) }()
+		for k := range 35 {
+			upload(fmt.Sprint("stop-", k))
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		c.Assert(<-done, qt.IsNil)
+		c.Check(slices.Contains(s.allRan(), "stop-25"), qt.IsTrue, qt.Commentf("what ends in time is served"))
+	})
+}
