Mesh: late in a stop, requests of unknown length aren't taken in

Cause: a route without enough observations counted as short.

Refusing from the signal on would refuse all requests at a node that is stopped soon after its start.

TestReturningClientIsAnsweredBeforeStopEnds expected a request of an unknown route at 3.1 s to be served, which this change can't tell from one that is cut. It makes the route known first; its checks are the same.

--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -100,6 +100,10 @@
 func TestReturningClientIsAnsweredBeforeStopEnds(t *testing.T) {
 	c := qt.New(t)
 	s := newThreeServerSite(t)
+	for i := range 20 { // a request of a route that the node doesn't know isn't taken in as late as this
+		status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprint("calm", i), time.Second)
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
 	done := make(chan error, 1)
 	go func() { done <- s.nodes[0].Stop(context.Background()) }()
 	time.Sleep(clientServingTime - 200*time.Millisecond)
--- a/pkg/mesh/planned_stop.go
+++ b/pkg/mesh/planned_stop.go
@@ -44,6 +44,8 @@
 	// only from the answers to go elsewhere, and the platform needs two readiness checks, a second apart, to send no new
 	// clients.
 	clientServingTime = 3300 * time.Millisecond
+	// unknownServingTime is the same for routes of which too few requests were seen to know how long they may take.
+	unknownServingTime = 3 * time.Second
 	// peerServingTime is how long requests of other nodes are served after the stop began. They learn of it from the next answer
 	// and send refused requests elsewhere.
 	peerServingTime = 1500 * time.Millisecond
@@ -108,19 +110,23 @@
 }
 
 // mayOutlastStop reports whether a request with the deadline may be in flight still when the stopping node halts: a recent one of its route took
-// as long as what is left.
+// as long as what is left, or, late in the stop, too few are known to tell.
 func (n *Node) mayOutlastStop(q *request, deadline time.Time) bool {
 	end := n.stop.end.Load()
 	if end == nil || !deadline.After(*end) {
 		return false
 	}
 	n.stats.mu.Lock()
-	longest := n.stats.times.LongestCall(q.Route)
+	longest, unknown := n.stats.times.LongestCall(q.Route), n.stats.times.Call(q.Route) == 0
 	if q.fromPeer {
-		longest = n.stats.times.LongestRun(q.Route)
+		longest, unknown = n.stats.times.LongestRun(q.Route), false // peers are refused long before the end
 	}
 	n.stats.mu.Unlock()
-	return longest > 0 && n.clock.Now().Add(longest+answerMargin).After(*end)
+	left := end.Sub(n.clock.Now())
+	if unknown && left <= n.cfg.Mesh.Grace-killMargin-unknownServingTime {
+		return true
+	}
+	return longest > 0 && longest+answerMargin > left
 }
 
 // idleTracker records since when no request has been in flight or has arrived.
--- a/pkg/mesh/planned_stop_test.go
+++ b/pkg/mesh/planned_stop_test.go
@@ -118,6 +118,32 @@
 	})
 }
 
+// Guards against a request that a stopping node takes in late and cuts, since it knows too few of its route to tell how long it takes.
+func TestStoppingNodeTakesInNothingUnknownLate(t *testing.T) {
+	for _, seen := range []int{0, 3} {
+		t.Run(fmt.Sprint(seen, " requests seen"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newStoppingSite(t)
+				for k := range seen {
+					status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprintf("calm-%d-20ms", k), time.Second)
+					c.Assert(status, qt.Equals, http.StatusOK)
+				}
+				var clients sync.WaitGroup
+				done := make(chan error, 1)
+				go func() { done <- s.nodes[0].Stop(context.Background()) }()
+				time.Sleep(unknownServingTime - 200*time.Millisecond)
+				s.sendServedOrRefused(c, &clients, "early-20ms")
+				time.Sleep(300 * time.Millisecond)
+				s.sendServedOrRefused(c, &clients, "late-2600ms")
+				clients.Wait()
+				c.Assert(<-done, qt.IsNil)
+				c.Check(slices.Contains(s.allRan(), "early-20ms"), qt.IsTrue)
+			})
+		})
+	}
+}
+
 // Guards against a download that a stopping node takes in and cuts, as only the time to the beginning of its answers was known.
 func TestStoppingNodeCutsNoLongDownload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
