Directory: the leaving of a lifetime that wasn't heard counts

Callers would see: a server that starts again under its ID and leaves before a heartbeat of the new lifetime arrives has its DELETE confirmed and stays in use.

Cause: once the current lifetime has sent a heartbeat, a DELETE of any other lifetime counted as a late one of an earlier server, also one of the same ID with a later start time.

Change: a DELETE of the same ID with a later start time is of the lifetime that runs now. Other IDs stay as they are: a server with another ID than a request names answers 421.

Measured: three rows of TestNothingOlderUndoesALeaving fail before and pass. Tests of pkg/directory pass, and those of pkg/mesh about leaving and records.

--- a/pkg/directory/local_server.go
+++ b/pkg/directory/local_server.go
@@ -167,12 +167,13 @@
 		at = at.MoreKnown(current)
 		o.rememberLeft(at)
 	}
+	restarted := at.Instance == current.Instance && at.StartedMS > current.StartedMS // no heartbeat of this lifetime has arrived
 	switch {
 	case isCurrent:
 		if o.record.Phase == Gone {
 			return false
 		}
-	case o.registered, at.StartedMS > 0 && at.StartedMS < current.StartedMS:
+	case o.registered && !restarted, at.StartedMS > 0 && at.StartedMS < current.StartedMS:
 		return false // an earlier server at this address
 	default:
 		o.record.FirstGeneration = o.record.Generation + 1
