Soak: servers that deregister, with and without their start time, also around kills

The soak's servers left by draining heartbeats alone. They also leave by a deregistration now, with or without the start time, stay for up to 6 s, and in a fault of its own while the processes of their VM, or of all, are killed. An answer with status 000 and another one behind it is among the answers without end.

--- a/pkg/soak/backend_answers.go
+++ b/pkg/soak/backend_answers.go
@@ -84,6 +84,7 @@
 	{"HTTP/1.1 200 OK\r\nX: ", "a"},
 	{"HTTP/1.1 200 OK\r\n", "X-Name: value\r\n"},
 	{"HTTP/1.1 200 ", "O"},
+	{"HTTP/1.1 000 None\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
 	{"", "no answer"},
 	{"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n"},
--- a/pkg/soak/backend_server.go
+++ b/pkg/soak/backend_server.go
@@ -40,6 +40,7 @@
 	draining  bool
 	limit     string // rate limit in its answers; empty: none
 	leaving   bool   // its answers say that it leaves
+	silent    bool   // it has deregistered and sends no more heartbeats
 }
 
 // Constants of the backend servers.
@@ -63,7 +64,7 @@
 	b.instance = fmt.Sprintf("i-%s-%d", b.vm.ip, b.lifetime)
 	b.startedMS = time.Now().UnixMilli()
 	b.seq, b.draining = 0, false
-	b.limit, b.leaving = "", false
+	b.limit, b.leaving, b.silent = "", false, false
 }
 
 // restartSameInstance starts a new lifetime of the server under the same instance. It returns a heartbeat of the
@@ -73,7 +74,7 @@
 	late = b.nextHeartbeat()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.draining || b.leaving {
+	if b.draining || b.leaving || b.silent {
 		return late, false
 	}
 	b.startedMS = max(time.Now().UnixMilli(), b.startedMS+1)
@@ -111,10 +112,19 @@
 // sendHeartbeats sends a heartbeat each heartbeatPeriod until ctx ends.
 func (b *backendServer) sendHeartbeats(ctx context.Context) {
 	for clock.Sleep(ctx, heartbeatPeriod) {
-		b.sendHeartbeat()
+		if !b.isSilent() {
+			b.sendHeartbeat()
+		}
 	}
 }
 
+// isSilent reports whether the server has deregistered.
+func (b *backendServer) isSilent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.silent
+}
+
 // drain sends heartbeats that say the server is draining, until one is acknowledged or drainAckTimeout has passed.
 func (b *backendServer) drain() {
 	b.mu.Lock()
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -74,6 +74,12 @@
 	{"server answers without end", false, answerWithoutEnd},
 }
 
+// leavingFaults have a table and random stream of their own for the same reason. Seeds of planned work alone have the first.
+var leavingFaults = []fault{
+	{"server deregisters", true, deregisterServer},
+	{"server deregisters around a kill", false, deregisterAroundKill},
+}
+
 // addedFaultsPerSecond is the mean rate of faults from each table other than baseFaults.
 const addedFaultsPerSecond = 0.4
 
@@ -116,7 +122,8 @@
 		planned := slices.DeleteFunc(slices.Clone(baseFaults), func(f fault) bool { return !f.planned && !(withStore && storeOnly[f.name]) })
 		events := drawFaults(rand.New(rand.NewPCG(seed, 1)), planned, faultsPerSecond, span)
 		events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 3)), keyAndStoreFaults[:1], addedFaultsPerSecond, span)...)
-		return sortByStart(append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults[:1], addedFaultsPerSecond, span)...))
+		events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults[:1], addedFaultsPerSecond, span)...)
+		return sortByStart(append(events, drawFaults(rand.New(rand.NewPCG(seed, 7)), leavingFaults[:1], addedFaultsPerSecond, span)...))
 	}
 	events := drawFaults(rand.New(rand.NewPCG(seed, 1)), baseFaults, faultsPerSecond, span)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 2)), registrationFaults, addedFaultsPerSecond, span)...)
@@ -124,6 +131,7 @@
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 4)), silentConnectionFaults, addedFaultsPerSecond, span)...)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 5)), noticeFaults, addedFaultsPerSecond, span)...)
 	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 6)), endlessAnswerFaults, addedFaultsPerSecond, span)...)
+	events = append(events, drawFaults(rand.New(rand.NewPCG(seed, 7)), leavingFaults, addedFaultsPerSecond, span)...)
 	return sortByStart(events)
 }
 
