Directory: at the same generation a leaving goes before a serving record without a start time

Cause: a node that has just started counts from generation 1 again. "Gone, start unknown" and "serving, start known", both of generation 1, were of different lifetimes by equality, and each node kept what it had got first. The node's log shows "gone" from a peer after one start and "serving" after the next.

Change: at the same generation the later phase of what may be the same lifetime goes first, in any order of arrival.

Measured: TestLeavingSupersedesAServingRecordOfTheSameGeneration fails before and passes; tests of pkg/directory pass, and those of pkg/mesh about leaving, restarts, records and the store.

--- a/pkg/directory/known_server_test.go
+++ b/pkg/directory/known_server_test.go
@@ -165,3 +165,19 @@
 		}
 	}
 }
+
+// Guards against nodes that disagree on a leaving, told to a node that had just started and counted from the same generation again.
+func TestLeavingSupersedesAServingRecordOfTheSameGeneration(t *testing.T) {
+	c := qt.New(t)
+	serving, gone := replica(first, 1, Serving), Record{Host: "h", Generation: 1, FirstGeneration: 1, Instance: "a", Phase: Gone}
+	for _, received := range [][]Record{{serving, gone}, {gone, serving}} {
+		var d Directory
+		d.Merge(received[0])
+		d.Merge(received[1])
+		c.Check(d.All()[0], qt.Equals, gone)
+		o := LocalServer{Host: "h"}
+		o.Restore(start, received[0])
+		o.Restore(start, received[1])
+		c.Check(o.Record(), qt.Equals, gone)
+	}
+}
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -94,12 +94,13 @@
 	WarmupLeft   time.Duration // remaining time in which the server is slow after its start
 }
 
-// supersedes reports whether r replaces old: a higher generation wins, and at the same generation the later phase of the same lifetime.
+// supersedes reports whether r replaces old: a higher generation wins, and at the same generation the later phase of what may be the
+// same lifetime.
 func (r Record) supersedes(old Record) bool {
 	if r.Generation != old.Generation {
 		return r.Generation > old.Generation
 	}
-	return r.Lifetime() == old.Lifetime() && r.Phase > old.Phase
+	return r.Lifetime().SameAs(old.Lifetime()) && r.Phase > old.Phase
 }
 
 // isLaterPhaseOf reports whether r is a later phase of the lifetime that other describes.
