Soak: servers that deregister before a loss of all processes

A fault of its own has a server deregister while the store rejects all calls and then kills all processes. Drains are checked as before.

--- a/pkg/soak/fault_leaving.go
+++ b/pkg/soak/fault_leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -12,6 +13,9 @@
 // maxStay is the longest time for which a server that has deregistered goes on serving after drainDuration.
 const maxStay = 4 * time.Second
 
+// contactTime is for how long after an outage a node isn't bound by promises with a time bound.
+const contactTime = 3 * time.Second
+
 // deregisterServer makes a server leave by a deregistration alone, serve on for a while, and starts a new instance in its place.
 func deregisterServer(s *site, kind string, rnd *rand.Rand, _ time.Duration) {
 	s.deregisterServer(kind, rnd, nil)
@@ -45,14 +49,41 @@
 	if meanwhile != nil {
 		all.Go(func() { meanwhile(v) })
 	}
-	v.server.deregister(namesStart)
+	if leave, ok := v.server.deregister(namesStart); ok {
+		s.history.addLeave(leave)
+	}
 	time.Sleep(drainDuration + stay)
 	all.Wait()
 	v.server.startNewInstance()
 }
 
-// deregister ends the server's heartbeats and sends deregistrations until one is acknowledged or drainAckTimeout has passed.
-func (b *backendServer) deregister(namesStart bool) {
+// deregisterBeforeLoss makes a server leave by a deregistration while the store rejects all calls. All processes are killed
+// then and start again, and the store returns, while the server serves on.
+func deregisterBeforeLoss(s *site, kind string, rnd *rand.Rand, d time.Duration) {
+	v, namesStart := s.randomVM(rnd), rnd.IntN(2) == 0
+	release, ok := s.reserveOutage(v)
+	if !ok {
+		return
+	}
+	defer release()
+	var outage sync.WaitGroup
+	outage.Go(func() {
+		s.injectStoreFault(kind, s.vms, standin.Fault{Status: http.StatusServiceUnavailable}, maxFaultDuration)
+	})
+	defer outage.Wait()
+	time.Sleep(minFaultDuration)
+	leave, ok := v.server.deregister(namesStart)
+	s.killAndRestart(kind, s.vms, min(d, time.Second))
+	if ok {
+		s.history.addLeave(leave)
+	}
+	time.Sleep(contactTime + maxStay)
+	v.server.startNewInstance()
+}
+
+// deregister ends the server's heartbeats and sends deregistrations until one is acknowledged; it reports false after
+// drainAckTimeout.
+func (b *backendServer) deregister(namesStart bool) (acknowledgedLeave, bool) {
 	b.mu.Lock()
 	b.silent = true
 	at := directory.Lifetime{Instance: b.instance}
@@ -62,8 +93,8 @@
 	b.mu.Unlock()
 	for end := time.Now().Add(drainAckTimeout); time.Now().Before(end); time.Sleep(heartbeatPeriod / 5) {
 		if standin.Deregister(b.registerClient, b.vm.at(portControl), at) == nil {
-			b.history.addLeave(acknowledgedLeave{Instance: at.Instance, At: time.Now()})
-			return
+			return acknowledgedLeave{Instance: at.Instance, At: time.Now(), VM: b.vm.ip}, true
 		}
 	}
+	return acknowledgedLeave{}, false
 }
--- a/pkg/soak/fault_table.go
+++ b/pkg/soak/fault_table.go
@@ -78,6 +78,7 @@
 var leavingFaults = []fault{
 	{"server deregisters", true, deregisterServer},
 	{"server deregisters around a kill", false, deregisterAroundKill},
+	{"server deregisters before a loss of all", false, deregisterBeforeLoss},
 }
 
 // addedFaultsPerSecond is the mean rate of faults from each table other than baseFaults.
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -49,6 +49,7 @@
 type acknowledgedLeave struct {
 	Instance string
 	At       time.Time
+	VM       string // whose node may forget the leave with all others, and isn't bound for contactTime after an outage; empty: bound always
 }
 
 // history records what callers and backend servers saw in a run.
--- a/pkg/soak/promise_checks.go
+++ b/pkg/soak/promise_checks.go
@@ -86,13 +86,17 @@
 
 // checkLeaving finds requests that reached a server more than drainTime after its leave was acknowledged.
 func checkLeaving(h *history, _ time.Time) (found []Finding) {
-	left := map[string]time.Time{}
+	left := map[string]acknowledgedLeave{}
 	for _, l := range h.leaves {
-		left[l.Instance] = l.At
+		left[l.Instance] = l
 	}
 	for _, a := range h.arrivals {
-		if at, ok := left[a.Instance]; ok && a.At.Sub(at) > drainDuration {
-			found = append(found, Finding{"leaving", fmt.Sprintf("%s came %v after %s had left", a.ID, a.At.Sub(at), a.Instance)})
+		l, ok := left[a.Instance]
+		if !ok || l.VM != "" && h.hadOutage(l.VM, a.At.Add(-contactTime), a.At) {
+			continue // a node that has just started may not know of the leave yet
+		}
+		if a.At.Sub(l.At) > drainDuration {
+			found = append(found, Finding{"leaving", fmt.Sprintf("%s came %v after %s had left", a.ID, a.At.Sub(l.At), a.Instance)})
 		}
 	}
 	return found
