--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -199,14 +199,29 @@
 	c.Check(s.servers[1].ran(), qt.HasLen, 0)
 }
 
+// newLeavingSite returns a site in simulated time of a node that clients use and two servers of another service, 1 and 2.
+func newLeavingSite(t *testing.T) *site {
+	s := newMemorySite(t)
+	s.add("front", "z0", 10)
+	s.add("a", "z1", 10)
+	s.add("a", "z2", 10)
+	return s
+}
+
+// checkUnused checks that requests of the route pay are served and that none has reached the server.
+func (s *site) checkUnused(c *qt.C, f *fakeServer) {
+	for i := range 30 {
+		status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	c.Check(f.ran(), qt.HasLen, 0)
+}
+
 // Guards against a leaving that a node confirms before it has its earlier record, which then put the server back to use.
 func TestLeavingConfirmedDuringTheStartIsNotUndone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := newMemorySite(t)
-		s.add("front", "z0", 10)
-		s.add("a", "z1", 10)
-		s.add("a", "z2", 10)
+		s := newLeavingSite(t)
 		f := s.servers[1]
 		for lifetime := range int64(2) {
 			f.startedAt.Store(1000 + lifetime)
@@ -220,11 +235,7 @@
 		s.startNode(1)
 		s.nodes[1].Leave(t.Context(), directory.Lifetime{Instance: f.instance})
 		time.Sleep(2 * time.Second)
-		for i := range 30 {
-			status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
-			c.Assert(status, qt.Equals, http.StatusOK)
-		}
-		c.Check(f.ran(), qt.HasLen, 0)
+		s.checkUnused(c, f)
 	})
 }
 
@@ -232,10 +243,7 @@
 func TestLeavingConfirmedInAnOutageOutlastsALossOfAllNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := newMemorySite(t)
-		s.add("front", "z0", 10)
-		s.add("a", "z1", 10)
-		s.add("a", "z2", 10)
+		s := newLeavingSite(t)
 		s.store.put(desired.State{Version: 1, Routes: []desired.Route{route("pay", desired.AtMostOnce, "a")}})
 		s.waitUntilKnown(1)
 		f := s.servers[1]
@@ -255,10 +263,6 @@
 			}
 		}
 		time.Sleep(2 * time.Second)
-		for i := range 30 {
-			status, _, _ := s.request(0, http.MethodPost, "/pay/x", fmt.Sprint("p", i), time.Second)
-			c.Assert(status, qt.Equals, http.StatusOK)
-		}
-		c.Check(f.ran(), qt.HasLen, 0)
+		s.checkUnused(c, f)
 	})
 }
